--- /dev/null
+++ b/marjoramgrade/__init__.py
@@ -0,0 +1,1 @@
+"""A cluster scheduler for mixed workloads."""
--- /dev/null
+++ b/marjoramgrade/actor.py
@@ -0,0 +1,197 @@
+"""Tasks that own their state and talk by messages.
+
+An actor runs one tornado task, which takes messages from its mailbox one at a
+time. No other task reads or writes the actor's state. Handlers are registered
+by message type with the `handles` decorator.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any, ClassVar, Generic, TypeVar
+
+import attrs
+from tornado.queues import Queue, QueueFull
+
+from marjoramgrade.errors import (
+    MarjoramgradeError,
+    OverloadedError,
+    ShuttingDownError,
+)
+
+R = TypeVar("R")
+MAILBOX_SIZE = 10_000
+
+Handler = Callable[[Any, Any], Awaitable[Any]]
+_HANDLED_TYPE = "__handled_message_type__"
+
+
+class Message(Generic[R]):
+    """Base class of messages; the parameter is the type of the reply."""
+
+    __slots__ = ()
+
+
+def handles(
+    message_type: type[Message[R]],
+) -> Callable[[Callable[[Any, Any], Awaitable[R]]], Callable[[Any, Any], Awaitable[R]]]:
+    """Return a decorator that registers a method as the handler of a type."""
+
+    def mark(
+        method: Callable[[Any, Any], Awaitable[R]],
+    ) -> Callable[[Any, Any], Awaitable[R]]:
+        setattr(method, _HANDLED_TYPE, message_type)
+        return method
+
+    return mark
+
+
+@attrs.define
+class _Envelope:
+    message: Message[Any]
+    reply: asyncio.Future[Any] | None
+
+
+class Actor:
+    """One task with a mailbox.
+
+    Subclasses keep their state in private attributes and change it only in
+    handlers and in `on_start`, `on_stop` and the actor's own background tasks.
+    A handler that must wait returns a future, usually from `spawn`; the sender gets
+    its result while the mailbox goes on.
+    """
+
+    _handler_by_type: ClassVar[dict[type, Handler]] = {}
+
+    def __init_subclass__(cls, **kwargs: Any) -> None:
+        super().__init_subclass__(**kwargs)
+        handlers = dict(cls._handler_by_type)
+        for member in vars(cls).values():
+            message_type = getattr(member, _HANDLED_TYPE, None)
+            if message_type is not None:
+                handlers[message_type] = member
+        cls._handler_by_type = handlers
+
+    def __init__(self) -> None:
+        self._mailbox: Queue[_Envelope | None] = Queue(maxsize=MAILBOX_SIZE)
+        self._background: set[asyncio.Task[Any]] = set()
+        self._runner: asyncio.Task[None] | None = None
+        self._stopped = False
+
+    async def start(self) -> None:
+        """Start the actor's task."""
+        await self.on_start()
+        self._runner = asyncio.create_task(self._run(), name=type(self).__name__)
+
+    async def stop(self) -> None:
+        """Handle what the mailbox holds, then end the actor's tasks."""
+        if self._stopped:
+            return
+        self._stopped = True
+        await self._mailbox.put(None)
+        if self._runner is not None:
+            await self._runner
+        for task in list(self._background):
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+        await self.on_stop()
+
+    def tell(self, message: Message[Any]) -> None:
+        """Put a message into the mailbox without waiting for a reply.
+
+        Raises:
+            OverloadedError: If the mailbox is full.
+            ShuttingDownError: If the actor has stopped.
+        """
+        self._put(_Envelope(message, None))
+
+    async def ask(self, message: Message[R]) -> R:
+        """Put a message into the mailbox and wait for the handler's result.
+
+        Raises:
+            OverloadedError: If the mailbox is full.
+            ShuttingDownError: If the actor has stopped.
+            MarjoramgradeError: Whatever the handler raises.
+        """
+        reply: asyncio.Future[R] = asyncio.get_running_loop().create_future()
+        self._put(_Envelope(message, reply))
+        return await reply
+
+    def spawn(self, work: Awaitable[Any]) -> asyncio.Task[Any]:
+        """Run work beside the mailbox; it ends with the actor."""
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+    async def on_start(self) -> None:
+        """Prepare the actor before its first message."""
+
+    async def on_stop(self) -> None:
+        """Release what the actor owns after its last message."""
+
+    def on_failure(self, message: Message[Any], error: MarjoramgradeError) -> None:
+        """Take note of a failure that nobody waits for."""
+
+    def _put(self, envelope: _Envelope) -> None:
+        if self._stopped:
+            raise ShuttingDownError(f"{type(self).__name__} has stopped")
+        try:
+            self._mailbox.put_nowait(envelope)
+        except QueueFull:
+            raise OverloadedError(
+                f"the mailbox of {type(self).__name__} is full"
+            ) from None
+
+    async def _run(self) -> None:
+        while True:
+            envelope = await self._mailbox.get()
+            if envelope is None:
+                return
+            await self._handle(envelope)
+
+    async def _handle(self, envelope: _Envelope) -> None:
+        handler = self._handler_by_type[type(envelope.message)]
+        try:
+            result = await handler(self, envelope.message)
+        except MarjoramgradeError as error:
+            if envelope.reply is None:
+                self.on_failure(envelope.message, error)
+            elif not envelope.reply.done():
+                envelope.reply.set_exception(error)
+            return
+        except Exception as error:
+            if envelope.reply is None or envelope.reply.done():
+                raise
+            envelope.reply.set_exception(error)
+            return
+        if envelope.reply is None:
+            return
+        if isinstance(result, asyncio.Future):
+            result.add_done_callback(lambda done: _copy_result(done, envelope.reply))
+        elif not envelope.reply.done():
+            envelope.reply.set_result(result)
+
+
+def _copy_result(
+    source: asyncio.Future[Any], target: asyncio.Future[Any] | None
+) -> None:
+    if target is None or target.done():
+        return
+    if source.cancelled():
+        target.set_exception(ShuttingDownError("the work was cancelled"))
+    elif (error := source.exception()) is not None:
+        target.set_exception(error)
+    else:
+        target.set_result(source.result())
+
+
+class ActorGroup(contextlib.AsyncExitStack):
+    """An exit stack that starts actors and stops them in reverse order."""
+
+    async def add(self, actor: Actor) -> None:
+        """Start an actor and stop it when the group closes."""
+        await actor.start()
+        self.push_async_callback(actor.stop)
--- /dev/null
+++ b/marjoramgrade/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Outside edges and the peer link: the only modules that know an encoding."""
--- /dev/null
+++ b/marjoramgrade/clock.py
@@ -0,0 +1,44 @@
+"""Time in whole milliseconds."""
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """A monotonic clock."""
+
+    def now_ms(self) -> int:
+        """Return the milliseconds since an arbitrary fixed point."""
+        ...
+
+
+class SystemClock:
+    """The machine's monotonic clock."""
+
+    def now_ms(self) -> int:
+        """Return the milliseconds of the machine's monotonic clock."""
+        return time.monotonic_ns() // 1_000_000
+
+
+class ManualClock:
+    """A clock that moves only when told; for tests and measurements."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        """Return the current reading."""
+        return self._now_ms
+
+    def advance(self, by_ms: int) -> None:
+        """Move the clock forward.
+
+        Args:
+            by_ms: Milliseconds, not negative.
+
+        Raises:
+            ValueError: If the clock would move backwards.
+        """
+        if by_ms < 0:
+            raise ValueError("a monotonic clock does not move backwards")
+        self._now_ms += by_ms
--- /dev/null
+++ b/marjoramgrade/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers: actors that each own one kind of state."""
--- /dev/null
+++ b/marjoramgrade/errors.py
@@ -0,0 +1,265 @@
+"""The exception tree: every failure has a type and a stable code."""
+
+import enum
+
+import attrs
+
+
+class Ran(enum.Enum):
+    """Whether the work that a failure refers to has run."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class MarjoramgradeError(Exception):
+    """Base class of every failure that this project raises.
+
+    Args:
+        message: What was wrong, in one sentence.
+        details: Further facts for programs, each a string.
+    """
+
+    code = "internal_error"
+    ran = Ran.NO
+
+    def __init__(self, message: str, **details: str) -> None:
+        super().__init__(message)
+        self.message = message
+        self.details = details
+
+
+class InvalidInputError(MarjoramgradeError):
+    """Input from outside has the wrong form."""
+
+    code = "invalid_input"
+
+
+class OversizedInputError(InvalidInputError):
+    """Input from outside is larger than its bound."""
+
+    code = "oversized_input"
+
+
+class ProtocolError(MarjoramgradeError):
+    """A process at the other end of a connection broke the protocol."""
+
+    code = "protocol_error"
+
+
+class NotFoundError(MarjoramgradeError):
+    """The named resource does not exist."""
+
+    code = "not_found"
+
+
+class ConflictError(MarjoramgradeError):
+    """A change was based on a version that is no longer current.
+
+    Args:
+        message: What was wrong.
+        expected_version: The version that the change was based on.
+        current_version: The version now in force.
+    """
+
+    code = "conflict"
+
+    def __init__(
+        self, message: str, *, expected_version: int, current_version: int
+    ) -> None:
+        super().__init__(
+            message,
+            expected_version=str(expected_version),
+            current_version=str(current_version),
+        )
+        self.expected_version = expected_version
+        self.current_version = current_version
+
+
+@attrs.frozen
+class SettingsProblem:
+    """One fault in a settings document: its path and the reason."""
+
+    path: str
+    reason: str
+
+
+class SettingsError(InvalidInputError):
+    """A settings document is invalid; lists every fault."""
+
+    code = "invalid_settings"
+
+    def __init__(self, problems: list[SettingsProblem]) -> None:
+        text = "; ".join(f"{p.path}: {p.reason}" for p in problems)
+        super().__init__(text)
+        self.problems = problems
+
+
+class RefusedError(MarjoramgradeError):
+    """Work was refused and has not run."""
+
+    code = "refused"
+
+
+class UnauthenticatedError(RefusedError):
+    """The key is missing, unknown or withdrawn."""
+
+    code = "unauthenticated"
+
+
+class ForbiddenError(RefusedError):
+    """The key's team may not use this resource."""
+
+    code = "forbidden"
+
+
+class DeadlineExceededError(RefusedError):
+    """The deadline passed before the work was dispatched."""
+
+    code = "deadline_exceeded"
+
+
+class StaleAuthorityError(RefusedError):
+    """The configuration cannot be confirmed as current."""
+
+    code = "stale_authority"
+
+
+class TableRefusedError(RefusedError):
+    """The table is unreachable and the operation needs a write."""
+
+    code = "table_unavailable"
+
+
+class LedgerUnavailableError(RefusedError):
+    """A non-idempotent request cannot be recorded before it runs."""
+
+    code = "ledger_unavailable"
+
+
+class OverloadedError(RefusedError):
+    """A queue has reached its bound."""
+
+    code = "overloaded"
+
+
+class OverLimitError(RefusedError):
+    """The team is at its upper limit."""
+
+    code = "over_limit"
+
+
+class UnsatisfiableError(RefusedError):
+    """No instance of the cell could ever hold this work."""
+
+    code = "unsatisfiable"
+
+
+class NoBackendError(RefusedError):
+    """No backend server can take the request."""
+
+    code = "no_backend"
+
+
+class NotOwnerError(RefusedError):
+    """This instance does not own the shard."""
+
+    code = "not_owner"
+
+
+class OwnerUnreachableError(RefusedError):
+    """The shard's owner cannot be reached; nothing was sent."""
+
+    code = "owner_unreachable"
+
+
+class ShuttingDownError(RefusedError):
+    """The instance is shutting down and takes no new work."""
+
+    code = "shutting_down"
+
+
+class DuplicateRequestError(RefusedError):
+    """A request with this id has been taken before; this copy did not run."""
+
+    code = "duplicate_request"
+    ran = Ran.UNKNOWN
+
+
+class OutcomeUnknownError(MarjoramgradeError):
+    """The work may or may not have run."""
+
+    code = "outcome_unknown"
+    ran = Ran.UNKNOWN
+
+
+class BackendFailedError(MarjoramgradeError):
+    """The backend server ran the request and reported a failure."""
+
+    code = "backend_failed"
+    ran = Ran.YES
+
+
+class TableError(MarjoramgradeError):
+    """Base class of failures of the platform's table service."""
+
+    code = "table_error"
+
+
+class TableUnavailableError(TableError):
+    """The table cannot be reached; the write did not leave."""
+
+    code = "table_unavailable"
+
+
+class WriteOutcomeUnknownError(TableError):
+    """A write was sent and its answer was lost."""
+
+    code = "write_outcome_unknown"
+    ran = Ran.UNKNOWN
+
+
+class CheckFailedError(TableError):
+    """A version check of a transaction failed; nothing was written.
+
+    Args:
+        message: What was wrong.
+        current_version_by_key: The versions now in the table.
+    """
+
+    code = "check_failed"
+
+    def __init__(self, message: str, current_version_by_key: dict[str, int]) -> None:
+        super().__init__(message)
+        self.current_version_by_key = current_version_by_key
+
+
+def iter_error_types(
+    base: type[MarjoramgradeError] = MarjoramgradeError,
+) -> list[type[MarjoramgradeError]]:
+    """Return every error type of the tree, the base first."""
+    found = [base]
+    for child in base.__subclasses__():
+        found.extend(iter_error_types(child))
+    return found
+
+
+def from_code(code: str, message: str, details: dict[str, str]) -> MarjoramgradeError:
+    """Rebuild an error that another process reported.
+
+    Args:
+        code: The stable code of the error.
+        message: The message of the error.
+        details: Further facts.
+
+    Returns:
+        An error of the type with this code, or the base type for an unknown code.
+    """
+    special = {"conflict", "invalid_settings", "check_failed"}
+    for kind in iter_error_types():
+        if kind.code == code and code not in special:
+            return kind(message, **details)
+    error = MarjoramgradeError(message, **details)
+    error.code = code
+    return error
--- /dev/null
+++ b/marjoramgrade/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of filters that every request passes."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, workers and backend servers."""
--- /dev/null
+++ b/tests/test_actor.py
@@ -0,0 +1,87 @@
+import asyncio
+
+import attrs
+import pytest
+
+from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.errors import NotFoundError, ShuttingDownError
+
+
+@attrs.frozen
+class Double(Message[int]):
+    value: int
+
+
+@attrs.frozen
+class Fail(Message[None]):
+    pass
+
+
+@attrs.frozen
+class Slow(Message[str]):
+    gate: asyncio.Event
+
+
+class Doubler(Actor):
+    @handles(Double)
+    async def _double(self, message: Double) -> int:
+        return 2 * message.value
+
+    @handles(Fail)
+    async def _fail(self, message: Fail) -> None:
+        raise NotFoundError("nothing here")
+
+    @handles(Slow)
+    async def _slow(self, message: Slow) -> object:
+        async def wait() -> str:
+            await message.gate.wait()
+            return "late"
+
+        return self.spawn(wait())
+
+
+def test_each_sender_gets_the_reply_to_its_own_message() -> None:
+    """Guards against replies that reach another sender (invariant 6)."""
+
+    async def run() -> list[int]:
+        actor = Doubler()
+        await actor.start()
+        replies = await asyncio.gather(*(actor.ask(Double(n)) for n in range(20)))
+        await actor.stop()
+        return replies
+
+    assert asyncio.run(run()) == [2 * n for n in range(20)]
+
+
+def test_a_handler_error_reaches_the_sender_and_the_actor_goes_on() -> None:
+    """Guards against an actor that dies of one bad message."""
+
+    async def run() -> int:
+        actor = Doubler()
+        await actor.start()
+        with pytest.raises(NotFoundError):
+            await actor.ask(Fail())
+        result = await actor.ask(Double(4))
+        await actor.stop()
+        with pytest.raises(ShuttingDownError):
+            actor.tell(Double(1))
+        return result
+
+    assert asyncio.run(run()) == 8
+
+
+def test_a_waiting_handler_does_not_hold_up_the_mailbox() -> None:
+    """Guards against one slow message that blocks all later ones."""
+
+    async def run() -> tuple[int, str]:
+        actor = Doubler()
+        await actor.start()
+        gate = asyncio.Event()
+        slow = asyncio.ensure_future(actor.ask(Slow(gate)))
+        quick = await actor.ask(Double(1))
+        gate.set()
+        late = await slow
+        await actor.stop()
+        return quick, late
+
+    assert asyncio.run(run()) == (2, "late")
