Convert resources to JSON-ready documents and back

The HTTP interface, the table rows and the settings need one strict reader: cattrs coerces "1" to 1 and true to 1, and the json module accepts NaN and an object that holds a name twice.

--- /dev/null
+++ b/marjoramgrade/jsontext.py
@@ -0,0 +1,82 @@
+"""JSON text with bounds, for whatever comes from outside the process."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from marjoramgrade.errors import InvalidInputError, OversizedInputError
+
+MAX_DOCUMENT_BYTES = 16 * 1_048_576
+MAX_NESTING = 16  # the deepest document of this project has six levels
+
+
+def parse_text(
+    data: bytes | str, *, max_bytes: int = MAX_DOCUMENT_BYTES, path: str = "document"
+) -> Any:
+    """Return what a JSON text holds.
+
+    Args:
+        data: The text.
+        max_bytes: The largest accepted length of the text.
+        path: What the text is, for messages.
+
+    Raises:
+        OversizedInputError: If the text is too long or nested too deeply.
+        InvalidInputError: If it is not JSON, or an object holds a name twice.
+    """
+    if len(data) > max_bytes:
+        raise OversizedInputError(f"{path} is larger than {max_bytes} bytes", path=path)
+    try:
+        value = json.loads(
+            data, object_pairs_hook=_unique, parse_constant=_refuse_constant
+        )
+    except RecursionError:
+        raise _too_deep(path) from None
+    except ValueError as error:
+        reason = str(error)[:200]
+        raise InvalidInputError(f"{path}: {reason}", path=path, reason=reason) from None
+    _check_nesting(value, path)
+    return value
+
+
+def serialize_text(value: Any) -> str:
+    """Return a value as compact JSON text on one line."""
+    return json.dumps(value, separators=(",", ":"), ensure_ascii=False)
+
+
+def serialize_pretty(value: Any) -> str:
+    """Return a value as indented JSON text."""
+    return json.dumps(value, indent=2, ensure_ascii=False)
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    value = dict(pairs)
+    if len(value) != len(pairs):
+        raise ValueError("an object holds the same name twice")
+    return value
+
+
+def _refuse_constant(constant: str) -> Any:
+    raise ValueError(f"{constant} is not JSON")
+
+
+def _check_nesting(value: Any, path: str) -> None:
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [inner for outer in level for inner in _children(outer)]
+        if not level:
+            return
+    raise _too_deep(path)
+
+
+def _children(value: Any) -> list[Any]:
+    if isinstance(value, dict):
+        return list(value.values())
+    return value if isinstance(value, list) else []
+
+
+def _too_deep(path: str) -> OversizedInputError:
+    return OversizedInputError(
+        f"{path} is nested more than {MAX_NESTING} levels deep", path=path
+    )
--- /dev/null
+++ b/marjoramgrade/structuring.py
@@ -0,0 +1,234 @@
+"""Strict conversion between attrs classes and JSON-ready documents.
+
+`cattrs` coerces numbers and text by default. The converter made here does not:
+a value of another JSON type, an unknown name and a value outside its bound are
+each a `Problem` with a path.
+"""
+
+from __future__ import annotations
+
+import enum
+import ipaddress
+import re
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, TypeVar
+
+import attrs
+from cattrs import Converter
+from cattrs.errors import (
+    AttributeValidationNote,
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationError,
+    IterableValidationNote,
+)
+from cattrs.gen import make_dict_structure_fn, override
+
+T = TypeVar("T")
+StructHook = Callable[[Any, Any], Any]
+
+MAX_NAME_LENGTH = 64
+MAX_PROBLEMS = 20
+MAX_ECHO_LENGTH = 80  # an error must not repeat a hostile value in full
+# JSON numbers above 2**53 lose digits in readers that use floating point.
+MAX_NUMBER = 2**53
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
+
+
+@attrs.frozen
+class Problem:
+    """One fault in a document: its path and the reason."""
+
+    path: str
+    reason: str
+
+
+class InvalidValueError(ValueError):
+    """A value that is outside its bound; becomes a `Problem`."""
+
+
+FAULTS = (
+    ClassValidationError,
+    IterableValidationError,
+    ForbiddenExtraKeysError,
+    InvalidValueError,
+)
+
+
+def whole_number(low: int, high: int = MAX_NUMBER) -> StructHook:
+    """Return a hook for whole numbers within bounds, both included."""
+
+    def check(value: Any, _: Any = None) -> int:
+        if type(value) is not int:
+            raise InvalidValueError("must be a whole number")
+        if not low <= value <= high:
+            raise InvalidValueError(f"must be between {low} and {high}")
+        return value
+
+    return check
+
+
+def text(max_bytes: int) -> StructHook:
+    """Return a hook for text of at most this many bytes in UTF-8."""
+
+    def check(value: Any, _: Any = None) -> str:
+        if type(value) is not str:
+            raise InvalidValueError("must be text")
+        # Each character takes at least one byte, so long text need not be encoded.
+        if len(value) > max_bytes or len(_encode(value)) > max_bytes:
+            raise InvalidValueError(f"must be at most {max_bytes} bytes long")
+        return value
+
+    return check
+
+
+def _encode(value: str) -> bytes:
+    try:
+        return value.encode()
+    except UnicodeEncodeError:
+        raise InvalidValueError("must not hold a lone surrogate") from None
+
+
+def name(*, optional: bool = False, max_length: int = MAX_NAME_LENGTH) -> StructHook:
+    """Return a hook for names, which appear in URLs and in table keys."""
+    limit = text(max_length)
+
+    def check(value: Any, _: Any = None) -> str:
+        checked: str = limit(value, str)
+        if checked == "" and optional:
+            return checked
+        if not _NAME.fullmatch(checked):
+            raise InvalidValueError(
+                "must start with a letter or digit and hold only letters, digits, "
+                "'.', '_' and '-'"
+            )
+        return checked
+
+    return check
+
+
+def ip_number(*, optional: bool = False) -> StructHook:
+    """Return a hook for IP numbers; processes resolve no host names."""
+    limit = text(MAX_NAME_LENGTH)
+
+    def check(value: Any, _: Any = None) -> str:
+        checked: str = limit(value, str)
+        if checked == "" and optional:
+            return checked
+        try:
+            ipaddress.ip_address(checked)
+        except ValueError:
+            raise InvalidValueError("must be an IP number") from None
+        return checked
+
+    return check
+
+
+def flag(value: Any, _: Any = None) -> bool:
+    """Return a value that is true or false."""
+    if type(value) is not bool:
+        raise InvalidValueError("must be true or false")
+    return value
+
+
+def choice(kind: type[enum.Enum]) -> StructHook:
+    """Return a hook for an enum that documents hold by value."""
+    member_by_value = {member.value: member for member in kind}
+    known = ", ".join(str(value) for value in member_by_value)
+
+    def check(value: Any, _: Any = None) -> enum.Enum:
+        if type(value) is not str or value not in member_by_value:
+            raise InvalidValueError(f"must be one of {known}")
+        return member_by_value[value]
+
+    return check
+
+
+def items(entry_type: type, max_items: int) -> Callable[[Converter], StructHook]:
+    """Return a factory of hooks for lists of at most this many entries."""
+
+    def bind(converter: Converter) -> StructHook:
+        def check(value: Any, _: Any = None) -> tuple[Any, ...]:
+            if type(value) is not list:
+                raise InvalidValueError("must be a list")
+            if len(value) > max_items:
+                raise InvalidValueError(f"must hold at most {max_items} entries")
+            return converter.structure(value, tuple[entry_type, ...])  # type: ignore[valid-type]
+
+        return check
+
+    return bind
+
+
+def make_converter() -> Converter:
+    """Return a converter that neither coerces nor ignores anything."""
+    converter = Converter(forbid_extra_keys=True, detailed_validation=True)
+    converter.register_structure_hook(int, whole_number(-MAX_NUMBER))
+    converter.register_structure_hook(str, text(MAX_NUMBER))
+    converter.register_structure_hook(bool, flag)
+    return converter
+
+
+def register_class(
+    converter: Converter, kind: type, hook_by_field: Mapping[str, StructHook]
+) -> None:
+    """Teach a converter an attrs class.
+
+    Args:
+        converter: The converter to extend.
+        kind: The attrs class.
+        hook_by_field: The check of each field that has a bound of its own.
+    """
+    overrides: dict[str, Any] = {
+        field: override(struct_hook=hook) for field, hook in hook_by_field.items()
+    }
+    structure_object: Callable[..., Any] = make_dict_structure_fn(
+        kind, converter, _cattrs_forbid_extra_keys=True, **overrides
+    )
+
+    def structure(value: Any, _: Any = None) -> Any:
+        if type(value) is not dict:
+            raise InvalidValueError("must be an object")
+        return structure_object(value, kind)
+
+    converter.register_structure_hook(kind, structure)
+
+
+def find_problems(error: Exception, path: str = "") -> list[Problem]:
+    """Return the faults behind an exception of a converter, in order of fields."""
+    found: list[Problem] = []
+    for problem in _iter_problems(error, path):
+        found.append(problem)
+        if len(found) == MAX_PROBLEMS:
+            break
+    return found
+
+
+def _iter_problems(error: BaseException, path: str) -> Iterator[Problem]:
+    if isinstance(error, ClassValidationError | IterableValidationError):
+        noted, others = error.group_exceptions()
+        for inner, note in noted:
+            yield from _iter_problems(inner, _join(path, note))
+        for inner in others:
+            yield from _iter_problems(inner, path)
+    elif isinstance(error, ForbiddenExtraKeysError):
+        for extra in sorted(shorten(extra) for extra in error.extra_fields):
+            yield Problem(f"{path}.{extra}" if path else extra, "is an unknown name")
+    elif isinstance(error, KeyError):
+        yield Problem(path, "is required")
+    else:
+        yield Problem(path or "document", str(error))
+
+
+def _join(path: str, note: AttributeValidationNote | IterableValidationNote) -> str:
+    if isinstance(note, IterableValidationNote):
+        return f"{path}[{shorten(note.index)}]"
+    return f"{path}.{note.name}" if path else note.name
+
+
+def shorten(value: object) -> str:
+    """Return printable text for a value from outside, cut to a bound."""
+    shown = str(value)[:MAX_ECHO_LENGTH]
+    plain = shown.isprintable() and shown.strip() != ""
+    return shown if plain else ascii(shown)[:MAX_ECHO_LENGTH]
