Read settings and deployment files

An entry instance learns everything from its settings, so a wrong file has to be refused whole, with every fault named, before anything starts.

--- /dev/null
+++ b/marjoramgrade/deployment.py
@@ -0,0 +1,248 @@
+"""A deployment file: all entry instances of a cell and its first resources."""
+
+from __future__ import annotations
+
+import collections
+import pathlib
+from collections.abc import Hashable, Iterable, Iterator
+from typing import Any
+
+import attrs
+
+from marjoramgrade import documents, settingsfile
+from marjoramgrade.errors import NotFoundError
+from marjoramgrade.model import Service, Team, Zone
+from marjoramgrade.resources import Resources
+from marjoramgrade.settings import EntrySettings
+from marjoramgrade.settingsfile import KnownNames
+from marjoramgrade.structuring import (
+    FAULTS,
+    InvalidValueError,
+    Problem,
+    StructHook,
+    ip_number,
+    items,
+    name,
+    register_class,
+    text,
+    whole_number,
+)
+
+MAX_ENTRIES = 100
+MAX_ZONES = 100
+MAX_TEAMS = 1_000
+MAX_INSTANCES = 100_000
+MAX_CONNECTIONS = 10_000
+
+
+@attrs.frozen
+class EntryPlan:
+    """One entry instance: what differs between the instances of a cell."""
+
+    instance_id: str
+    zone: str
+    host: str
+    http_port: int = 8080
+    peer_port: int = 8081
+
+
+@attrs.frozen
+class WorkerPlan:
+    """The workers of a cell.
+
+    Attributes:
+        count: Number of workers over all zones.
+        per_rack: Workers in one rack.
+        capacity: What each worker offers.
+    """
+
+    count: int
+    per_rack: int
+    capacity: Resources
+
+
+@attrs.frozen
+class BackendPlan:
+    """The backend servers of one service, each with one runner.
+
+    Attributes:
+        service: The service that they run.
+        count: Number of backend servers over all zones.
+        slots: Requests that one runner handles at a time.
+        connections: Connections that one runner takes.
+    """
+
+    service: str
+    count: int
+    slots: int = 8
+    connections: int = 64
+
+
+@attrs.frozen
+class Deployment:
+    """Everything that is decided about a cell before it starts.
+
+    Attributes:
+        name: Name of the cell.
+        title: The organisation and its site, for people.
+        settings: Settings that all entry instances share, by field name.
+        entries: The entry instances.
+        zones: The availability zones.
+        teams: The first teams.
+        services: The first services.
+        workers: Sizes of the workers.
+        backends: Sizes of the backend servers.
+    """
+
+    name: str
+    title: str
+    settings: dict[str, Any]
+    entries: tuple[EntryPlan, ...]
+    zones: tuple[Zone, ...]
+    teams: tuple[Team, ...]
+    services: tuple[Service, ...]
+    workers: WorkerPlan
+    backends: tuple[BackendPlan, ...] = ()
+
+
+_OWN_FIELDS = frozenset(field.name for field in attrs.fields(EntryPlan))
+
+
+def _shared_settings(value: Any, _: Any = None) -> dict[str, Any]:
+    if type(value) is not dict:
+        raise InvalidValueError("must be an object")
+    return value
+
+
+def _entry_hooks() -> dict[str, StructHook]:
+    hooks = {f: settingsfile.SETTINGS_HOOKS[f] for f in _OWN_FIELDS}
+    return {**hooks, "host": ip_number()}
+
+
+_converter = documents.converter.copy()
+register_class(_converter, EntryPlan, _entry_hooks())
+register_class(
+    _converter,
+    WorkerPlan,
+    {
+        "count": whole_number(0, MAX_INSTANCES),
+        "per_rack": whole_number(1, MAX_INSTANCES),
+    },
+)
+register_class(
+    _converter,
+    BackendPlan,
+    {
+        "service": name(),
+        "count": whole_number(0, MAX_INSTANCES),
+        "slots": whole_number(1, MAX_CONNECTIONS),
+        "connections": whole_number(1, MAX_CONNECTIONS),
+    },
+)
+register_class(
+    _converter,
+    Deployment,
+    {
+        "name": name(),
+        "title": text(200),
+        "settings": _shared_settings,
+        "entries": items(EntryPlan, MAX_ENTRIES)(_converter),
+        "zones": items(Zone, MAX_ZONES)(_converter),
+        "teams": items(Team, MAX_TEAMS)(_converter),
+        "services": items(Service, MAX_TEAMS)(_converter),
+        "backends": items(BackendPlan, MAX_TEAMS)(_converter),
+    },
+)
+
+
+def parse_deployment(document: object) -> Deployment:
+    """Return the deployment that a document holds.
+
+    Raises:
+        SettingsError: With every fault.
+    """
+    try:
+        deployment = _converter.structure(document, Deployment)
+    except FAULTS as error:
+        raise settingsfile.settings_error(
+            settingsfile.find_all_problems(error)
+        ) from None
+    problems = list(_iter_problems(deployment))
+    if problems:
+        raise settingsfile.settings_error(problems)
+    return deployment
+
+
+def read_deployment(path: pathlib.Path) -> Deployment:
+    """Return the deployment in a JSON file.
+
+    Raises:
+        SettingsError: With every fault of the file.
+    """
+    return parse_deployment(settingsfile.read_document(path))
+
+
+def render_settings(
+    deployment: Deployment, instance_id: str, names: KnownNames
+) -> EntrySettings:
+    """Return the settings of one entry instance of a deployment.
+
+    Raises:
+        NotFoundError: If the deployment has no such instance.
+        SettingsError: If the shared settings have faults.
+    """
+    for plan in deployment.entries:
+        if plan.instance_id == instance_id:
+            document = {**deployment.settings, **attrs.asdict(plan)}
+            return settingsfile.parse_entry_settings(document, names)
+    raise NotFoundError(
+        f"{deployment.name} has no entry instance {instance_id!r}",
+        known=", ".join(plan.instance_id for plan in deployment.entries),
+    )
+
+
+def serialize_seed(deployment: Deployment) -> dict[str, Any]:
+    """Return the first teams, zones and services, as `apply` reads them."""
+    return {
+        "teams": [documents.serialize_team(team) for team in deployment.teams],
+        "zones": [documents.serialize_zone(zone) for zone in deployment.zones],
+        "services": [documents.serialize_service(s) for s in deployment.services],
+    }
+
+
+def _iter_problems(deployment: Deployment) -> Iterator[Problem]:
+    zones = {zone.name for zone in deployment.zones}
+    teams = {team.name for team in deployment.teams}
+    services = {service.name for service in deployment.services}
+    entries = deployment.entries
+    yield from _iter_repeats("entries", (e.instance_id for e in entries), "instance_id")
+    yield from _iter_repeats("entries", ((e.host, e.http_port) for e in entries))
+    yield from _iter_repeats("entries", ((e.host, e.peer_port) for e in entries))
+    yield from _iter_repeats("zones", (z.name for z in deployment.zones), "name")
+    yield from _iter_repeats("teams", (t.name for t in deployment.teams), "name")
+    yield from _iter_repeats("services", (s.name for s in deployment.services), "name")
+    for index, entry in enumerate(entries):
+        if entry.zone not in zones:
+            yield Problem(f"entries[{index}].zone", "is not one of the zones")
+    for index, zone in enumerate(deployment.zones):
+        if all(entry.zone != zone.name for entry in entries):
+            yield Problem(f"zones[{index}].name", "has no entry instance")
+    for index, service in enumerate(deployment.services):
+        if service.team and service.team not in teams:
+            yield Problem(f"services[{index}].team", "is not one of the teams")
+    for index, backend in enumerate(deployment.backends):
+        if backend.service not in services:
+            yield Problem(f"backends[{index}].service", "is not one of the services")
+    for field in sorted(_OWN_FIELDS & deployment.settings.keys()):
+        yield Problem(f"settings.{field}", "belongs to each of the entries")
+
+
+def _iter_repeats(
+    path: str, values: Iterable[Hashable], field: str = "host"
+) -> Iterator[Problem]:
+    seen: collections.Counter[Hashable] = collections.Counter()
+    for index, value in enumerate(values):
+        if seen[value]:
+            reason = "is used twice" if field != "host" else "and port are used twice"
+            yield Problem(f"{path}[{index}].{field}", reason)
+        seen[value] += 1
--- a/marjoramgrade/structuring.py
+++ b/marjoramgrade/structuring.py
@@ -9,7 +9,9 @@
 
 import enum
 import ipaddress
+import itertools
 import re
+import urllib.parse
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, TypeVar
 
@@ -125,6 +127,20 @@
     return check
 
 
+def http_url(value: Any, _: Any = None) -> str:
+    """Return a value that is `http://IP:PORT`, without a path."""
+    checked: str = text(MAX_NAME_LENGTH)(value, str)
+    try:
+        parts = urllib.parse.urlsplit(checked)
+        host, port = parts.hostname or "", parts.port
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise InvalidValueError("must be http://IP:PORT with an IP number") from None
+    if checked != f"http://{parts.netloc}" or not port or "@" in parts.netloc:
+        raise InvalidValueError("must be http://IP:PORT without a path")
+    return checked
+
+
 def flag(value: Any, _: Any = None) -> bool:
     """Return a value that is true or false."""
     if type(value) is not bool:
@@ -195,14 +211,11 @@
     converter.register_structure_hook(kind, structure)
 
 
-def find_problems(error: Exception, path: str = "") -> list[Problem]:
-    """Return the faults behind an exception of a converter, in order of fields."""
-    found: list[Problem] = []
-    for problem in _iter_problems(error, path):
-        found.append(problem)
-        if len(found) == MAX_PROBLEMS:
-            break
-    return found
+def find_problems(
+    error: Exception, path: str = "", limit: int = MAX_PROBLEMS
+) -> list[Problem]:
+    """Return the first faults behind an exception of a converter."""
+    return list(itertools.islice(_iter_problems(error, path), limit))
 
 
 def _iter_problems(error: BaseException, path: str) -> Iterator[Problem]:
--- /dev/null
+++ b/tests/test_deployment.py
@@ -0,0 +1,68 @@
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+from marjoramgrade import deployment, documents
+from marjoramgrade.errors import NotFoundError, SettingsError
+from tests.test_settingsfile import NAMES
+
+FOLDER = pathlib.Path(__file__).parent.parent / "deploy"
+SIZES = {"kelani-basin": (7, 64_000, 128), "ledgerwell": (6, 16_000, 64)}
+
+
+def load(name: str) -> dict[str, Any]:
+    document: dict[str, Any] = json.loads((FOLDER / f"{name}.json").read_text())
+    return document
+
+
+@pytest.mark.parametrize("name", SIZES)
+def test_the_deployment_files_have_the_sizes_of_the_design_page(name: str) -> None:
+    """Guards against a deployment file that drifts from the design page."""
+    cell = deployment.read_deployment(FOLDER / f"{name}.json")
+    entries, cpu_millis, memory_gib = SIZES[name]
+    assert (len(cell.entries), len(cell.zones), len(cell.teams)) == (entries, 3, 6)
+    assert (cell.workers.count, cell.workers.per_rack) == (24, 8)
+    assert cell.workers.capacity.cpu_millis == cpu_millis
+    assert cell.workers.capacity.memory_mib == memory_gib * 1024
+    assert [(b.count, b.slots, b.connections) for b in cell.backends] == [(24, 8, 64)]
+
+
+@pytest.mark.parametrize("name", SIZES)
+def test_settings_render_for_every_instance(name: str) -> None:
+    """Guards against a deployment from which an instance cannot start."""
+    cell = deployment.read_deployment(FOLDER / f"{name}.json")
+    for plan in cell.entries:
+        settings = deployment.render_settings(cell, plan.instance_id, NAMES)
+        assert (settings.instance_id, settings.zone) == (plan.instance_id, plan.zone)
+    with pytest.raises(NotFoundError):
+        deployment.render_settings(cell, "nobody", NAMES)
+
+
+def test_the_seed_holds_resources_that_parse() -> None:
+    """Guards against first resources that the interface refuses."""
+    cell = deployment.read_deployment(FOLDER / "ledgerwell.json")
+    seed = json.loads(json.dumps(deployment.serialize_seed(cell)))
+    assert [documents.parse_team(team) for team in seed["teams"]] == list(cell.teams)
+    assert len(documents.parse_config(seed).services_by_name) == 1
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"zones": [{"name": "leeds"}]}, "entries[2].zone"),
+        ({"backends": [{"service": "x", "count": 1}]}, "backends[0].service"),
+        ({"services": [{"name": "x", "team": "y"}]}, "services[0].team"),
+        ({"settings": {"zone": "leeds"}}, "settings.zone"),
+        ({"teams": [{"name": "a"}, {"name": "a"}]}, "teams[1].name"),
+        ({"color": 1}, "color"),
+    ],
+)
+def test_a_deployment_that_contradicts_itself_is_refused(
+    change: dict[str, object], path: str
+) -> None:
+    """Guards against a cell that starts with instances of no zone or service."""
+    with pytest.raises(SettingsError) as caught:
+        deployment.parse_deployment({**load("ledgerwell"), **change})
+    assert path in {problem.path for problem in caught.value.problems}
