Count slots in use on backend servers

After a takeover, requests of the earlier owner still hold slots on a server, and a request on a broken connection may still run there. A server is used only once its count under the new epoch is known; slots of such requests stay counted until a later probe shows a lower count, and a busy server whose count cannot fall is emptied once for an exact one.

--- /dev/null
+++ b/marjoramgrade/decisions/slots.py
@@ -0,0 +1,260 @@
+"""Slots in use on the backend servers of one shard.
+
+A server is selected as the less loaded of two random ones: Mitzenmacher, "The
+power of two choices in randomized load balancing", TPDS 2001; Sparrow (SOSP
+2013) applies the same idea to the placement of tasks.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+import attrs
+
+FIRST_BACKOFF_MS = 250
+MAX_BACKOFF_MS = 8_000
+# A request on a broken connection may still reach the server this much later.
+ABANDONED_SETTLE_MS = 1_000
+# Probes with no lower count before a server is emptied to get an exact one.
+RECOUNT_AFTER_PROBES = 5
+
+
+@attrs.define
+class BackendSlots:
+    """The slots of one backend server.
+
+    Attributes:
+        backend_id: Instance id of the server.
+        service: The service that it runs.
+        capacity: Requests that it takes at once: the smaller of its slots and
+            its connections, since each request uses one of both.
+        held: Requests of this owner that wait for an answer.
+        foreign: Upper bound on slots held by requests of earlier owners and by
+            requests that this owner gave up on.
+        is_counted: Whether the server gave its count under the current epoch
+            after it was added or failed.
+        settled_ms: A count asked for before this time is ignored, since it may
+            lack a request that was given up on the way to the server.
+        failures: Failed connections in a row.
+        failed_ms: Time of the last failure.
+        probe_ms: A failed server is probed again from this time.
+    """
+
+    backend_id: str
+    service: str
+    capacity: int
+    held: int = 0
+    foreign: int = 0
+    is_counted: bool = False
+    is_leaving: bool = False
+    is_removed: bool = False
+    is_recounting: bool = False
+    settled_ms: int = 0
+    failures: int = 0
+    failed_ms: int = 0
+    probe_ms: int = 0
+    _stale_probes: int = 0
+
+    @property
+    def in_use(self) -> int:
+        """Slots that may be in use."""
+        return self.held + self.foreign
+
+    @property
+    def is_selectable(self) -> bool:
+        """Whether the server may get a request when it has a free slot."""
+        barred = self.is_leaving or self.is_removed or self.is_recounting
+        return self.is_counted and not barred
+
+    @property
+    def free(self) -> int:
+        """Slots that a request may take now."""
+        return max(0, self.capacity - self.in_use) if self.is_selectable else 0
+
+    def needs_probe(self, now_ms: int) -> bool:
+        """Return whether the server should be asked for its count."""
+        if self.is_removed:
+            return False
+        if not self.is_counted:
+            return now_ms >= self.probe_ms
+        return self.foreign > 0
+
+    def take_count(self, in_use: int, asked_ms: int) -> None:
+        """Take over a count that the server gave under the current epoch.
+
+        The count may or may not include requests in `held`, so all of it may be
+        foreign. Foreign requests do not grow in number behind the fence.
+        """
+        if asked_ms < self.settled_ms:
+            return
+        if not self.is_counted:
+            self.foreign = in_use
+            self.is_counted = True
+        elif in_use < self.foreign:
+            self.foreign = in_use
+            self._stale_probes = 0
+        else:
+            self._stale_probes += 1
+        self._choose_recount()
+
+    def _choose_recount(self) -> None:
+        # A busy server never reports a count below `foreign`, since its count
+        # includes this owner's requests. Letting those end gives an exact one.
+        if self.is_recounting:
+            self.is_recounting = self.held > 0
+        elif self.foreign and self.held and self._stale_probes >= RECOUNT_AFTER_PROBES:
+            self.is_recounting = True
+        if not self.held or self.is_recounting:
+            self._stale_probes = 0
+
+
+@attrs.define
+class SlotPool:
+    """The backend servers of one shard; never more than their slots in use.
+
+    Attributes:
+        rng: Source of the random choices; seeded in tests.
+    """
+
+    rng: random.Random = attrs.field(factory=random.Random)
+    _backend_by_id: dict[str, BackendSlots] = attrs.field(factory=dict)
+
+    def add(self, backend_id: str, service: str, slots: int, connections: int) -> None:
+        """Add a server; it is used once its count is known.
+
+        Adding a server again while requests to it are open keeps their count.
+
+        Args:
+            backend_id: Instance id of the server.
+            service: The service that it runs.
+            slots: Requests that it runs at once.
+            connections: Connections that it takes.
+        """
+        capacity = min(slots, connections)
+        known = self._backend_by_id.get(backend_id)
+        if known is None:
+            known = BackendSlots(backend_id, service, capacity)
+            self._backend_by_id[backend_id] = known
+        elif known.is_removed:
+            known.is_removed = False
+            known.is_leaving = False
+            known.is_counted = False
+        known.service = service
+        known.capacity = capacity
+
+    def remove(self, backend_id: str) -> None:
+        """Stop using a server; open requests may still be released."""
+        backend = self._backend_by_id.get(backend_id)
+        if backend is not None:
+            backend.is_removed = True
+
+    def mark_leaving(self, backend_id: str) -> None:
+        """Give a server no new requests; open ones go on."""
+        backend = self._backend_by_id.get(backend_id)
+        if backend is not None:
+            backend.is_leaving = True
+
+    def mark_failed(self, backend_id: str, now_ms: int) -> None:
+        """Stop selecting a server whose connection failed, until it is probed.
+
+        The server may have restarted without its fence, so its count has to be
+        asked for again.
+        """
+        backend = self._backend_by_id.get(backend_id)
+        if backend is None:
+            return
+        backend.is_counted = False
+        backend.failures += 1
+        backend.failed_ms = now_ms
+        exponent = min(backend.failures - 1, 16)
+        backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << exponent)
+        backend.probe_ms = now_ms + backoff_ms
+
+    def mark_recovered(self, backend_id: str) -> None:
+        """Forget the failures of a server that answered."""
+        backend = self._backend_by_id.get(backend_id)
+        if backend is not None:
+            backend.failures = 0
+
+    def fenced(self, backend_id: str, in_use: int, asked_ms: int) -> None:
+        """Take over the count that a server gave under the current epoch.
+
+        Args:
+            backend_id: Instance id of the server.
+            in_use: Slots in use, by whatever owner's requests.
+            asked_ms: Time just before the count was asked for.
+        """
+        backend = self._backend_by_id.get(backend_id)
+        if backend is None or (backend.failures and asked_ms <= backend.failed_ms):
+            return
+        backend.take_count(in_use, asked_ms)
+
+    def acquire(self, service: str) -> str | None:
+        """Take a slot for a request.
+
+        Returns:
+            Instance id of the server, or None if no slot is free.
+        """
+        free = [
+            backend
+            for backend in self._backend_by_id.values()
+            if backend.service == service and backend.free > 0
+        ]
+        if not free:
+            return None
+        choices = self.rng.sample(free, min(2, len(free)))
+        backend = min(choices, key=lambda choice: choice.in_use / choice.capacity)
+        backend.held += 1
+        return backend.backend_id
+
+    def release(self, backend_id: str) -> None:
+        """Give back the slot of a request that the server answered.
+
+        Raises:
+            ValueError: If this owner holds no slot of the server.
+        """
+        backend = self._end_request(backend_id)
+        backend.failures = 0
+
+    def abandon(self, backend_id: str, now_ms: int) -> None:
+        """Give up on a request that may still run on the server.
+
+        Its slot stays counted until a later probe shows a lower count.
+
+        Raises:
+            ValueError: If this owner holds no slot of the server.
+        """
+        backend = self._end_request(backend_id)
+        backend.foreign += 1
+        settled_ms = now_ms + ABANDONED_SETTLE_MS
+        backend.settled_ms = max(backend.settled_ms, settled_ms)
+
+    def iter_due_probes(self, now_ms: int) -> Iterator[str]:
+        """Yield the servers that should be asked for their count now."""
+        self._forget_removed(now_ms)
+        for backend in self._backend_by_id.values():
+            if backend.needs_probe(now_ms):
+                yield backend.backend_id
+
+    def free_slots(self, service: str) -> int:
+        """Return the slots that requests of a service could take now."""
+        backends = self._backend_by_id.values()
+        return sum(backend.free for backend in backends if backend.service == service)
+
+    def get(self, backend_id: str) -> BackendSlots | None:
+        """Return the record of a server, or None."""
+        return self._backend_by_id.get(backend_id)
+
+    def _end_request(self, backend_id: str) -> BackendSlots:
+        backend = self._backend_by_id.get(backend_id)
+        if backend is None or backend.held == 0:
+            raise ValueError(f"no slot of {backend_id!r} is held")
+        backend.held -= 1
+        return backend
+
+    def _forget_removed(self, now_ms: int) -> None:
+        for backend in list(self._backend_by_id.values()):
+            is_ended = backend.held == 0 and now_ms >= backend.settled_ms
+            if backend.is_removed and is_ended:
+                del self._backend_by_id[backend.backend_id]
