--- /dev/null
+++ b/marjoramgrade/decisions/placement.py
@@ -0,0 +1,77 @@
+"""The choice of a worker for one task."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from marjoramgrade.decisions.workers import WorkerNode, WorkerPool
+from marjoramgrade.registry import Registry
+from marjoramgrade.resources import Resources
+
+NOBODY: frozenset[str] = frozenset()
+
+
+class Placement(Protocol):
+    """Chooses a worker for a request."""
+
+    def choose(
+        self,
+        pool: WorkerPool,
+        request: Resources,
+        avoid: frozenset[str] = NOBODY,
+        racks_avoid: frozenset[str] = NOBODY,
+    ) -> str | None:
+        """Return the id of a worker with room, or None.
+
+        Args:
+            pool: The workers of the shard.
+            request: What the task needs.
+            avoid: Workers that must not be chosen.
+            racks_avoid: Racks whose workers must not be chosen.
+        """
+        ...
+
+
+PLACEMENTS: Registry[type[Placement]] = Registry("placement")
+
+
+def _is_allowed(
+    node: WorkerNode, avoid: frozenset[str], racks_avoid: frozenset[str]
+) -> bool:
+    return node.worker_id not in avoid and node.rack not in racks_avoid
+
+
+@PLACEMENTS.register("best_fit")
+class BestFit:
+    """Chooses the worker with the least room that suffices, through the index."""
+
+    def choose(
+        self,
+        pool: WorkerPool,
+        request: Resources,
+        avoid: frozenset[str] = NOBODY,
+        racks_avoid: frozenset[str] = NOBODY,
+    ) -> str | None:
+        """Return the id of a worker with room, or None."""
+        for node in pool.iter_fitting(request):
+            if _is_allowed(node, avoid, racks_avoid):
+                return node.worker_id
+        return None
+
+
+@PLACEMENTS.register("first_fit")
+class FirstFit:
+    """Chooses the first worker with room by a plain scan; the baseline."""
+
+    def choose(
+        self,
+        pool: WorkerPool,
+        request: Resources,
+        avoid: frozenset[str] = NOBODY,
+        racks_avoid: frozenset[str] = NOBODY,
+    ) -> str | None:
+        """Return the id of a worker with room, or None."""
+        for node, available in pool.iter_open():
+            if request.fits(available) and _is_allowed(node, avoid, racks_avoid):
+                return node.worker_id
+        return None
