Add the task queue and weighted dominant shares

Cause: a round must find the next eligible task without a scan of the queue, and waves of cancellations must stay cheap. Change: tasks of one team with the same needs form a lane; a head that does not fit parks its lane for the round. Cancelling removes the task from an index and leaves a tombstone in the lane, which is swept once tombstones outnumber live entries. The order of teams is a registered policy: weighted_drf or fifo.

--- /dev/null
+++ b/marjoramgrade/decisions/queue_orders.py
@@ -0,0 +1,103 @@
+"""The order in which teams are served, and the lanes that it chooses from."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection, Mapping
+from typing import Protocol
+
+import attrs
+
+from marjoramgrade.decisions.shares import ShareBook
+from marjoramgrade.decisions.tasks import QueuedTask
+from marjoramgrade.model import Kind
+from marjoramgrade.registry import Registry
+from marjoramgrade.resources import Resources
+
+LaneKey = tuple[Kind, Resources, int, bool]
+
+
+@attrs.define(eq=False)
+class Lane:
+    """Entries of one team and priority that need the same.
+
+    Attributes:
+        entries: Oldest first; cancelled entries stay until they reach the front.
+        reason: Why the head was not started in the last round that tried it.
+    """
+
+    entries: deque[QueuedTask] = attrs.field(factory=deque)
+    reason: str = ""
+
+
+@attrs.define(eq=False)
+class TeamQueue:
+    """Lanes of one team at one priority.
+
+    Attributes:
+        lane_by_key: The lanes by what their entries need.
+        heads: Heap of `(queued_ms, number, key)`, one for each lane not parked.
+        parked: Lanes that this round tried without success.
+    """
+
+    lane_by_key: dict[LaneKey, Lane] = attrs.field(factory=dict)
+    heads: list[tuple[int, int, LaneKey]] = attrs.field(factory=list)
+    parked: list[tuple[int, int, LaneKey]] = attrs.field(factory=list)
+
+
+class QueueOrder(Protocol):
+    """Chooses the team whose head is tried next."""
+
+    @classmethod
+    def from_config(cls, shares: ShareBook) -> QueueOrder:
+        """Return an order that may look at the use of the teams."""
+        ...
+
+    def pick(
+        self, queue_by_team: Mapping[str, TeamQueue], teams: Collection[str]
+    ) -> str:
+        """Return one of the teams.
+
+        Args:
+            queue_by_team: The queues of all teams at one priority.
+            teams: The teams to choose from, at least one, each with a head.
+        """
+        ...
+
+
+QUEUE_ORDERS: Registry[type[QueueOrder]] = Registry("queue order")
+
+
+@QUEUE_ORDERS.register("weighted_drf")
+@attrs.frozen
+class WeightedDrf:
+    """Serves the team that is furthest below its weighted dominant share."""
+
+    shares: ShareBook
+
+    @classmethod
+    def from_config(cls, shares: ShareBook) -> WeightedDrf:
+        """Return an order over these shares."""
+        return cls(shares)
+
+    def pick(
+        self, queue_by_team: Mapping[str, TeamQueue], teams: Collection[str]
+    ) -> str:
+        """Return the team furthest below its share."""
+        return self.shares.next_team(teams)
+
+
+@QUEUE_ORDERS.register("fifo")
+class Fifo:
+    """Serves the team whose head was queued first; the baseline."""
+
+    @classmethod
+    def from_config(cls, shares: ShareBook) -> Fifo:
+        """Return an order that ignores shares."""
+        return cls()
+
+    def pick(
+        self, queue_by_team: Mapping[str, TeamQueue], teams: Collection[str]
+    ) -> str:
+        """Return the team with the oldest head."""
+        return min(teams, key=lambda team: queue_by_team[team].heads[0][:2])
--- /dev/null
+++ b/marjoramgrade/decisions/queues.py
@@ -0,0 +1,307 @@
+"""Queued tasks of one shard, by team and by shape.
+
+Tasks of one team that need the same form a lane. If the head of a lane does not
+fit, nothing else of the lane does, so a round parks the lane and looks at the next
+one; no round looks behind the head of a lane.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from itertools import count
+
+import attrs
+
+from marjoramgrade.decisions.queue_orders import (
+    QUEUE_ORDERS,
+    Lane,
+    LaneKey,
+    QueueOrder,
+    TeamQueue,
+)
+from marjoramgrade.decisions.tasks import QueuedTask
+from marjoramgrade.errors import OverloadedError, RefusedError
+from marjoramgrade.model import Priority, TaskId
+
+__all__ = ["QUEUE_ORDERS", "DuplicateTaskError", "QueuedTask", "TaskQueue"]
+
+# Cancelled entries are swept from the lanes once they outnumber both this and the
+# live ones, so a sweep costs a constant time per cancelled entry.
+SWEEP_MINIMUM = 1_024
+# Lanes of one team that a round tries. A team that asks for very many different
+# shapes would otherwise make each round of a full shard try all of them.
+LANES_PER_ROUND = 16
+DEFAULT_TEAM_BOUND = 100_000
+
+
+class DuplicateTaskError(RefusedError):
+    """A task of this id is queued or running already."""
+
+    code = "duplicate_task"
+
+
+@attrs.define(eq=False)
+class _Tier:
+    """The teams with work at one priority.
+
+    Attributes:
+        queue_by_team: Teams with at least one lane.
+        ready: Teams that this round may still try.
+        touched: Teams with parked lanes or blocked in this round.
+    """
+
+    queue_by_team: dict[str, TeamQueue] = attrs.field(factory=dict)
+    ready: set[str] = attrs.field(factory=set)
+    touched: set[str] = attrs.field(factory=set)
+
+
+def lane_key_of(entry: QueuedTask) -> LaneKey:
+    """Return what makes entries of one team interchangeable for placement."""
+    return (entry.kind, entry.resources, entry.gang_size, entry.spread_racks)
+
+
+class TaskQueue:
+    """Tasks that wait in one shard.
+
+    Args:
+        order: Chooses the team that is tried next.
+    """
+
+    def __init__(self, order: QueueOrder) -> None:
+        self._order = order
+        self._tier_by_priority = {priority: _Tier() for priority in Priority}
+        self._entries_by_job: dict[str, dict[int, QueuedTask]] = {}
+        self._length_by_team: dict[str, int] = {}
+        self._bound_by_team: dict[str, int] = {}
+        self._blocked_reason_by_team: dict[str, str] = {}
+        self._delayed: list[tuple[int, int, QueuedTask]] = []
+        self._number = count()
+        self._live = 0
+        self._dead = 0
+
+    def __len__(self) -> int:
+        return self._live
+
+    def length_of(self, team: str) -> int:
+        """Return the number of tasks of a team that wait."""
+        return self._length_by_team.get(team, 0)
+
+    def set_bound(self, team: str, bound: int) -> None:
+        """Set how many tasks of a team may wait."""
+        self._bound_by_team[team] = bound
+
+    def find(self, task: TaskId) -> QueuedTask | None:
+        """Return the entry that a queued task belongs to, or None."""
+        return self._entries_by_job.get(task.job_id, {}).get(task.index)
+
+    def entries_of_job(self, job_id: str) -> list[QueuedTask]:
+        """Return the queued entries of a job; a gang occurs once per member."""
+        return list(self._entries_by_job.get(job_id, {}).values())
+
+    def push(self, entry: QueuedTask, now_ms: int, *, is_requeue: bool = False) -> None:
+        """Queue a task or a gang.
+
+        Args:
+            entry: What to queue.
+            now_ms: Time now.
+            is_requeue: Whether the work was accepted before, so that the bound of
+                its team does not apply.
+
+        Raises:
+            DuplicateTaskError: If one of its tasks is queued already.
+            OverloadedError: If the team's bound would be exceeded.
+        """
+        self._check_bound(entry, is_requeue)
+        entries = self._entries_by_job.setdefault(entry.task.job_id, {})
+        indices = [task.index for task in entry.iter_tasks()]
+        if any(index in entries for index in indices):
+            raise DuplicateTaskError(f"{entry.task} is queued already")
+        entries.update(dict.fromkeys(indices, entry))
+        self._count(entry.team, len(indices))
+        if entry.not_before_ms > now_ms:
+            item = (entry.not_before_ms, next(self._number), entry)
+            heapq.heappush(self._delayed, item)
+        else:
+            self._enter_lane(entry)
+
+    def begin_round(self, now_ms: int) -> None:
+        """Make parked lanes, blocked teams and due tasks eligible again."""
+        while self._delayed and self._delayed[0][0] <= now_ms:
+            entry = heapq.heappop(self._delayed)[2]
+            if self._is_live(entry):
+                self._enter_lane(entry)
+            else:
+                self._dead -= entry.gang_size
+        for tier in self._tier_by_priority.values():
+            for team in tier.touched:
+                self._unpark(tier, team)
+            tier.touched.clear()
+
+    def peek(self, priority: Priority) -> QueuedTask | None:
+        """Return the entry to try next at a priority, or None."""
+        tier = self._tier_by_priority[priority]
+        while tier.ready:
+            team = self._order.pick(tier.queue_by_team, tier.ready)
+            entry = self._head_of(tier.queue_by_team[team])
+            if entry is not None:
+                return entry
+            tier.ready.discard(team)
+            if not tier.queue_by_team[team].lane_by_key:
+                del tier.queue_by_team[team]
+        return None
+
+    def take(self, entry: QueuedTask) -> None:
+        """Remove the entry that `peek` returned."""
+        queue = self._tier_by_priority[entry.priority].queue_by_team[entry.team]
+        queue.lane_by_key[lane_key_of(entry)].entries.popleft()
+        entries = self._entries_by_job[entry.task.job_id]
+        for task in entry.iter_tasks():
+            del entries[task.index]
+        if not entries:
+            del self._entries_by_job[entry.task.job_id]
+        self._count(entry.team, -entry.gang_size)
+
+    def park(self, entry: QueuedTask, reason: str) -> None:
+        """Try nothing more from the lane of the entry in this round.
+
+        Args:
+            entry: The entry that `peek` returned.
+            reason: Why it was not started, for operators.
+        """
+        tier = self._tier_by_priority[entry.priority]
+        queue = tier.queue_by_team[entry.team]
+        queue.lane_by_key[lane_key_of(entry)].reason = reason
+        queue.parked.append(heapq.heappop(queue.heads))
+        tier.touched.add(entry.team)
+        if not queue.heads or len(queue.parked) >= LANES_PER_ROUND:
+            tier.ready.discard(entry.team)
+
+    def set_blocked(self, team: str, reason: str) -> None:
+        """Block a team, or unblock it with an empty reason."""
+        if reason:
+            self._blocked_reason_by_team[team] = reason
+            for tier in self._tier_by_priority.values():
+                tier.ready.discard(team)
+        elif self._blocked_reason_by_team.pop(team, ""):
+            for tier in self._tier_by_priority.values():
+                if team in tier.queue_by_team:
+                    self._unpark(tier, team)
+
+    def cancel(self, task: TaskId) -> QueuedTask | None:
+        """Cancel a queued task in constant time; for a gang, all of it.
+
+        Returns:
+            The cancelled entry, or None if the task is not queued.
+        """
+        entry = self.find(task)
+        if entry is None:
+            return None
+        entries = self._entries_by_job[task.job_id]
+        for member in entry.iter_tasks():
+            del entries[member.index]
+        if not entries:
+            del self._entries_by_job[task.job_id]
+        self._bury(entry.team, entry.gang_size)
+        return entry
+
+    def cancel_job(self, job_id: str) -> int:
+        """Cancel every queued task of a job; its entries are not visited.
+
+        Returns:
+            The number of tasks.
+        """
+        entries = self._entries_by_job.pop(job_id, None)
+        if not entries:
+            return 0
+        team = next(iter(entries.values())).team
+        self._bury(team, len(entries))
+        return len(entries)
+
+    def reason_of(self, entry: QueuedTask) -> str:
+        """Return why a queued entry waits, or an empty text if it is untried."""
+        blocked = self._blocked_reason_by_team.get(entry.team)
+        if blocked:
+            return blocked
+        tier = self._tier_by_priority[entry.priority]
+        queue = tier.queue_by_team.get(entry.team)
+        lane = queue.lane_by_key.get(lane_key_of(entry)) if queue else None
+        return lane.reason if lane else ""
+
+    def _check_bound(self, entry: QueuedTask, is_requeue: bool) -> None:
+        bound = self._bound_by_team.get(entry.team, DEFAULT_TEAM_BOUND)
+        length = self.length_of(entry.team)
+        if not is_requeue and length + entry.gang_size > bound:
+            raise OverloadedError(
+                f"team {entry.team} has {length} tasks queued of at most {bound}",
+                team=entry.team,
+            )
+
+    def _is_live(self, entry: QueuedTask) -> bool:
+        return self.find(entry.task) is entry
+
+    def _count(self, team: str, change: int) -> None:
+        self._live += change
+        length = self.length_of(team) + change
+        if length:
+            self._length_by_team[team] = length
+        else:
+            self._length_by_team.pop(team, None)
+
+    def _bury(self, team: str, tasks: int) -> None:
+        """Count cancelled tasks, whose entries stay in the lanes for now."""
+        self._count(team, -tasks)
+        self._dead += tasks
+        if self._dead > max(SWEEP_MINIMUM, self._live):
+            self._sweep()
+
+    def _sweep(self) -> None:
+        for tier in self._tier_by_priority.values():
+            for queue in tier.queue_by_team.values():
+                for lane in queue.lane_by_key.values():
+                    lane.entries = deque(filter(self._is_live, lane.entries))
+        self._delayed = [item for item in self._delayed if self._is_live(item[2])]
+        heapq.heapify(self._delayed)
+        self._dead = 0
+
+    def _enter_lane(self, entry: QueuedTask) -> None:
+        tier = self._tier_by_priority[entry.priority]
+        queue = tier.queue_by_team.setdefault(entry.team, TeamQueue())
+        key = lane_key_of(entry)
+        lane = queue.lane_by_key.get(key)
+        if lane is None:
+            lane = queue.lane_by_key[key] = Lane()
+            item = (entry.queued_ms, next(self._number), key)
+            heapq.heappush(queue.heads, item)
+        # Requeued work keeps its place: it is older than what waits.
+        if lane.entries and entry.queued_ms < lane.entries[0].queued_ms:
+            lane.entries.appendleft(entry)
+        else:
+            lane.entries.append(entry)
+        if queue.heads and entry.team not in self._blocked_reason_by_team:
+            tier.ready.add(entry.team)
+
+    def _unpark(self, tier: _Tier, team: str) -> None:
+        queue = tier.queue_by_team[team]
+        for item in queue.parked:
+            heapq.heappush(queue.heads, item)
+        queue.parked.clear()
+        if queue.heads and team not in self._blocked_reason_by_team:
+            tier.ready.add(team)
+
+    def _head_of(self, queue: TeamQueue) -> QueuedTask | None:
+        """Return the head of the first lane; empty lanes are removed."""
+        while queue.heads:
+            queued_ms, number, key = queue.heads[0]
+            lane = queue.lane_by_key[key]
+            while lane.entries and not self._is_live(lane.entries[0]):
+                self._dead -= lane.entries.popleft().gang_size
+            if not lane.entries:
+                heapq.heappop(queue.heads)
+                del queue.lane_by_key[key]
+                continue
+            head = lane.entries[0]
+            if head.queued_ms <= queued_ms:
+                return head
+            heapq.heapreplace(queue.heads, (head.queued_ms, number, key))
+        return None
--- /dev/null
+++ b/marjoramgrade/decisions/tasks.py
@@ -0,0 +1,143 @@
+"""Queued and running tasks as the scheduler of a shard keeps them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from marjoramgrade.model import Job, Kind, Outcome, Priority, TaskId
+from marjoramgrade.resources import Resources
+
+
+@attrs.frozen(eq=False)
+class QueuedTask:
+    """A task, or a whole gang, that waits for room.
+
+    Attributes:
+        task: The task; for a gang, its first member.
+        team: The team that it counts against.
+        kind: The kind of work.
+        priority: How soon it must start.
+        resources: What each member needs.
+        queued_ms: When it was first queued; requeueing keeps it.
+        not_before_ms: It must not start earlier.
+        attempts: Starts that ended in a failure so far.
+        gang_size: Number of members that start together.
+        members: Indices of the gang's tasks; empty for a single task.
+        spread_racks: Whether the members must use different racks.
+    """
+
+    task: TaskId
+    team: str
+    kind: Kind
+    priority: Priority
+    resources: Resources
+    queued_ms: int
+    not_before_ms: int = 0
+    attempts: int = 0
+    gang_size: int = 1
+    members: tuple[int, ...] = ()
+    spread_racks: bool = False
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the work goes before all other work."""
+        return self.priority is Priority.URGENT
+
+    @property
+    def total(self) -> Resources:
+        """What all members need together."""
+        if self.gang_size == 1:
+            return self.resources
+        return self.resources.scaled(self.gang_size, 1)
+
+    def iter_tasks(self) -> Iterator[TaskId]:
+        """Yield the tasks that start together."""
+        if self.members:
+            for index in self.members:
+                yield TaskId(self.task.job_id, index)
+        else:
+            yield self.task
+
+
+@attrs.frozen(eq=False)
+class RunningTask:
+    """A task that was started on a worker and has not ended."""
+
+    task: TaskId
+    team: str
+    kind: Kind
+    priority: Priority
+    resources: Resources
+    worker_id: str
+    started_ms: int
+    queued_ms: int = 0
+    attempts: int = 0
+    spread_racks: bool = False
+
+    @classmethod
+    def from_queued(
+        cls, entry: QueuedTask, task: TaskId, worker_id: str, now_ms: int
+    ) -> RunningTask:
+        """Return a member of an entry as it starts on a worker."""
+        return cls(
+            task,
+            entry.team,
+            entry.kind,
+            entry.priority,
+            entry.resources,
+            worker_id,
+            now_ms,
+            entry.queued_ms,
+            entry.attempts,
+            entry.spread_racks,
+        )
+
+    def to_queued(self, members: tuple[int, ...] = ()) -> QueuedTask:
+        """Return the entry that starts this task, or these members, once more."""
+        index = members[0] if members else self.task.index
+        return QueuedTask(
+            TaskId(self.task.job_id, index),
+            self.team,
+            self.kind,
+            self.priority,
+            self.resources,
+            self.queued_ms,
+            attempts=self.attempts,
+            gang_size=max(1, len(members)),
+            members=members,
+            spread_racks=self.spread_racks,
+        )
+
+
+def queued_tasks_from(job: Job, now_ms: int) -> list[QueuedTask]:
+    """Return what to queue for the open tasks of a job: one entry for a gang."""
+    spec = job.spec
+    open_indices = tuple(
+        index
+        for index, outcome in enumerate(job.outcomes)
+        if outcome == Outcome.OPEN.value
+    )
+    if not open_indices:
+        return []
+    if spec.kind is Kind.GANG:
+        return [_entry_from(job, open_indices[0], now_ms, open_indices)]
+    return [_entry_from(job, index, now_ms, ()) for index in open_indices]
+
+
+def _entry_from(
+    job: Job, index: int, now_ms: int, members: tuple[int, ...]
+) -> QueuedTask:
+    spec = job.spec
+    return QueuedTask(
+        TaskId(job.job_id, index),
+        spec.team,
+        spec.kind,
+        spec.priority,
+        spec.resources,
+        queued_ms=now_ms,
+        gang_size=max(1, len(members)),
+        members=members,
+        spread_racks=spec.spread_racks,
+    )
