Add the scheduler of a shard

Cause: controllers need one object that turns events into starts and stops. Change: Scheduler joins queue, placement, shares, worker health, preemption and gang claims; step returns StartTask and StopTask. Work that is stopped, refused or lost is requeued without counting an attempt; a failed task is handed back to the caller, whose retry policy decides. Preemption, gangs and health have code here but no tests yet.

--- /dev/null
+++ b/marjoramgrade/decisions/gangs.py
@@ -0,0 +1,105 @@
+"""All-or-nothing placement of gangs, and room kept for a gang that waits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marjoramgrade.decisions.free_index import size_of
+from marjoramgrade.decisions.placement import NOBODY, Placement
+from marjoramgrade.decisions.workers import WorkerPool
+from marjoramgrade.resources import Resources
+
+# Small tasks keep a busy shard full, so a gang would never find all its room at
+# once. After this time room is kept for it as it becomes free.
+GANG_WAIT_MS = 10_000
+
+
+def place_gang(
+    pool: WorkerPool,
+    placement: Placement,
+    resources: Resources,
+    count: int,
+    spread_racks: bool,
+    avoid: frozenset[str] = NOBODY,
+) -> list[str] | None:
+    """Choose workers for all members of a gang, or for none.
+
+    Args:
+        pool: The workers of the shard; unchanged on return.
+        placement: Chooses a worker for one member.
+        resources: What each member needs.
+        count: Number of members.
+        spread_racks: Whether the members must use different racks.
+        avoid: Workers that must not be chosen.
+
+    Returns:
+        One worker id for each member, or None if not all of them fit.
+    """
+    chosen: list[str] = []
+    racks: set[str] = set()
+    try:
+        while len(chosen) < count:
+            worker_id = placement.choose(pool, resources, avoid, frozenset(racks))
+            if worker_id is None:
+                return None
+            pool.hold(worker_id, resources)
+            chosen.append(worker_id)
+            if spread_racks:
+                racks.add(pool.node_of(worker_id).rack)
+        return chosen
+    finally:
+        for worker_id in chosen:
+            pool.unhold(worker_id, resources)
+
+
+def members_that_fit(resources: Resources, room: Resources) -> int:
+    """Return how many members of a gang a room holds."""
+    pairs = (
+        (resources.cpu_millis, room.cpu_millis),
+        (resources.memory_mib, room.memory_mib),
+        (resources.accelerators, room.accelerators),
+        (resources.slots, room.slots),
+    )
+    return max(0, min((has // need for need, has in pairs if need), default=0))
+
+
+def plan_reservation(
+    pool: WorkerPool,
+    resources: Resources,
+    count: int,
+    spread_racks: bool,
+    services_on: Callable[[str], Resources],
+    avoid: frozenset[str] = NOBODY,
+) -> list[str] | None:
+    """Choose workers on which room is kept for a gang until it is free.
+
+    Workers that have most available come first, because they need the fewest
+    running tasks to end. What services use is not expected to become free.
+
+    Args:
+        pool: The workers of the shard.
+        resources: What each member needs.
+        count: Number of members.
+        spread_racks: Whether the members must use different racks.
+        services_on: Returns what services use on a worker.
+        avoid: Workers that must not be chosen.
+
+    Returns:
+        One worker id for each member, or None if the room can never become free.
+    """
+    chosen: list[str] = []
+    racks: set[str] = set()
+    workers = sorted(pool.iter_open(), key=lambda pair: -size_of(pair[1]))
+    for node, _ in workers:
+        if node.worker_id in avoid or (spread_racks and node.rack in racks):
+            continue
+        held = pool.free_of(node.worker_id) - pool.available_of(node.worker_id)
+        room = node.capacity - services_on(node.worker_id) - held
+        fitting = members_that_fit(resources, room)
+        if spread_racks and fitting:
+            fitting = 1
+            racks.add(node.rack)
+        chosen.extend([node.worker_id] * min(fitting, count - len(chosen)))
+        if len(chosen) == count:
+            return chosen
+    return None
--- /dev/null
+++ b/marjoramgrade/decisions/scheduler.py
@@ -0,0 +1,311 @@
+"""The scheduler of one shard: queue, placement, preemption and health together."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from marjoramgrade.decisions.actions import (
+    Decision,
+    Ending,
+    StartTask,
+    StopMode,
+    StopTask,
+)
+from marjoramgrade.decisions.queues import DuplicateTaskError
+from marjoramgrade.decisions.rounds import Round
+from marjoramgrade.decisions.running import Stopping
+from marjoramgrade.decisions.shard_state import (
+    AT_LIMIT,
+    IN_QUEUE,
+    MayStart,
+    ShardState,
+)
+from marjoramgrade.decisions.shares import ShareBook
+from marjoramgrade.decisions.tasks import QueuedTask, RunningTask
+from marjoramgrade.decisions.workers import WorkerNode, WorkerPool
+from marjoramgrade.model import Kind, TaskId, Team
+from marjoramgrade.resources import Resources
+from marjoramgrade.settings import Policies
+
+__all__ = ["Decision", "Ending", "Scheduler", "StartTask", "StopMode", "StopTask"]
+
+CANCELLED = Stopping(is_requeued=False, reason="cancelled")
+GANG_BROKEN = Stopping(is_requeued=True, reason="stopped: a member of its gang ended")
+REQUEUE_NOTE_BY_ENDING = {
+    Ending.STOPPED: "requeued: stopped on its worker",
+    Ending.REFUSED: "requeued: refused by its worker",
+    Ending.LOST: "requeued: worker lost",
+}
+
+
+def _always(team: str, resources: Resources) -> bool:
+    return True
+
+
+class Scheduler:
+    """Decides what starts and stops on the workers of one shard.
+
+    Nothing here waits or sends: each call changes the state in memory, and `step`
+    returns what the owner must tell the workers.
+    """
+
+    def __init__(self, state: ShardState) -> None:
+        self._state = state
+
+    @classmethod
+    def from_config(
+        cls,
+        policies_by_kind: Mapping[Kind, Policies],
+        may_start: MayStart = _always,
+    ) -> Scheduler:
+        """Return a scheduler with the policies that settings name.
+
+        Args:
+            policies_by_kind: Names of the policies of each kind of work.
+            may_start: Returns whether a team may use an amount in addition to
+                `shares.use_of(team)`. It is asked just before each start and
+                changes nothing, as the amount is charged to the shares at once.
+
+        Raises:
+            UnknownNameError: If a policy is not registered.
+        """
+        return cls(ShardState(policies_by_kind, may_start))
+
+    @property
+    def pool(self) -> WorkerPool:
+        """The workers; to be read only."""
+        return self._state.pool
+
+    @property
+    def shares(self) -> ShareBook:
+        """What each team uses; to be read only."""
+        return self._state.shares
+
+    @property
+    def running_count(self) -> int:
+        """The number of running tasks."""
+        return len(self._state.running)
+
+    @property
+    def queued_count(self) -> int:
+        """The number of queued tasks, those with room kept for them included."""
+        claimed = sum(claim.entry.gang_size for claim in self._state.claims)
+        return claimed + sum(len(queue) for queue in self._state.queues)
+
+    def queued_of(self, team: str) -> int:
+        """Return the number of queued tasks of a team."""
+        return sum(queue.length_of(team) for queue in self._state.queues)
+
+    def set_teams(self, teams: Iterable[Team]) -> None:
+        """Take over the weights and queue bounds of the teams."""
+        teams = list(teams)
+        self.shares.set_weights({team.name: team.share for team in teams})
+        for queue in self._state.queues:
+            for team in teams:
+                queue.set_bound(team.name, team.queue_bound)
+
+    def set_blocked_team(self, team: str, reason: str = AT_LIMIT) -> None:
+        """Start nothing more of a team; an empty reason ends this."""
+        for queue in self._state.queues:
+            queue.set_blocked(team, reason)
+
+    def submit(self, entry: QueuedTask, now_ms: int) -> None:
+        """Queue a task or a gang.
+
+        Raises:
+            DuplicateTaskError: If one of its tasks is queued or running.
+            OverloadedError: If the queue bound of its team would be exceeded.
+        """
+        for task in entry.iter_tasks():
+            if self._state.is_started(task):
+                raise DuplicateTaskError(f"{task} is running or about to start")
+        self._state.queue_of(entry).push(entry, now_ms)
+
+    def cancel(self, task: TaskId) -> bool:
+        """Cancel one task; a gang that waits is cancelled whole.
+
+        Returns:
+            Whether the task was known. A running task ends with a `StopTask`.
+        """
+        self._state.note_by_task.pop(task, None)
+        if any(queue.cancel(task) for queue in self._state.queues):
+            return True
+        claim = self._state.claims.find(task)
+        if claim is not None:
+            self._state.claims.remove(claim)
+            return True
+        if self._state.gangs.is_waiting(task):
+            self._state.gangs.cancel(task)
+            return True
+        running = self._state.running.find(task)
+        if running is not None:
+            self._state.stop(running, StopMode.STOP, CANCELLED)
+        return running is not None
+
+    def cancel_job(self, job_id: str) -> int:
+        """Cancel every task of a job and return their number."""
+        cancelled = sum(queue.cancel_job(job_id) for queue in self._state.queues)
+        cancelled += self._state.gangs.cancel_job(job_id)
+        for claim in self._state.claims.of_job(job_id):
+            self._state.claims.remove(claim)
+            cancelled += claim.entry.gang_size
+        for running in self._state.running.tasks_of_job(job_id):
+            self._state.stop(running, StopMode.STOP, CANCELLED)
+            cancelled += 1
+        return cancelled
+
+    def stop(self, task: TaskId, reason: str, *, is_requeued: bool) -> bool:
+        """Stop a running task for a reason of the caller's.
+
+        Args:
+            task: The task.
+            reason: Why, for operators.
+            is_requeued: Whether it goes back to the queue when it has ended.
+
+        Returns:
+            Whether the task is running.
+        """
+        running = self._state.running.find(task)
+        if running is not None:
+            self._state.stop(running, StopMode.STOP, Stopping(is_requeued, reason))
+        return running is not None
+
+    def worker_added(self, node: WorkerNode) -> None:
+        """Take a worker into the shard, or take it back after a drain."""
+        self.pool.add(node)
+        self.shares.set_total(self.pool.total_capacity)
+
+    def worker_draining(self, worker_id: str, now_ms: int) -> None:
+        """Start nothing more on a worker; its tasks go on."""
+        self.pool.drain(worker_id)
+        self._state.drop_claims_on(worker_id, now_ms)
+
+    def worker_lost(self, worker_id: str, now_ms: int) -> list[TaskId]:
+        """Remove a worker whose tasks have certainly ended, and requeue them.
+
+        Returns:
+            The tasks that were running there.
+        """
+        self._state.drop_claims_on(worker_id, now_ms)
+        lost = self._state.running.tasks_of_worker(worker_id)
+        for running in lost:
+            self.task_ended(running.task, Ending.LOST, now_ms)
+        self.pool.remove(worker_id)
+        self.shares.set_total(self.pool.total_capacity)
+        self._state.health.forget_worker(worker_id)
+        return [running.task for running in lost]
+
+    def adopt(self, running: RunningTask) -> None:
+        """Take over a task that a worker reports as running.
+
+        If the task is queued here, it is queued no longer. The other members of a
+        queued gang start again once the reported ones have ended.
+
+        Raises:
+            DuplicateTaskError: If the task runs already.
+            OvercommitError: If the worker has no room for it.
+        """
+        if self._state.running.find(running.task) is not None:
+            raise DuplicateTaskError(f"{running.task} runs already")
+        self.pool.reserve(running.worker_id, running.resources)
+        entry = self._state.find_queued(running.task)
+        if entry is not None:
+            self._state.queue_of(entry).cancel(running.task)
+        self._state.enter_running(running)
+        if running.kind is Kind.GANG:
+            self._state.gangs.note_adopted(running, entry.members if entry else ())
+
+    def task_ended(
+        self, task: TaskId, ending: Ending, now_ms: int
+    ) -> QueuedTask | None:
+        """Take note of a task that has ended on its worker.
+
+        A task that was stopped, refused or lost is requeued without counting an
+        attempt. An end that is not of a running task is ignored.
+
+        Returns:
+            For work that failed by itself, the entry with the attempt counted: the
+            caller submits it again or gives it up. Otherwise None.
+        """
+        running = self._state.running.find(task)
+        if running is None:
+            return None
+        stopping = self._state.leave_running(running)
+        self._note_health(running, ending, stopping, now_ms)
+        is_dropped = stopping is not None and not stopping.is_requeued
+        is_again = ending is not Ending.DONE and not is_dropped
+        has_failed = ending is Ending.FAILED and stopping is None
+        if running.kind is Kind.GANG:
+            return self._member_ended(running, is_again, has_failed, now_ms)
+        if not is_again:
+            return None
+        if has_failed:
+            return _with_attempt(running.to_queued())
+        note = f"requeued: {stopping.reason}" if stopping else ""
+        note = note or REQUEUE_NOTE_BY_ENDING[ending]
+        self._state.requeue(running.to_queued(), now_ms, note)
+        return None
+
+    def step(self, now_ms: int, budget: int) -> list[Decision]:
+        """Decide what starts and stops now.
+
+        Args:
+            now_ms: Time now.
+            budget: Starts to decide at most; a gang may exceed it.
+        """
+        return Round(self._state, now_ms, budget).run()
+
+    def reason_of(self, task: TaskId) -> str:
+        """Return, for operators, why a task is where it is; empty if unknown."""
+        state = self._state
+        running = state.running.find(task)
+        if running is not None:
+            stopping = state.running.stopping_of(task)
+            if stopping is not None:
+                return f"stopping on {running.worker_id}: {stopping.reason}"
+            return f"placed on {running.worker_id}"
+        claim = state.claims.find(task)
+        if claim is not None:
+            return claim.reason
+        if state.gangs.is_waiting(task):
+            return "waiting: the rest of its gang has not ended yet"
+        entry = state.find_queued(task)
+        if entry is None:
+            return ""
+        reason = state.queue_of(entry).reason_of(entry)
+        return reason or state.note_by_task.get(task, IN_QUEUE)
+
+    def _member_ended(
+        self, running: RunningTask, is_again: bool, has_failed: bool, now_ms: int
+    ) -> QueuedTask | None:
+        end = self._state.gangs.note_end(running, is_again, has_failed)
+        if end.must_stop_others:
+            for other in self._state.running.tasks_of_job(running.task.job_id):
+                self._state.stop(other, StopMode.STOP, GANG_BROKEN)
+        if end.entry is None:
+            return None
+        if end.has_failed:
+            return _with_attempt(end.entry)
+        self._state.requeue(end.entry, now_ms, "requeued: a member of the gang ended")
+        return None
+
+    def _note_health(
+        self,
+        running: RunningTask,
+        ending: Ending,
+        stopping: Stopping | None,
+        now_ms: int,
+    ) -> None:
+        health, job_id = self._state.health, running.task.job_id
+        if ending is Ending.DONE:
+            health.note_success(running.worker_id, job_id, now_ms)
+        elif stopping is None and ending in (Ending.FAILED, Ending.REFUSED):
+            health.note_failure(running.worker_id, job_id, now_ms)
+        else:
+            health.note_neutral_end(running.worker_id, now_ms)
+
+
+def _with_attempt(entry: QueuedTask) -> QueuedTask:
+    return attrs.evolve(entry, attempts=entry.attempts + 1)
--- /dev/null
+++ b/marjoramgrade/decisions/shard_state.py
@@ -0,0 +1,160 @@
+"""The state that the scheduler of one shard keeps, and its two basic changes."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
+from marjoramgrade.decisions.actions import Decision, StartTask, StopMode, StopTask
+from marjoramgrade.decisions.claims import ClaimBook
+from marjoramgrade.decisions.gang_runs import GangBook
+from marjoramgrade.decisions.health import WorkerHealth
+from marjoramgrade.decisions.placement import PLACEMENTS, Placement
+from marjoramgrade.decisions.preemption import PREEMPTIONS, Preemption
+from marjoramgrade.decisions.queues import QUEUE_ORDERS, TaskQueue
+from marjoramgrade.decisions.running import RunningBook, Stopping
+from marjoramgrade.decisions.shares import ShareBook
+from marjoramgrade.decisions.tasks import QueuedTask, RunningTask
+from marjoramgrade.decisions.workers import WorkerPool
+from marjoramgrade.model import Kind, TaskId
+from marjoramgrade.resources import Resources
+from marjoramgrade.settings import Policies
+
+AT_LIMIT = "waiting: team at its upper limit"
+NO_ROOM = "waiting: no worker has room"
+FREEING_ROOM = "waiting: running work is stopped to make room"
+KEEPING_ROOM = "waiting: room is kept as it becomes free"
+IN_QUEUE = "waiting: other work goes first"
+
+MayStart = Callable[[str, Resources], bool]
+
+
+@attrs.frozen
+class KindPolicy:
+    """The policies of one kind of work."""
+
+    queue: TaskQueue
+    placement: Placement
+    preemption: Preemption
+
+
+class ShardState:
+    """Workers, queued and running tasks of one shard.
+
+    Args:
+        policies_by_kind: Names of the policies of each kind of work.
+        may_start: Returns whether a team may use a further amount.
+    """
+
+    def __init__(
+        self, policies_by_kind: Mapping[Kind, Policies], may_start: MayStart
+    ) -> None:
+        self.pool = WorkerPool()
+        self.shares = ShareBook()
+        self.running = RunningBook()
+        self.health = WorkerHealth()
+        self.claims = ClaimBook(self.pool)
+        self.gangs = GangBook()
+        self.may_start = may_start
+        self.note_by_task: dict[TaskId, str] = {}
+        self.pending: list[Decision] = []
+        self.checkpoints: deque[tuple[int, RunningTask]] = deque()
+        self._queue_by_order: dict[str, TaskQueue] = {}
+        self.policy_by_kind = {
+            kind: self._policy_from(policies)
+            for kind, policies in policies_by_kind.items()
+        }
+
+    @property
+    def queues(self) -> Iterable[TaskQueue]:
+        """The queues, one for each queue order in use."""
+        return self._queue_by_order.values()
+
+    def queue_of(self, entry: QueuedTask) -> TaskQueue:
+        """Return the queue of an entry's kind."""
+        return self.policy_by_kind[entry.kind].queue
+
+    def find_queued(self, task: TaskId) -> QueuedTask | None:
+        """Return the queued entry that a task belongs to, or None."""
+        for queue in self.queues:
+            entry = queue.find(task)
+            if entry is not None:
+                return entry
+        return None
+
+    def is_started(self, task: TaskId) -> bool:
+        """Return whether a task runs, is about to, or waits for its gang to end."""
+        return (
+            self.running.find(task) is not None
+            or self.claims.find(task) is not None
+            or self.gangs.is_waiting(task)
+        )
+
+    def requeue(self, entry: QueuedTask, now_ms: int, note: str) -> None:
+        """Put accepted work back into its queue.
+
+        Args:
+            entry: The work.
+            now_ms: Time now.
+            note: Why, for operators.
+        """
+        self.queue_of(entry).push(entry, now_ms, is_requeue=True)
+        for task in entry.iter_tasks():
+            self.note_by_task[task] = note
+
+    def start(
+        self, entry: QueuedTask, worker_ids: Iterable[str], now_ms: int
+    ) -> list[StartTask]:
+        """Reserve room for an entry that is no longer queued, and start it."""
+        starts = []
+        for task, worker_id in zip(entry.iter_tasks(), worker_ids, strict=True):
+            self.pool.reserve(worker_id, entry.resources)
+            self.enter_running(RunningTask.from_queued(entry, task, worker_id, now_ms))
+            self.health.note_start(worker_id, now_ms)
+            starts.append(StartTask(task, worker_id, entry.resources))
+        return starts
+
+    def enter_running(self, running: RunningTask) -> None:
+        """Count a task, whose room is reserved, as running."""
+        self.note_by_task.pop(running.task, None)
+        self.running.add(running)
+        self.shares.charge(running.team, running.resources)
+        if running.kind is Kind.GANG:
+            self.gangs.note_start(running)
+
+    def leave_running(self, running: RunningTask) -> Stopping | None:
+        """Release the room of a task that has ended."""
+        self.pool.release(running.worker_id, running.resources)
+        self.shares.refund(running.team, running.resources)
+        return self.running.remove(running)
+
+    def stop(self, running: RunningTask, mode: StopMode, stopping: Stopping) -> None:
+        """Tell a running task to end.
+
+        A task that is to be dropped is never turned back into one to requeue.
+        """
+        known = self.running.stopping_of(running.task)
+        if known is not None and (stopping.is_requeued or not known.is_requeued):
+            return
+        self.running.set_stopping(running, stopping)
+        self.pending.append(
+            StopTask(running.task, running.worker_id, mode, stopping.reason)
+        )
+
+    def drop_claims_on(self, worker_id: str, now_ms: int) -> None:
+        """Put work whose room is kept on a worker back into its queue."""
+        for claim in self.claims.of_worker(worker_id):
+            self.claims.remove(claim)
+            self.requeue(claim.entry, now_ms, "requeued: its worker went away")
+
+    def _policy_from(self, policies: Policies) -> KindPolicy:
+        # Kinds with the same order share a queue, so that shares hold across kinds.
+        queue = self._queue_by_order.get(policies.queue_order)
+        if queue is None:
+            order = QUEUE_ORDERS.get(policies.queue_order)
+            queue = TaskQueue(order.from_config(self.shares))
+            self._queue_by_order[policies.queue_order] = queue
+        placement = PLACEMENTS.get(policies.placement)()
+        return KindPolicy(queue, placement, PREEMPTIONS.get(policies.preemption)())
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,111 @@
+import pytest
+
+from marjoramgrade.decisions.actions import Ending
+from marjoramgrade.decisions.queues import DuplicateTaskError
+from marjoramgrade.decisions.scheduler import Scheduler
+from marjoramgrade.decisions.tasks import RunningTask
+from marjoramgrade.model import Kind, TaskId, Team
+from marjoramgrade.settings import Policies
+from tests.scheduling import node, queued, scheduler_of, started, stopped
+
+
+def test_a_queued_task_starts_once_and_its_end_frees_the_room() -> None:
+    """Guards against a second start of one task and against leaked room."""
+    scheduler = scheduler_of(node("w-0", cores=1))
+    scheduler.submit(queued("j", 0), 0)
+    scheduler.submit(queued("j", 1), 0)
+    assert started(scheduler.step(0, 10)) == {"j/0": "w-0"}
+    assert scheduler.step(1, 10) == []
+    assert scheduler.reason_of(TaskId("j", 0)) == "placed on w-0"
+    assert scheduler.reason_of(TaskId("j", 1)) == "waiting: no worker has room"
+    scheduler.task_ended(TaskId("j", 0), Ending.DONE, 2)
+    assert started(scheduler.step(2, 10)) == {"j/1": "w-0"}
+
+
+def test_a_task_that_runs_is_not_accepted_again() -> None:
+    """Guards against one task in two places."""
+    scheduler = scheduler_of(node("w-0"))
+    scheduler.submit(queued("j"), 0)
+    scheduler.step(0, 10)
+    with pytest.raises(DuplicateTaskError):
+        scheduler.submit(queued("j"), 1)
+
+
+def test_the_budget_bounds_the_starts_of_a_step() -> None:
+    """Guards against a step that blocks its instance for a long time."""
+    scheduler = scheduler_of(node("w-0"))
+    for index in range(4):
+        scheduler.submit(queued("j", index), 0)
+    assert len(scheduler.step(0, 3)) == 3
+
+
+def test_the_tasks_of_a_lost_worker_are_requeued_without_an_attempt() -> None:
+    """Guards against work that is lost with its worker."""
+    scheduler = scheduler_of(node("w-0"))
+    scheduler.submit(queued("j"), 0)
+    scheduler.step(0, 10)
+    assert scheduler.worker_lost("w-0", 1) == [TaskId("j", 0)]
+    assert scheduler.reason_of(TaskId("j", 0)) == "requeued: worker lost"
+    scheduler.worker_added(node("w-1"))
+    assert started(scheduler.step(2, 10)) == {"j/0": "w-1"}
+    entry = scheduler.task_ended(TaskId("j", 0), Ending.FAILED, 3)
+    assert entry is not None
+    assert entry.attempts == 1
+
+
+def test_a_draining_worker_gets_no_start() -> None:
+    """Guards against new work on a worker that leaves."""
+    scheduler = scheduler_of(node("w-0"))
+    scheduler.worker_draining("w-0", 0)
+    scheduler.submit(queued("j"), 0)
+    assert scheduler.step(0, 10) == []
+
+
+def test_cancelling_stops_what_runs_and_drops_what_waits() -> None:
+    """Guards against a cancelled job that goes on or comes back."""
+    scheduler = scheduler_of(node("w-0", cores=1))
+    for index in range(3):
+        scheduler.submit(queued("j", index), 0)
+    scheduler.step(0, 10)
+    assert scheduler.cancel_job("j") == 3
+    assert stopped(scheduler.step(1, 10)) == {"j/0": "stop"}
+    assert scheduler.task_ended(TaskId("j", 0), Ending.STOPPED, 2) is None
+    assert scheduler.step(3, 10) == []
+    assert scheduler.queued_count == scheduler.running_count == 0
+
+
+def test_the_limit_hook_is_asked_with_the_use_so_far() -> None:
+    """Guards against a team that passes its limit within one step."""
+    policies = {kind: Policies() for kind in Kind}
+
+    def may_start(team, resources) -> bool:
+        return scheduler.shares.use_of(team).cpu_millis + resources.cpu_millis <= 2000
+
+    scheduler = Scheduler.from_config(policies, may_start)
+    scheduler.worker_added(node("w-0"))
+    for index in range(4):
+        scheduler.submit(queued("j", index), 0)
+    assert len(started(scheduler.step(0, 10))) == 2
+    waiting = scheduler.reason_of(TaskId("j", 3))
+    assert waiting == "waiting: team at its upper limit"
+
+
+def test_a_reported_task_is_taken_over_and_leaves_the_queue() -> None:
+    """Guards against a second start of work that survived a takeover."""
+    scheduler = scheduler_of(node("w-0"))
+    entry = queued("j")
+    scheduler.submit(entry, 0)
+    scheduler.adopt(RunningTask.from_queued(entry, entry.task, "w-0", 0))
+    assert scheduler.step(0, 10) == []
+    assert scheduler.running_count == 1
+
+
+def test_teams_get_room_by_their_weights() -> None:
+    """Guards against shares that ignore the configured weights."""
+    scheduler = scheduler_of(node("w-0", cores=8))
+    scheduler.set_teams([Team("a", share=3), Team("b", share=1)])
+    for index in range(8):
+        scheduler.submit(queued("j-a", index, "a"), 0)
+        scheduler.submit(queued("j-b", index, "b"), 0)
+    names = list(started(scheduler.step(0, 10)))
+    assert sum(name.startswith("j-a") for name in names) == 6
