--- /dev/null
+++ b/marjoramgrade/adapters/peerlink.py
@@ -0,0 +1,233 @@
+"""Connections between entry instances: length-prefixed frames over TCP.
+
+Each instance dials every other one and sends its own calls on the connection
+that it dialled; replies return on the same connection, matched by a number.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections.abc import Awaitable
+from typing import Any
+
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.adapters.peercodec import (
+    MAX_FRAME_BYTES,
+    Done,
+    Hello,
+    PeerFrame,
+    parse_frame,
+    serialize_frame,
+)
+from marjoramgrade.errors import (
+    MarjoramgradeError,
+    OutcomeUnknownError,
+    OwnerUnreachableError,
+    ProtocolError,
+)
+from marjoramgrade.messages import Inbound, Member, PeerCall, PeerTell
+
+CONNECT_TIMEOUT_MS = 1_000
+# Bytes that may wait in one connection before further calls are refused.
+MAX_UNSENT_BYTES = 8 * 1_048_576
+_LENGTH = struct.Struct(">I")
+
+
+async def read_frame(stream: IOStream) -> PeerFrame:
+    """Read one frame.
+
+    Raises:
+        StreamClosedError: If the connection ended.
+        ProtocolError: If the frame is invalid or too large.
+    """
+    (length,) = _LENGTH.unpack(await stream.read_bytes(_LENGTH.size))
+    if length > MAX_FRAME_BYTES:
+        raise ProtocolError(f"a frame of {length} bytes is too large")
+    return parse_frame(await stream.read_bytes(length))
+
+
+def write_frame(stream: IOStream, frame: PeerFrame) -> None:
+    """Queue one frame for sending; a closed stream is noticed by the reader.
+
+    Raises:
+        OversizedInputError: If the frame is too large.
+    """
+    data = serialize_frame(frame)
+    future = stream.write(_LENGTH.pack(len(data)) + data)
+    future.add_done_callback(lambda done: done.exception())
+
+
+class PeerLink(Actor):
+    """The connection that this instance dials to one peer.
+
+    Args:
+        own_id: Instance id of this instance.
+        own_host: IP number that connections leave from.
+        member: The peer.
+    """
+
+    def __init__(self, own_id: str, own_host: str, member: Member) -> None:
+        super().__init__()
+        self._own_id = own_id
+        self._own_host = own_host
+        self._member = member
+        self._stream: IOStream | None = None
+        self._connecting: asyncio.Task[IOStream] | None = None
+        self._correlation = 0
+        self._reply_by_correlation: dict[int, asyncio.Future[Any]] = {}
+
+    async def on_stop(self) -> None:
+        """Close the connection."""
+        if self._stream is not None:
+            self._stream.close()
+
+    @handles(PeerCall)
+    async def _call(self, message: PeerCall) -> Any:
+        return self.spawn(self._exchange(message))
+
+    @handles(PeerTell)
+    async def _tell(self, message: PeerTell) -> None:
+        self.spawn(self._send_quietly(message))
+
+    async def _send_quietly(self, message: PeerTell) -> None:
+        try:
+            write_frame(await self._connected(), PeerFrame(0, message.message))
+        except (MarjoramgradeError, StreamClosedError, StreamBufferFullError):
+            return
+
+    async def _exchange(self, call: PeerCall) -> Any:
+        stream = await self._connected()
+        self._correlation += 1
+        number = self._correlation
+        reply = asyncio.get_running_loop().create_future()
+        self._reply_by_correlation[number] = reply
+        try:
+            write_frame(stream, PeerFrame(number, call.message))
+            return await asyncio.wait_for(reply, call.timeout_ms / 1000)
+        except StreamBufferFullError:
+            raise OwnerUnreachableError(
+                f"{self._member.instance_id} does not read its connection"
+            ) from None
+        except (TimeoutError, StreamClosedError):
+            raise OutcomeUnknownError(
+                f"{self._member.instance_id} did not reply"
+            ) from None
+        finally:
+            self._reply_by_correlation.pop(number, None)
+
+    async def _connected(self) -> IOStream:
+        if self._stream is not None and not self._stream.closed():
+            return self._stream
+        if self._connecting is None:
+            self._connecting = self.spawn(self._connect())
+        try:
+            return await asyncio.shield(self._connecting)
+        except (OSError, StreamClosedError, TimeoutError):
+            raise OwnerUnreachableError(
+                f"no connection to {self._member.instance_id}"
+            ) from None
+
+    async def _connect(self) -> IOStream:
+        try:
+            stream = await asyncio.wait_for(
+                TCPClient().connect(
+                    self._member.host,
+                    self._member.peer_port,
+                    source_ip=self._own_host,
+                ),
+                CONNECT_TIMEOUT_MS / 1000,
+            )
+            stream.set_nodelay(True)
+            stream.max_write_buffer_size = MAX_UNSENT_BYTES
+            write_frame(stream, PeerFrame(0, Hello(self._own_id)))
+            self._stream = stream
+            self.spawn(self._read_replies(stream))
+            return stream
+        finally:
+            self._connecting = None
+
+    async def _read_replies(self, stream: IOStream) -> None:
+        try:
+            while True:
+                frame = await read_frame(stream)
+                reply = self._reply_by_correlation.pop(frame.correlation, None)
+                if reply is None or reply.done():
+                    continue
+                if isinstance(frame.body, MarjoramgradeError):
+                    reply.set_exception(frame.body)
+                else:
+                    reply.set_result(frame.body)
+        except (StreamClosedError, ProtocolError):
+            stream.close()
+        finally:
+            self._fail_replies()
+
+    def _fail_replies(self) -> None:
+        for reply in self._reply_by_correlation.values():
+            if not reply.done():
+                reply.set_exception(
+                    OutcomeUnknownError(
+                        f"the connection to {self._member.instance_id} broke"
+                    )
+                )
+        self._reply_by_correlation.clear()
+
+
+class PeerServer(TCPServer):
+    """Accepts the connections that other entry instances dial.
+
+    Args:
+        receiver: The actor that handles `Inbound` messages.
+    """
+
+    def __init__(self, receiver: Actor) -> None:
+        super().__init__()
+        self._receiver = receiver
+        self._streams: set[IOStream] = set()
+        self._running: set[asyncio.Task[None]] = set()
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serve one connection until it ends."""
+        self._streams.add(stream)
+        stream.set_nodelay(True)
+        try:
+            hello = (await read_frame(stream)).body
+            if not isinstance(hello, Hello):
+                raise ProtocolError("the first frame must be a hello")
+            while True:
+                frame = await read_frame(stream)
+                self._spawn(self._serve(stream, hello.instance_id, frame))
+        except StreamClosedError:
+            return
+        except ProtocolError:
+            stream.close()
+        finally:
+            self._streams.discard(stream)
+
+    async def close(self) -> None:
+        """Stop accepting, let running calls end, and close every connection."""
+        self.stop()
+        await asyncio.gather(*self._running, return_exceptions=True)
+        for stream in list(self._streams):
+            stream.close()
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _serve(self, stream: IOStream, peer_id: str, frame: PeerFrame) -> None:
+        try:
+            body = await self._receiver.ask(Inbound(peer_id, frame.body))
+        except MarjoramgradeError as error:
+            body = error
+        if frame.correlation == 0 or stream.closed():
+            return
+        answer = Done() if body is None else body
+        write_frame(stream, PeerFrame(frame.correlation, answer))
+
--- /dev/null
+++ b/marjoramgrade/adapters/platform.py
@@ -0,0 +1,147 @@
+"""The platform's table service and instance list over HTTP with JSON."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
+
+from marjoramgrade.documents import parse_instance
+from marjoramgrade.errors import (
+    CheckFailedError,
+    InvalidInputError,
+    ProtocolError,
+    TableUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from marjoramgrade.model import Instance
+from marjoramgrade.table import Row, RowsPage, Table, Transaction
+
+CONNECT_TIMEOUT_MS = 500
+REQUEST_TIMEOUT_MS = 2_500
+HTTP_CONFLICT = 409
+MAX_ANSWER_BYTES = 64 * 1_048_576
+
+
+class PlatformClient:
+    """Sends requests to the platform in the name of one entry instance.
+
+    Args:
+        base_url: URL of the platform without a trailing slash.
+        instance_id: Id of this instance, sent with each request.
+    """
+
+    def __init__(self, base_url: str, instance_id: str) -> None:
+        self._base_url = base_url
+        self._headers = {"Instance": instance_id, "Content-Type": "application/json"}
+        self._client = AsyncHTTPClient(
+            force_instance=True, max_clients=16, max_body_size=MAX_ANSWER_BYTES
+        )
+
+    def close(self) -> None:
+        """Release the connections."""
+        self._client.close()
+
+    async def get(self, path: str) -> Any:
+        """Return the JSON document at a path.
+
+        Raises:
+            TableUnavailableError: If there was no usable answer.
+        """
+        try:
+            response = await self._client.fetch(self._make_request(path, None))
+            return json.loads(response.body)
+        except (HTTPClientError, OSError, ValueError) as error:
+            raise TableUnavailableError(f"no answer to {path}: {error}") from error
+
+    async def post(self, path: str, document: Any) -> tuple[int, Any]:
+        """Send a JSON document and return the status and the answer.
+
+        Raises:
+            TableUnavailableError: If the request certainly did not arrive.
+            WriteOutcomeUnknownError: If it may have arrived.
+        """
+        body = json.dumps(document).encode()
+        try:
+            response = await self._client.fetch(
+                self._make_request(path, body), raise_error=False
+            )
+        except ConnectionRefusedError as error:
+            raise TableUnavailableError(f"connection refused: {error}") from error
+        except (HTTPStreamClosedError, HTTPTimeoutError, OSError) as error:
+            raise WriteOutcomeUnknownError(f"no answer: {error}") from error
+        try:
+            return response.code, json.loads(response.body or b"{}")
+        except ValueError as error:
+            raise WriteOutcomeUnknownError("the answer is no JSON") from error
+
+    def _make_request(self, path: str, body: bytes | None) -> HTTPRequest:
+        return HTTPRequest(
+            self._base_url + path,
+            method="GET" if body is None else "POST",
+            headers=self._headers,
+            body=body,
+            connect_timeout=CONNECT_TIMEOUT_MS / 1000,
+            request_timeout=REQUEST_TIMEOUT_MS / 1000,
+        )
+
+
+class HttpTable(Table):
+    """The platform's table service."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Apply a transaction; see `Table.commit`."""
+        status, answer = await self._client.post(
+            "/v1/transaction",
+            {
+                "checks": dict(transaction.checks),
+                "writes": dict(transaction.writes),
+                "write_id": transaction.write_id,
+            },
+        )
+        if status == HTTP_CONFLICT:
+            raise CheckFailedError("a row has changed", answer["versions"])
+        if status != 200 or "version" not in answer:
+            raise WriteOutcomeUnknownError(f"the table answered status {status}")
+        return int(answer["version"])
+
+    async def changes(self, prefix: str, after: int = 0) -> RowsPage:
+        """Read changed rows; see `Table.changes`."""
+        query = urlencode({"prefix": prefix, "after": after})
+        answer = await self._client.get(f"/v1/rows?{query}")
+        try:
+            rows = tuple(
+                Row(row["key"], row["version"], row["write_id"], row["value"])
+                for row in answer["rows"]
+            )
+            return RowsPage(answer["version"], rows)
+        except (KeyError, TypeError) as error:
+            raise ProtocolError(f"invalid rows from the table: {error}") from error
+
+
+class InstanceList:
+    """The platform's lagging list of instances."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def read(self) -> tuple[Instance, ...]:
+        """Return the list; entries that cannot be read are left out.
+
+        Raises:
+            TableUnavailableError: If the platform gave no answer.
+        """
+        answer = await self._client.get("/v1/instances")
+        instances = []
+        for document in answer["instances"]:
+            try:
+                instances.append(parse_instance(document))
+            except InvalidInputError:
+                continue
+        return tuple(instances)
--- /dev/null
+++ b/marjoramgrade/adapters/workerlink.py
@@ -0,0 +1,178 @@
+"""The connection from a shard's owner to one worker: a WebSocket with JSON."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+from tornado.httpclient import HTTPClientError
+from tornado.websocket import (
+    WebSocketClientConnection,
+    WebSocketClosedError,
+    websocket_connect,
+)
+
+from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.documents import serialize_resources
+from marjoramgrade.errors import ProtocolError, ShuttingDownError
+from marjoramgrade.messages import (
+    TaskEnd,
+    TaskRun,
+    TaskStart,
+    WorkerBatch,
+    WorkerConnected,
+    WorkerDisconnected,
+    WorkerEnds,
+    WorkerHeartbeat,
+    WorkerRefused,
+)
+from marjoramgrade.model import Instance, TaskId
+
+CONNECT_TIMEOUT_MS = 1_000
+RECONNECT_INTERVAL_MS = 500
+MAX_MESSAGE_BYTES = 1_048_576
+
+
+class WorkerLink(Actor):
+    """Keeps a connection to one worker and translates its messages.
+
+    Args:
+        shard: Shard that the worker belongs to.
+        epoch: Epoch of the owner.
+        worker: The worker's entry on the instance list.
+        receiver: The controller of the shard.
+    """
+
+    def __init__(
+        self, shard: str, epoch: int, worker: Instance, receiver: Actor
+    ) -> None:
+        super().__init__()
+        self._shard = shard
+        self._epoch = epoch
+        self._worker = worker
+        self._receiver = receiver
+        self._connection: WebSocketClientConnection | None = None
+
+    async def on_start(self) -> None:
+        """Begin to connect."""
+        self.spawn(self._keep_connected())
+
+    async def on_stop(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+
+    @handles(WorkerBatch)
+    async def _send(self, batch: WorkerBatch) -> None:
+        if self._connection is None:
+            return
+        try:
+            for document in _iter_documents(batch):
+                # A closed connection is reported by the reading task.
+                self._connection.write_message(json.dumps(document))
+        except WebSocketClosedError:
+            return
+
+    async def _keep_connected(self) -> None:
+        while True:
+            try:
+                await self._serve_connection()
+            except (OSError, HTTPClientError, WebSocketClosedError, ProtocolError):
+                pass
+            finally:
+                self._close_connection()
+            await asyncio.sleep(RECONNECT_INTERVAL_MS / 1000)
+
+    async def _serve_connection(self) -> None:
+        connection = await websocket_connect(
+            f"ws://{self._worker.host}:{self._worker.port}/v1/worker",
+            connect_timeout=CONNECT_TIMEOUT_MS / 1000,
+            max_message_size=MAX_MESSAGE_BYTES,
+        )
+        self._connection = connection
+        await connection.write_message(
+            json.dumps({"type": "hello", "epoch": self._epoch})
+        )
+        while True:
+            text = await connection.read_message()
+            if text is None:
+                return
+            self._receiver.tell(self._parse(text))
+
+    def _close_connection(self) -> None:
+        if self._connection is None:
+            return
+        self._connection.close()
+        self._connection = None
+        with contextlib.suppress(ShuttingDownError):
+            self._receiver.tell(
+                WorkerDisconnected(self._shard, self._worker.instance_id)
+            )
+
+    def _parse(self, text: str | bytes) -> Message[None]:
+        worker_id = self._worker.instance_id
+        try:
+            body = json.loads(text)
+            if body["type"] == "heartbeat":
+                return WorkerHeartbeat(self._shard, worker_id, int(body["seq"]))
+            if body["type"] == "ends":
+                return WorkerEnds(self._shard, worker_id, _parse_ends(body["ends"]))
+            if body["type"] == "refused":
+                tasks = tuple(TaskId.parse(task) for task in body["tasks"])
+                return WorkerRefused(self._shard, worker_id, tasks, body["reason"])
+            if body["type"] == "inventory":
+                running = tuple(
+                    TaskRun(TaskId.parse(entry["task"]), int(entry["attempt"]))
+                    for entry in body["running"]
+                )
+                return WorkerConnected(
+                    self._shard,
+                    worker_id,
+                    int(body["epoch"]),
+                    running,
+                    _parse_ends(body["ends"]),
+                )
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise ProtocolError(f"invalid message of {worker_id}: {error}") from error
+        raise ProtocolError(f"unknown message type of {worker_id}")
+
+
+def _parse_ends(documents: list[dict[str, Any]]) -> tuple[TaskEnd, ...]:
+    return tuple(
+        TaskEnd(
+            TaskId.parse(document["task"]),
+            int(document["attempt"]),
+            str(document["outcome"]),
+        )
+        for document in documents
+    )
+
+
+def _serialize_start(start: TaskStart) -> dict[str, Any]:
+    return {
+        "task": str(start.task),
+        "attempt": start.attempt,
+        "resources": serialize_resources(start.resources),
+        "run_ms": start.run_ms,
+        "payload": start.payload,
+    }
+
+
+def _iter_documents(batch: WorkerBatch) -> list[dict[str, Any]]:
+    documents: list[dict[str, Any]] = []
+    if batch.granted_seq:
+        documents.append(
+            {"type": "grant", "seq": batch.granted_seq, "lease_ms": batch.lease_ms}
+        )
+    if batch.stops:
+        documents.append(
+            {"type": "stop", "tasks": [str(task) for task in batch.stops]}
+        )
+    if batch.starts:
+        starts = [_serialize_start(start) for start in batch.starts]
+        documents.append({"type": "start", "tasks": starts})
+    if batch.acks:
+        documents.append({"type": "ack", "ends": [str(task) for task in batch.acks]})
+    return [{**document, "epoch": batch.epoch} for document in documents]
--- /dev/null
+++ b/marjoramgrade/controllers/dispatch.py
@@ -0,0 +1,309 @@
+"""Requests to the backend servers of one shard."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+import attrs
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.decisions.slots import SlotPool
+from marjoramgrade.errors import (
+    DeadlineExceededError,
+    MarjoramgradeError,
+    NoBackendError,
+    NotOwnerError,
+    OutcomeUnknownError,
+    OverloadedError,
+    StaleAuthorityError,
+    UnauthenticatedError,
+)
+from marjoramgrade.messages import (
+    ConfigConfirmed,
+    DispatchSummary,
+    FenceBackend,
+    InstancesChanged,
+    OwnershipChanged,
+    RecordRequest,
+    RunReply,
+    RunRequest,
+)
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.model import Config, Instance, InstanceKind
+
+TICK_MS = 50
+PROBE_INTERVAL_MS = 250
+SUMMARY_INTERVAL_MS = 250
+CONNECTIONS_PER_BACKEND = 64
+
+
+class Backends(Protocol):
+    """How requests reach backend servers."""
+
+    async def run(
+        self, backend: Instance, epoch: int, request: RunRequest, timeout_ms: int
+    ) -> RunReply:
+        """Send a request and return the whole answer."""
+        ...
+
+    async def fence(self, backend: Instance, epoch: int) -> FenceBackend:
+        """Raise the server's epoch and return the slots in use."""
+        ...
+
+
+@attrs.define
+class _Waiting:
+    """A request that waits for a slot."""
+
+    request: RunRequest
+    deadline_ms: int
+    reply: asyncio.Future[RunReply]
+
+
+class DispatchController(Actor):
+    """Owns the slots of a shard's backend servers and the requests for them.
+
+    Args:
+        shard: Name of the shard.
+        instance_id: This instance.
+        is_member: Whether an instance of the platform's list is in the shard.
+        backends: Reaches the backend servers.
+        journal: Records the ids of non-idempotent requests.
+        clock: Monotonic time.
+        metrics: Counters.
+        max_queued: Requests that may wait.
+        routes: Is told the load.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        instance_id: str,
+        is_member: Callable[[Instance], bool],
+        backends: Backends,
+        journal: Actor,
+        clock: Clock,
+        metrics: Metrics,
+        max_queued: int,
+        routes: Sequence[Actor],
+    ) -> None:
+        super().__init__()
+        self._shard = shard
+        self._zone = shard.rpartition(".")[0]
+        self._instance_id = instance_id
+        self._is_member = is_member
+        self._backends = backends
+        self._journal = journal
+        self._clock = clock
+        self._metrics = metrics
+        self._max_queued = max_queued
+        self._routes = tuple(routes)
+        self._slots = SlotPool()
+        self._backend_by_id: dict[str, Instance] = {}
+        self._waiting_by_service: dict[str, deque[_Waiting]] = {}
+        self._epoch = 0
+        self._until_ms = 0
+        self._config = Config()
+        self._fresh_until_ms = 0
+        self._probing: set[str] = set()
+
+    async def on_start(self) -> None:
+        """Begin to probe servers and to publish the load."""
+        self.spawn(self._tick_forever())
+
+    async def on_stop(self) -> None:
+        """Refuse the requests that still wait; they have not run."""
+        for queue in self._waiting_by_service.values():
+            for waiting in queue:
+                _refuse(waiting, NotOwnerError("the instance has stopped"))
+
+    @handles(OwnershipChanged)
+    async def _ownership_changed(self, message: OwnershipChanged) -> None:
+        if message.shard != self._shard:
+            return
+        if message.epoch != self._epoch:
+            self._epoch = message.epoch
+            self._slots = SlotPool()
+            self._sync_backends()
+        self._until_ms = message.until_ms
+
+    @handles(ConfigConfirmed)
+    async def _config_confirmed(self, message: ConfigConfirmed) -> None:
+        self._config = message.config
+        self._fresh_until_ms = message.fresh_until_ms
+
+    @handles(InstancesChanged)
+    async def _instances_changed(self, message: InstancesChanged) -> None:
+        self._backend_by_id = {
+            instance.instance_id: instance
+            for instance in message.instances
+            if instance.kind is InstanceKind.BACKEND and self._is_member(instance)
+        }
+        self._sync_backends()
+
+    @handles(RunRequest)
+    async def _run(self, message: RunRequest) -> Any:
+        if not self._is_owner():
+            raise NotOwnerError(f"{self._instance_id} does not own {self._shard}")
+        queue = self._waiting_by_service.setdefault(message.service, deque())
+        if len(queue) >= self._max_queued:
+            raise OverloadedError(f"the queue of {message.service} is full")
+        deadline_ms = self._clock.now_ms() + message.remaining_ms
+        reply: asyncio.Future[RunReply] = asyncio.get_running_loop().create_future()
+        queue.append(_Waiting(message, deadline_ms, reply))
+        self._dispatch(message.service)
+        return reply
+
+    def _is_owner(self) -> bool:
+        return self._clock.now_ms() < self._until_ms
+
+    def _sync_backends(self) -> None:
+        """Make the slot pool agree with the platform's list."""
+        for backend_id, backend in self._backend_by_id.items():
+            slots = backend.capacity.slots
+            self._slots.add(
+                backend_id, backend.service, slots, CONNECTIONS_PER_BACKEND
+            )
+            if backend.leaving:
+                self._slots.mark_leaving(backend_id)
+        for backend_id in self._slots.backend_ids() - set(self._backend_by_id):
+            self._slots.remove(backend_id)
+
+    def _dispatch(self, service: str) -> None:
+        """Start waiting requests while there are free slots."""
+        queue = self._waiting_by_service.get(service)
+        while queue:
+            refusal = self._refusal_of(queue[0])
+            if refusal is not None:
+                _refuse(queue.popleft(), refusal)
+                continue
+            if not self._config.is_zone_in(self._zone):
+                return
+            backend_id = self._slots.acquire(service)
+            if backend_id is None:
+                return
+            self.spawn(self._send(queue.popleft(), backend_id))
+
+    def _refusal_of(self, waiting: _Waiting) -> MarjoramgradeError | None:
+        """Return why a request may not be dispatched now or later, or None."""
+        now_ms = self._clock.now_ms()
+        request = waiting.request
+        if now_ms >= waiting.deadline_ms:
+            return DeadlineExceededError("the deadline passed before the dispatch")
+        if not self._is_owner():
+            return NotOwnerError(f"{self._instance_id} lost {self._shard}")
+        service = self._config.services_by_name.get(request.service)
+        is_open = service is None or service.team == ""
+        if is_open and now_ms >= self._fresh_until_ms:
+            return StaleAuthorityError("the configuration is not known to be current")
+        key = self._config.keys_by_name.get(request.key_name)
+        if key is None or key.team != request.team:
+            return UnauthenticatedError(f"key {request.key_name} was withdrawn")
+        return None
+
+    async def _send(self, waiting: _Waiting, backend_id: str) -> None:
+        """Send one request; the slot is given back on every way out."""
+        request = waiting.request
+        epoch, slots = self._epoch, self._slots
+        try:
+            if not request.idempotent:
+                await self._journal.ask(RecordRequest(request.team, request.request_id))
+            refusal = self._refusal_of(waiting)
+            if refusal is not None or epoch != self._epoch:
+                raise refusal or NotOwnerError("the epoch changed before the dispatch")
+            timeout_ms = waiting.deadline_ms - self._clock.now_ms()
+            backend = self._backend_by_id.get(backend_id)
+            if backend is None:
+                raise NoBackendError(f"{backend_id} has left")
+            reply = await self._backends.run(backend, epoch, request, timeout_ms)
+        except OutcomeUnknownError as error:
+            now_ms = self._clock.now_ms()
+            slots.abandon(backend_id, now_ms)
+            slots.mark_failed(backend_id, now_ms)
+            _refuse(waiting, error)
+        except MarjoramgradeError as error:
+            slots.release(backend_id)
+            if isinstance(error, NoBackendError):
+                slots.mark_failed(backend_id, self._clock.now_ms())
+            _refuse(waiting, error)
+        else:
+            slots.release(backend_id)
+            if not waiting.reply.done():
+                waiting.reply.set_result(reply)
+        self._dispatch(request.service)
+
+    async def _tick_forever(self) -> None:
+        next_probe_ms = next_summary_ms = 0
+        while True:
+            now_ms = self._clock.now_ms()
+            for service in list(self._waiting_by_service):
+                self._expire(service)
+                self._dispatch(service)
+            if self._is_owner() and now_ms >= next_probe_ms:
+                next_probe_ms = now_ms + PROBE_INTERVAL_MS
+                self._probe_due(now_ms)
+            if self._is_owner() and now_ms >= next_summary_ms:
+                next_summary_ms = now_ms + SUMMARY_INTERVAL_MS
+                self._publish()
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def _expire(self, service: str) -> None:
+        """Refuse waiting requests whose deadline passed, wherever they wait."""
+        now_ms = self._clock.now_ms()
+        queue = self._waiting_by_service[service]
+        if not any(now_ms >= waiting.deadline_ms for waiting in queue):
+            return
+        kept: deque[_Waiting] = deque()
+        for waiting in queue:
+            if now_ms < waiting.deadline_ms:
+                kept.append(waiting)
+                continue
+            _refuse(waiting, DeadlineExceededError("the deadline passed in the queue"))
+        self._waiting_by_service[service] = kept
+
+    def _probe_due(self, now_ms: int) -> None:
+        for backend_id in list(self._slots.iter_due_probes(now_ms)):
+            if backend_id not in self._probing:
+                self._probing.add(backend_id)
+                self.spawn(self._probe(backend_id))
+
+    async def _probe(self, backend_id: str) -> None:
+        epoch, slots = self._epoch, self._slots
+        backend = self._backend_by_id.get(backend_id)
+        asked_ms = self._clock.now_ms()
+        try:
+            if backend is None:
+                return
+            answer = await self._backends.fence(backend, epoch)
+        except NotOwnerError:
+            self._until_ms = 0
+        except MarjoramgradeError:
+            slots.mark_failed(backend_id, self._clock.now_ms())
+        else:
+            slots.mark_recovered(backend_id)
+            slots.fenced(backend_id, answer.in_use, asked_ms)
+            if slots is self._slots:
+                self._dispatch(backend.service)
+        finally:
+            self._probing.discard(backend_id)
+
+    def _publish(self) -> None:
+        services = {backend.service for backend in self._backend_by_id.values()}
+        is_in = self._config.is_zone_in(self._zone)
+        free = {name: self._slots.free_slots(name) if is_in else 0 for name in services}
+        queued = sum(len(queue) for queue in self._waiting_by_service.values())
+        summary = DispatchSummary(
+            self._shard, self._instance_id, self._epoch, free, queued
+        )
+        for routes in self._routes:
+            routes.tell(summary)
+
+
+def _refuse(waiting: _Waiting, error: MarjoramgradeError) -> None:
+    if not waiting.reply.done():
+        waiting.reply.set_exception(error)
+
--- /dev/null
+++ b/marjoramgrade/controllers/jobs.py
@@ -0,0 +1,199 @@
+"""Accepted jobs: submission, cancellation and the change feed of their rows."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.errors import (
+    CheckFailedError,
+    ConflictError,
+    MarjoramgradeError,
+    NotFoundError,
+    OutcomeUnknownError,
+    TableRefusedError,
+    TableUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from marjoramgrade.messages import (
+    CancelJob,
+    ChooseShard,
+    GetJob,
+    JobAssigned,
+    JobsChanged,
+    ListJobs,
+    StoredJob,
+    SubmitJob,
+    TellPeers,
+    WriteJob,
+)
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.model import Job, JobState
+from marjoramgrade.store import Store
+from marjoramgrade.table import ABSENT
+
+READ_INTERVAL_MS = 500
+CANCEL_ATTEMPTS = 5
+
+
+class JobsController(Actor):
+    """Owns this instance's copy of the job rows.
+
+    Args:
+        store: Typed access to the table.
+        journal: Writes job rows.
+        routes: Chooses the home shard of a new job.
+        peers: Reaches the other entry instances.
+        metrics: Counters.
+        subscribers: Actors that are told `JobsChanged`.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        journal: Actor,
+        routes: Actor,
+        peers: Actor,
+        metrics: Metrics,
+        subscribers: Sequence[Actor],
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._journal = journal
+        self._routes = routes
+        self._peers = peers
+        self._metrics = metrics
+        self._subscribers = tuple(subscribers)
+        self._job_by_id: dict[str, StoredJob] = {}
+        self._read_version = 0
+
+    async def on_start(self) -> None:
+        """Begin to follow the change feed."""
+        self.spawn(self._follow())
+
+    @handles(SubmitJob)
+    async def _submit(self, message: SubmitJob) -> Any:
+        return self.spawn(self._accept(message))
+
+    @handles(CancelJob)
+    async def _cancel(self, message: CancelJob) -> Any:
+        return self.spawn(self._mark_cancelled(message.job_id))
+
+    @handles(GetJob)
+    async def _get(self, message: GetJob) -> Any:
+        stored = self._job_by_id.get(message.job_id)
+        if stored is not None:
+            return stored
+        return self.spawn(self._read(message.job_id))
+
+    @handles(ListJobs)
+    async def _list(self, message: ListJobs) -> tuple[StoredJob, ...]:
+        return tuple(self._job_by_id.values())
+
+    @handles(JobAssigned)
+    async def _assigned(self, message: JobAssigned) -> None:
+        if message.job_id not in self._job_by_id:
+            self.spawn(self._read_quietly(message.job_id))
+
+    @handles(JobsChanged)
+    async def _changed(self, message: JobsChanged) -> None:
+        self._apply(message.jobs)
+
+    async def _accept(self, message: SubmitJob) -> StoredJob:
+        known = self._job_by_id.get(message.job_id)
+        if known is not None:
+            return _same_or_conflict(known, message)
+        shard = await self._routes.ask(ChooseShard(message.spec))
+        job = Job.from_spec(message.job_id, message.spec, shard)
+        try:
+            stored = await self._journal.ask(WriteJob(job, ABSENT))
+        except CheckFailedError:
+            return _same_or_conflict(await self._read(message.job_id), message)
+        except TableUnavailableError as error:
+            raise TableRefusedError(error.message) from error
+        except WriteOutcomeUnknownError as error:
+            raise OutcomeUnknownError(error.message) from error
+        self._apply((stored,))
+        self._peers.tell(TellPeers(JobAssigned(message.job_id)))
+        return stored
+
+    async def _mark_cancelled(self, job_id: str) -> StoredJob:
+        for _ in range(CANCEL_ATTEMPTS):
+            stored = await self._read(job_id)
+            if stored.job.cancelled or stored.job.state is not JobState.OPEN:
+                return stored
+            job = attrs.evolve(stored.job, cancelled=True, reason="cancel requested")
+            try:
+                written = await self._journal.ask(WriteJob(job, stored.version))
+            except CheckFailedError:
+                self._metrics.retried("cancel_conflict")
+                continue
+            except TableUnavailableError as error:
+                raise TableRefusedError(error.message) from error
+            self._apply((written,))
+            return written
+        raise ConflictError(
+            f"job {job_id} changes too fast to be cancelled",
+            expected_version=stored.version,
+            current_version=stored.version,
+        )
+
+    async def _read(self, job_id: str) -> StoredJob:
+        try:
+            stored = await self._store.read_job(job_id)
+        except TableUnavailableError as error:
+            raise TableRefusedError(error.message) from error
+        if stored is None:
+            raise NotFoundError(f"there is no job {job_id}")
+        self._apply((stored,))
+        return stored
+
+    async def _read_quietly(self, job_id: str) -> None:
+        try:
+            await self._read(job_id)
+        except MarjoramgradeError:
+            self._metrics.retried("job_read_failed")
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                page = await self._store.changed_jobs(self._read_version)
+            except MarjoramgradeError:
+                self._metrics.retried("jobs_table_error")
+            else:
+                self._read_version = page.version
+                self._apply(page.jobs)
+            await asyncio.sleep(READ_INTERVAL_MS / 1000)
+
+    def _apply(self, jobs: Sequence[StoredJob]) -> None:
+        """Keep the newest version of each job and tell the subscribers."""
+        newer = tuple(stored for stored in jobs if self._is_newer(stored))
+        if not newer:
+            return
+        for stored in newer:
+            self._job_by_id[stored.job.job_id] = stored
+        for subscriber in self._subscribers:
+            subscriber.tell(JobsChanged(newer))
+
+    def _is_newer(self, stored: StoredJob) -> bool:
+        known = self._job_by_id.get(stored.job.job_id)
+        return known is None or known.version < stored.version
+
+
+def _same_or_conflict(stored: StoredJob, message: SubmitJob) -> StoredJob:
+    """Return the accepted job if it is the one that is submitted again.
+
+    Raises:
+        ConflictError: If the id belongs to a job with another specification.
+    """
+    if stored.job.spec == message.spec:
+        return stored
+    raise ConflictError(
+        f"job {message.job_id} exists with another specification",
+        expected_version=ABSENT,
+        current_version=stored.version,
+    )
--- /dev/null
+++ b/marjoramgrade/controllers/jobwriter.py
@@ -0,0 +1,99 @@
+"""Writes what a shard learns about its jobs to their rows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from marjoramgrade.actor import Actor
+from marjoramgrade.controllers.shardtasks import ShardTasks
+from marjoramgrade.errors import CheckFailedError, MarjoramgradeError
+from marjoramgrade.messages import ChooseShard, JobsChanged, StoredJob, WriteJob
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.store import Store
+
+
+class JobWriter:
+    """Writes outcomes and moves of the jobs of one shard.
+
+    Args:
+        shard: Name of the shard.
+        store: Reads a row again after a conflict.
+        journal: Writes job rows.
+        routes: Chooses the shard that a job moves to.
+        jobs: Returns the actor that is told of written rows.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        store: Store,
+        journal: Actor,
+        routes: Actor,
+        jobs: Callable[[], Actor],
+        metrics: Metrics,
+    ) -> None:
+        self._shard = shard
+        self._store = store
+        self._journal = journal
+        self._routes = routes
+        self._jobs = jobs
+        self._metrics = metrics
+
+    async def write(self, state: ShardTasks, stored: StoredJob) -> None:
+        """Write the outcomes that wait for a job, then acknowledge its ends."""
+        job_id = stored.job.job_id
+        outcomes = state.outcomes.take(job_id)
+        merged = outcomes.merge_into(stored.job)
+        try:
+            written = stored
+            if merged != stored.job:
+                written = await self._journal.ask(WriteJob(merged, stored.version))
+        except CheckFailedError:
+            state.outcomes.failed(job_id, outcomes)
+            await self._reload(job_id)
+            return
+        except MarjoramgradeError:
+            self._metrics.retried("outcome_table_error")
+            state.outcomes.failed(job_id, outcomes)
+            return
+        state.outcomes.written(job_id)
+        state.job_written(written)
+        for task, worker_id in outcomes.worker_by_task.items():
+            state.acknowledge(worker_id, task)
+        self._jobs().tell(JobsChanged((written,)))
+
+    async def move(self, state: ShardTasks, stored: StoredJob) -> None:
+        """Home a job without running tasks in another shard."""
+        job_id = stored.job.job_id
+        try:
+            shard = await self._routes.ask(ChooseShard(stored.job.spec))
+            if shard == self._shard:
+                return
+            moved = attrs.evolve(
+                stored.job, shard=shard, reason=f"moved from {self._shard}: zone out"
+            )
+            written = await self._journal.ask(WriteJob(moved, stored.version))
+        except CheckFailedError:
+            await self._reload(job_id)
+            return
+        except MarjoramgradeError:
+            self._metrics.retried("move_table_error")
+            return
+        finally:
+            state.move_ended(job_id)
+        state.job_moved(written)
+        self._jobs().tell(JobsChanged((written,)))
+
+    async def _reload(self, job_id: str) -> None:
+        """Take over a row that another writer has changed."""
+        self._metrics.retried("job_conflict")
+        try:
+            stored = await self._store.read_job(job_id)
+        except MarjoramgradeError:
+            self._metrics.retried("job_read_failed")
+            return
+        if stored is not None:
+            self._jobs().tell(JobsChanged((stored,)))
--- /dev/null
+++ b/marjoramgrade/controllers/journal.py
@@ -0,0 +1,155 @@
+"""The journal: collects rows from many senders into few transactions."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.errors import (
+    CheckFailedError,
+    DuplicateRequestError,
+    MarjoramgradeError,
+)
+from marjoramgrade.messages import RecordRequest, StoredJob, WriteJob
+from marjoramgrade.store import JOBS_PREFIX, RequestRecord, Store, failed_keys
+
+# The first record of a transaction waits this long for others.
+COLLECT_MS = 20
+# At 22 entry instances this keeps all writes under 220 transactions a second.
+MIN_INTERVAL_MS = 100
+MAX_ROWS = 500
+
+
+@attrs.define
+class _Pending:
+    record: WriteJob | RequestRecord
+    done: asyncio.Future[Any]
+
+    @property
+    def key(self) -> str:
+        if isinstance(self.record, WriteJob):
+            return JOBS_PREFIX + self.record.job.job_id
+        return self.record.key
+
+    def succeed(self, version: int) -> None:
+        if self.done.done():
+            return
+        if isinstance(self.record, WriteJob):
+            self.done.set_result(StoredJob(self.record.job, version))
+        else:
+            self.done.set_result(None)
+
+    def fail(self, error: MarjoramgradeError) -> None:
+        if not self.done.done():
+            self.done.set_exception(error)
+
+
+class JournalController(Actor):
+    """Owns the records that wait to be written.
+
+    At most one transaction is in flight. A record whose check fails is refused
+    alone; the others of its transaction are written again.
+
+    Args:
+        store: Typed access to the table.
+    """
+
+    def __init__(self, store: Store) -> None:
+        super().__init__()
+        self._store = store
+        self._waiting: list[_Pending] = []
+        self._has_work = asyncio.Event()
+        self._writer: asyncio.Task[Any] | None = None
+        self._closing = False
+
+    async def on_start(self) -> None:
+        """Start the writing task."""
+        self._writer = asyncio.create_task(self._write_forever())
+
+    async def on_stop(self) -> None:
+        """Write what waits, then end."""
+        self._closing = True
+        self._has_work.set()
+        if self._writer is not None:
+            await self._writer
+
+    @handles(WriteJob)
+    async def _write_job(self, message: WriteJob) -> Any:
+        return self._append(message)
+
+    @handles(RecordRequest)
+    async def _record_request(self, message: RecordRequest) -> Any:
+        return self._append(RequestRecord(message.team, message.request_id))
+
+    def _append(self, record: WriteJob | RequestRecord) -> asyncio.Future[Any]:
+        done: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiting.append(_Pending(record, done))
+        self._has_work.set()
+        return done
+
+    async def _write_forever(self) -> None:
+        while True:
+            await self._has_work.wait()
+            if self._closing and not self._waiting:
+                return
+            await asyncio.sleep(COLLECT_MS / 1000)
+            batch = self._take_batch()
+            if batch:
+                await self._write(batch)
+            if self._waiting:
+                await asyncio.sleep((MIN_INTERVAL_MS - COLLECT_MS) / 1000)
+            elif not self._closing:
+                self._has_work.clear()
+
+    def _take_batch(self) -> list[_Pending]:
+        """Take the oldest records, at most one for each row."""
+        batch: list[_Pending] = []
+        later: list[_Pending] = []
+        keys: set[str] = set()
+        for pending in self._waiting:
+            if len(batch) < MAX_ROWS and pending.key not in keys:
+                keys.add(pending.key)
+                batch.append(pending)
+            else:
+                later.append(pending)
+        self._waiting = later
+        return batch
+
+    async def _write(self, batch: list[_Pending]) -> None:
+        while batch:
+            jobs = [p.record for p in batch if isinstance(p.record, WriteJob)]
+            requests = [p.record for p in batch if isinstance(p.record, RequestRecord)]
+            try:
+                version = await self._store.commit_records(jobs, requests)
+            except CheckFailedError as error:
+                batch = _refuse_failed(batch, error, failed_keys(error, jobs, requests))
+                continue
+            except MarjoramgradeError as error:
+                for pending in batch:
+                    pending.fail(error)
+                return
+            for pending in batch:
+                pending.succeed(version)
+            return
+
+
+def _refuse_failed(
+    batch: list[_Pending], error: CheckFailedError, failed: frozenset[str]
+) -> list[_Pending]:
+    """Refuse the records whose checks failed and return the others."""
+    remaining = []
+    for pending in batch:
+        if pending.key not in failed and failed:
+            remaining.append(pending)
+        elif isinstance(pending.record, RequestRecord):
+            pending.fail(
+                DuplicateRequestError(
+                    f"request {pending.record.request_id} has been taken before"
+                )
+            )
+        else:
+            pending.fail(error)
+    return remaining
--- /dev/null
+++ b/marjoramgrade/controllers/members.py
@@ -0,0 +1,106 @@
+"""The register of entry instances and the connections to them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.errors import OwnerUnreachableError, TableError
+from marjoramgrade.logs import state_change
+from marjoramgrade.messages import (
+    CallPeer,
+    Member,
+    MembersChanged,
+    PeerCall,
+    PeerTell,
+    TellPeers,
+)
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.store import Store
+
+READ_INTERVAL_MS = 1_000
+
+
+class MembersController(Actor):
+    """Registers this instance, reads the register and owns the peer links.
+
+    Args:
+        own: This instance.
+        store: Typed access to the table.
+        make_link: Makes the actor that owns the connection to a peer.
+        metrics: Counters.
+        subscribers: Actors that are told `MembersChanged`.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        store: Store,
+        make_link: Callable[[Member], Actor],
+        metrics: Metrics,
+        subscribers: Sequence[Actor],
+    ) -> None:
+        super().__init__()
+        self._own = own
+        self._store = store
+        self._make_link = make_link
+        self._metrics = metrics
+        self._subscribers = tuple(subscribers)
+        self._member_by_id: dict[str, Member] = {}
+        self._link_by_id: dict[str, Actor] = {}
+        self._is_registered = False
+
+    async def on_start(self) -> None:
+        """Begin to register and to read the register."""
+        self.spawn(self._read_forever())
+
+    async def on_stop(self) -> None:
+        """Leave the register and close the links."""
+        for link in self._link_by_id.values():
+            await link.stop()
+        try:
+            await self._store.delete_member(self._own.instance_id)
+        except TableError:
+            self._metrics.retried("member_delete_table_error")
+
+    @handles(CallPeer)
+    async def _call(self, message: CallPeer) -> Any:
+        link = self._link_by_id.get(message.instance_id)
+        if link is None:
+            raise OwnerUnreachableError(f"{message.instance_id} is not registered")
+        return self.spawn(link.ask(PeerCall(message.message, message.timeout_ms)))
+
+    @handles(TellPeers)
+    async def _tell(self, message: TellPeers) -> None:
+        for link in self._link_by_id.values():
+            link.tell(PeerTell(message.message))
+
+    async def _read_forever(self) -> None:
+        while True:
+            try:
+                if not self._is_registered:
+                    await self._store.write_member(self._own)
+                    self._is_registered = True
+                await self._apply(await self._store.read_members())
+            except TableError:
+                self._metrics.retried("members_table_error")
+            await asyncio.sleep(READ_INTERVAL_MS / 1000)
+
+    async def _apply(self, members: tuple[Member, ...]) -> None:
+        found = {m.instance_id: m for m in members}
+        if found == self._member_by_id:
+            return
+        state_change("members_changed", members=sorted(found))
+        self._member_by_id = found
+        for gone in set(self._link_by_id) - set(found):
+            await self._link_by_id.pop(gone).stop()
+        for member in members:
+            if member == self._own or member.instance_id in self._link_by_id:
+                continue
+            link = self._make_link(member)
+            await link.start()
+            self._link_by_id[member.instance_id] = link
+        for subscriber in self._subscribers:
+            subscriber.tell(MembersChanged(members))
--- /dev/null
+++ b/marjoramgrade/controllers/ownership.py
@@ -0,0 +1,171 @@
+"""Ownership of the shards of this instance's zone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+import attrs
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.decisions.ownership import (
+    RENEW_INTERVAL_MS,
+    HeldLease,
+    ShardRow,
+    TakeoverWatch,
+)
+from marjoramgrade.errors import CheckFailedError, TableError
+from marjoramgrade.logs import state_change
+from marjoramgrade.messages import MembersChanged, OwnershipChanged, ReleaseShards
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.store import Store
+
+WATCH_INTERVAL_MS = 500
+
+
+@attrs.define
+class _ShardState:
+    """What this instance knows of one shard."""
+
+    row: ShardRow
+    version: int = 0
+    watch: TakeoverWatch = attrs.field(factory=TakeoverWatch)
+    lease: HeldLease | None = None
+
+
+class OwnershipController(Actor):
+    """Renews owned shards and takes over shards whose lease has lapsed.
+
+    Args:
+        instance_id: This instance.
+        zone: Its zone.
+        shards: Names of the zone's shards.
+        store: Typed access to the table.
+        clock: Monotonic time.
+        metrics: Counters.
+        subscribers: Actors that are told `OwnershipChanged`.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        zone: str,
+        shards: Sequence[str],
+        store: Store,
+        clock: Clock,
+        metrics: Metrics,
+        subscribers: Sequence[Actor],
+    ) -> None:
+        super().__init__()
+        self._instance_id = instance_id
+        self._zone = zone
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._subscribers = tuple(subscribers)
+        self._state_by_shard = {name: _ShardState(ShardRow(name)) for name in shards}
+        self._guardians: tuple[str, ...] = (instance_id,)
+        self._is_releasing = False
+
+    async def on_start(self) -> None:
+        """Begin to watch every shard of the zone."""
+        for shard in self._state_by_shard:
+            self.spawn(self._keep(shard))
+
+    @handles(MembersChanged)
+    async def _members_changed(self, message: MembersChanged) -> None:
+        self._guardians = tuple(
+            sorted(m.instance_id for m in message.members if m.zone == self._zone)
+        )
+
+    @handles(ReleaseShards)
+    async def _release(self, message: ReleaseShards) -> object:
+        self._is_releasing = True
+        return self.spawn(self._release_all())
+
+    async def _keep(self, shard: str) -> None:
+        state = self._state_by_shard[shard]
+        while not self._is_releasing:
+            try:
+                if state.lease is None:
+                    await self._watch(state)
+                else:
+                    await self._renew(state, state.lease)
+            except TableError:
+                self._metrics.retried("ownership_table_error")
+            self._expire(state)
+            interval_ms = WATCH_INTERVAL_MS if state.lease is None else RENEW_INTERVAL_MS
+            await asyncio.sleep(interval_ms / 1000)
+
+    async def _watch(self, state: _ShardState) -> None:
+        stored = await self._store.read_shard(state.row.shard)
+        state.row, state.version = stored.row, stored.version
+        now_ms = self._clock.now_ms()
+        state.watch.observe(stored.row, stored.version, now_ms)
+        if state.watch.may_take(now_ms) and not self._is_releasing:
+            await self._take(state)
+
+    async def _take(self, state: _ShardState) -> None:
+        asked_ms = self._clock.now_ms()
+        row = state.row.taken_by(self._instance_id, self._guardians)
+        try:
+            state.version = await self._store.write_shard(row, state.version)
+        except CheckFailedError:
+            self._metrics.retried("takeover_lost_race")
+            return
+        state.row = row
+        state.lease = HeldLease(row.epoch)
+        state.lease.confirm(asked_ms)
+        state_change("shard_taken", shard=row.shard, epoch=row.epoch)
+        self._publish(state.row.shard, state.lease)
+
+    async def _renew(self, state: _ShardState, lease: HeldLease) -> None:
+        asked_ms = self._clock.now_ms()
+        row = state.row.renewed(self._guardians)
+        try:
+            state.version = await self._store.write_shard(row, state.version)
+        except CheckFailedError:
+            await self._resolve_conflict(state, lease, asked_ms)
+            return
+        state.row = row
+        lease.confirm(asked_ms)
+        self._publish(row.shard, lease)
+
+    async def _resolve_conflict(
+        self, state: _ShardState, lease: HeldLease, asked_ms: int
+    ) -> None:
+        """Adopt an own renewal whose answer was lost, or accept the loss."""
+        stored = await self._store.read_shard(state.row.shard)
+        is_own = stored.row.owner == self._instance_id
+        if is_own and stored.row.epoch == lease.epoch:
+            state.row, state.version = stored.row, stored.version
+            return
+        self._lose(state, lease)
+
+    def _expire(self, state: _ShardState) -> None:
+        lease = state.lease
+        if lease is not None and not lease.holds(self._clock.now_ms()):
+            self._lose(state, lease)
+
+    def _lose(self, state: _ShardState, lease: HeldLease) -> None:
+        lease.revoke()
+        state.lease = None
+        state.watch = TakeoverWatch()
+        state_change("shard_lost", shard=state.row.shard, epoch=lease.epoch)
+        self._publish(state.row.shard, lease)
+
+    async def _release_all(self) -> None:
+        for state in self._state_by_shard.values():
+            if state.lease is None:
+                continue
+            self._lose(state, state.lease)
+            try:
+                await self._store.write_shard(state.row.released(), state.version)
+            except TableError:
+                self._metrics.retried("release_table_error")
+
+    def _publish(self, shard: str, lease: HeldLease) -> None:
+        message = OwnershipChanged(shard, lease.epoch, lease.until_ms)
+        for subscriber in self._subscribers:
+            subscriber.tell(message)
--- /dev/null
+++ b/marjoramgrade/controllers/shard.py
@@ -0,0 +1,356 @@
+"""The tasks of one shard: its queue, its workers and their ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import attrs
+
+from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.jobwriter import JobWriter
+from marjoramgrade.controllers.shardtasks import ShardTasks
+from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
+from marjoramgrade.errors import CheckFailedError, MarjoramgradeError, NotOwnerError
+from marjoramgrade.logs import state_change
+from marjoramgrade.messages import (
+    ConfigConfirmed,
+    GetTasks,
+    InstancesChanged,
+    JobsChanged,
+    OwnershipChanged,
+    StoredJob,
+    TaskStatus,
+    TaskSummary,
+    WorkerBatch,
+    WorkerConnected,
+    WorkerDisconnected,
+    WorkerEnds,
+    WorkerHeartbeat,
+    WorkerRefused,
+)
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.model import Config, Instance, InstanceKind, Kind
+from marjoramgrade.settings import Policies
+from marjoramgrade.store import Store, StoredRoster
+
+TICK_MS = 25
+SUMMARY_INTERVAL_MS = 250
+ROSTER_INTERVAL_MS = 1_000
+LOAD_RETRY_MS = 250
+
+MakeLink = Callable[[str, int, Instance, Actor], Actor]
+
+
+@attrs.frozen
+class ShardLoaded(Message[None]):
+    """The rows that a new owner needs have been read."""
+
+    epoch: int
+    roster: StoredRoster
+    jobs: tuple[StoredJob, ...]
+
+
+@attrs.frozen
+class RosterWritten(Message[None]):
+    """The roster in the table names these workers."""
+
+    epoch: int
+    roster: StoredRoster
+
+
+class ShardController(Actor):
+    """Owns the tasks of one shard while this instance owns the shard.
+
+    Args:
+        shard: Name of the shard.
+        instance_id: This instance.
+        is_member: Whether an instance of the platform's list is in the shard.
+        policies_by_kind: Names of the policies of each kind of work.
+        store: Typed access to the table.
+        journal: Writes job rows.
+        make_link: Makes the actor that owns the connection to a worker.
+        clock: Monotonic time.
+        metrics: Counters.
+        routes: Is told the load and chooses other shards for jobs that move.
+        jobs: Is told of job rows that this controller wrote.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        instance_id: str,
+        is_member: Callable[[Instance], bool],
+        policies_by_kind: Mapping[Kind, Policies],
+        store: Store,
+        journal: Actor,
+        make_link: MakeLink,
+        clock: Clock,
+        metrics: Metrics,
+        routes: Actor,
+        jobs: Callable[[], Actor],
+    ) -> None:
+        super().__init__()
+        self._shard = shard
+        self._instance_id = instance_id
+        self._is_member = is_member
+        self._policies_by_kind = policies_by_kind
+        self._store = store
+        self._make_link = make_link
+        self._clock = clock
+        self._metrics = metrics
+        self._routes = routes
+        self._writer = JobWriter(shard, store, journal, routes, jobs, metrics)
+        self._epoch = 0
+        self._until_ms = 0
+        self._config = Config()
+        self._fresh_until_ms = 0
+        self._worker_by_id: dict[str, Instance] = {}
+        self._link_by_id: dict[str, Actor] = {}
+        self._state: ShardTasks | None = None
+
+    async def on_start(self) -> None:
+        """Begin to decide at every tick."""
+        self.spawn(self._tick_forever())
+
+    async def on_stop(self) -> None:
+        """Close the connections to the workers."""
+        await self._close_links()
+
+    # Who owns the shard, and what is in it
+
+    @handles(OwnershipChanged)
+    async def _ownership_changed(self, message: OwnershipChanged) -> None:
+        if message.shard != self._shard:
+            return
+        self._until_ms = message.until_ms
+        if message.until_ms == 0:
+            self._state = None
+            self.spawn(self._close_links())
+        elif message.epoch != self._epoch:
+            self._epoch = message.epoch
+            self._state = None
+            self.spawn(self._load(message.epoch))
+
+    @handles(ConfigConfirmed)
+    async def _config_confirmed(self, message: ConfigConfirmed) -> None:
+        self._config = message.config
+        self._fresh_until_ms = message.fresh_until_ms
+        if self._state is not None:
+            self._state.set_teams(message.config.teams_by_name.values())
+
+    @handles(InstancesChanged)
+    async def _instances_changed(self, message: InstancesChanged) -> None:
+        self._worker_by_id = {
+            instance.instance_id: instance
+            for instance in message.instances
+            if instance.kind is InstanceKind.WORKER and self._is_member(instance)
+        }
+        if self._state is not None:
+            await self._sync_workers(self._state)
+
+    @handles(ShardLoaded)
+    async def _loaded(self, message: ShardLoaded) -> None:
+        if message.epoch != self._epoch or not self._is_owner():
+            return
+        self._state = ShardTasks.from_rows(
+            self._shard,
+            self._policies_by_kind,
+            message.roster,
+            message.jobs,
+            self._clock.now_ms(),
+        )
+        self._state.set_teams(self._config.teams_by_name.values())
+        state_change("shard_loaded", shard=self._shard, jobs=len(message.jobs))
+        await self._sync_workers(self._state)
+
+    @handles(RosterWritten)
+    async def _roster_written(self, message: RosterWritten) -> None:
+        if self._state is not None and message.epoch == self._epoch:
+            self._state.roster = message.roster
+
+    @handles(JobsChanged)
+    async def _jobs_changed(self, message: JobsChanged) -> None:
+        if self._state is not None:
+            for stored in message.jobs:
+                self._state.job_changed(stored, self._clock.now_ms())
+
+    @handles(GetTasks)
+    async def _get_tasks(self, message: GetTasks) -> tuple[TaskStatus, ...]:
+        if self._state is None:
+            raise NotOwnerError(f"{self._instance_id} does not own {self._shard}")
+        return self._state.tasks_of(message.job_id)
+
+    # What workers say
+
+    @handles(WorkerConnected)
+    async def _worker_connected(self, message: WorkerConnected) -> None:
+        worker = self._worker_by_id.get(message.worker_id)
+        if self._state is None or worker is None or message.epoch != self._epoch:
+            return
+        self._state.worker_connected(message, worker, self._clock.now_ms())
+        self._send_batches(self._state)
+
+    @handles(WorkerDisconnected)
+    async def _worker_disconnected(self, message: WorkerDisconnected) -> None:
+        if self._state is not None:
+            self._state.sessions.disconnected(message.worker_id)
+
+    @handles(WorkerHeartbeat)
+    async def _worker_heartbeat(self, message: WorkerHeartbeat) -> None:
+        """Extend a worker's lease, but only with authority over the shard."""
+        state = self._state
+        if state is None or not state.sessions.is_connected(message.worker_id):
+            return
+        if not self._is_owner():
+            self._metrics.retried("heartbeat_without_authority")
+            return
+        now_ms = self._clock.now_ms()
+        state.sessions.granted(message.worker_id, now_ms)
+        worker = self._worker_by_id.get(message.worker_id)
+        if worker is not None:
+            state.worker_ready(worker, now_ms)
+        grant = WorkerBatch(
+            self._epoch, granted_seq=message.seq, lease_ms=WORKER_LEASE_MS
+        )
+        self._send(message.worker_id, grant)
+
+    @handles(WorkerEnds)
+    async def _worker_ends(self, message: WorkerEnds) -> None:
+        if self._state is None:
+            return
+        for end in message.ends:
+            self._state.task_ended(message.worker_id, end, self._clock.now_ms())
+
+    @handles(WorkerRefused)
+    async def _worker_refused(self, message: WorkerRefused) -> None:
+        self._metrics.retried(f"worker_refused_{message.reason}")
+        if self._state is not None:
+            self._state.tasks_refused(message, self._clock.now_ms())
+
+    # Acting
+
+    def _is_owner(self) -> bool:
+        return self._clock.now_ms() < self._until_ms
+
+    def _may_start(self) -> bool:
+        """Return whether tasks may start: the zone is in and that is known."""
+        is_fresh = self._clock.now_ms() < self._fresh_until_ms
+        zone = self._shard.rpartition(".")[0]
+        return self._is_owner() and is_fresh and self._config.is_zone_in(zone)
+
+    async def _tick_forever(self) -> None:
+        next_summary_ms = next_roster_ms = 0
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            state = self._state
+            if state is None or not self._is_owner():
+                continue
+            now_ms = self._clock.now_ms()
+            state.expire_workers(now_ms)
+            if self._may_start():
+                state.start_tasks(now_ms)
+            self._send_batches(state)
+            self._write_outcomes(state)
+            if now_ms >= next_summary_ms:
+                next_summary_ms = now_ms + SUMMARY_INTERVAL_MS
+                self._publish(state)
+            if now_ms >= next_roster_ms:
+                next_roster_ms = now_ms + ROSTER_INTERVAL_MS
+                self._keep_roster(state)
+                self._move_jobs(state, now_ms)
+
+    def _send_batches(self, state: ShardTasks) -> None:
+        """Send what the state decided; the authority is checked just before."""
+        if not self._is_owner():
+            return
+        for worker_id, batch in state.take_batches(self._epoch):
+            self._send(worker_id, batch)
+
+    def _send(self, worker_id: str, batch: WorkerBatch) -> None:
+        link = self._link_by_id.get(worker_id)
+        if link is not None:
+            link.tell(batch)
+
+    def _write_outcomes(self, state: ShardTasks) -> None:
+        for job_id in state.outcomes.jobs_to_write():
+            stored = state.job_by_id.get(job_id)
+            if stored is not None:
+                self.spawn(self._writer.write(state, stored))
+
+    def _move_jobs(self, state: ShardTasks, now_ms: int) -> None:
+        """While the zone is out, home its jobs in shards of other zones."""
+        zone = self._shard.rpartition(".")[0]
+        is_known = zone in self._config.zones_by_name
+        if not is_known or self._config.is_zone_in(zone):
+            state.zone_returned()
+            return
+        state.drain(now_ms)
+        for stored in state.movable_jobs():
+            self.spawn(self._writer.move(state, stored))
+
+    def _keep_roster(self, state: ShardTasks) -> None:
+        wanted = state.wanted_roster(self._worker_by_id)
+        if wanted != state.roster.worker_ids:
+            self.spawn(self._write_roster(state.roster, wanted, self._epoch))
+
+    async def _write_roster(
+        self, roster: StoredRoster, wanted: frozenset[str], epoch: int
+    ) -> None:
+        try:
+            version = await self._store.write_roster(
+                self._shard, wanted, roster.version
+            )
+        except CheckFailedError:
+            # A previous owner wrote it between the load and this write.
+            self._metrics.retried("roster_conflict")
+            current = await self._store.read_roster(self._shard)
+            self.tell(RosterWritten(epoch, current))
+        except MarjoramgradeError:
+            self._metrics.retried("roster_table_error")
+        else:
+            self.tell(RosterWritten(epoch, StoredRoster(wanted, version)))
+
+    async def _load(self, epoch: int) -> None:
+        while epoch == self._epoch and self._is_owner():
+            try:
+                roster = await self._store.read_roster(self._shard)
+                jobs = await self._store.changed_jobs(0)
+            except MarjoramgradeError:
+                self._metrics.retried("shard_load_table_error")
+                await asyncio.sleep(LOAD_RETRY_MS / 1000)
+                continue
+            own = tuple(s for s in jobs.jobs if s.job.shard == self._shard)
+            self.tell(ShardLoaded(epoch, roster, own))
+            return
+
+    async def _sync_workers(self, state: ShardTasks) -> None:
+        """Connect to every listed worker and drain those that leave."""
+        now_ms = self._clock.now_ms()
+        for worker_id, worker in self._worker_by_id.items():
+            if worker.leaving:
+                state.worker_leaving(worker_id, now_ms)
+            if worker_id not in self._link_by_id:
+                link = self._make_link(self._shard, self._epoch, worker, self)
+                self._link_by_id[worker_id] = link
+                await link.start()
+        for gone in set(self._link_by_id) - set(self._worker_by_id):
+            state.worker_leaving(gone, now_ms)
+
+    async def _close_links(self) -> None:
+        links, self._link_by_id = self._link_by_id, {}
+        for link in links.values():
+            await link.stop()
+
+    def _publish(self, state: ShardTasks) -> None:
+        summary = TaskSummary(
+            self._shard,
+            self._instance_id,
+            self._epoch,
+            state.total_resources(),
+            state.free_resources(),
+            state.queued(),
+        )
+        self._routes.tell(summary)
--- /dev/null
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -0,0 +1,422 @@
+"""The state of a shard's tasks under one epoch; the shard's controller owns it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from marjoramgrade.decisions.actions import Ending, StartTask
+from marjoramgrade.decisions.outcomes import OutcomeBook
+from marjoramgrade.decisions.scheduler import Scheduler
+from marjoramgrade.decisions.sessions import WorkerSessions
+from marjoramgrade.decisions.takeover import Reconciliation
+from marjoramgrade.decisions.tasks import QueuedTask, RunningTask, queued_tasks_from
+from marjoramgrade.decisions.workers import WorkerNode
+from marjoramgrade.errors import MarjoramgradeError
+from marjoramgrade.messages import (
+    StoredJob,
+    TaskEnd,
+    TaskRun,
+    TaskStart,
+    TaskStatus,
+    WorkerBatch,
+    WorkerConnected,
+    WorkerRefused,
+)
+from marjoramgrade.model import (
+    Instance,
+    Job,
+    JobState,
+    Kind,
+    Outcome,
+    TaskId,
+    Team,
+)
+from marjoramgrade.resources import NOTHING, Resources
+from marjoramgrade.settings import Policies
+from marjoramgrade.store import StoredRoster
+
+START_BUDGET = 500
+RETRY_BASE_MS = 500
+RETRY_MAX_MS = 30_000
+# Batch tasks may end by themselves this long after their zone was taken out.
+DRAIN_MS = 10_000
+MAX_MOVES_AT_ONCE = 100
+
+ZONE_OUT = "zone taken out"
+
+ENDING_BY_OUTCOME = {
+    "done": Ending.DONE,
+    "failed": Ending.FAILED,
+    "stopped": Ending.STOPPED,
+}
+
+
+@attrs.define
+class _Outbox:
+    """What the next batch to one worker will carry."""
+
+    starts: list[TaskStart] = attrs.field(factory=list)
+    stops: list[TaskId] = attrs.field(factory=list)
+    acks: list[TaskId] = attrs.field(factory=list)
+
+
+@attrs.define
+class ShardTasks:
+    """Jobs, tasks and workers of a shard under one epoch.
+
+    Attributes:
+        shard: Name of the shard.
+        scheduler: Decides what starts and stops.
+        reconciliation: Which workers of the previous owner are accounted for.
+        roster: The workers that the table lists for this shard.
+        job_by_id: Jobs that are homed in this shard and not ended.
+        sessions: Connections and leases of the workers.
+        outcomes: Ends on their way to the table.
+    """
+
+    shard: str
+    scheduler: Scheduler
+    reconciliation: Reconciliation
+    roster: StoredRoster
+    job_by_id: dict[str, StoredJob] = attrs.field(factory=dict)
+    sessions: WorkerSessions = attrs.field(factory=WorkerSessions)
+    outcomes: OutcomeBook = attrs.field(factory=OutcomeBook)
+    _outbox_by_worker: dict[str, _Outbox] = attrs.field(factory=dict)
+    _attempt_by_task: dict[TaskId, int] = attrs.field(factory=dict)
+    _moving: set[str] = attrs.field(factory=set)
+    _drain_since_ms: int | None = None
+
+    @classmethod
+    def from_rows(
+        cls,
+        shard: str,
+        policies_by_kind: Mapping[Kind, Policies],
+        roster: StoredRoster,
+        jobs: Iterable[StoredJob],
+        now_ms: int,
+    ) -> ShardTasks:
+        """Return the state of a new owner, before any worker has reported."""
+        scheduler = Scheduler.from_config(policies_by_kind)
+        reconciliation = Reconciliation(roster.worker_ids, now_ms)
+        tasks = cls(shard, scheduler, reconciliation, roster)
+        for stored in jobs:
+            tasks.job_changed(stored, now_ms)
+        return tasks
+
+    # Jobs
+
+    def set_teams(self, teams: Iterable[Team]) -> None:
+        """Take over shares and queue bounds."""
+        self.scheduler.set_teams(teams)
+
+    def job_changed(self, stored: StoredJob, now_ms: int) -> None:
+        """Take over a newer version of a job row."""
+        job = stored.job
+        known = self.job_by_id.get(job.job_id)
+        if job.shard != self.shard or (known and known.version >= stored.version):
+            return
+        if job.state is not JobState.OPEN:
+            self._forget(job)
+            return
+        self.job_by_id[job.job_id] = stored
+        if known is None and not job.cancelled:
+            for entry in queued_tasks_from(job, now_ms):
+                self._submit(entry, now_ms)
+        if job.cancelled and (known is None or not known.job.cancelled):
+            self._cancel(job)
+
+    def job_written(self, stored: StoredJob) -> None:
+        """Note the version that an own write gave a job."""
+        if stored.job.state is JobState.OPEN:
+            self.job_by_id[stored.job.job_id] = stored
+        else:
+            self._forget(stored.job)
+
+    def tasks_of(self, job_id: str) -> tuple[TaskStatus, ...]:
+        """Return the state of every task of a job that is homed here."""
+        stored = self.job_by_id.get(job_id)
+        if stored is None:
+            return ()
+        return tuple(
+            self._status_of(TaskId(job_id, index), outcome)
+            for index, outcome in enumerate(stored.job.outcomes)
+        )
+
+    def _status_of(self, task: TaskId, outcome: str) -> TaskStatus:
+        if outcome != Outcome.OPEN.value:
+            return TaskStatus(task, Outcome(outcome).name.lower(), "ended")
+        reason = self.scheduler.reason_of(task)
+        worker_id = self._worker_of(task)
+        state = "running" if worker_id else "queued"
+        return TaskStatus(task, state, reason, worker_id)
+
+    def _submit(self, entry: QueuedTask, now_ms: int) -> None:
+        self.scheduler.submit(entry, now_ms)
+
+    def _cancel(self, job: Job) -> None:
+        """Cancel the tasks of a job: queued ones end now, running ones later."""
+        self.scheduler.cancel_job(job.job_id)
+        for index, outcome in enumerate(job.outcomes):
+            task = TaskId(job.job_id, index)
+            is_open = outcome == Outcome.OPEN.value
+            if is_open and not self._worker_of(task):
+                self.outcomes.note(task, Outcome.CANCELLED)
+
+    def _forget(self, job: Job) -> None:
+        self.job_by_id.pop(job.job_id, None)
+        self.outcomes.forget_job(job)
+        for index in range(job.spec.tasks):
+            self._attempt_by_task.pop(TaskId(job.job_id, index), None)
+
+    # Moving jobs away while the zone is out
+
+    def drain(self, now_ms: int) -> None:
+        """Stop services at once and batch tasks after a grace period."""
+        if self._drain_since_ms is None:
+            self._drain_since_ms = now_ms
+        is_over = now_ms >= self._drain_since_ms + DRAIN_MS
+        for job_id, stored in self.job_by_id.items():
+            if stored.job.spec.kind is Kind.SERVICE or is_over:
+                self._stop_job(job_id, ZONE_OUT)
+
+    def _stop_job(self, job_id: str, reason: str) -> None:
+        for running in self.scheduler.running.tasks_of_job(job_id):
+            if self.scheduler.running.stopping_of(running.task) is None:
+                self.scheduler.stop(running.task, reason, is_requeued=True)
+
+    def zone_returned(self) -> None:
+        """End a drain."""
+        self._drain_since_ms = None
+
+    def movable_jobs(self) -> list[StoredJob]:
+        """Return jobs of which nothing runs, and note that they are moving."""
+        movable: list[StoredJob] = []
+        for job_id, stored in self.job_by_id.items():
+            if len(self._moving) >= MAX_MOVES_AT_ONCE:
+                break
+            is_busy = bool(self.scheduler.running.tasks_of_job(job_id))
+            if is_busy or job_id in self._moving or stored.job.cancelled:
+                continue
+            if self.outcomes.has_open_writes(job_id):
+                continue
+            if not self.reconciliation.is_complete(self._drain_since_ms or 0):
+                continue
+            self._moving.add(job_id)
+            self.scheduler.cancel_job(job_id)
+            movable.append(stored)
+        return movable
+
+    def move_ended(self, job_id: str) -> None:
+        """Note that an attempt to move a job is over."""
+        self._moving.discard(job_id)
+
+    def job_moved(self, stored: StoredJob) -> None:
+        """Drop a job that another shard now owns."""
+        self._forget(stored.job)
+
+    # Workers
+
+    def wanted_roster(self, worker_by_id: Mapping[str, Instance]) -> frozenset[str]:
+        """Return the workers that the roster should list.
+
+        A worker stays listed while it may run tasks, even if the platform's list
+        has dropped it.
+        """
+        busy = {
+            worker_id
+            for worker_id in self.roster.worker_ids
+            if self.sessions.is_leased(worker_id)
+            or self.scheduler.running.tasks_of_worker(worker_id)
+        }
+        return frozenset(worker_by_id) | frozenset(busy)
+
+    def worker_connected(
+        self, message: WorkerConnected, worker: Instance, now_ms: int
+    ) -> None:
+        """Compare a worker's inventory with what should run there."""
+        worker_id = message.worker_id
+        self.sessions.connected(worker_id, now_ms)
+        self.worker_ready(worker, now_ms)
+        for end in message.ends:
+            self.task_ended(worker_id, end, now_ms)
+        reported = {run.task for run in message.running}
+        for running in self.scheduler.running.tasks_of_worker(worker_id):
+            if running.task not in reported:
+                # The start was lost with the previous connection.
+                self._end(running.task, Ending.REFUSED, now_ms)
+        for run in message.running:
+            self._adopt(worker_id, run, now_ms)
+        self.reconciliation.confirm(worker_id)
+
+    def worker_ready(self, worker: Instance, now_ms: int) -> None:
+        """Take a connected worker into the pool if it is on the roster."""
+        worker_id = worker.instance_id
+        if worker_id not in self.roster.worker_ids:
+            return
+        if worker_id not in self.scheduler.pool:
+            node = WorkerNode(worker_id, worker.rack, worker.capacity)
+            self.scheduler.worker_added(node)
+        if worker.leaving:
+            self.scheduler.worker_draining(worker_id, now_ms)
+
+    def worker_leaving(self, worker_id: str, now_ms: int) -> None:
+        """Start nothing more on a worker."""
+        if worker_id in self.scheduler.pool:
+            self.scheduler.worker_draining(worker_id, now_ms)
+
+    def expire_workers(self, now_ms: int) -> None:
+        """Requeue the tasks of workers whose lease has lapsed."""
+        for worker_id in self.sessions.pop_lapsed(now_ms):
+            self.reconciliation.confirm(worker_id)
+            if worker_id in self.scheduler.pool:
+                self.scheduler.worker_lost(worker_id, now_ms)
+
+    def _adopt(self, worker_id: str, run: TaskRun, now_ms: int) -> None:
+        """Take over a reported task, or stop it if it should not run there."""
+        stored = self.job_by_id.get(run.task.job_id)
+        place = self._worker_of(run.task)
+        if place == worker_id:
+            return
+        if stored is None or place or not _is_open(stored.job, run.task):
+            self._outbox(worker_id).stops.append(run.task)
+            return
+        self._attempt_by_task[run.task] = run.attempt
+        try:
+            self.scheduler.adopt(_running_from(stored.job, run, worker_id, now_ms))
+        except MarjoramgradeError:
+            self._outbox(worker_id).stops.append(run.task)
+
+    # Tasks
+
+    def start_tasks(self, now_ms: int) -> None:
+        """Decide what starts and stops, once every earlier start is accounted for."""
+        if not self.reconciliation.is_complete(now_ms):
+            return
+        for decision in self.scheduler.step(now_ms, START_BUDGET):
+            outbox = self._outbox(decision.worker_id)
+            if isinstance(decision, StartTask):
+                outbox.starts.append(self._start_of(decision))
+            else:
+                outbox.stops.append(decision.task)
+
+    def task_ended(self, worker_id: str, end: TaskEnd, now_ms: int) -> None:
+        """Take note of an end that a worker reports, perhaps again."""
+        stored = self.job_by_id.get(end.task.job_id)
+        if stored is None or not _is_open(stored.job, end.task):
+            # The row shows the end already, or the job was moved after its end.
+            self.acknowledge(worker_id, end.task)
+            return
+        ending = ENDING_BY_OUTCOME.get(end.outcome, Ending.FAILED)
+        if ending is Ending.DONE:
+            self.outcomes.note(end.task, Outcome.DONE, worker_id)
+            self._stop_elsewhere(end.task, worker_id)
+        elif stored.job.cancelled:
+            self.outcomes.note(end.task, Outcome.CANCELLED, worker_id)
+        else:
+            self.acknowledge(worker_id, end.task)
+        if self._worker_of(end.task) == worker_id:
+            self._end(end.task, ending, now_ms)
+
+    def tasks_refused(self, message: WorkerRefused, now_ms: int) -> None:
+        """Queue tasks again that a worker did not start."""
+        for task in message.tasks:
+            if self._worker_of(task) == message.worker_id:
+                self._end(task, Ending.REFUSED, now_ms)
+
+    def acknowledge(self, worker_id: str, task: TaskId) -> None:
+        """Let a worker forget an end."""
+        self._outbox(worker_id).acks.append(task)
+
+    def take_batches(self, epoch: int) -> list[tuple[str, WorkerBatch]]:
+        """Return what is to be sent, by worker, and empty the outboxes."""
+        batches = []
+        for worker_id in list(self._outbox_by_worker):
+            if not self.sessions.is_connected(worker_id):
+                continue
+            outbox = self._outbox_by_worker.pop(worker_id)
+            batch = WorkerBatch(
+                epoch, tuple(outbox.starts), tuple(outbox.stops), tuple(outbox.acks)
+            )
+            batches.append((worker_id, batch))
+        return batches
+
+    def total_resources(self) -> Resources:
+        """Return what the workers offer."""
+        return self.scheduler.pool.total_capacity
+
+    def free_resources(self) -> Resources:
+        """Return what is not reserved on any worker."""
+        total = NOTHING
+        for _, free in self.scheduler.pool.iter_open():
+            total = total + free
+        return total
+
+    def queued(self) -> int:
+        """Return the number of tasks that wait."""
+        return self.scheduler.queued_count
+
+    def _worker_of(self, task: TaskId) -> str:
+        """Return the worker that a task runs on, or an empty string."""
+        running = self.scheduler.running.find(task)
+        return running.worker_id if running is not None else ""
+
+    def _stop_elsewhere(self, task: TaskId, worker_id: str) -> None:
+        """Stop or unqueue a task that a late report shows as done."""
+        place = self._worker_of(task)
+        if place != worker_id:
+            self.scheduler.cancel(task)
+
+    def _end(self, task: TaskId, ending: Ending, now_ms: int) -> None:
+        stored = self.job_by_id.get(task.job_id)
+        again = self.scheduler.task_ended(task, ending, now_ms)
+        if stored is None or stored.job.cancelled:
+            if stored is not None and ending is not Ending.DONE:
+                self.outcomes.note(task, Outcome.CANCELLED)
+            return
+        if again is None:
+            return
+        spec = stored.job.spec
+        if spec.kind is not Kind.SERVICE and again.attempts >= spec.max_attempts:
+            for failed in again.iter_tasks():
+                self.outcomes.note(failed, Outcome.FAILED)
+            return
+        delay_ms = min(RETRY_MAX_MS, RETRY_BASE_MS << min(again.attempts, 10))
+        self._submit(attrs.evolve(again, not_before_ms=now_ms + delay_ms), now_ms)
+
+    def _start_of(self, decision: StartTask) -> TaskStart:
+        task = decision.task
+        spec = self.job_by_id[task.job_id].job.spec
+        attempt = self._attempt_by_task.get(task, 0) + 1
+        self._attempt_by_task[task] = attempt
+        return TaskStart(
+            task, attempt, decision.resources, spec.run_ms, spec.payload
+        )
+
+    def _outbox(self, worker_id: str) -> _Outbox:
+        return self._outbox_by_worker.setdefault(worker_id, _Outbox())
+
+
+def _is_open(job: Job, task: TaskId) -> bool:
+    is_known = 0 <= task.index < len(job.outcomes)
+    return is_known and job.outcomes[task.index] == Outcome.OPEN.value
+
+
+def _running_from(
+    job: Job, run: TaskRun, worker_id: str, now_ms: int
+) -> RunningTask:
+    spec = job.spec
+    return RunningTask(
+        run.task,
+        spec.team,
+        spec.kind,
+        spec.priority,
+        spec.resources,
+        worker_id,
+        now_ms,
+        queued_ms=now_ms,
+        spread_racks=spec.spread_racks,
+    )
+
+
--- /dev/null
+++ b/marjoramgrade/decisions/outcomes.py
@@ -0,0 +1,90 @@
+"""Ends of tasks that are not yet durable, collected by job."""
+
+from __future__ import annotations
+
+import attrs
+
+from marjoramgrade.model import Job, Outcome, TaskId
+
+
+@attrs.define
+class JobOutcomes:
+    """What is to be written about one job.
+
+    Attributes:
+        outcome_by_index: Final outcomes of tasks.
+        worker_by_task: Where each end may be forgotten once it is written.
+    """
+
+    outcome_by_index: dict[int, Outcome] = attrs.field(factory=dict)
+    worker_by_task: dict[TaskId, str] = attrs.field(factory=dict)
+
+    def merge_into(self, job: Job) -> Job:
+        """Return the job with these outcomes and a reason that says so."""
+        merged = job.with_outcomes(self.outcome_by_index)
+        open_tasks = merged.outcomes.count(Outcome.OPEN.value)
+        return attrs.evolve(
+            merged, reason=merged.state.value if not open_tasks else job.reason
+        )
+
+
+class OutcomeBook:
+    """Final outcomes of a shard's tasks on their way to the table."""
+
+    def __init__(self) -> None:
+        self._waiting_by_job: dict[str, JobOutcomes] = {}
+        self._writing: set[str] = set()
+        self._final: set[TaskId] = set()
+
+    def note(self, task: TaskId, outcome: Outcome, worker_id: str = "") -> bool:
+        """Note the final outcome of a task.
+
+        Args:
+            task: The task.
+            outcome: How it ended.
+            worker_id: Worker that keeps the end until it is acknowledged.
+
+        Returns:
+            Whether this is the first outcome of the task.
+        """
+        waiting = self._waiting_by_job.setdefault(task.job_id, JobOutcomes())
+        if worker_id:
+            waiting.worker_by_task[task] = worker_id
+        if task in self._final:
+            return False
+        self._final.add(task)
+        waiting.outcome_by_index[task.index] = outcome
+        return True
+
+    def is_final(self, task: TaskId) -> bool:
+        """Return whether an outcome of the task is noted and not yet forgotten."""
+        return task in self._final
+
+    def jobs_to_write(self) -> list[str]:
+        """Return the jobs with outcomes that no write carries yet."""
+        return [job for job in self._waiting_by_job if job not in self._writing]
+
+    def take(self, job_id: str) -> JobOutcomes:
+        """Take what is to be written about a job; one write at a time."""
+        self._writing.add(job_id)
+        return self._waiting_by_job.pop(job_id)
+
+    def written(self, job_id: str) -> None:
+        """Note that the outcomes that were taken are durable."""
+        self._writing.discard(job_id)
+
+    def failed(self, job_id: str, outcomes: JobOutcomes) -> None:
+        """Put outcomes back whose write failed or is not known to have worked."""
+        self._writing.discard(job_id)
+        waiting = self._waiting_by_job.setdefault(job_id, JobOutcomes())
+        waiting.outcome_by_index.update(outcomes.outcome_by_index)
+        waiting.worker_by_task.update(outcomes.worker_by_task)
+
+    def has_open_writes(self, job_id: str) -> bool:
+        """Return whether something about a job is still to be written."""
+        return job_id in self._writing or job_id in self._waiting_by_job
+
+    def forget_job(self, job: Job) -> None:
+        """Drop what is kept about a job that has ended or moved away."""
+        for index in range(job.spec.tasks):
+            self._final.discard(TaskId(job.job_id, index))
--- a/marjoramgrade/decisions/scheduler.py
+++ b/marjoramgrade/decisions/scheduler.py
@@ -15,7 +15,7 @@
 )
 from marjoramgrade.decisions.queues import DuplicateTaskError
 from marjoramgrade.decisions.rounds import Round
-from marjoramgrade.decisions.running import Stopping
+from marjoramgrade.decisions.running import RunningBook, Stopping
 from marjoramgrade.decisions.shard_state import (
     AT_LIMIT,
     IN_QUEUE,
@@ -78,6 +78,11 @@
         """The workers; to be read only."""
         return self._state.pool
 
+    @property
+    def running(self) -> RunningBook:
+        """The running tasks; to be read only."""
+        return self._state.running
+
     @property
     def shares(self) -> ShareBook:
         """What each team uses; to be read only."""
--- /dev/null
+++ b/marjoramgrade/messages.py
@@ -0,0 +1,425 @@
+"""Messages between actors; adapters translate some of them for other processes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from marjoramgrade.actor import Message
+from marjoramgrade.model import Config, Instance, Job, JobSpec, TaskId
+from marjoramgrade.resources import NOTHING, Resources
+
+# Configuration
+
+
+@attrs.frozen
+class ConfigConfirmed(Message[None]):
+    """The configuration in force and until when it is known to be current."""
+
+    config: Config
+    fresh_until_ms: int
+
+
+@attrs.frozen
+class GetConfig(Message[ConfigConfirmed]):
+    """Asks for the configuration in force."""
+
+
+@attrs.frozen
+class ChangeConfig(Message[Config]):
+    """Asks for a change of one resource of the configuration.
+
+    Attributes:
+        kind: Plural name of the resource type, for example `teams`.
+        name: Name of the resource.
+        value: The new resource, or None to delete it.
+        expected_version: Version of the resource that the change is based on,
+            zero if it must not exist, None for an unconditional change.
+    """
+
+    kind: str
+    name: str
+    value: Any
+    expected_version: int | None = None
+
+
+@attrs.frozen
+class ConfigPushed(Message[None]):
+    """Tells a peer that a newer configuration is in the table."""
+
+    version: int
+
+
+# Instances and peers
+
+
+@attrs.frozen
+class InstancesChanged(Message[None]):
+    """The platform's list of instances as last read."""
+
+    instances: tuple[Instance, ...]
+
+
+@attrs.frozen
+class Member:
+    """An entry instance as registered in the table."""
+
+    instance_id: str
+    zone: str
+    host: str
+    peer_port: int
+
+
+@attrs.frozen
+class MembersChanged(Message[None]):
+    """The registered entry instances, this one included."""
+
+    members: tuple[Member, ...]
+
+
+@attrs.frozen
+class CallPeer(Message[Any]):
+    """Sends a message to another entry instance and waits for its reply."""
+
+    instance_id: str
+    message: Message[Any]
+    timeout_ms: int
+
+
+@attrs.frozen
+class TellPeers(Message[None]):
+    """Sends a message to every other entry instance."""
+
+    message: Message[Any]
+
+
+@attrs.frozen
+class PeerCall(Message[Any]):
+    """Asks the link to one peer to send a message and wait for the reply."""
+
+    message: Message[Any]
+    timeout_ms: int
+
+
+@attrs.frozen
+class PeerTell(Message[None]):
+    """Asks the link to one peer to send a message, or drop it if it cannot."""
+
+    message: Message[Any]
+
+
+@attrs.frozen
+class Inbound(Message[Any]):
+    """A message that arrived from another entry instance."""
+
+    instance_id: str
+    message: Message[Any]
+
+
+# Ownership
+
+
+@attrs.frozen
+class OwnershipChanged(Message[None]):
+    """This instance owns a shard until a time, or no longer.
+
+    Attributes:
+        shard: Name of the shard.
+        epoch: Epoch under which it is owned.
+        until_ms: End of the authority on this instance's clock; zero if lost.
+    """
+
+    shard: str
+    epoch: int
+    until_ms: int
+
+
+@attrs.frozen
+class ReleaseShards(Message[None]):
+    """Gives up every owned shard so that another instance can take it at once."""
+
+
+# Jobs
+
+
+@attrs.frozen
+class StoredJob:
+    """A job and the version of its row."""
+
+    job: Job
+    version: int
+
+
+@attrs.frozen
+class SubmitJob(Message[StoredJob]):
+    """Accepts a job durably; the same id with the same spec is accepted once."""
+
+    job_id: str
+    spec: JobSpec
+
+
+@attrs.frozen
+class GetJob(Message[StoredJob]):
+    """Asks for one job."""
+
+    job_id: str
+
+
+@attrs.frozen
+class ListJobs(Message[tuple[StoredJob, ...]]):
+    """Asks for all jobs that this instance knows."""
+
+
+@attrs.frozen
+class CancelJob(Message[StoredJob]):
+    """Asks that the open tasks of a job end as cancelled."""
+
+    job_id: str
+
+
+@attrs.frozen
+class JobsChanged(Message[None]):
+    """Jobs whose rows changed, in order of version."""
+
+    jobs: tuple[StoredJob, ...]
+
+
+@attrs.frozen
+class JobAssigned(Message[None]):
+    """Tells the owner of a shard that a job row was written for it."""
+
+    job_id: str
+
+
+@attrs.frozen
+class WriteJob(Message[StoredJob]):
+    """Asks the journal to write a job row.
+
+    Attributes:
+        job: The new content.
+        expected_version: Version that the row must have; zero for a new row.
+    """
+
+    job: Job
+    expected_version: int
+
+
+@attrs.frozen
+class RecordRequest(Message[None]):
+    """Asks the journal to record the id of a non-idempotent request."""
+
+    team: str
+    request_id: str
+
+
+@attrs.frozen
+class TaskStatus:
+    """The state of one task for operators."""
+
+    task: TaskId
+    state: str
+    reason: str
+    worker_id: str = ""
+
+
+@attrs.frozen
+class GetTasks(Message[tuple[TaskStatus, ...]]):
+    """Asks the owner of a shard for the tasks of a job."""
+
+    shard: str
+    job_id: str
+
+
+# Workers
+
+
+@attrs.frozen
+class TaskRun:
+    """A task with its attempt, as a worker reports it."""
+
+    task: TaskId
+    attempt: int
+
+
+@attrs.frozen
+class TaskEnd:
+    """The end of a task; `outcome` is `done`, `failed` or `stopped`."""
+
+    task: TaskId
+    attempt: int
+    outcome: str
+
+
+@attrs.frozen
+class WorkerConnected(Message[None]):
+    """A worker accepted the epoch and sent its inventory."""
+
+    shard: str
+    worker_id: str
+    epoch: int
+    running: tuple[TaskRun, ...]
+    ends: tuple[TaskEnd, ...]
+
+
+@attrs.frozen
+class WorkerDisconnected(Message[None]):
+    """The connection to a worker broke."""
+
+    shard: str
+    worker_id: str
+
+
+@attrs.frozen
+class WorkerHeartbeat(Message[None]):
+    """A worker asked for a longer lease."""
+
+    shard: str
+    worker_id: str
+    seq: int
+
+
+@attrs.frozen
+class WorkerEnds(Message[None]):
+    """Tasks ended on a worker."""
+
+    shard: str
+    worker_id: str
+    ends: tuple[TaskEnd, ...]
+
+
+@attrs.frozen
+class WorkerRefused(Message[None]):
+    """A worker did not start some tasks; they have not run."""
+
+    shard: str
+    worker_id: str
+    tasks: tuple[TaskId, ...]
+    reason: str
+
+
+@attrs.frozen
+class TaskStart:
+    """What a worker needs to run a task."""
+
+    task: TaskId
+    attempt: int
+    resources: Resources
+    run_ms: int
+    payload: str
+
+
+@attrs.frozen
+class WorkerBatch(Message[None]):
+    """Everything that the owner sends to a worker in one step.
+
+    Attributes:
+        epoch: Epoch of the owner.
+        starts: Tasks to start.
+        stops: Tasks to stop.
+        acks: Ends that are durable and may be forgotten.
+        granted_seq: Heartbeat that is answered, or zero.
+        lease_ms: Length of the granted lease from the heartbeat's sending.
+    """
+
+    epoch: int
+    starts: tuple[TaskStart, ...] = ()
+    stops: tuple[TaskId, ...] = ()
+    acks: tuple[TaskId, ...] = ()
+    granted_seq: int = 0
+    lease_ms: int = 0
+
+
+# Requests
+
+
+@attrs.frozen
+class RunReply:
+    """The whole answer of a backend server."""
+
+    status: int
+    body: bytes
+    backend_id: str
+
+
+@attrs.frozen
+class RunRequest(Message[RunReply]):
+    """A request for a backend server.
+
+    Attributes:
+        request_id: Id chosen by the caller.
+        service: The service that answers it.
+        team: The team whose key came with it.
+        key_name: The key; checked again just before the dispatch.
+        body: Opaque bytes.
+        remaining_ms: Time left until the deadline when the message is sent.
+        idempotent: Whether it may run more than once.
+        shard: The shard that it is routed to; empty before routing.
+    """
+
+    request_id: str
+    service: str
+    team: str
+    key_name: str
+    body: bytes
+    remaining_ms: int
+    idempotent: bool
+    shard: str = ""
+
+
+@attrs.frozen
+class FenceBackend:
+    """What a backend server answered to a new epoch."""
+
+    in_use: int
+    slots: int
+
+
+# Routing
+
+
+@attrs.frozen
+class DispatchSummary(Message[None]):
+    """Load of the backend servers of an owned shard."""
+
+    shard: str
+    owner: str
+    epoch: int
+    free_slots_by_service: Mapping[str, int]
+    queued: int
+
+
+@attrs.frozen
+class TaskSummary(Message[None]):
+    """Load of the workers of an owned shard.
+
+    Attributes:
+        shard: Name of the shard.
+        owner: Instance that owns it.
+        epoch: Epoch of the owner.
+        total: What the workers offer.
+        free: What is not reserved.
+        queued: Tasks that wait.
+    """
+
+    shard: str
+    owner: str
+    epoch: int
+    total: Resources = NOTHING
+    free: Resources = NOTHING
+    queued: int = 0
+
+
+@attrs.frozen
+class ChooseShard(Message[str]):
+    """Asks which shard a new job should be homed in."""
+
+    spec: JobSpec
+
+
+@attrs.frozen
+class FindOwner(Message[str]):
+    """Asks for the instance id of the owner of a shard."""
+
+    shard: str
--- /dev/null
+++ b/marjoramgrade/store.py
@@ -0,0 +1,227 @@
+"""Typed reads and writes of everything that lasts, over a `Table`."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from marjoramgrade.decisions.ownership import ShardRow
+from marjoramgrade.documents import (
+    parse_config,
+    parse_job,
+    serialize_config,
+    serialize_job,
+)
+from marjoramgrade.errors import (
+    CheckFailedError,
+    InvalidInputError,
+    ProtocolError,
+)
+from marjoramgrade.messages import Member, StoredJob, WriteJob
+from marjoramgrade.model import Config
+from marjoramgrade.table import ABSENT, Row, Table, Transaction, Value
+
+CONFIG_KEY = "config"
+JOBS_PREFIX = "jobs/"
+MEMBERS_PREFIX = "members/"
+REQUESTS_PREFIX = "requests/"
+ROSTERS_PREFIX = "rosters/"
+SHARDS_PREFIX = "shards/"
+
+
+@attrs.frozen
+class StoredShard:
+    """The ownership row of a shard and its version."""
+
+    row: ShardRow
+    version: int
+
+
+@attrs.frozen
+class StoredRoster:
+    """The workers that may run tasks of a shard, and the version of the row."""
+
+    worker_ids: frozenset[str]
+    version: int
+
+
+@attrs.frozen
+class JobsPage:
+    """Jobs that changed after a version, and the version reached."""
+
+    version: int
+    jobs: tuple[StoredJob, ...]
+
+
+@attrs.frozen
+class RequestRecord:
+    """The id of a non-idempotent request that is about to run."""
+
+    team: str
+    request_id: str
+
+    @property
+    def key(self) -> str:
+        """Key of its row."""
+        return f"{REQUESTS_PREFIX}{self.team}/{self.request_id}"
+
+
+class Store:
+    """Typed access to the platform's table.
+
+    Args:
+        table: The table client.
+    """
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+
+    async def read_config(self) -> Config:
+        """Return the configuration, empty with version zero if there is none."""
+        row = await self._table.read(CONFIG_KEY)
+        if row is None or row.value is None:
+            return Config()
+        return attrs.evolve(parse_config(dict(row.value)), version=row.version)
+
+    async def write_config(self, config: Config, expected_version: int) -> int:
+        """Write the configuration and return its new version.
+
+        Raises:
+            CheckFailedError: If the version in the table is another.
+            TableError: If the table gave no answer.
+        """
+        document = serialize_config(config)
+        return await self._commit_row(CONFIG_KEY, document, expected_version)
+
+    async def read_shard(self, shard: str) -> StoredShard:
+        """Return the ownership row of a shard, version zero if there is none."""
+        row = await self._table.read(SHARDS_PREFIX + shard)
+        if row is None or row.value is None:
+            return StoredShard(ShardRow(shard), ABSENT)
+        value = row.value
+        shard_row = ShardRow(
+            shard,
+            value["owner"],
+            value["epoch"],
+            value["renewal"],
+            tuple(value["guardians"]),
+        )
+        return StoredShard(shard_row, row.version)
+
+    async def write_shard(self, row: ShardRow, expected_version: int) -> int:
+        """Write an ownership row and return its new version."""
+        document = {
+            "owner": row.owner,
+            "epoch": row.epoch,
+            "renewal": row.renewal,
+            "guardians": list(row.guardians),
+        }
+        return await self._commit_row(
+            SHARDS_PREFIX + row.shard, document, expected_version
+        )
+
+    async def read_roster(self, shard: str) -> StoredRoster:
+        """Return the workers that may run tasks of a shard."""
+        row = await self._table.read(ROSTERS_PREFIX + shard)
+        if row is None or row.value is None:
+            return StoredRoster(frozenset(), ABSENT)
+        return StoredRoster(frozenset(row.value["workers"]), row.version)
+
+    async def write_roster(
+        self, shard: str, worker_ids: frozenset[str], expected_version: int
+    ) -> int:
+        """Write the roster of a shard and return its new version."""
+        document = {"workers": sorted(worker_ids)}
+        return await self._commit_row(
+            ROSTERS_PREFIX + shard, document, expected_version
+        )
+
+    async def write_member(self, member: Member) -> None:
+        """Register an entry instance."""
+        document = attrs.asdict(member)
+        key = MEMBERS_PREFIX + member.instance_id
+        row = await self._table.read(key)
+        version = ABSENT if row is None else row.version
+        await self._commit_row(key, document, version)
+
+    async def delete_member(self, instance_id: str) -> None:
+        """Remove an entry instance from the register."""
+        key = MEMBERS_PREFIX + instance_id
+        row = await self._table.read(key)
+        if row is not None:
+            await self._table.commit(Transaction({key: row.version}, {key: None}))
+
+    async def read_members(self) -> tuple[Member, ...]:
+        """Return the registered entry instances."""
+        page = await self._table.changes(MEMBERS_PREFIX)
+        return tuple(
+            Member(**row.value) for row in page.rows if row.value is not None
+        )
+
+    async def changed_jobs(self, after: int) -> JobsPage:
+        """Return the jobs whose rows changed after a version."""
+        page = await self._table.changes(JOBS_PREFIX, after)
+        jobs = tuple(
+            _parse_stored_job(row) for row in page.rows if row.value is not None
+        )
+        return JobsPage(page.version, jobs)
+
+    async def read_job(self, job_id: str) -> StoredJob | None:
+        """Return one job, or None if it does not exist."""
+        row = await self._table.read(JOBS_PREFIX + job_id)
+        if row is None or row.value is None:
+            return None
+        return _parse_stored_job(row)
+
+    async def commit_records(
+        self, jobs: Sequence[WriteJob], requests: Sequence[RequestRecord]
+    ) -> int:
+        """Write jobs and request ids in one transaction.
+
+        Returns:
+            The version of every written row.
+
+        Raises:
+            CheckFailedError: If a check failed; nothing was written.
+            TableError: If the table gave no answer.
+        """
+        checks: dict[str, int] = {}
+        writes: dict[str, Value | None] = {}
+        for write in jobs:
+            key = JOBS_PREFIX + write.job.job_id
+            checks[key] = write.expected_version
+            writes[key] = serialize_job(write.job)
+        for record in requests:
+            checks[record.key] = ABSENT
+            writes[record.key] = {"state": "taken"}
+        return await self._table.commit_resolved(Transaction(checks, writes))
+
+    async def _commit_row(
+        self, key: str, document: Mapping[str, object], expected_version: int
+    ) -> int:
+        transaction = Transaction({key: expected_version}, {key: document})
+        return await self._table.commit_resolved(transaction)
+
+
+def failed_keys(
+    error: CheckFailedError,
+    jobs: Sequence[WriteJob],
+    requests: Sequence[RequestRecord],
+) -> frozenset[str]:
+    """Return the keys whose checks failed in a refused transaction."""
+    expected = {JOBS_PREFIX + write.job.job_id: write.expected_version for write in jobs}
+    expected.update({record.key: ABSENT for record in requests})
+    return frozenset(
+        key
+        for key, version in expected.items()
+        if error.current_version_by_key.get(key, version) != version
+    )
+
+
+def _parse_stored_job(row: Row) -> StoredJob:
+    assert row.value is not None
+    try:
+        return StoredJob(parse_job(dict(row.value)), row.version)
+    except InvalidInputError as error:
+        raise ProtocolError(f"row {row.key} is invalid: {error.message}") from error
