--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -83,7 +83,9 @@
     async def start(self) -> None:
         """Start the actor's task."""
         await self.on_start()
-        self._runner = asyncio.create_task(self._run(), name=type(self).__name__)
+        self._runner = asyncio.create_task(
+            self._serve_mailbox(), name=type(self).__name__
+        )
 
     async def stop(self) -> None:
         """Handle what the mailbox holds, then end the actor's tasks."""
@@ -145,7 +147,7 @@
                 f"the mailbox of {type(self).__name__} is full"
             ) from None
 
-    async def _run(self) -> None:
+    async def _serve_mailbox(self) -> None:
         while True:
             envelope = await self._mailbox.get()
             if envelope is None:
--- /dev/null
+++ b/marjoramgrade/adapters/httpfront.py
@@ -0,0 +1,236 @@
+"""The HTTP interface for callers and operators.
+
+Every request becomes a message and passes the filter chain; the routes are
+registered in `httpresources`.
+"""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+from marjoramgrade import jsontext
+from marjoramgrade.actor import Actor
+from marjoramgrade.adapters.httperrors import error_document, status_of
+from marjoramgrade.adapters.httpresources import HttpCall, Operation, iter_paths
+from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.watch import Subscribe, Unsubscribe
+from marjoramgrade.documents import serialize_watch_event
+from marjoramgrade.errors import (
+    InvalidInputError,
+    MarjoramgradeError,
+    ShuttingDownError,
+)
+from marjoramgrade.filters.chain import Chain
+from marjoramgrade.filters.context import Context
+from marjoramgrade.messages import GetConfig
+
+DEFAULT_DEADLINE_MS = 10_000
+MAX_DEADLINE_MS = 60_000
+MAX_HEADER_BYTES = 16_384
+# A caller that sends its body more slowly than this is cut off.
+BODY_TIMEOUT_MS = 10_000
+IDLE_TIMEOUT_MS = 60_000
+BEARER = "Bearer "
+
+
+@attrs.define
+class FrontState:
+    """What the handlers share.
+
+    Attributes:
+        chain: The filter chain.
+        watch: Controller of the watches.
+        clock: Monotonic time.
+        is_ready: Whether new requests are taken.
+        in_flight: Requests that have not been answered.
+    """
+
+    chain: Chain
+    watch: Actor
+    clock: Clock
+    is_ready: bool = True
+    in_flight: int = 0
+
+
+class FrontHandler(RequestHandler):
+    """Base class of the handlers."""
+
+    def initialize(
+        self, state: FrontState, operation_by_method: Mapping[str, Operation]
+    ) -> None:
+        """Take over what the application hands to each handler."""
+        self.state = state
+        self.operation_by_method = operation_by_method
+
+    def set_default_headers(self) -> None:
+        """Keep the server's name out of the answers."""
+        self.clear_header("Server")
+
+    def secret(self) -> str:
+        """Return the secret of the key that came with the request, or empty."""
+        value = self.request.headers.get("Authorization", "")
+        return value[len(BEARER) :] if value.startswith(BEARER) else ""
+
+    def deadline_ms(self) -> int:
+        """Return the caller's deadline on this instance's clock.
+
+        Raises:
+            InvalidInputError: If the header is no number within bounds.
+        """
+        text = self.request.headers.get("Deadline-Ms", str(DEFAULT_DEADLINE_MS))
+        is_number = text.isascii() and text.isdigit() and len(text) <= 6
+        if not is_number or not 0 < int(text) <= MAX_DEADLINE_MS:
+            raise InvalidInputError(f"Deadline-Ms must be 1 to {MAX_DEADLINE_MS}")
+        return self.state.clock.now_ms() + int(text)
+
+    def answer_error(self, error: MarjoramgradeError) -> None:
+        """Answer with the one form that all errors have."""
+        self.set_status(status_of(error))
+        self.set_header("Ran", error.ran.value)
+        self.set_header("Content-Type", "application/json")
+        self.finish(jsontext.serialize_text(error_document(error)))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer failures that the HTTP library finds, in the same form."""
+        error: MarjoramgradeError = InvalidInputError(self._reason)
+        if status_code >= 500:
+            error = MarjoramgradeError("the request could not be handled")
+        self.set_status(status_code)
+        self.set_header("Content-Type", "application/json")
+        self.finish(jsontext.serialize_text(error_document(error)))
+
+
+class OperationHandler(FrontHandler):
+    """Answers the operations that are registered for its path."""
+
+    async def _handle(self, *arguments: str) -> None:
+        operation = self.operation_by_method.get(self.request.method or "")
+        if operation is None:
+            self.send_error(405)
+            return
+        self.state.in_flight += 1
+        try:
+            await self._answer(operation, arguments)
+        except MarjoramgradeError as error:
+            self.answer_error(error)
+        finally:
+            self.state.in_flight -= 1
+
+    get = put = post = delete = _handle
+
+    async def _answer(self, operation: Operation, arguments: Sequence[str]) -> None:
+        if not self.state.is_ready:
+            raise ShuttingDownError("this instance is shutting down")
+        deadline_ms = self.deadline_ms()
+        request_id = self.request.headers.get("Request-Id") or uuid.uuid4().hex
+        call = HttpCall(
+            tuple(arguments),
+            self.request.headers,
+            self.request.body,
+            request_id,
+            deadline_ms - self.state.clock.now_ms(),
+        )
+        message = operation.parse(call)
+        context = Context(message, self.secret(), request_id, deadline_ms)
+        answer = operation.serialize(call, await self.state.chain.handle(context))
+        self.set_status(answer.status)
+        self.set_header("Request-Id", request_id)
+        for name, value in answer.headers.items():
+            self.set_header(name, value)
+        self.finish(answer.body)
+
+
+class WatchHandler(FrontHandler):
+    """Streams changes as JSON lines until the caller goes away."""
+
+    async def get(self) -> None:
+        """Stream the changes after a version."""
+        try:
+            after = self._parse_after()
+            # The chain checks the key; the answer itself is not needed.
+            await self.state.chain.handle(
+                Context(
+                    GetConfig(), self.secret(), uuid.uuid4().hex, self.deadline_ms()
+                )
+            )
+            subscription = await self.state.watch.ask(Subscribe(after))
+        except MarjoramgradeError as error:
+            self.answer_error(error)
+            return
+        self.set_header("Content-Type", "application/x-ndjson")
+        try:
+            while self.state.is_ready:
+                for event in await subscription.next_events():
+                    line = jsontext.serialize_text(serialize_watch_event(event))
+                    self.write(line + "\n")
+                await self.flush()
+        except (StreamClosedError, ShuttingDownError):
+            return
+        finally:
+            self.state.watch.tell(Unsubscribe(subscription))
+
+    def _parse_after(self) -> int | None:
+        text = self.get_query_argument("after", "")
+        if text == "":
+            return None
+        if not (text.isascii() and text.isdigit() and len(text) <= 18):
+            raise InvalidInputError("after must be a version")
+        return int(text)
+
+
+class ReadyHandler(FrontHandler):
+    """Tells the balancer whether this instance takes requests."""
+
+    def get(self) -> None:
+        """Answer 200 when ready and 503 when not."""
+        if not self.state.is_ready:
+            self.answer_error(ShuttingDownError("this instance is shutting down"))
+            return
+        self.finish("ready\n")
+
+
+class NotFoundHandler(FrontHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Answer 404 in the form of all errors."""
+        error = InvalidInputError(f"there is nothing at {self.request.path[:100]}")
+        self.set_status(404)
+        self.set_header("Content-Type", "application/json")
+        self.finish(jsontext.serialize_text(error_document(error)))
+
+
+def make_application(state: FrontState) -> Application:
+    """Return the HTTP application of an entry instance."""
+    shared: dict[str, Any] = {"state": state, "operation_by_method": {}}
+    routes: list[Any] = [
+        (path, OperationHandler, {**shared, "operation_by_method": operations})
+        for path, operations in iter_paths()
+    ]
+    routes.append((r"/v1/watch", WatchHandler, shared))
+    routes.append((r"/ready", ReadyHandler, shared))
+    return Application(
+        routes,
+        default_handler_class=NotFoundHandler,
+        default_handler_args=shared,
+        compress_response=False,
+    )
+
+
+def make_server(state: FrontState, max_body_bytes: int) -> HTTPServer:
+    """Return the HTTP server; it bounds what a caller can make it keep."""
+    return HTTPServer(
+        make_application(state),
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=max_body_bytes,
+        max_buffer_size=max_body_bytes + MAX_HEADER_BYTES,
+        body_timeout=BODY_TIMEOUT_MS / 1000,
+        idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
+    )
--- /dev/null
+++ b/marjoramgrade/adapters/httpresources.py
@@ -0,0 +1,369 @@
+"""The operations of the HTTP interface, registered by method and path."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+import attrs
+
+from marjoramgrade import documents, jsontext, messages
+from marjoramgrade.actor import Message
+from marjoramgrade.controllers.instances import GetInstances
+from marjoramgrade.errors import InvalidInputError, NotFoundError
+from marjoramgrade.model import (
+    Config,
+    Instance,
+    InstanceKind,
+    Key,
+    generate_secret,
+)
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+MAX_JSON_BYTES = 1_048_576
+# Names may hold whatever documents accept; the filter and the parser check them.
+NAME = r"([^/]{1,200})"
+
+
+@attrs.frozen
+class HttpCall:
+    """What an operation sees of an HTTP request.
+
+    Attributes:
+        arguments: Variable parts of the path.
+        headers: The headers.
+        body: The body.
+        request_id: Id of the request.
+        remaining_ms: Time left until the caller's deadline.
+    """
+
+    arguments: tuple[str, ...]
+    headers: Mapping[str, str]
+    body: bytes
+    request_id: str
+    remaining_ms: int
+
+    def document(self) -> Any:
+        """Return the JSON document in the body.
+
+        Raises:
+            InvalidInputError: If the body holds none.
+        """
+        return jsontext.parse_text(self.body, max_bytes=MAX_JSON_BYTES, path="body")
+
+    def expected_version(self) -> int | None:
+        """Return the version in `If-Match`, or None without the header.
+
+        Raises:
+            InvalidInputError: If the header holds no version.
+        """
+        text = self.headers.get("If-Match")
+        if text is None:
+            return None
+        text = text.strip().strip('"')
+        if not (text.isascii() and text.isdigit() and len(text) <= 18):
+            raise InvalidInputError("If-Match must hold one version")
+        return int(text)
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A successful answer."""
+
+    status: int
+    body: bytes | str
+    headers: Mapping[str, str] = JSON_HEADERS
+
+
+Parse = Callable[[HttpCall], Message[Any]]
+Serialize = Callable[[HttpCall, Any], HttpAnswer]
+
+
+@attrs.frozen
+class Operation:
+    """One operation: how its message is made and how the reply is shown."""
+
+    parse: Parse
+    serialize: Serialize
+
+
+_operations_by_path: dict[str, dict[str, Operation]] = {}
+
+
+def operation(method: str, path: str, serialize: Serialize) -> Callable[[Parse], Parse]:
+    """Return a decorator that registers the parser of an operation."""
+
+    def add(parse: Parse) -> Parse:
+        operations = _operations_by_path.setdefault(path, {})
+        operations[method] = Operation(parse, serialize)
+        return parse
+
+    return add
+
+
+def iter_paths() -> Iterator[tuple[str, Mapping[str, Operation]]]:
+    """Yield every path with its operations by method."""
+    yield from _operations_by_path.items()
+
+
+def _json(document: Any, status: int = 200, version: int | None = None) -> HttpAnswer:
+    headers = dict(JSON_HEADERS)
+    if version is not None:
+        headers["ETag"] = f'"{version}"'
+    return HttpAnswer(status, jsontext.serialize_text(document), headers)
+
+
+# Requests
+
+
+def _show_run(call: HttpCall, reply: messages.RunReply) -> HttpAnswer:
+    headers = {"Ran": "yes", "Backend": reply.backend_id}
+    return HttpAnswer(reply.status, reply.body, headers)
+
+
+@operation("POST", rf"/v1/run/{NAME}", _show_run)
+def _parse_run(call: HttpCall) -> messages.RunRequest:
+    text = call.headers.get("Idempotent", "false")
+    if text not in ("true", "false"):
+        raise InvalidInputError("Idempotent must be true or false")
+    return messages.RunRequest(
+        request_id=call.request_id,
+        service=call.arguments[0],
+        team="",
+        key_name="",
+        body=call.body,
+        remaining_ms=call.remaining_ms,
+        idempotent=text == "true",
+    )
+
+
+# Jobs
+
+
+def _show_job(call: HttpCall, stored: messages.StoredJob) -> HttpAnswer:
+    document = {**documents.serialize_job(stored.job), "version": stored.version}
+    return _json(document, version=stored.version)
+
+
+def _show_accepted(call: HttpCall, stored: messages.StoredJob) -> HttpAnswer:
+    return attrs.evolve(_show_job(call, stored), status=201)
+
+
+def _show_jobs(call: HttpCall, jobs: tuple[messages.StoredJob, ...]) -> HttpAnswer:
+    items = [
+        {**documents.serialize_job(stored.job), "version": stored.version}
+        for stored in jobs
+    ]
+    version = max((stored.version for stored in jobs), default=0)
+    return _json({"version": version, "items": items})
+
+
+def _show_tasks(call: HttpCall, tasks: tuple[messages.TaskStatus, ...]) -> HttpAnswer:
+    items = [
+        {
+            "task": str(status.task),
+            "state": status.state,
+            "reason": status.reason,
+            "worker": status.worker_id,
+        }
+        for status in tasks
+    ]
+    return _json({"items": items})
+
+
+@operation("POST", r"/v1/jobs", _show_accepted)
+def _parse_submit(call: HttpCall) -> messages.SubmitJob:
+    document = call.document()
+    if not isinstance(document, dict) or set(document) - {"job_id", "spec"}:
+        raise InvalidInputError("the body must hold only job_id and spec")
+    job_id = document.get("job_id", uuid.uuid4().hex)
+    spec = documents.parse_job_spec(document.get("spec"))
+    return messages.SubmitJob(documents.parse_job_id(job_id), spec)
+
+
+@operation("GET", r"/v1/jobs", _show_jobs)
+def _parse_list(call: HttpCall) -> messages.ListJobs:
+    return messages.ListJobs()
+
+
+@operation("GET", rf"/v1/jobs/{NAME}", _show_job)
+def _parse_get_job(call: HttpCall) -> messages.GetJob:
+    return messages.GetJob(call.arguments[0])
+
+
+@operation("DELETE", rf"/v1/jobs/{NAME}", _show_job)
+def _parse_cancel(call: HttpCall) -> messages.CancelJob:
+    return messages.CancelJob(call.arguments[0])
+
+
+@operation("GET", rf"/v1/jobs/{NAME}/tasks", _show_tasks)
+def _parse_tasks(call: HttpCall) -> messages.GetTasks:
+    return messages.GetTasks("", call.arguments[0])
+
+
+# Configuration
+
+
+@attrs.frozen
+class ConfigKind:
+    """How one type of resource appears in the interface.
+
+    Attributes:
+        kind: Plural name, as in the path.
+        find: Returns the resources of this type by name.
+        parse: Makes a resource from a document.
+        serialize: Makes the document of a resource.
+    """
+
+    kind: str
+    find: Callable[[Config], Mapping[str, Any]]
+    parse: Callable[[Any], Any]
+    serialize: Callable[[Any], Any]
+
+
+CONFIG_KINDS = (
+    ConfigKind(
+        "teams",
+        lambda config: config.teams_by_name,
+        documents.parse_team,
+        documents.serialize_team,
+    ),
+    ConfigKind(
+        "zones",
+        lambda config: config.zones_by_name,
+        documents.parse_zone,
+        documents.serialize_zone,
+    ),
+    ConfigKind(
+        "services",
+        lambda config: config.services_by_name,
+        documents.parse_service,
+        documents.serialize_service,
+    ),
+    ConfigKind(
+        "keys",
+        lambda config: config.keys_by_name,
+        documents.parse_key,
+        documents.serialize_key_summary,
+    ),
+)
+
+
+def _register_config_kind(kind: ConfigKind) -> None:
+    """Register the operations that all types of configuration share."""
+
+    def show_all(call: HttpCall, confirmed: messages.ConfigConfirmed) -> HttpAnswer:
+        by_name = kind.find(confirmed.config)
+        items = [kind.serialize(by_name[name]) for name in sorted(by_name)]
+        version = confirmed.config.version
+        return _json({"version": version, "items": items}, version=version)
+
+    def show_one(call: HttpCall, confirmed: messages.ConfigConfirmed) -> HttpAnswer:
+        name = call.arguments[0]
+        found = kind.find(confirmed.config).get(name)
+        if found is None:
+            raise NotFoundError(f"there is nothing named {name} in {kind.kind}")
+        version = confirmed.config.version_of(kind.kind, name)
+        return _json(kind.serialize(found), version=version)
+
+    def show_changed(call: HttpCall, config: Config) -> HttpAnswer:
+        name = call.arguments[0]
+        found = kind.find(config).get(name)
+        document = kind.serialize(found) if found is not None else {"name": name}
+        version = config.version_of(kind.kind, name)
+        return _json({**document, "version": config.version}, version=version)
+
+    def parse_get(call: HttpCall) -> messages.GetConfig:
+        return messages.GetConfig()
+
+    def parse_put(call: HttpCall) -> messages.ChangeConfig:
+        name = call.arguments[0]
+        document = call.document()
+        if not isinstance(document, dict) or document.get("name", name) != name:
+            raise InvalidInputError("the name in the body differs from the path")
+        value = kind.parse({**document, "name": name})
+        return messages.ChangeConfig(kind.kind, name, value, call.expected_version())
+
+    def parse_delete(call: HttpCall) -> messages.ChangeConfig:
+        return messages.ChangeConfig(
+            kind.kind, call.arguments[0], None, call.expected_version()
+        )
+
+    one = rf"/v1/{kind.kind}/{NAME}"
+    operation("GET", rf"/v1/{kind.kind}", show_all)(parse_get)
+    operation("GET", one, show_one)(parse_get)
+    operation("DELETE", one, show_changed)(parse_delete)
+    if kind.kind != "keys":
+        operation("PUT", one, show_changed)(parse_put)
+
+
+for _kind in CONFIG_KINDS:
+    _register_config_kind(_kind)
+
+
+def _show_granted(call: HttpCall, granted: messages.KeyGranted) -> HttpAnswer:
+    document = documents.serialize_key_summary(granted.key)
+    return _json({**document, "secret": granted.secret}, version=granted.version)
+
+
+@operation("PUT", rf"/v1/keys/{NAME}", _show_granted)
+def _parse_grant_key(call: HttpCall) -> messages.GrantKey:
+    document = call.document()
+    if not isinstance(document, dict) or set(document) - {"name", "team"}:
+        raise InvalidInputError("the body must hold only the team")
+    secret = generate_secret()
+    key = Key.from_secret(call.arguments[0], str(document.get("team", "")), secret)
+    checked = documents.parse_key(documents.serialize_key(key))
+    return messages.GrantKey(checked, secret, call.expected_version())
+
+
+# Load and state
+
+
+def _show_summaries(call: HttpCall, summaries: messages.Summaries) -> HttpAnswer:
+    shards: dict[str, dict[str, Any]] = {}
+    for tasks in summaries.tasks:
+        shards[tasks.shard] = {
+            "shard": tasks.shard,
+            "owner": tasks.owner,
+            "epoch": tasks.epoch,
+            "total": documents.serialize_resources(tasks.total),
+            "free": documents.serialize_resources(tasks.free),
+            "queued_tasks": tasks.queued,
+        }
+    for dispatch in summaries.dispatch:
+        shard = shards.setdefault(
+            dispatch.shard,
+            {
+                "shard": dispatch.shard,
+                "owner": dispatch.owner,
+                "epoch": dispatch.epoch,
+            },
+        )
+        shard["free_slots"] = dict(dispatch.free_slots_by_service)
+        shard["queued_requests"] = dispatch.queued
+    return _json({"shards": [shards[name] for name in sorted(shards)]})
+
+
+@operation("GET", r"/v1/status", _show_summaries)
+def _parse_status(call: HttpCall) -> messages.GetSummaries:
+    return messages.GetSummaries()
+
+
+def _show_instances(instance_kind: InstanceKind) -> Serialize:
+    def show(call: HttpCall, instances: tuple[Instance, ...]) -> HttpAnswer:
+        items = [
+            documents.serialize_instance(instance)
+            for instance in instances
+            if instance.kind is instance_kind
+        ]
+        return _json({"items": items})
+
+    return show
+
+
+@operation("GET", r"/v1/workers", _show_instances(InstanceKind.WORKER))
+@operation("GET", r"/v1/backends", _show_instances(InstanceKind.BACKEND))
+def _parse_instances(call: HttpCall) -> GetInstances:
+    return GetInstances()
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -230,4 +230,3 @@
             return
         answer = Done() if body is None else body
         write_frame(stream, PeerFrame(frame.correlation, answer))
-
--- a/marjoramgrade/adapters/workerlink.py
+++ b/marjoramgrade/adapters/workerlink.py
@@ -167,9 +167,7 @@
             {"type": "grant", "seq": batch.granted_seq, "lease_ms": batch.lease_ms}
         )
     if batch.stops:
-        documents.append(
-            {"type": "stop", "tasks": [str(task) for task in batch.stops]}
-        )
+        documents.append({"type": "stop", "tasks": [str(task) for task in batch.stops]})
     if batch.starts:
         starts = [_serialize_start(start) for start in batch.starts]
         documents.append({"type": "start", "tasks": starts})
--- /dev/null
+++ b/marjoramgrade/controllers/config.py
@@ -0,0 +1,166 @@
+"""The configuration: pulled, pushed, changed and confirmed as current."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Sequence
+from typing import Any
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.decisions.freshness import FreshnessLease
+from marjoramgrade.decisions.versions import ConfigChange, ConfigStore, apply_change
+from marjoramgrade.errors import (
+    CheckFailedError,
+    ConflictError,
+    MarjoramgradeError,
+    OutcomeUnknownError,
+    TableRefusedError,
+    TableUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from marjoramgrade.logs import state_change
+from marjoramgrade.messages import (
+    ChangeConfig,
+    ConfigConfirmed,
+    ConfigPushed,
+    GetConfig,
+    GrantKey,
+    KeyGranted,
+    TellPeers,
+)
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.model import Config
+from marjoramgrade.store import Store, StoredConfig
+
+READ_INTERVAL_MS = 1_000
+REBASE_ATTEMPTS = 10
+
+
+class ConfigController(Actor):
+    """Owns this instance's copy of the configuration.
+
+    Args:
+        store: Typed access to the table.
+        peers: Reaches the other entry instances.
+        clock: Monotonic time.
+        metrics: Counters.
+        subscribers: Actors that are told `ConfigConfirmed`.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        peers: Actor,
+        clock: Clock,
+        metrics: Metrics,
+        subscribers: Sequence[Actor],
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._subscribers = tuple(subscribers)
+        self._versions = ConfigStore()
+        self._freshness = FreshnessLease()
+        self._row_version = 0
+        self._reading: asyncio.Task[None] | None = None
+
+    async def on_start(self) -> None:
+        """Begin to read the table at intervals."""
+        self.spawn(self._read_forever())
+
+    @handles(GetConfig)
+    async def _get(self, message: GetConfig) -> ConfigConfirmed:
+        return self._confirmed()
+
+    @handles(ConfigPushed)
+    async def _pushed(self, message: ConfigPushed) -> None:
+        if message.version > self._versions.current.version:
+            self.spawn(self._read())
+
+    @handles(ChangeConfig)
+    async def _change(self, message: ChangeConfig) -> Any:
+        return self.spawn(self._commit_change(message))
+
+    @handles(GrantKey)
+    async def _grant_key(self, message: GrantKey) -> Any:
+        return self.spawn(self._commit_key(message))
+
+    async def _read_forever(self) -> None:
+        while True:
+            await self._read()
+            await asyncio.sleep(READ_INTERVAL_MS / 1000)
+
+    async def _read(self) -> None:
+        """Read the table; only an answer that is not older confirms."""
+        asked_ms = self._clock.now_ms()
+        try:
+            stored = await self._store.read_config()
+        except MarjoramgradeError:
+            self._metrics.retried("config_table_error")
+            return
+        if stored.config.version < self._versions.current.version:
+            self._metrics.retried("config_stale_read")
+            return
+        self._adopt(stored, asked_ms)
+
+    def _adopt(self, stored: StoredConfig, asked_ms: int) -> None:
+        """Take over a configuration that was current at `asked_ms` or later."""
+        try:
+            is_newer = self._versions.offer(stored.config)
+        except MarjoramgradeError:
+            self._metrics.retried("config_invalid")
+            return
+        if is_newer:
+            self._row_version = stored.row_version
+            state_change("config_in_force", version=stored.config.version)
+        self._freshness.confirm(asked_ms)
+        message = self._confirmed()
+        for subscriber in self._subscribers:
+            subscriber.tell(message)
+
+    def _confirmed(self) -> ConfigConfirmed:
+        return ConfigConfirmed(
+            self._versions.current, self._freshness.until_ms, self._row_version
+        )
+
+    async def _commit_key(self, message: GrantKey) -> KeyGranted:
+        key = message.key
+        change = ChangeConfig("keys", key.name, key, message.expected_version)
+        config = await self._commit_change(change)
+        return KeyGranted(key, message.secret, config.version)
+
+    async def _commit_change(self, message: ChangeConfig) -> Config:
+        """Apply a change to the newest version; rebase over racing changes."""
+        change = ConfigChange(
+            message.kind, message.name, message.value, message.expected_version
+        )
+        write_id = uuid.uuid4().hex
+        for _ in range(REBASE_ATTEMPTS):
+            asked_ms = self._clock.now_ms()
+            try:
+                stored = await self._store.read_config()
+                if write_id in stored.config.recent_write_ids:
+                    return stored.config
+                changed = apply_change(stored.config, change, write_id)
+                row_version = await self._store.write_config(
+                    changed, stored.row_version
+                )
+            except CheckFailedError:
+                self._metrics.retried("config_conflict")
+                continue
+            except WriteOutcomeUnknownError as error:
+                raise OutcomeUnknownError(error.message) from error
+            except TableUnavailableError as error:
+                raise TableRefusedError(error.message) from error
+            self._adopt(StoredConfig(changed, row_version), asked_ms)
+            self._peers.tell(TellPeers(ConfigPushed(changed.version)))
+            return changed
+        raise ConflictError(
+            "the configuration changes too fast",
+            expected_version=stored.config.version,
+            current_version=stored.config.version,
+        )
--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -165,9 +165,7 @@
         """Make the slot pool agree with the platform's list."""
         for backend_id, backend in self._backend_by_id.items():
             slots = backend.capacity.slots
-            self._slots.add(
-                backend_id, backend.service, slots, CONNECTIONS_PER_BACKEND
-            )
+            self._slots.add(backend_id, backend.service, slots, CONNECTIONS_PER_BACKEND)
             if backend.leaving:
                 self._slots.mark_leaving(backend_id)
         for backend_id in self._slots.backend_ids() - set(self._backend_by_id):
@@ -306,4 +304,3 @@
 def _refuse(waiting: _Waiting, error: MarjoramgradeError) -> None:
     if not waiting.reply.done():
         waiting.reply.set_exception(error)
-
--- /dev/null
+++ b/marjoramgrade/controllers/inbound.py
@@ -0,0 +1,66 @@
+"""Messages that arrive from other entry instances."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.errors import NotOwnerError, ProtocolError
+from marjoramgrade.messages import (
+    ConfigPushed,
+    DispatchSummary,
+    GetTasks,
+    Inbound,
+    JobAssigned,
+    RunRequest,
+    TaskSummary,
+)
+
+
+class InboundController(Actor):
+    """Hands each inbound message to the controller that answers it.
+
+    Args:
+        config: Controller of the configuration.
+        jobs: Controller of the jobs.
+        routes: Controller of the routes.
+        dispatcher_by_shard: Controllers of the requests of the own zone's shards.
+        scheduler_by_shard: Controllers of the tasks of these shards.
+    """
+
+    def __init__(
+        self,
+        config: Actor,
+        jobs: Actor,
+        routes: Actor,
+        dispatcher_by_shard: Mapping[str, Actor],
+        scheduler_by_shard: Mapping[str, Actor],
+    ) -> None:
+        super().__init__()
+        self._controller_by_type: dict[type[Message[Any]], Actor] = {
+            ConfigPushed: config,
+            JobAssigned: jobs,
+            DispatchSummary: routes,
+            TaskSummary: routes,
+        }
+        self._by_shard_by_type: dict[type[Message[Any]], Mapping[str, Actor]] = {
+            RunRequest: dispatcher_by_shard,
+            GetTasks: scheduler_by_shard,
+        }
+
+    @handles(Inbound)
+    async def _inbound(self, message: Inbound) -> Any:
+        return self.spawn(self._find(message.message).ask(message.message))
+
+    def _find(self, message: Message[Any]) -> Actor:
+        controller = self._controller_by_type.get(type(message))
+        if controller is not None:
+            return controller
+        by_shard = self._by_shard_by_type.get(type(message))
+        if by_shard is None:
+            raise ProtocolError(f"{type(message).__name__} is not for peers")
+        assert isinstance(message, RunRequest | GetTasks)
+        if message.shard not in by_shard:
+            raise NotOwnerError(f"{message.shard} is not in this zone")
+        return by_shard[message.shard]
--- a/marjoramgrade/controllers/ownership.py
+++ b/marjoramgrade/controllers/ownership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from typing import Any
 
 import attrs
 
@@ -80,7 +81,7 @@
         )
 
     @handles(ReleaseShards)
-    async def _release(self, message: ReleaseShards) -> object:
+    async def _release(self, message: ReleaseShards) -> Any:
         self._is_releasing = True
         return self.spawn(self._release_all())
 
@@ -95,7 +96,9 @@
             except TableError:
                 self._metrics.retried("ownership_table_error")
             self._expire(state)
-            interval_ms = WATCH_INTERVAL_MS if state.lease is None else RENEW_INTERVAL_MS
+            interval_ms = (
+                WATCH_INTERVAL_MS if state.lease is None else RENEW_INTERVAL_MS
+            )
             await asyncio.sleep(interval_ms / 1000)
 
     async def _watch(self, state: _ShardState) -> None:
--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -4,40 +4,56 @@
 
 import asyncio
 import random
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import attrs
 
-from marjoramgrade.actor import Actor, handles
+from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.clock import Clock
-from marjoramgrade.decisions.retries import RetryBudget, may_retry
+from marjoramgrade.decisions.retries import RetryBudget
 from marjoramgrade.errors import (
+    DeadlineExceededError,
     MarjoramgradeError,
     NoBackendError,
-    NotFoundError,
+    NotOwnerError,
+    OutcomeUnknownError,
+    OverloadedError,
     OwnerUnreachableError,
     Ran,
-    UnsatisfiableError,
+    ShuttingDownError,
 )
 from marjoramgrade.messages import (
     CallPeer,
     ChooseShard,
     ConfigConfirmed,
     DispatchSummary,
-    FindOwner,
+    GetSummaries,
     GetTasks,
     RunReply,
     RunRequest,
+    Summaries,
     TaskSummary,
     TellPeers,
 )
 from marjoramgrade.metrics import Metrics
-from marjoramgrade.model import Config, JobSpec
+from marjoramgrade.model import Config, Kind
 
 # A summary that is older than this no longer attracts work.
 SUMMARY_LIFETIME_MS = 3_000
 SEND_INTERVAL_MS = 500
 MAX_ATTEMPTS = 4
+READ_TIMEOUT_MS = 2_000
+# Failures after which another shard may answer. A backend server that ran the
+# request and failed has answered.
+RETRYABLE = (
+    NoBackendError,
+    NotOwnerError,
+    OutcomeUnknownError,
+    OverloadedError,
+    OwnerUnreachableError,
+    ShuttingDownError,
+)
 # Time kept back from the deadline for the reply's way to the caller.
 REPLY_RESERVE_MS = 5
 
@@ -56,18 +72,12 @@
     Args:
         instance_id: This instance.
         zone: Its zone, whose shards are preferred.
-        dispatcher_by_shard: Controllers of the shards of the own zone.
-        scheduler_by_shard: Controllers of the tasks of these shards.
         clock: Monotonic time.
         metrics: Counters.
     """
 
     def __init__(
-        self,
-        instance_id: str,
-        zone: str,
-        clock: Clock,
-        metrics: Metrics,
+        self, instance_id: str, zone: str, clock: Clock, metrics: Metrics
     ) -> None:
         super().__init__()
         self._instance_id = instance_id
@@ -82,3 +92,179 @@
         self._config = Config()
         self._budget = RetryBudget()
         self._random = random.Random(instance_id)
+
+    def connect(
+        self,
+        peers: Actor,
+        dispatcher_by_shard: Mapping[str, Actor],
+        scheduler_by_shard: Mapping[str, Actor],
+    ) -> None:
+        """Name the actors that messages are routed to; called before the start."""
+        self._peers = peers
+        self._dispatcher_by_shard = dict(dispatcher_by_shard)
+        self._scheduler_by_shard = dict(scheduler_by_shard)
+
+    async def on_start(self) -> None:
+        """Begin to send the summaries of owned shards to the peers."""
+        self.spawn(self._send_summaries())
+
+    @handles(ConfigConfirmed)
+    async def _config_confirmed(self, message: ConfigConfirmed) -> None:
+        self._config = message.config
+
+    @handles(DispatchSummary)
+    async def _dispatch_summary(self, message: DispatchSummary) -> None:
+        _keep(self._dispatch_by_shard, message, self._clock.now_ms())
+
+    @handles(TaskSummary)
+    async def _task_summary(self, message: TaskSummary) -> None:
+        _keep(self._tasks_by_shard, message, self._clock.now_ms())
+
+    @handles(GetSummaries)
+    async def _get_summaries(self, message: GetSummaries) -> Summaries:
+        return Summaries(
+            tuple(self._current(self._dispatch_by_shard)),
+            tuple(self._current(self._tasks_by_shard)),
+        )
+
+    @handles(RunRequest)
+    async def _run(self, message: RunRequest) -> Any:
+        return self.spawn(self._run_somewhere(message))
+
+    @handles(GetTasks)
+    async def _get_tasks(self, message: GetTasks) -> Any:
+        seen = self._tasks_by_shard.get(message.shard)
+        if seen is None:
+            raise OwnerUnreachableError(f"{message.shard} has no known owner")
+        if seen.summary.owner == self._instance_id:
+            return self.spawn(self._scheduler_by_shard[message.shard].ask(message))
+        return self.spawn(self._call(seen.summary.owner, message, READ_TIMEOUT_MS))
+
+    @handles(ChooseShard)
+    async def _choose_shard(self, message: ChooseShard) -> str:
+        """Choose the less loaded of two random shards that could hold the job."""
+        spec = message.spec
+        count = spec.tasks if spec.kind is Kind.GANG else 1
+        fitting = [
+            summary
+            for summary in self._current(self._tasks_by_shard)
+            if self._is_zone_in(summary.shard)
+            and spec.resources.scaled(count, 1).fits(summary.total)
+        ]
+        if not fitting:
+            raise OwnerUnreachableError(
+                "no shard with an owner in force could hold the job"
+            )
+        choices = self._random.sample(fitting, min(2, len(fitting)))
+        chosen: str = min(choices, key=lambda s: _queue_per_processor(s)).shard
+        return chosen
+
+    async def _run_somewhere(self, request: RunRequest) -> RunReply:
+        """Try shards until one answers or another attempt could run it twice."""
+        deadline_ms = self._clock.now_ms() + request.remaining_ms - REPLY_RESERVE_MS
+        tried: set[str] = set()
+        attempts = 0
+        self._budget.note_request()
+        while True:
+            attempts += 1
+            summary = self._choose_backend_shard(request.service, tried)
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            if remaining_ms <= 0:
+                raise DeadlineExceededError("the deadline passed before the dispatch")
+            routed = attrs.evolve(
+                request, shard=summary.shard, remaining_ms=remaining_ms
+            )
+            try:
+                return await self._run_on(summary, routed)
+            except MarjoramgradeError as error:
+                tried.add(summary.shard)
+                if not self._may_retry(request, error, attempts, deadline_ms):
+                    raise
+                self._metrics.retried(error.code)
+
+    def _may_retry(
+        self,
+        request: RunRequest,
+        error: MarjoramgradeError,
+        attempts: int,
+        deadline_ms: int,
+    ) -> bool:
+        if not isinstance(error, RETRYABLE) or attempts >= MAX_ATTEMPTS:
+            return False
+        if self._clock.now_ms() >= deadline_ms:
+            return False
+        if error.ran is Ran.NO:
+            return True
+        return request.idempotent and self._budget.take()
+
+    async def _run_on(self, summary: DispatchSummary, request: RunRequest) -> RunReply:
+        if summary.owner == self._instance_id:
+            reply: RunReply = await self._dispatcher_by_shard[summary.shard].ask(
+                request
+            )
+        else:
+            timeout_ms = request.remaining_ms + REPLY_RESERVE_MS
+            reply = await self._call(summary.owner, request, timeout_ms)
+        return reply
+
+    async def _call(
+        self, instance_id: str, message: Message[Any], timeout_ms: int
+    ) -> Any:
+        if self._peers is None:
+            raise OwnerUnreachableError("no peers are known yet")
+        return await self._peers.ask(CallPeer(instance_id, message, timeout_ms))
+
+    def _choose_backend_shard(self, service: str, tried: set[str]) -> DispatchSummary:
+        """Choose a shard for a request: free slots first, then the own zone."""
+        known: list[DispatchSummary] = [
+            summary
+            for summary in self._current(self._dispatch_by_shard)
+            if service in summary.free_slots_by_service
+            and self._is_zone_in(summary.shard)
+        ]
+        untried = [summary for summary in known if summary.shard not in tried] or known
+        if not untried:
+            raise NoBackendError(f"no shard serves {service}")
+        free = [s for s in untried if s.free_slots_by_service[service] > s.queued]
+        if not free:
+            return min(untried, key=lambda summary: summary.queued)
+        near = [s for s in free if _zone_of(s.shard) == self._zone]
+        choices = near or free
+        return self._random.choices(
+            choices, [s.free_slots_by_service[service] for s in choices]
+        )[0]
+
+    def _is_zone_in(self, shard: str) -> bool:
+        return self._config.is_zone_in(_zone_of(shard))
+
+    def _current(self, seen_by_shard: Mapping[str, _Seen]) -> Iterator[Any]:
+        oldest_ms = self._clock.now_ms() - SUMMARY_LIFETIME_MS
+        for seen in seen_by_shard.values():
+            if seen.seen_ms >= oldest_ms:
+                yield seen.summary
+
+    async def _send_summaries(self) -> None:
+        while True:
+            await asyncio.sleep(SEND_INTERVAL_MS / 1000)
+            for seen_by_shard in (self._dispatch_by_shard, self._tasks_by_shard):
+                for summary in self._current(seen_by_shard):
+                    if summary.owner == self._instance_id and self._peers is not None:
+                        self._peers.tell(TellPeers(summary))
+
+
+def _keep(
+    seen_by_shard: dict[str, _Seen], summary: DispatchSummary | TaskSummary, now_ms: int
+) -> None:
+    """Keep a summary unless one of a newer epoch is known."""
+    known = seen_by_shard.get(summary.shard)
+    if known is None or known.summary.epoch <= summary.epoch:
+        seen_by_shard[summary.shard] = _Seen(summary, now_ms)
+
+
+def _zone_of(shard: str) -> str:
+    return shard.rpartition(".")[0]
+
+
+def _queue_per_processor(summary: TaskSummary) -> tuple[float, int]:
+    processors = max(1, summary.total.cpu_millis)
+    return (summary.queued / processors, -summary.free.cpu_millis)
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -306,13 +305,18 @@
         except CheckFailedError:
             # A previous owner wrote it between the load and this write.
             self._metrics.retried("roster_conflict")
-            current = await self._store.read_roster(self._shard)
-            self.tell(RosterWritten(epoch, current))
+            await self._reload_roster(epoch)
         except MarjoramgradeError:
             self._metrics.retried("roster_table_error")
         else:
             self.tell(RosterWritten(epoch, StoredRoster(wanted, version)))
 
+    async def _reload_roster(self, epoch: int) -> None:
+        try:
+            self.tell(RosterWritten(epoch, await self._store.read_roster(self._shard)))
+        except MarjoramgradeError:
+            self._metrics.retried("roster_table_error")
+
     async def _load(self, epoch: int) -> None:
         while epoch == self._epoch and self._is_owner():
             try:
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -8,6 +8,7 @@
 
 from marjoramgrade.decisions.actions import Ending, StartTask
 from marjoramgrade.decisions.outcomes import OutcomeBook
+from marjoramgrade.decisions.retries import RETRIES, TaskRetry
 from marjoramgrade.decisions.scheduler import Scheduler
 from marjoramgrade.decisions.sessions import WorkerSessions
 from marjoramgrade.decisions.takeover import Reconciliation
@@ -38,8 +39,6 @@
 from marjoramgrade.store import StoredRoster
 
 START_BUDGET = 500
-RETRY_BASE_MS = 500
-RETRY_MAX_MS = 30_000
 # Batch tasks may end by themselves this long after their zone was taken out.
 DRAIN_MS = 10_000
 MAX_MOVES_AT_ONCE = 100
@@ -83,6 +82,7 @@
     job_by_id: dict[str, StoredJob] = attrs.field(factory=dict)
     sessions: WorkerSessions = attrs.field(factory=WorkerSessions)
     outcomes: OutcomeBook = attrs.field(factory=OutcomeBook)
+    _retry_by_kind: dict[Kind, TaskRetry] = attrs.field(factory=dict)
     _outbox_by_worker: dict[str, _Outbox] = attrs.field(factory=dict)
     _attempt_by_task: dict[TaskId, int] = attrs.field(factory=dict)
     _moving: set[str] = attrs.field(factory=set)
@@ -100,7 +100,13 @@
         """Return the state of a new owner, before any worker has reported."""
         scheduler = Scheduler.from_config(policies_by_kind)
         reconciliation = Reconciliation(roster.worker_ids, now_ms)
-        tasks = cls(shard, scheduler, reconciliation, roster)
+        retry_by_kind = {
+            kind: RETRIES.get(policies.retry)()
+            for kind, policies in policies_by_kind.items()
+        }
+        tasks = cls(
+            shard, scheduler, reconciliation, roster, retry_by_kind=retry_by_kind
+        )
         for stored in jobs:
             tasks.job_changed(stored, now_ms)
         return tasks
@@ -378,11 +384,14 @@
         if again is None:
             return
         spec = stored.job.spec
-        if spec.kind is not Kind.SERVICE and again.attempts >= spec.max_attempts:
+        # A service has no last attempt: it should run until it is cancelled.
+        max_attempts = 0 if spec.kind is Kind.SERVICE else spec.max_attempts
+        retry = self._retry_by_kind[spec.kind]
+        delay_ms = retry.delay_ms(again.attempts, max_attempts)
+        if delay_ms is None:
             for failed in again.iter_tasks():
                 self.outcomes.note(failed, Outcome.FAILED)
             return
-        delay_ms = min(RETRY_MAX_MS, RETRY_BASE_MS << min(again.attempts, 10))
         self._submit(attrs.evolve(again, not_before_ms=now_ms + delay_ms), now_ms)
 
     def _start_of(self, decision: StartTask) -> TaskStart:
@@ -390,9 +399,7 @@
         spec = self.job_by_id[task.job_id].job.spec
         attempt = self._attempt_by_task.get(task, 0) + 1
         self._attempt_by_task[task] = attempt
-        return TaskStart(
-            task, attempt, decision.resources, spec.run_ms, spec.payload
-        )
+        return TaskStart(task, attempt, decision.resources, spec.run_ms, spec.payload)
 
     def _outbox(self, worker_id: str) -> _Outbox:
         return self._outbox_by_worker.setdefault(worker_id, _Outbox())
@@ -403,9 +410,7 @@
     return is_known and job.outcomes[task.index] == Outcome.OPEN.value
 
 
-def _running_from(
-    job: Job, run: TaskRun, worker_id: str, now_ms: int
-) -> RunningTask:
+def _running_from(job: Job, run: TaskRun, worker_id: str, now_ms: int) -> RunningTask:
     spec = job.spec
     return RunningTask(
         run.task,
@@ -418,5 +423,3 @@
         queued_ms=now_ms,
         spread_racks=spec.spread_racks,
     )
-
-
--- a/marjoramgrade/decisions/slots.py
+++ b/marjoramgrade/decisions/slots.py
@@ -242,6 +242,11 @@
         backends = self._backend_by_id.values()
         return sum(backend.free for backend in backends if backend.service == service)
 
+    def backend_ids(self) -> set[str]:
+        """Return the servers that may be used."""
+        backends = self._backend_by_id.values()
+        return {b.backend_id for b in backends if not b.is_removed}
+
     def get(self, backend_id: str) -> BackendSlots | None:
         """Return the record of a server, or None."""
         return self._backend_by_id.get(backend_id)
--- a/marjoramgrade/documents.py
+++ b/marjoramgrade/documents.py
@@ -14,6 +14,7 @@
 
 from marjoramgrade import structuring
 from marjoramgrade.errors import InvalidInputError, OversizedInputError
+from marjoramgrade.messages import WatchEvent
 from marjoramgrade.model import (
     Config,
     Instance,
@@ -37,6 +38,7 @@
     items,
     name,
     register_class,
+    sha256,
     text,
     whole_number,
 )
@@ -55,9 +57,9 @@
 # The largest worker has far less; the bound keeps sums over all tasks exact.
 MAX_AMOUNT = 2**40
 MAX_CONFIG_ENTRIES = 10_000
+MAX_VERSIONS = 4 * MAX_CONFIG_ENTRIES
 MAX_WRITE_IDS = 10_000
 MAX_PORT = 65_535
-_SHA256_LENGTH = 64
 
 
 class Named(Protocol):
@@ -72,6 +74,14 @@
 N = TypeVar("N", bound=Named)
 
 
+@attrs.frozen
+class _ResourceVersion:
+    """The version of the configuration that last changed a resource."""
+
+    resource: str
+    version: int
+
+
 @attrs.frozen
 class _ConfigDocument:
     """The form of a configuration in documents: lists instead of mappings."""
@@ -81,6 +91,7 @@
     keys: tuple[Key, ...] = ()
     zones: tuple[Zone, ...] = ()
     services: tuple[Service, ...] = ()
+    versions: tuple[_ResourceVersion, ...] = ()
     recent_write_ids: tuple[str, ...] = ()
 
 
@@ -91,13 +102,6 @@
     return checked
 
 
-def _sha256(value: Any, _: Any = None) -> str:
-    checked: str = text(_SHA256_LENGTH)(value, str)
-    if len(checked) != _SHA256_LENGTH or not set(checked) <= set("0123456789abcdef"):
-        raise InvalidValueError("must be 64 lower-case hexadecimal digits")
-    return checked
-
-
 def _priority(value: Any, _: Any = None) -> Priority:
     member_by_name = {member.name.lower(): member for member in Priority}
     if type(value) is not str or value not in member_by_name:
@@ -126,9 +130,13 @@
         "share": whole_number(1, MAX_SHARE),
         "queue_bound": whole_number(1, MAX_QUEUE_BOUND),
     },
-    Key: {"name": name(), "team": name(), "secret_sha256": _sha256},
+    Key: {"name": name(), "team": name(), "secret_sha256": sha256()},
     Zone: {"name": name()},
     Service: {"name": name(), "team": name(optional=True)},
+    _ResourceVersion: {
+        "resource": text(2 * MAX_REASON_BYTES),
+        "version": whole_number(0),
+    },
     Instance: {
         "instance_id": name(),
         "zone": name(),
@@ -155,6 +163,7 @@
         "keys": items(Key, MAX_CONFIG_ENTRIES)(converter),
         "zones": items(Zone, MAX_CONFIG_ENTRIES)(converter),
         "services": items(Service, MAX_CONFIG_ENTRIES)(converter),
+        "versions": items(_ResourceVersion, MAX_VERSIONS)(converter),
         "recent_write_ids": items(str, MAX_WRITE_IDS)(converter),
     },
 )
@@ -234,6 +243,15 @@
     return parse(Instance, document)
 
 
+def parse_job_id(value: object) -> str:
+    """Return a job id of a caller."""
+    try:
+        checked: str = name(max_length=MAX_JOB_ID_LENGTH)(value, str)
+    except InvalidValueError as error:
+        raise _refuse("job_id", str(error)) from None
+    return checked
+
+
 def parse_job(document: object) -> Job:
     """Return the job of a document; a `state` in it must match the outcomes."""
     stated = None
@@ -257,6 +275,9 @@
         keys_by_name=_by_name("keys", parsed.keys),
         zones_by_name=_by_name("zones", parsed.zones),
         services_by_name=_by_name("services", parsed.services),
+        version_by_resource={
+            entry.resource: entry.version for entry in parsed.versions
+        },
         recent_write_ids=tuple(parsed.recent_write_ids),
     )
 
@@ -328,9 +349,30 @@
         "keys": _in_order(config.keys_by_name),
         "zones": _in_order(config.zones_by_name),
         "services": _in_order(config.services_by_name),
+        "versions": [
+            {"resource": resource, "version": version}
+            for resource, version in sorted(config.version_by_resource.items())
+        ],
         "recent_write_ids": list(config.recent_write_ids),
     }
 
 
 def _in_order(entry_by_name: Mapping[str, N]) -> list[Document]:
     return [_serialize(entry_by_name[key]) for key in sorted(entry_by_name)]
+
+
+def serialize_watch_event(event: WatchEvent) -> Document:
+    """Return the line that a watch sends for a change."""
+    if event.kind == "reset":
+        return {"reset": True, "version": event.version}
+    document: Document = {}
+    if event.job is not None:
+        document = serialize_job(event.job)
+    elif event.kind == "config":
+        document = {"version": event.config_version}
+    return {
+        "version": event.version,
+        "kind": event.kind,
+        "name": event.name,
+        "document": document,
+    }
--- /dev/null
+++ b/marjoramgrade/filters/access.py
@@ -0,0 +1,163 @@
+"""Filters that decide who may do what."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from marjoramgrade import messages
+from marjoramgrade.actor import Actor, Message
+from marjoramgrade.clock import Clock
+from marjoramgrade.errors import (
+    ForbiddenError,
+    NotFoundError,
+    StaleAuthorityError,
+    UnauthenticatedError,
+)
+from marjoramgrade.filters.chain import FILTERS, Environment, Filter, Proceed
+from marjoramgrade.filters.context import Context, Principal
+from marjoramgrade.model import Config, hash_secret
+
+Permit = Callable[[Any, Principal, Config, Actor], Awaitable[None]]
+_permit_by_type: dict[type, Permit] = {}
+
+
+def permits(*message_types: type[Message[Any]]) -> Callable[[Permit], Permit]:
+    """Return a decorator that registers the rule for these messages."""
+
+    def add(permit: Permit) -> Permit:
+        for message_type in message_types:
+            _permit_by_type[message_type] = permit
+        return permit
+
+    return add
+
+
+@FILTERS.register("authenticate")
+class AuthenticateFilter(Filter):
+    """Finds out whose key came with a request.
+
+    Args:
+        config: Controller of the configuration.
+        clock: Monotonic time.
+        operator_key_sha256: Hash of the operators' key, or empty.
+    """
+
+    def __init__(self, config: Actor, clock: Clock, operator_key_sha256: str) -> None:
+        self._config = config
+        self._clock = clock
+        self._operator_key_sha256 = operator_key_sha256
+
+    @classmethod
+    def from_config(cls, environment: Environment) -> AuthenticateFilter:
+        """Return the filter."""
+        return cls(
+            environment.config,
+            environment.clock,
+            environment.settings.operator_key_sha256,
+        )
+
+    async def apply(self, context: Context, proceed: Proceed) -> Any:
+        """Refuse unknown and withdrawn keys."""
+        if self._is_operator(context.secret):
+            principal = Principal(is_operator=True)
+        else:
+            principal = await self._find_team(context)
+        return await proceed(attrs.evolve(context, principal=principal))
+
+    def _is_operator(self, secret: str) -> bool:
+        return bool(self._operator_key_sha256) and secrets.compare_digest(
+            hash_secret(secret), self._operator_key_sha256
+        )
+
+    async def _find_team(self, context: Context) -> Principal:
+        if not context.secret:
+            raise UnauthenticatedError("the request carries no key")
+        confirmed = await self._config.ask(messages.GetConfig())
+        key = confirmed.config.find_key(context.secret)
+        if key is not None:
+            return Principal(key.name, key.team)
+        if self._clock.now_ms() >= confirmed.fresh_until_ms:
+            raise StaleAuthorityError("the key may be newer than the known keys")
+        raise UnauthenticatedError("the key is unknown or was withdrawn")
+
+
+@FILTERS.register("authorize")
+class AuthorizeFilter(Filter):
+    """Applies the rule that is registered for the type of the message.
+
+    Args:
+        config: Controller of the configuration.
+        jobs: Controller of the jobs.
+    """
+
+    def __init__(self, config: Actor, jobs: Actor) -> None:
+        self._config = config
+        self._jobs = jobs
+
+    @classmethod
+    def from_config(cls, environment: Environment) -> AuthorizeFilter:
+        """Return the filter."""
+        return cls(environment.config, environment.jobs)
+
+    async def apply(self, context: Context, proceed: Proceed) -> Any:
+        """Refuse what the principal may not do; no rule means operators only."""
+        confirmed = await self._config.ask(messages.GetConfig())
+        permit = _permit_by_type.get(type(context.message), permit_operators)
+        await permit(context.message, context.principal, confirmed.config, self._jobs)
+        message = context.message
+        if isinstance(message, messages.RunRequest):
+            message = attrs.evolve(
+                message,
+                team=context.principal.team,
+                key_name=context.principal.key_name,
+            )
+        return await proceed(attrs.evolve(context, message=message))
+
+
+async def permit_operators(
+    message: Any, principal: Principal, config: Config, jobs: Actor
+) -> None:
+    """Permit operators only."""
+    if not principal.is_operator:
+        raise ForbiddenError("this operation needs the operators' key")
+
+
+@permits(messages.RunRequest)
+async def _permit_run(
+    message: messages.RunRequest, principal: Principal, config: Config, jobs: Actor
+) -> None:
+    service = config.services_by_name.get(message.service)
+    if service is None:
+        raise NotFoundError(f"there is no service {message.service}")
+    if principal.is_operator:
+        raise ForbiddenError("requests need the key of a team")
+    if service.team not in ("", principal.team):
+        raise ForbiddenError(f"service {service.name} belongs to another team")
+
+
+@permits(messages.SubmitJob)
+async def _permit_submit(
+    message: messages.SubmitJob, principal: Principal, config: Config, jobs: Actor
+) -> None:
+    if message.spec.team not in config.teams_by_name:
+        raise NotFoundError(f"there is no team {message.spec.team}")
+    if not principal.is_operator and message.spec.team != principal.team:
+        raise ForbiddenError(f"the key does not belong to team {message.spec.team}")
+
+
+@permits(messages.GetJob, messages.CancelJob, messages.GetTasks)
+async def _permit_own_job(
+    message: messages.GetJob | messages.CancelJob | messages.GetTasks,
+    principal: Principal,
+    config: Config,
+    jobs: Actor,
+) -> None:
+    if principal.is_operator:
+        return
+    stored = await jobs.ask(messages.GetJob(message.job_id))
+    if stored.job.spec.team != principal.team:
+        raise ForbiddenError(f"job {message.job_id} belongs to another team")
--- /dev/null
+++ b/marjoramgrade/filters/chain.py
@@ -0,0 +1,111 @@
+"""The chain of filters that every request of a caller or operator passes."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import attrs
+
+from marjoramgrade.actor import Actor
+from marjoramgrade.clock import Clock
+from marjoramgrade.errors import MarjoramgradeError
+from marjoramgrade.filters.context import Context
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.registry import Registry
+from marjoramgrade.settings import EntrySettings
+
+Proceed = Callable[[Context], Awaitable[Any]]
+
+
+@attrs.frozen
+class Environment:
+    """What filters are built from.
+
+    Attributes:
+        settings: Settings of this instance.
+        clock: Monotonic time.
+        metrics: Counters.
+        config: Controller of the configuration.
+        routes: Controller of the routes to shards.
+        jobs: Controller of the jobs.
+        instances: Controller of the platform's instance list.
+    """
+
+    settings: EntrySettings
+    clock: Clock
+    metrics: Metrics
+    config: Actor
+    routes: Actor
+    jobs: Actor
+    instances: Actor
+
+
+class Filter(abc.ABC):
+    """Base class of filters."""
+
+    @classmethod
+    @abc.abstractmethod
+    def from_config(cls, environment: Environment) -> Filter:
+        """Return a filter for this instance."""
+
+    @abc.abstractmethod
+    async def apply(self, context: Context, proceed: Proceed) -> Any:
+        """Handle a request, usually by letting it proceed.
+
+        Args:
+            context: The request.
+            proceed: Hands the request to the rest of the chain.
+
+        Returns:
+            The reply to the caller.
+
+        Raises:
+            MarjoramgradeError: If the request is refused or fails.
+        """
+
+
+FILTERS: Registry[type[Filter]] = Registry("filter")
+
+
+class Chain:
+    """Filters in order; the last one answers.
+
+    Args:
+        filters: The filters.
+        metrics: Counts each refusal by its code.
+    """
+
+    def __init__(self, filters: Sequence[Filter], metrics: Metrics) -> None:
+        self._filters = tuple(filters)
+        self._metrics = metrics
+
+    @classmethod
+    def from_config(cls, environment: Environment) -> Chain:
+        """Return the chain that the settings name.
+
+        Raises:
+            UnknownNameError: If a filter is not registered.
+        """
+        names = environment.settings.filters
+        filters = [FILTERS.get(name).from_config(environment) for name in names]
+        return cls(filters, environment.metrics)
+
+    async def handle(self, context: Context) -> Any:
+        """Pass a request through the chain and return the reply.
+
+        Raises:
+            MarjoramgradeError: If the request is refused or fails.
+        """
+        try:
+            return await self._apply(0, context)
+        except MarjoramgradeError as error:
+            self._metrics.refused(error)
+            raise
+
+    async def _apply(self, position: int, context: Context) -> Any:
+        async def proceed(next_context: Context) -> Any:
+            return await self._apply(position + 1, next_context)
+
+        return await self._filters[position].apply(context, proceed)
--- /dev/null
+++ b/marjoramgrade/filters/route.py
@@ -0,0 +1,50 @@
+"""The last filter: hands each message to the controller that answers it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from marjoramgrade import messages
+from marjoramgrade.actor import Actor, Message
+from marjoramgrade.controllers.instances import GetInstances
+from marjoramgrade.errors import ProtocolError
+from marjoramgrade.filters.chain import FILTERS, Environment, Filter, Proceed
+from marjoramgrade.filters.context import Context
+
+
+@FILTERS.register("route")
+class RouteFilter(Filter):
+    """Asks the controller of the message's type.
+
+    Args:
+        controller_by_type: Which controller answers which message.
+    """
+
+    def __init__(self, controller_by_type: dict[type[Message[Any]], Actor]) -> None:
+        self._controller_by_type = controller_by_type
+
+    @classmethod
+    def from_config(cls, environment: Environment) -> RouteFilter:
+        """Return the filter."""
+        return cls(
+            {
+                messages.RunRequest: environment.routes,
+                messages.GetTasks: environment.routes,
+                messages.GetSummaries: environment.routes,
+                messages.SubmitJob: environment.jobs,
+                messages.GetJob: environment.jobs,
+                messages.ListJobs: environment.jobs,
+                messages.CancelJob: environment.jobs,
+                messages.GetConfig: environment.config,
+                messages.ChangeConfig: environment.config,
+                messages.GrantKey: environment.config,
+                GetInstances: environment.instances,
+            }
+        )
+
+    async def apply(self, context: Context, proceed: Proceed) -> Any:
+        """Return the controller's reply."""
+        controller = self._controller_by_type.get(type(context.message))
+        if controller is None:
+            raise ProtocolError(f"nothing answers {type(context.message).__name__}")
+        return await controller.ask(context.message)
--- a/marjoramgrade/messages.py
+++ b/marjoramgrade/messages.py
@@ -8,7 +8,7 @@
 import attrs
 
 from marjoramgrade.actor import Message
-from marjoramgrade.model import Config, Instance, Job, JobSpec, TaskId
+from marjoramgrade.model import Config, Instance, Job, JobSpec, Key, TaskId
 from marjoramgrade.resources import NOTHING, Resources
 
 # Configuration
@@ -16,10 +16,17 @@
 
 @attrs.frozen
 class ConfigConfirmed(Message[None]):
-    """The configuration in force and until when it is known to be current."""
+    """The configuration in force and until when it is known to be current.
+
+    Attributes:
+        config: The configuration.
+        fresh_until_ms: End of that knowledge on this instance's clock.
+        row_version: Commit number of the table's row.
+    """
 
     config: Config
     fresh_until_ms: int
+    row_version: int = 0
 
 
 @attrs.frozen
@@ -45,6 +52,24 @@
     expected_version: int | None = None
 
 
+@attrs.frozen
+class KeyGranted:
+    """A key that was granted; the only time its secret is shown."""
+
+    key: Key
+    secret: str
+    version: int
+
+
+@attrs.frozen
+class GrantKey(Message[KeyGranted]):
+    """Asks for a new key of a team."""
+
+    key: Key
+    secret: str
+    expected_version: int | None = None
+
+
 @attrs.frozen
 class ConfigPushed(Message[None]):
     """Tells a peer that a newer configuration is in the table."""
@@ -232,6 +257,28 @@
     job_id: str
 
 
+# Watches
+
+
+@attrs.frozen
+class WatchEvent:
+    """One change.
+
+    Attributes:
+        version: Commit number of the table; zero for a reset with no changes yet.
+        kind: `job`, `config` or `reset`.
+        name: Name of the resource.
+        job: The job, for the kind `job`.
+        config_version: Version of the configuration, for the kind `config`.
+    """
+
+    version: int
+    kind: str
+    name: str = ""
+    job: Job | None = None
+    config_version: int = 0
+
+
 # Workers
 
 
@@ -419,7 +466,13 @@
 
 
 @attrs.frozen
-class FindOwner(Message[str]):
-    """Asks for the instance id of the owner of a shard."""
+class Summaries:
+    """The load of every shard whose owner was heard of lately."""
 
-    shard: str
+    dispatch: tuple[DispatchSummary, ...]
+    tasks: tuple[TaskSummary, ...]
+
+
+@attrs.frozen
+class GetSummaries(Message[Summaries]):
+    """Asks for the load of every shard."""
--- a/marjoramgrade/model.py
+++ b/marjoramgrade/model.py
@@ -216,7 +216,9 @@
     """The whole configuration at one version.
 
     Attributes:
-        version: Version of the table row, or zero before the first read.
+        version: Raised by one with every change; zero before the first.
+        version_by_resource: For each resource, as `teams/name`, the version of the
+            configuration that last changed it. A deleted resource stays listed.
         recent_write_ids: Ids of the latest accepted changes, newest last.
     """
 
@@ -225,8 +227,13 @@
     keys_by_name: Mapping[str, Key] = attrs.field(factory=dict)
     zones_by_name: Mapping[str, Zone] = attrs.field(factory=dict)
     services_by_name: Mapping[str, Service] = attrs.field(factory=dict)
+    version_by_resource: Mapping[str, int] = attrs.field(factory=dict)
     recent_write_ids: tuple[str, ...] = ()
 
+    def version_of(self, kind: str, name: str) -> int:
+        """Return the version that last changed a resource, zero if none did."""
+        return self.version_by_resource.get(f"{kind}/{name}", 0)
+
     def find_key(self, secret: str) -> Key | None:
         """Return the key with this secret, or None."""
         digest = hash_secret(secret)
--- a/marjoramgrade/settings.py
+++ b/marjoramgrade/settings.py
@@ -47,6 +47,8 @@
         shards_per_zone: Shards into which the instances of a zone are split.
         statsd_host: IP number of the statsd server, or empty for none.
         statsd_port: UDP port of the statsd server.
+        operator_key_sha256: SHA-256 of the operators' key in hexadecimal; if empty,
+            operations that need it are refused.
         max_body_bytes: Largest request body that is taken.
         max_queued_requests: Requests that may wait in one shard.
         shutdown_ms: Longest time that a shutdown waits for running requests.
@@ -63,6 +65,7 @@
     shards_per_zone: int = 1
     statsd_host: str = ""
     statsd_port: int = 8125
+    operator_key_sha256: str = ""
     max_body_bytes: int = 1_048_576
     max_queued_requests: int = 10_000
     shutdown_ms: int = 30_000
--- a/marjoramgrade/settingsfile.py
+++ b/marjoramgrade/settingsfile.py
@@ -22,6 +22,7 @@
     ip_number,
     name,
     register_class,
+    sha256,
     whole_number,
 )
 
@@ -44,6 +45,7 @@
     "shards_per_zone": whole_number(1, MAX_SHARDS_PER_ZONE),
     "statsd_host": ip_number(optional=True),
     "statsd_port": port,
+    "operator_key_sha256": sha256(optional=True),
     "max_body_bytes": whole_number(0, MAX_BODY_BYTES),
     "max_queued_requests": whole_number(0, MAX_QUEUED_REQUESTS),
     "shutdown_ms": whole_number(0, MAX_SHUTDOWN_MS),
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -30,6 +30,14 @@
 SHARDS_PREFIX = "shards/"
 
 
+@attrs.frozen
+class StoredConfig:
+    """The configuration and the version of its row."""
+
+    config: Config
+    row_version: int
+
+
 @attrs.frozen
 class StoredShard:
     """The ownership row of a shard and its version."""
@@ -77,12 +85,12 @@
     def __init__(self, table: Table) -> None:
         self._table = table
 
-    async def read_config(self) -> Config:
+    async def read_config(self) -> StoredConfig:
         """Return the configuration, empty with version zero if there is none."""
         row = await self._table.read(CONFIG_KEY)
         if row is None or row.value is None:
-            return Config()
-        return attrs.evolve(parse_config(dict(row.value)), version=row.version)
+            return StoredConfig(Config(), ABSENT)
+        return StoredConfig(parse_config(dict(row.value)), row.version)
 
     async def write_config(self, config: Config, expected_version: int) -> int:
         """Write the configuration and return its new version.
@@ -155,9 +163,7 @@
     async def read_members(self) -> tuple[Member, ...]:
         """Return the registered entry instances."""
         page = await self._table.changes(MEMBERS_PREFIX)
-        return tuple(
-            Member(**row.value) for row in page.rows if row.value is not None
-        )
+        return tuple(Member(**row.value) for row in page.rows if row.value is not None)
 
     async def changed_jobs(self, after: int) -> JobsPage:
         """Return the jobs whose rows changed after a version."""
@@ -210,7 +216,9 @@
     requests: Sequence[RequestRecord],
 ) -> frozenset[str]:
     """Return the keys whose checks failed in a refused transaction."""
-    expected = {JOBS_PREFIX + write.job.job_id: write.expected_version for write in jobs}
+    expected = {
+        JOBS_PREFIX + write.job.job_id: write.expected_version for write in jobs
+    }
     expected.update({record.key: ABSENT for record in requests})
     return frozenset(
         key
--- a/marjoramgrade/structuring.py
+++ b/marjoramgrade/structuring.py
@@ -46,6 +46,10 @@
     reason: str
 
 
+SHA256_LENGTH = 64
+_HEXADECIMAL = set("0123456789abcdef")
+
+
 class InvalidValueError(ValueError):
     """A value that is outside its bound; becomes a `Problem`."""
 
@@ -127,6 +131,21 @@
     return check
 
 
+def sha256(*, optional: bool = False) -> StructHook:
+    """Return a hook for SHA-256 digests in hexadecimal."""
+    limit = text(SHA256_LENGTH)
+
+    def check(value: Any, _: Any = None) -> str:
+        checked: str = limit(value, str)
+        if checked == "" and optional:
+            return checked
+        if len(checked) != SHA256_LENGTH or not set(checked) <= _HEXADECIMAL:
+            raise InvalidValueError("must be 64 lower-case hexadecimal digits")
+        return checked
+
+    return check
+
+
 def http_url(value: Any, _: Any = None) -> str:
     """Return a value that is `http://IP:PORT`, without a path."""
     checked: str = text(MAX_NAME_LENGTH)(value, str)
