--- a/tests/strategies.py
+++ b/tests/strategies.py
@@ -63,6 +63,7 @@
     by_name(keys),
     by_name(zones),
     by_name(services),
+    st.dictionaries(names.map("teams/{}".format), st.integers(0, 2**40), max_size=4),
     st.lists(names, max_size=3).map(tuple),
 )
 hostile = st.recursive(
