Rebuild every reported error with its own type

from_code built a plain MarjoramgradeError for a conflict, so a client could not catch ConflictError, and details that hold the name "message" raised a TypeError. Each type now has from_report, which sets the details without passing them as arguments.

--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -1,6 +1,9 @@
 """The exception tree: every failure has a type and a stable code."""
 
+from __future__ import annotations
+
 import enum
+from collections.abc import Mapping
 
 import attrs
 
@@ -29,6 +32,20 @@
         self.message = message
         self.details = details
 
+    @classmethod
+    def from_report(
+        cls, message: str, details: Mapping[str, str]
+    ) -> MarjoramgradeError:
+        """Rebuild an error of this type that another process reported.
+
+        Args:
+            message: The message of the error.
+            details: Further facts, with any names.
+        """
+        error = cls(message)
+        error.details = dict(details)
+        return error
+
 
 class InvalidInputError(MarjoramgradeError):
     """Input from outside has the wrong form."""
@@ -76,6 +93,22 @@
         self.expected_version = expected_version
         self.current_version = current_version
 
+    @classmethod
+    def from_report(cls, message: str, details: Mapping[str, str]) -> ConflictError:
+        """Rebuild a conflict; a version that is not a number becomes zero."""
+        error = cls(
+            message,
+            expected_version=_parse_version(details.get("expected_version", "")),
+            current_version=_parse_version(details.get("current_version", "")),
+        )
+        error.details = dict(details)
+        return error
+
+
+def _parse_version(text: str) -> int:
+    # More digits than a table version has would make the conversion slow.
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 20 else 0
+
 
 @attrs.frozen
 class SettingsProblem:
@@ -95,6 +128,13 @@
         super().__init__(text)
         self.problems = problems
 
+    @classmethod
+    def from_report(cls, message: str, details: Mapping[str, str]) -> SettingsError:
+        """Rebuild the error with its message as the one fault."""
+        error = cls([SettingsProblem("settings", message)])
+        error.details = dict(details)
+        return error
+
 
 class RefusedError(MarjoramgradeError):
     """Work was refused and has not run."""
@@ -234,6 +274,13 @@
         super().__init__(message)
         self.current_version_by_key = current_version_by_key
 
+    @classmethod
+    def from_report(cls, message: str, details: Mapping[str, str]) -> CheckFailedError:
+        """Rebuild the error without the versions, which no report holds."""
+        error = cls(message, {})
+        error.details = dict(details)
+        return error
+
 
 def iter_error_types(
     base: type[MarjoramgradeError] = MarjoramgradeError,
@@ -245,7 +292,9 @@
     return found
 
 
-def from_code(code: str, message: str, details: dict[str, str]) -> MarjoramgradeError:
+def from_code(
+    code: str, message: str, details: Mapping[str, str]
+) -> MarjoramgradeError:
     """Rebuild an error that another process reported.
 
     Args:
@@ -256,10 +305,9 @@
     Returns:
         An error of the type with this code, or the base type for an unknown code.
     """
-    special = {"conflict", "invalid_settings", "check_failed"}
     for kind in iter_error_types():
-        if kind.code == code and code not in special:
-            return kind(message, **details)
-    error = MarjoramgradeError(message, **details)
+        if kind.code == code:
+            return kind.from_report(message, details)
+    error = MarjoramgradeError.from_report(message, details)
     error.code = code
     return error
