Add the client of the HTTP interface

Programs, the command line and the tests need one client that tells "not run" from "outcome unknown" and that loses no change while it watches.

--- /dev/null
+++ b/marjoramgrade/resourcekinds.py
@@ -0,0 +1,69 @@
+"""The types of configured resource, by their plural name in URLs and files."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar
+
+import attrs
+
+from marjoramgrade import documents
+from marjoramgrade.documents import Document
+from marjoramgrade.model import Service, Team, Zone
+from marjoramgrade.registry import Registry
+from marjoramgrade.structuring import name, register_class
+
+T = TypeVar("T")
+
+
+@attrs.frozen
+class KeySummary:
+    """A key as callers see it: without the hash of its secret."""
+
+    name: str
+    team: str
+
+
+register_class(documents.converter, KeySummary, {"name": name(), "team": name()})
+
+
+@attrs.frozen
+class ResourceKind(Generic[T]):
+    """How one type of resource travels.
+
+    Attributes:
+        plural: Its name in URLs and in files of resources.
+        parse: Returns the resource of a document.
+        serialize: Returns the document of a resource.
+    """
+
+    plural: str
+    parse: Callable[[object], T]
+    serialize: Callable[[T], Document]
+
+
+RESOURCE_KINDS: Registry[ResourceKind[Any]] = Registry("resource type")
+
+
+def _register(kind: ResourceKind[T]) -> ResourceKind[T]:
+    RESOURCE_KINDS.register(kind.plural)(kind)
+    return kind
+
+
+def parse_key_summary(document: object) -> KeySummary:
+    """Return the key summary of a document."""
+    return documents.parse(KeySummary, document)
+
+
+TEAMS = _register(
+    ResourceKind[Team]("teams", documents.parse_team, documents.serialize_team)
+)
+KEYS = _register(ResourceKind[KeySummary]("keys", parse_key_summary, attrs.asdict))
+ZONES = _register(
+    ResourceKind[Zone]("zones", documents.parse_zone, documents.serialize_zone)
+)
+SERVICES = _register(
+    ResourceKind[Service](
+        "services", documents.parse_service, documents.serialize_service
+    )
+)
--- /dev/null
+++ b/marjoramgrade/transport.py
@@ -0,0 +1,258 @@
+"""HTTP requests to an entry instance, with every failure as a typed error."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncGenerator, Mapping
+from typing import Any
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
+from tornado.queues import Queue
+from tornado.simple_httpclient import HTTPTimeoutError
+
+from marjoramgrade import jsontext
+from marjoramgrade.errors import (
+    InvalidInputError,
+    MarjoramgradeError,
+    OutcomeUnknownError,
+    OversizedInputError,
+    ProtocolError,
+    Ran,
+    from_code,
+)
+
+CONNECT_TIMEOUT_MS = 2_000
+REQUEST_TIMEOUT_MS = 10_000
+MAX_CLIENTS = 100
+MAX_LINE_BYTES = 2 * 1_048_576
+MAX_ERROR_BYTES = 65_536
+# Few chunks wait for a slow reader; the connection holds back the rest.
+MAX_WAITING_CHUNKS = 4
+
+_SENT_TIMEOUT = "Timeout during request"
+
+
+class ServerUnreachableError(MarjoramgradeError):
+    """No entry instance could be reached; nothing has changed."""
+
+    code = "server_unreachable"
+
+
+@attrs.frozen
+class Answer:
+    """The answer to a request.
+
+    Attributes:
+        status: HTTP status.
+        headers: HTTP headers.
+        body: The complete body.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+    def document(self) -> Any:
+        """Return the JSON value in the body.
+
+        Raises:
+            ProtocolError: If the body is not JSON.
+        """
+        try:
+            return jsontext.parse_text(self.body, path="answer")
+        except InvalidInputError as error:
+            raise ProtocolError(error.message) from None
+
+    def version(self) -> int:
+        """Return the version in the `ETag` header.
+
+        Raises:
+            ProtocolError: If there is none.
+        """
+        tag = self.headers.get("ETag", "").removeprefix("W/").strip('"')
+        if not (tag.isascii() and tag.isdigit() and len(tag) < 20):
+            raise ProtocolError("the answer holds no version")
+        return int(tag)
+
+
+class Transport:
+    """Sends requests to one address.
+
+    Args:
+        base_url: `http://HOST:PORT` of an entry instance or a load balancer.
+        secret: Secret of the caller's key, or empty.
+    """
+
+    def __init__(self, base_url: str, secret: str = "") -> None:
+        self._base_url = base_url.rstrip("/")
+        self._secret = secret
+        self._http = AsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    def close(self) -> None:
+        """Release the client's resources."""
+        self._http.close()
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_ms: int = REQUEST_TIMEOUT_MS,
+    ) -> Answer:
+        """Send one request; it is never repeated.
+
+        Raises:
+            ServerUnreachableError: If nothing was sent, or nothing can have changed.
+            OutcomeUnknownError: If the answer to a change was lost.
+            MarjoramgradeError: The error that the server reported.
+        """
+        request = self._request(method, path, headers, timeout_ms)
+        request.body = body  # type: ignore[assignment]
+        try:
+            response = await self._http.fetch(request, raise_error=False)
+        except Exception as error:
+            raise _transport_error(method, error) from error
+        if response.code >= 400:
+            raise parse_error(method, response.code, response.body)
+        return Answer(response.code, response.headers, response.body)
+
+    async def iter_lines(self, path: str, window_ms: int) -> AsyncGenerator[bytes]:
+        """Yield the lines of a streamed answer until it ends.
+
+        Args:
+            path: What to read.
+            window_ms: Time after which the connection is given up, which also
+                bounds how long a dead connection goes unnoticed.
+
+        Raises:
+            ServerUnreachableError: If the connection broke or was refused.
+            MarjoramgradeError: The error that the server reported.
+        """
+        stream = _LineStream()
+        request = self._request("GET", path, None, window_ms)
+        request.header_callback = stream.on_header
+        request.streaming_callback = stream.on_chunk
+        fetch = asyncio.ensure_future(stream.fetch(self._http, request))
+        try:
+            async for line in stream.iter_lines():
+                yield line
+            response = await fetch
+        finally:
+            stream.close()
+            fetch.cancel()
+            with contextlib.suppress(asyncio.CancelledError, MarjoramgradeError):
+                await fetch
+        if response is not None and response.code >= 400:
+            raise parse_error("GET", response.code, stream.error_body)
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str] | None,
+        timeout_ms: int,
+    ) -> HTTPRequest:
+        sent = HTTPHeaders(dict(headers or {}))
+        if self._secret:
+            sent["Authorization"] = f"Bearer {self._secret}"
+        return HTTPRequest(
+            self._base_url + path,
+            method=method,
+            headers=sent,
+            connect_timeout=CONNECT_TIMEOUT_MS / 1000,
+            request_timeout=timeout_ms / 1000,
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+        )
+
+
+class _LineStream:
+    """Carries the chunks of one answer from the connection to its reader."""
+
+    def __init__(self) -> None:
+        self._chunks: Queue[bytes | None] = Queue(maxsize=MAX_WAITING_CHUNKS)
+        self._status = 0
+        self._closed = False
+        self.error_body = b""
+
+    async def fetch(
+        self, http: AsyncHTTPClient, request: HTTPRequest
+    ) -> HTTPResponse | None:
+        """Return the answer, or None if the window ended first."""
+        try:
+            return await http.fetch(request, raise_error=False)
+        except Exception as error:
+            if isinstance(error, HTTPTimeoutError) and str(error) == _SENT_TIMEOUT:
+                return None
+            raise _transport_error("GET", error) from error
+        finally:
+            if not self._closed:
+                await self._chunks.put(None)
+
+    def on_header(self, line: str) -> None:
+        """Note the status, which decides what the body means."""
+        if line.startswith("HTTP/"):
+            self._status = int(line.split()[1])
+
+    async def on_chunk(self, chunk: bytes) -> None:
+        """Take a chunk; waits while the reader is behind."""
+        if self._closed:
+            raise ProtocolError("nobody reads this answer")
+        if self._status >= 400:
+            self.error_body = (self.error_body + chunk)[:MAX_ERROR_BYTES]
+        else:
+            await self._chunks.put(chunk)
+
+    async def iter_lines(self) -> AsyncGenerator[bytes]:
+        """Yield complete lines; the rest of a broken line is dropped."""
+        held = b""
+        while (chunk := await self._chunks.get()) is not None:
+            *lines, held = (held + chunk).split(b"\n")
+            if len(held) > MAX_LINE_BYTES:
+                raise OversizedInputError("a line is too long")
+            for line in lines:
+                yield line
+
+    def close(self) -> None:
+        """Make the connection end at its next chunk."""
+        self._closed = True
+        while not self._chunks.empty():
+            self._chunks.get_nowait()
+
+
+def _transport_error(method: str, error: Exception) -> MarjoramgradeError:
+    reason = str(error) or type(error).__name__
+    refused = isinstance(error, ConnectionRefusedError | socket.gaierror)
+    unsent = isinstance(error, HTTPTimeoutError) and reason != _SENT_TIMEOUT
+    if method == "GET" or refused or unsent:
+        return ServerUnreachableError(f"the server cannot be reached: {reason}")
+    return OutcomeUnknownError(f"the answer was lost: {reason}")
+
+
+def parse_error(method: str, status: int, body: bytes) -> MarjoramgradeError:
+    """Return the typed error that the body of an answer holds.
+
+    An answer without such a body is from something between this process and the
+    entry instance, which does not say whether a change took effect.
+    """
+    try:
+        document = jsontext.parse_text(body, max_bytes=MAX_ERROR_BYTES)
+        report = document["error"]
+        details = {str(k): str(v) for k, v in report.get("details", {}).items()}
+        error = from_code(str(report["code"]), str(report["message"]), details)
+        error.ran = Ran(report.get("ran", "unknown"))
+        return error
+    except (InvalidInputError, KeyError, TypeError, AttributeError, ValueError):
+        pass
+    if method != "GET" and status >= 500:
+        return OutcomeUnknownError(f"the answer has status {status} and no reason")
+    if status >= 500:
+        return ServerUnreachableError(f"the answer has status {status}")
+    return ProtocolError(f"the answer has status {status} and no typed error")
--- /dev/null
+++ b/marjoramgrade/watching.py
@@ -0,0 +1,193 @@
+"""Changes as they happen, over any number of connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+
+from marjoramgrade import jsontext
+from marjoramgrade.errors import (
+    InvalidInputError,
+    MarjoramgradeError,
+    OverloadedError,
+    ProtocolError,
+    ShuttingDownError,
+)
+from marjoramgrade.structuring import (
+    FAULTS,
+    InvalidValueError,
+    find_problems,
+    make_converter,
+    register_class,
+    text,
+    whole_number,
+)
+from marjoramgrade.transport import ServerUnreachableError, Transport
+
+WINDOW_MS = 30_000
+MAX_FAILURES = 8
+FIRST_DELAY_MS = 100
+MAX_DELAY_MS = 3_000
+MAX_NAME_BYTES = 256
+
+_RETRYABLE = (ServerUnreachableError, ShuttingDownError, OverloadedError)
+
+
+class WatchResetError(MarjoramgradeError):
+    """Changes between two versions are no longer known; list, then watch again.
+
+    Attributes:
+        version: The version from which changes are known.
+    """
+
+    code = "watch_reset"
+    version = 0
+
+
+@attrs.frozen
+class WatchEvent:
+    """One change.
+
+    Attributes:
+        version: The version at which it happened.
+        kind: Type of the resource.
+        name: Name of the resource.
+        document: The resource after the change, or None if it was deleted.
+    """
+
+    version: int
+    kind: str
+    name: str
+    document: dict[str, Any] | None
+
+
+@attrs.frozen
+class _Reset:
+    reset: bool
+    version: int
+
+
+def _document(value: Any, _: Any = None) -> dict[str, Any] | None:
+    if value is not None and type(value) is not dict:
+        raise InvalidValueError("must be an object or null")
+    return value
+
+
+_converter = make_converter()
+register_class(_converter, _Reset, {"version": whole_number(0)})
+register_class(
+    _converter,
+    WatchEvent,
+    {
+        "version": whole_number(0),
+        "kind": text(MAX_NAME_BYTES),
+        "name": text(MAX_NAME_BYTES),
+        "document": _document,
+    },
+)
+
+
+def parse_line(line: bytes) -> WatchEvent:
+    """Return the change that a line holds.
+
+    Raises:
+        WatchResetError: If the line says that the watch cannot resume.
+        ProtocolError: If the line has another form.
+    """
+    try:
+        value = jsontext.parse_text(line, path="line")
+        if type(value) is dict and "reset" in value:
+            raise _reset_error(_converter.structure(value, _Reset).version)
+        return _converter.structure(value, WatchEvent)
+    except FAULTS as error:
+        first = find_problems(error)[0]
+        raise ProtocolError(f"{first.path} {first.reason}") from None
+    except InvalidInputError as error:
+        raise ProtocolError(error.message) from None
+
+
+def _reset_error(version: int) -> WatchResetError:
+    error = WatchResetError(
+        "changes were missed and cannot be sent again", version=str(version)
+    )
+    error.version = version
+    return error
+
+
+@attrs.define
+class Position:
+    """How far a watch has come.
+
+    One version can bring several changes, and a connection may break between
+    them. A watch therefore resumes just before its last version and drops the
+    changes that it has seen.
+    """
+
+    after: int
+    version: int = 0
+    _seen: set[tuple[str, str]] = attrs.field(factory=set)
+
+    @property
+    def resume_after(self) -> int:
+        """The version to ask for when the watch resumes."""
+        return max(self.after, self.version - 1)
+
+    def advance(self, event: WatchEvent) -> bool:
+        """Return whether a change is new.
+
+        Raises:
+            ProtocolError: If the change is out of order.
+        """
+        if event.version <= self.resume_after:
+            raise ProtocolError("the changes are out of order")
+        if event.version > self.version:
+            self.version = event.version
+            self._seen.clear()
+        change = (event.kind, event.name)
+        if change in self._seen:
+            return False
+        self._seen.add(change)
+        return True
+
+
+async def iter_events(
+    transport: Transport, after: int = 0, *, window_ms: int = WINDOW_MS
+) -> AsyncIterator[WatchEvent]:
+    """Yield every change after a version, across broken connections.
+
+    Args:
+        transport: Where to ask.
+        after: The last version that the caller knows.
+        window_ms: How long one connection is used.
+
+    Raises:
+        WatchResetError: If changes were missed.
+        ServerUnreachableError: If no attempt of several in a row got an answer.
+        MarjoramgradeError: The error that the server reported.
+    """
+    position = Position(after)
+    failures = 0
+    while True:
+        path = f"/v1/watch?after={position.resume_after}"
+        try:
+            async with contextlib.aclosing(
+                transport.iter_lines(path, window_ms)
+            ) as lines:
+                async for line in lines:
+                    failures = 0
+                    if line.strip() and position.advance(event := parse_line(line)):
+                        yield event
+        except _RETRYABLE:
+            failures += 1
+            if failures == MAX_FAILURES:
+                raise
+        await asyncio.sleep(_delay_ms(failures) / 1000)
+
+
+def _delay_ms(failures: int) -> int:
+    # A delay after success too, in case a server ends each answer at once.
+    return min(FIRST_DELAY_MS << failures, MAX_DELAY_MS)
--- /dev/null
+++ b/tests/scriptedserver.py
@@ -0,0 +1,90 @@
+"""An HTTP server whose answers a test writes."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+Answer = Callable[[RequestHandler], Awaitable[None] | None]
+
+
+class ScriptedServer:
+    """Answers each request with the next answer; keeps the requests."""
+
+    def __init__(self, *answers: Answer) -> None:
+        self.answers = list(answers)
+        self.requests: list[HTTPServerRequest] = []
+        self.url = ""
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["ScriptedServer"]:
+        script = self
+
+        class Handler(RequestHandler):
+            async def prepare(self) -> None:
+                script.requests.append(self.request)
+                answer = script.answers.pop(0)(self)
+                if answer is not None:
+                    await answer
+                if not self._finished:
+                    self.finish()
+
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(Application([(r".*", Handler)]))
+        server.add_sockets(sockets)
+        self.url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
+        try:
+            yield self
+        finally:
+            server.stop()
+            await server.close_all_connections()
+
+
+def says(
+    body: object, *, status: int = 200, version: int | None = None
+) -> Callable[[RequestHandler], None]:
+    def answer(handler: RequestHandler) -> None:
+        handler.set_status(status)
+        if version is not None:
+            handler.set_header("ETag", f'"{version}"')
+        handler.write(body)  # type: ignore[arg-type]
+
+    return answer
+
+
+def fails(code: str, status: int, ran: str = "no", **details: str) -> Answer:
+    report = {"code": code, "message": "told so", "ran": ran, "details": details}
+    return says({"error": report}, status=status)
+
+
+def hangs_up(handler: RequestHandler) -> None:
+    stream = handler.request.connection.stream  # type: ignore[union-attr]
+    handler._finished = True
+    stream.close()
+
+
+def streams(*lines: str) -> Answer:
+    async def answer(handler: RequestHandler) -> None:
+        for line in lines:
+            handler.write(line + "\n")
+        await handler.flush()
+
+    return answer
+
+
+def run(
+    work: Callable[[ScriptedServer], Awaitable[object]], *answers: Answer
+) -> ScriptedServer:
+    """Run work against a server with these answers."""
+    server = ScriptedServer(*answers)
+
+    async def body() -> None:
+        async with server.running():
+            await asyncio.wait_for(work(server), 20)
+
+    asyncio.run(body())
+    return server
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,159 @@
+import asyncio
+import json
+
+import pytest
+from hypothesis import given
+
+from marjoramgrade import errors, model
+from marjoramgrade.api import Client, Listing, Versioned
+from marjoramgrade.resourcekinds import KEYS, RESOURCE_KINDS, TEAMS, ZONES, KeySummary
+from marjoramgrade.transport import ServerUnreachableError, parse_error
+from tests import strategies
+from tests.scriptedserver import Answer, ScriptedServer, fails, hangs_up, run, says
+
+SPEC = model.JobSpec("a", model.Kind.BATCH, tasks=2)
+JOB = model.Job.from_spec("j1", SPEC, "z.0")
+
+
+def job_document() -> dict[str, object]:
+    from marjoramgrade.documents import serialize_job
+
+    return serialize_job(JOB)
+
+
+def test_resources_travel_with_their_versions() -> None:
+    """Guards against changes that overwrite another operator's change."""
+
+    async def work(server: ScriptedServer) -> None:
+        async with Client.from_url(server.url, "hush") as client:
+            assert await client.list(TEAMS) == Listing(4, (model.Team("a"),))
+            assert await client.get(ZONES, "n") == Versioned(model.Zone("n"), 3)
+            assert await client.put(ZONES, model.Zone("n"), 3) == 5
+            await client.delete(KEYS, "k/../x")
+
+    server = run(
+        work,
+        says({"version": 4, "items": [{"name": "a"}]}),
+        says({"name": "n", "state": "in"}, version=3),
+        says({}, version=5),
+        says({}),
+    )
+    sent = [(r.method, r.uri, r.headers.get("If-Match")) for r in server.requests]
+    assert sent == [
+        ("GET", "/v1/teams", None),
+        ("GET", "/v1/zones/n", None),
+        ("PUT", "/v1/zones/n", "3"),
+        ("DELETE", "/v1/keys/k%2F..%2Fx", None),
+    ]
+    assert {r.headers["Authorization"] for r in server.requests} == {"Bearer hush"}
+
+
+def test_a_granted_key_must_be_new_and_its_secret_is_returned() -> None:
+    """Guards against a key that silently replaces another team's key."""
+
+    async def work(server: ScriptedServer) -> None:
+        async with Client.from_url(server.url) as client:
+            assert await client.grant_key("k", "a") == "s3cret"
+
+    server = run(work, says({"name": "k", "secret": "s3cret"}, version=1))
+    assert server.requests[0].headers["If-Match"] == "0"
+
+
+def test_jobs_and_requests_carry_unique_ids() -> None:
+    """Guards against work that cannot be recognised when it is sent again."""
+
+    async def work(server: ScriptedServer) -> None:
+        async with Client.from_url(server.url) as client:
+            assert await client.submit(SPEC) == JOB
+            assert await client.get_job("j1") == JOB
+            assert await client.cancel_job("j1") == JOB
+            assert await client.run("svc", b"\x00in", idempotent=True) == b"out"
+
+    answers = [says(job_document())] * 3 + [says(b"out")]
+    submit, _, _, request = run(work, *answers).requests
+    assert len(json.loads(submit.body)["job_id"]) == 32
+    assert request.headers["Idempotent"] == "true"
+    assert len(request.headers["Request-Id"]) == 32
+    assert request.body == b"\x00in"
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind", "ran"),
+    [
+        (fails("over_limit", 429), errors.OverLimitError, "no"),
+        (fails("conflict", 412, current_version="9"), errors.ConflictError, "no"),
+        (fails("duplicate_request", 409, "yes"), errors.DuplicateRequestError, "yes"),
+        (fails("new_code", 500, "unknown"), errors.MarjoramgradeError, "unknown"),
+        (says("<html>", status=502), errors.OutcomeUnknownError, "unknown"),
+        (says("<html>", status=404), errors.ProtocolError, "no"),
+        (hangs_up, errors.OutcomeUnknownError, "unknown"),
+    ],
+)
+def test_every_failure_of_a_request_has_its_type(
+    answer: Answer, kind: type[errors.MarjoramgradeError], ran: str
+) -> None:
+    """Guards against "not run" for a request that may have run (invariant 7)."""
+
+    async def work(server: ScriptedServer) -> None:
+        async with Client.from_url(server.url) as client:
+            with pytest.raises(kind) as caught:
+                await client.run("svc", b"")
+        assert type(caught.value) is kind
+        assert caught.value.ran.value == ran
+
+    assert len(run(work, answer).requests) == 1
+
+
+def test_a_lost_answer_to_a_submission_names_the_job() -> None:
+    """Guards against a job that runs and that its caller cannot find."""
+
+    async def work(server: ScriptedServer) -> None:
+        async with Client.from_url(server.url) as client:
+            with pytest.raises(errors.OutcomeUnknownError) as caught:
+                await client.submit(SPEC, "mine")
+        assert caught.value.details["job_id"] == "mine"
+
+    run(work, hangs_up)
+
+
+def test_a_server_that_is_not_there_is_unreachable() -> None:
+    """Guards against "outcome unknown" for work that was never sent."""
+
+    async def attempt() -> None:
+        server = ScriptedServer()
+        async with server.running():
+            url = server.url
+        async with Client.from_url(url) as client:
+            with pytest.raises(ServerUnreachableError):
+                await client.run("svc", b"")
+
+    asyncio.run(attempt())
+
+
+@pytest.mark.parametrize("body", ["{", "[]", {"version": "1", "items": []}, {"a": 1}])
+def test_a_broken_answer_is_a_protocol_error(body: object) -> None:
+    """Guards against a client that shows an empty list for a broken answer."""
+
+    async def work(server: ScriptedServer) -> None:
+        async with Client.from_url(server.url) as client:
+            with pytest.raises(errors.ProtocolError):
+                await client.list(TEAMS)
+
+    run(work, says(body))
+
+
+@given(strategies.hostile)
+def test_any_error_document_becomes_a_typed_error(report: object) -> None:
+    """Guards against an error answer that crashes the client."""
+    for document in (report, {"error": report}):
+        body = json.dumps(document).encode()
+        error = parse_error("POST", 500, body)
+        assert isinstance(error, errors.MarjoramgradeError)
+        assert error.ran is errors.Ran.UNKNOWN
+
+
+def test_every_kind_of_resource_survives_a_round_trip() -> None:
+    """Guards against a resource type that cannot be written back."""
+    assert list(RESOURCE_KINDS.iter_names()) == ["keys", "services", "teams", "zones"]
+    key = KeySummary("k", "a")
+    assert KEYS.parse(KEYS.serialize(key)) == key
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,101 @@
+import asyncio
+import contextlib
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marjoramgrade import watching
+from marjoramgrade.errors import MarjoramgradeError, ProtocolError, UnauthenticatedError
+from marjoramgrade.transport import Transport
+from marjoramgrade.watching import WatchResetError
+from tests.scriptedserver import ScriptedServer, fails, hangs_up, run, says, streams
+
+
+def line(version: int, name: str, kind: str = "job") -> str:
+    change = {"version": version, "kind": kind, "name": name, "document": {}}
+    return json.dumps(change)
+
+
+async def take(
+    server: ScriptedServer, count: int, after: int = 0, window_ms: int = 5_000
+) -> list[tuple[int, str]]:
+    transport = Transport(server.url)
+    seen: list[tuple[int, str]] = []
+    events = watching.iter_events(transport, after, window_ms=window_ms)
+    async with contextlib.aclosing(events) as closing:  # type: ignore[type-var]
+        async for event in closing:
+            seen.append((event.version, event.name))
+            if len(seen) == count:
+                break
+    transport.close()
+    return seen
+
+
+def test_a_watch_resumes_without_loss_or_repetition() -> None:
+    """Guards against changes lost between two lines of one version."""
+
+    async def work(server: ScriptedServer) -> None:
+        seen = await take(server, 4, after=4)
+        assert seen == [(5, "a"), (6, "b"), (6, "c"), (7, "d")]
+
+    server = run(
+        work,
+        streams(line(5, "a"), line(6, "b")),
+        hangs_up,
+        says("busy", status=503),
+        streams(line(6, "b"), "", line(6, "c"), line(7, "d")),
+    )
+    uris = [request.uri for request in server.requests]
+    assert uris == ["/v1/watch?after=4"] + ["/v1/watch?after=5"] * 3
+
+
+def test_a_silent_connection_is_replaced() -> None:
+    """Guards against a watch that waits forever on a dead connection."""
+
+    async def work(server: ScriptedServer) -> None:
+        assert await take(server, 1, window_ms=200) == [(1, "a")]
+
+    async def silence(handler: object) -> None:
+        await asyncio.sleep(0.5)
+
+    assert len(run(work, silence, streams(line(1, "a"))).requests) == 2
+
+
+def test_a_watch_that_cannot_resume_raises_a_typed_error() -> None:
+    """Guards against a gap that the caller does not hear of."""
+
+    async def work(server: ScriptedServer) -> None:
+        with pytest.raises(WatchResetError) as caught:
+            await take(server, 1, after=3)
+        assert caught.value.version == 90
+
+    run(work, streams('{"reset": true, "version": 90}'))
+
+
+def test_a_refusal_ends_the_watch_with_its_type() -> None:
+    """Guards against a watch that repeats a request that is always refused."""
+
+    async def work(server: ScriptedServer) -> None:
+        with pytest.raises(UnauthenticatedError):
+            await take(server, 1)
+
+    run(work, fails("unauthenticated", 401))
+
+
+def test_changes_out_of_order_are_an_error() -> None:
+    """Guards against a resume point that skips changes."""
+
+    async def work(server: ScriptedServer) -> None:
+        with pytest.raises(ProtocolError):
+            await take(server, 3)
+
+    run(work, streams(line(5, "a"), line(4, "b")))
+
+
+@given(st.binary(max_size=100) | st.text().map(lambda t: json.dumps(t).encode()))
+def test_hostile_lines_raise_only_typed_errors(data: bytes) -> None:
+    """Guards against a line that crashes the watcher."""
+    with contextlib.suppress(MarjoramgradeError):
+        watching.parse_line(data)
