Fit the client to the answers of the entry instance

The server adds a row version to job documents, passes a backend server's status through with "Ran: yes", answers a watch without a start version with a reset line, and merges two feeds whose versions interleave. The client took each of these for a protocol error.

The client now accepts them: a passed-through failure is BackendFailedError, delete returns the version, and a watch checks the order of each kind.

--- a/marjoramgrade/api.py
+++ b/marjoramgrade/api.py
@@ -112,17 +112,18 @@
 
     async def delete(
         self, kind: ResourceKind[T], name: str, expected_version: int | None = None
-    ) -> None:
-        """Delete a resource.
+    ) -> int:
+        """Delete a resource and return the version of the configuration then.
 
         Raises:
             NotFoundError: If it does not exist.
             ConflictError: If it has another version than expected.
             OutcomeUnknownError: If the answer was lost.
         """
-        await self._transport.send(
+        answer = await self._transport.send(
             "DELETE", _path(kind.plural, name), headers=_if_match(expected_version)
         )
+        return answer.version()
 
     async def grant_key(self, name: str, team: str) -> str:
         """Create a key and return its secret, which is shown only now.
@@ -223,8 +224,8 @@
         )
         return answer.body
 
-    def watch(self, after: int = 0) -> AsyncIterator[WatchEvent]:
-        """Return an iterator over every change after a version.
+    def watch(self, after: int | None = None) -> AsyncIterator[WatchEvent]:
+        """Return an iterator over every change after a version, or from now on.
 
         Raises:
             WatchResetError: While iterating, if changes were missed.
@@ -255,7 +256,14 @@
         return tuple(items)
 
 
-_JOBS = ResourceKind[Job]("jobs", documents.parse_job, documents.serialize_job)
+def _parse_job_answer(document: object) -> Job:
+    """Return a job; the server adds the version of its row to the document."""
+    if type(document) is dict:
+        document = {k: v for k, v in document.items() if k != "version"}
+    return documents.parse_job(document)
+
+
+_JOBS = ResourceKind[Job]("jobs", _parse_job_answer, documents.serialize_job)
 
 
 def _path(plural: str, name: str) -> str:
--- a/marjoramgrade/transport.py
+++ b/marjoramgrade/transport.py
@@ -16,6 +16,7 @@
 
 from marjoramgrade import jsontext
 from marjoramgrade.errors import (
+    BackendFailedError,
     InvalidInputError,
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -26,7 +27,8 @@
 )
 
 CONNECT_TIMEOUT_MS = 2_000
-REQUEST_TIMEOUT_MS = 10_000
+# Longer than the server's own deadline of 10 s, after which it still answers.
+REQUEST_TIMEOUT_MS = 12_000
 MAX_CLIENTS = 100
 MAX_LINE_BYTES = 2 * 1_048_576
 MAX_ERROR_BYTES = 65_536
@@ -119,7 +121,8 @@
         except Exception as error:
             raise _transport_error(method, error) from error
         if response.code >= 400:
-            raise parse_error(method, response.code, response.body)
+            ran = response.headers.get("Ran", "")
+            raise parse_error(method, response.code, response.body, ran)
         return Answer(response.code, response.headers, response.body)
 
     async def iter_lines(self, path: str, window_ms: int) -> AsyncGenerator[bytes]:
@@ -236,11 +239,14 @@
     return OutcomeUnknownError(f"the answer was lost: {reason}")
 
 
-def parse_error(method: str, status: int, body: bytes) -> MarjoramgradeError:
+def parse_error(
+    method: str, status: int, body: bytes, ran: str = ""
+) -> MarjoramgradeError:
     """Return the typed error that the body of an answer holds.
 
-    An answer without such a body is from something between this process and the
-    entry instance, which does not say whether a change took effect.
+    An answer without such a body is from a backend server if the entry instance
+    says that the work ran. Otherwise it is from something on the way, which does
+    not say whether a change took effect.
     """
     try:
         document = jsontext.parse_text(body, max_bytes=MAX_ERROR_BYTES)
@@ -251,6 +257,10 @@
         return error
     except (InvalidInputError, KeyError, TypeError, AttributeError, ValueError):
         pass
+    if ran == Ran.YES.value:
+        return BackendFailedError(
+            f"the backend server answered with status {status}", status=str(status)
+        )
     if method != "GET" and status >= 500:
         return OutcomeUnknownError(f"the answer has status {status} and no reason")
     if status >= 500:
--- a/marjoramgrade/watching.py
+++ b/marjoramgrade/watching.py
@@ -33,6 +33,7 @@
 FIRST_DELAY_MS = 100
 MAX_DELAY_MS = 3_000
 MAX_NAME_BYTES = 256
+MAX_KINDS = 64
 
 _RETRYABLE = (ServerUnreachableError, ShuttingDownError, OverloadedError)
 
@@ -118,23 +119,32 @@
     return error
 
 
+@attrs.define
+class _Latest:
+    """The last version of one kind of resource, and its names at that version."""
+
+    version: int = 0
+    names: set[str] = attrs.field(factory=set)
+
+
 @attrs.define
 class Position:
     """How far a watch has come.
 
     One version can bring several changes, and a connection may break between
     them. A watch therefore resumes just before its last version and drops the
-    changes that it has seen.
+    changes that it has seen. Changes of one kind arrive in order of version;
+    the server merges the kinds, so their versions may interleave.
     """
 
     after: int
-    version: int = 0
-    _seen: set[tuple[str, str]] = attrs.field(factory=set)
+    _latest_by_kind: dict[str, _Latest] = attrs.field(factory=dict)
 
     @property
     def resume_after(self) -> int:
         """The version to ask for when the watch resumes."""
-        return max(self.after, self.version - 1)
+        newest = (latest.version - 1 for latest in self._latest_by_kind.values())
+        return max(newest, default=self.after)
 
     def advance(self, event: WatchEvent) -> bool:
         """Return whether a change is new.
@@ -142,26 +152,30 @@
         Raises:
             ProtocolError: If the change is out of order.
         """
-        if event.version <= self.resume_after:
-            raise ProtocolError("the changes are out of order")
-        if event.version > self.version:
-            self.version = event.version
-            self._seen.clear()
-        change = (event.kind, event.name)
-        if change in self._seen:
+        if event.version <= self.after:
+            raise ProtocolError("the watch sent a change from before its start")
+        if len(self._latest_by_kind) > MAX_KINDS:
+            raise ProtocolError("the watch sent too many kinds of resource")
+        latest = self._latest_by_kind.setdefault(event.kind, _Latest())
+        if event.version < latest.version:
+            raise ProtocolError(f"the changes of kind {event.kind} are out of order")
+        if event.version > latest.version:
+            latest.version = event.version
+            latest.names.clear()
+        if event.name in latest.names:
             return False
-        self._seen.add(change)
+        latest.names.add(event.name)
         return True
 
 
 async def iter_events(
-    transport: Transport, after: int = 0, *, window_ms: int = WINDOW_MS
+    transport: Transport, after: int | None = None, *, window_ms: int = WINDOW_MS
 ) -> AsyncIterator[WatchEvent]:
     """Yield every change after a version, across broken connections.
 
     Args:
         transport: Where to ask.
-        after: The last version that the caller knows.
+        after: The last version that the caller knows; None to start from now.
         window_ms: How long one connection is used.
 
     Raises:
@@ -169,17 +183,20 @@
         ServerUnreachableError: If no attempt of several in a row got an answer.
         MarjoramgradeError: The error that the server reported.
     """
-    position = Position(after)
+    position = None if after is None else Position(after)
     failures = 0
     while True:
-        path = f"/v1/watch?after={position.resume_after}"
         try:
             async with contextlib.aclosing(
-                transport.iter_lines(path, window_ms)
+                transport.iter_lines(_path(position), window_ms)
             ) as lines:
                 async for line in lines:
                     failures = 0
-                    if line.strip() and position.advance(event := parse_line(line)):
+                    if not line.strip():
+                        continue
+                    if position is None:
+                        position = Position(_parse_start(line))
+                    elif position.advance(event := parse_line(line)):
                         yield event
         except _RETRYABLE:
             failures += 1
@@ -188,6 +205,21 @@
         await asyncio.sleep(_delay_ms(failures) / 1000)
 
 
+def _path(position: Position | None) -> str:
+    if position is None:
+        return "/v1/watch"
+    return f"/v1/watch?after={position.resume_after}"
+
+
+def _parse_start(line: bytes) -> int:
+    """Return the version from which a watch without a start version begins."""
+    try:
+        parse_line(line)
+    except WatchResetError as error:
+        return error.version
+    raise ProtocolError("the watch did not say where it starts")
+
+
 def _delay_ms(failures: int) -> int:
     # A delay after success too, in case a server ends each answer at once.
     return min(FIRST_DELAY_MS << failures, MAX_DELAY_MS)
--- a/tests/scriptedserver.py
+++ b/tests/scriptedserver.py
@@ -61,6 +61,15 @@
     return says({"error": report}, status=status)
 
 
+def ran(body: str, status: int) -> Answer:
+    def answer(handler: RequestHandler) -> None:
+        handler.set_status(status)
+        handler.set_header("Ran", "yes")
+        handler.write(body)
+
+    return answer
+
+
 def hangs_up(handler: RequestHandler) -> None:
     stream = handler.request.connection.stream  # type: ignore[union-attr]
     handler._finished = True
