Add the command line

Operators need to read, change and watch everything, and scripts need to tell refused work from an outcome that is unknown.

commands/ holds the commands by subject, on top of api.py.

--- /dev/null
+++ b/marjoramgrade/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module for each subject."""
--- /dev/null
+++ b/marjoramgrade/commands/operations.py
@@ -0,0 +1,134 @@
+"""Commands for zones and keys, which wait until a change is in force."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from typing import Annotated
+
+import attrs
+import typer
+
+from marjoramgrade.api import Client
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.commands.session import ExitCode, Session, session_of
+from marjoramgrade.model import ZoneState
+from marjoramgrade.resourcekinds import KEYS, ZONES
+from marjoramgrade.transport import ServerUnreachableError
+
+app = typer.Typer()
+# The design page promises that a configuration is in force everywhere by then.
+IN_FORCE_MS = 8_000
+MAX_WAIT_MS = 600_000
+POLL_INTERVAL_MS = 200
+
+WaitOption = Annotated[
+    int,
+    typer.Option(
+        "--wait-ms", min=0, max=MAX_WAIT_MS, help="How long to wait for all zones."
+    ),
+]
+
+
+async def read_versions(client: Client) -> Mapping[str, int]:
+    """Return, for each zone, the configuration version that it confirmed last."""
+    status = await client.status()
+    config = status.get("config")
+    by_zone = config.get("version_by_zone") if isinstance(config, dict) else None
+    if not isinstance(by_zone, dict):
+        return {}
+    return {z: v for z, v in by_zone.items() if type(v) is int}
+
+
+async def wait_in_force(
+    session: Session, client: Client, version: int, wait_ms: int
+) -> bool:
+    """Wait until every zone confirmed a version, and tell of each that does.
+
+    Returns:
+        Whether every zone confirmed it in time.
+    """
+    clock = SystemClock()
+    until_ms = clock.now_ms() + wait_ms
+    listing = await client.list(ZONES)
+    waiting = {zone.name for zone in listing.items}
+    while waiting:
+        try:
+            versions = await read_versions(client)
+        except ServerUnreachableError:
+            versions = {}
+        done = {zone for zone in waiting if versions.get(zone, 0) >= version}
+        for zone in sorted(done):
+            session.note(f"version {version} is in force in {zone}")
+        waiting -= done
+        if not waiting or clock.now_ms() >= until_ms:
+            break
+        await asyncio.sleep(POLL_INTERVAL_MS / 1000)
+    for zone in sorted(waiting):
+        session.note(f"version {version} is not confirmed by {zone}")
+    return not waiting
+
+
+def _finish(session: Session, row: Mapping[str, object], in_force: bool) -> None:
+    session.show_rows("applied", [{**row, "in_force": in_force}])
+    if not in_force:
+        raise typer.Exit(ExitCode.UNKNOWN)
+
+
+def _move(session: Session, name: str, state: ZoneState, wait_ms: int) -> None:
+    async def work(client: Client) -> tuple[int, bool]:
+        # An unconditional change would create a zone from a misspelt name.
+        found = await client.get(ZONES, name)
+        version = found.version
+        if found.value.state is not state:
+            zone = attrs.evolve(found.value, state=state)
+            version = await client.put(ZONES, zone, found.version)
+        session.note(f"version {version} takes zone {name} {state.value}")
+        return version, await wait_in_force(session, client, version, wait_ms)
+
+    version, in_force = session.run(work)
+    row = {"kind": "zones", "name": name, "result": state.value, "version": version}
+    _finish(session, row, in_force)
+
+
+@app.command("zone-out")
+def zone_out(
+    context: typer.Context, name: str, wait_ms: WaitOption = IN_FORCE_MS
+) -> None:
+    """Take a zone out: nothing starts there any more."""
+    _move(session_of(context), name, ZoneState.OUT, wait_ms)
+
+
+@app.command("zone-in")
+def zone_in(
+    context: typer.Context, name: str, wait_ms: WaitOption = IN_FORCE_MS
+) -> None:
+    """Take a zone back in."""
+    _move(session_of(context), name, ZoneState.IN, wait_ms)
+
+
+@app.command("grant-key")
+def grant_key(context: typer.Context, name: str, team: str) -> None:
+    """Create a key for a team and show its secret, which is not kept."""
+    session = session_of(context)
+    secret = session.run(lambda client: client.grant_key(name, team))
+    if session.output == "json":
+        session.show_rows("keys", [{"name": name, "team": team, "secret": secret}])
+    else:
+        typer.echo(secret)
+
+
+@app.command("withdraw-key")
+def withdraw_key(
+    context: typer.Context, name: str, wait_ms: WaitOption = IN_FORCE_MS
+) -> None:
+    """Delete a key and wait until no zone accepts it."""
+    session = session_of(context)
+
+    async def work(client: Client) -> tuple[int, bool]:
+        version = await client.delete(KEYS, name)
+        return version, await wait_in_force(session, client, version, wait_ms)
+
+    version, in_force = session.run(work)
+    row = {"kind": "keys", "name": name, "result": "withdrawn", "version": version}
+    _finish(session, row, in_force)
--- /dev/null
+++ b/marjoramgrade/commands/output.py
@@ -0,0 +1,106 @@
+"""How results are shown: tables for people, JSON for programs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+import attrs
+
+from marjoramgrade import jsontext
+from marjoramgrade.documents import Document
+from marjoramgrade.registry import Registry
+
+MAX_CELL_LENGTH = 60
+
+COLUMNS_BY_KIND: dict[str, tuple[str, ...]] = {
+    "teams": ("name", "share", "limit", "queue_bound"),
+    "keys": ("name", "team"),
+    "zones": ("name", "state"),
+    "services": ("name", "team"),
+    "jobs": ("job_id", "team", "kind", "state", "ended", "shard", "reason"),
+    "tasks": ("task", "state", "worker", "reason"),
+    "workers": ("instance_id", "zone", "rack", "leaving", "capacity"),
+    "backends": ("instance_id", "zone", "service", "leaving", "capacity"),
+    "shards": (
+        "shard",
+        "owner",
+        "epoch",
+        "free",
+        "total",
+        "queued_tasks",
+        "free_slots",
+        "queued_requests",
+    ),
+    "changes": ("version", "kind", "name", "document"),
+    "applied": ("kind", "name", "result", "version"),
+}
+
+
+@attrs.frozen
+class View:
+    """A result that can be shown in each form.
+
+    Attributes:
+        document: The result for programs.
+        kind: What the rows are, a name in `COLUMNS_BY_KIND`.
+        rows: The result as documents, one for each row.
+    """
+
+    document: Any
+    kind: str
+    rows: Sequence[Document]
+
+
+OUTPUTS: Registry[Callable[[View], str]] = Registry("output form")
+
+
+@OUTPUTS.register("json")
+def show_json(view: View) -> str:
+    """Return a result as indented JSON."""
+    return jsontext.serialize_pretty(view.document)
+
+
+@OUTPUTS.register("table")
+def show_table(view: View) -> str:
+    """Return a result as a table with a line of column names."""
+    columns = COLUMNS_BY_KIND[view.kind]
+    cells = [[_cell(row.get(column, "")) for column in columns] for row in view.rows]
+    return "\n".join(format_lines([[c.upper() for c in columns], *cells]))
+
+
+def format_lines(rows: Sequence[Sequence[str]]) -> Iterable[str]:
+    """Yield rows with their columns aligned."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        padded = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        yield "  ".join(padded).rstrip()
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, dict):
+        shown = " ".join(f"{key}={part}" for key, part in value.items()) or "none"
+    elif isinstance(value, bool):
+        shown = "yes" if value else "no"
+    else:
+        shown = str(value)
+    return printable(shown, MAX_CELL_LENGTH)
+
+
+def printable(text: str, limit: int) -> str:
+    """Return text that cannot control a terminal, cut to a length."""
+    plain = "".join(c if c.isprintable() else "?" for c in text[: limit + 1])
+    return plain if len(plain) <= limit else plain[: limit - 1] + "…"
+
+
+def job_row(job: Document) -> Document:
+    """Return what a table shows of a job document."""
+    outcomes = str(job.get("outcomes", ""))
+    spec = job.get("spec", {})
+    ended = len(outcomes) - outcomes.count(".")
+    return {
+        **job,
+        "team": spec.get("team", ""),
+        "kind": spec.get("kind", ""),
+        "ended": f"{ended}/{len(outcomes)}",
+    }
