--- a/marjoramgrade/__main__.py
+++ b/marjoramgrade/__main__.py
@@ -1,9 +1,6 @@
-"""Runs the command line, or an entry instance for `run --settings FILE`."""
+"""Runs the command line as `python -m marjoramgrade`."""
 
-import pathlib
-import sys
-
-from marjoramgrade import entry
+from marjoramgrade.cli import main
 
 if __name__ == "__main__":
-    entry.run_file(pathlib.Path(sys.argv[3]))
+    main()
--- /dev/null
+++ b/marjoramgrade/watching.py
@@ -0,0 +1,225 @@
+"""Changes as they happen, over any number of connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+
+from marjoramgrade import jsontext
+from marjoramgrade.errors import (
+    InvalidInputError,
+    MarjoramgradeError,
+    OverloadedError,
+    ProtocolError,
+    ShuttingDownError,
+)
+from marjoramgrade.structuring import (
+    FAULTS,
+    InvalidValueError,
+    find_problems,
+    make_converter,
+    register_class,
+    text,
+    whole_number,
+)
+from marjoramgrade.transport import ServerUnreachableError, Transport
+
+WINDOW_MS = 30_000
+MAX_FAILURES = 8
+FIRST_DELAY_MS = 100
+MAX_DELAY_MS = 3_000
+MAX_NAME_BYTES = 256
+MAX_KINDS = 64
+
+_RETRYABLE = (ServerUnreachableError, ShuttingDownError, OverloadedError)
+
+
+class WatchResetError(MarjoramgradeError):
+    """Changes between two versions are no longer known; list, then watch again.
+
+    Attributes:
+        version: The version from which changes are known.
+    """
+
+    code = "watch_reset"
+    version = 0
+
+
+@attrs.frozen
+class WatchEvent:
+    """One change.
+
+    Attributes:
+        version: The version at which it happened.
+        kind: Type of the resource.
+        name: Name of the resource.
+        document: The resource after the change, or None if it was deleted.
+    """
+
+    version: int
+    kind: str
+    name: str
+    document: dict[str, Any] | None
+
+
+@attrs.frozen
+class _Reset:
+    reset: bool
+    version: int
+
+
+def _document(value: Any, _: Any = None) -> dict[str, Any] | None:
+    if value is not None and type(value) is not dict:
+        raise InvalidValueError("must be an object or null")
+    return value
+
+
+_converter = make_converter()
+register_class(_converter, _Reset, {"version": whole_number(0)})
+register_class(
+    _converter,
+    WatchEvent,
+    {
+        "version": whole_number(0),
+        "kind": text(MAX_NAME_BYTES),
+        "name": text(MAX_NAME_BYTES),
+        "document": _document,
+    },
+)
+
+
+def parse_line(line: bytes) -> WatchEvent:
+    """Return the change that a line holds.
+
+    Raises:
+        WatchResetError: If the line says that the watch cannot resume.
+        ProtocolError: If the line has another form.
+    """
+    try:
+        value = jsontext.parse_text(line, path="line")
+        if type(value) is dict and "reset" in value:
+            raise _reset_error(_converter.structure(value, _Reset).version)
+        return _converter.structure(value, WatchEvent)
+    except FAULTS as error:
+        first = find_problems(error)[0]
+        raise ProtocolError(f"{first.path} {first.reason}") from None
+    except InvalidInputError as error:
+        raise ProtocolError(error.message) from None
+
+
+def _reset_error(version: int) -> WatchResetError:
+    error = WatchResetError(
+        "changes were missed and cannot be sent again", version=str(version)
+    )
+    error.version = version
+    return error
+
+
+@attrs.define
+class _Latest:
+    """The last version of one kind of resource, and its names at that version."""
+
+    version: int = 0
+    names: set[str] = attrs.field(factory=set)
+
+
+@attrs.define
+class Position:
+    """How far a watch has come.
+
+    One version can bring several changes, and a connection may break between
+    them. A watch therefore resumes just before its last version and drops the
+    changes that it has seen. Changes of one kind arrive in order of version;
+    the server merges the kinds, so their versions may interleave.
+    """
+
+    after: int
+    _latest_by_kind: dict[str, _Latest] = attrs.field(factory=dict)
+
+    @property
+    def resume_after(self) -> int:
+        """The version to ask for when the watch resumes."""
+        newest = (latest.version - 1 for latest in self._latest_by_kind.values())
+        return max(newest, default=self.after)
+
+    def advance(self, event: WatchEvent) -> bool:
+        """Return whether a change is new.
+
+        Raises:
+            ProtocolError: If the change is out of order.
+        """
+        if event.version <= self.after:
+            raise ProtocolError("the watch sent a change from before its start")
+        if len(self._latest_by_kind) > MAX_KINDS:
+            raise ProtocolError("the watch sent too many kinds of resource")
+        latest = self._latest_by_kind.setdefault(event.kind, _Latest())
+        if event.version < latest.version:
+            raise ProtocolError(f"the changes of kind {event.kind} are out of order")
+        if event.version > latest.version:
+            latest.version = event.version
+            latest.names.clear()
+        if event.name in latest.names:
+            return False
+        latest.names.add(event.name)
+        return True
+
+
+async def iter_events(
+    transport: Transport, after: int | None = None, *, window_ms: int = WINDOW_MS
+) -> AsyncIterator[WatchEvent]:
+    """Yield every change after a version, across broken connections.
+
+    Args:
+        transport: Where to ask.
+        after: The last version that the caller knows; None to start from now.
+        window_ms: How long one connection is used.
+
+    Raises:
+        WatchResetError: If changes were missed.
+        ServerUnreachableError: If no attempt of several in a row got an answer.
+        MarjoramgradeError: The error that the server reported.
+    """
+    position = None if after is None else Position(after)
+    failures = 0
+    while True:
+        try:
+            async with contextlib.aclosing(
+                transport.iter_lines(_path(position), window_ms)
+            ) as lines:
+                async for line in lines:
+                    failures = 0
+                    if not line.strip():
+                        continue
+                    if position is None:
+                        position = Position(_parse_start(line))
+                    elif position.advance(event := parse_line(line)):
+                        yield event
+        except _RETRYABLE:
+            failures += 1
+            if failures == MAX_FAILURES:
+                raise
+        await asyncio.sleep(_delay_ms(failures) / 1000)
+
+
+def _path(position: Position | None) -> str:
+    if position is None:
+        return "/v1/watch"
+    return f"/v1/watch?after={position.resume_after}"
+
+
+def _parse_start(line: bytes) -> int:
+    """Return the version from which a watch without a start version begins."""
+    try:
+        parse_line(line)
+    except WatchResetError as error:
+        return error.version
+    raise ProtocolError("the watch did not say where it starts")
+
+
+def _delay_ms(failures: int) -> int:
+    # A delay after success too, in case a server ends each answer at once.
+    return min(FIRST_DELAY_MS << failures, MAX_DELAY_MS)
