Hold back starts after a takeover until every worker is accounted for

A worker that a new owner cannot reach may run tasks under a grant of the earlier owner. Reconciliation keeps such workers unknown until one worker lease and the drift margin have passed since the takeover. A hypothesis machine of two owners and two workers (late messages, lost renewal answers, pauses, hand-overs) passes in 250 examples; it fails with a reconciliation that is complete at once. Two directed runs show that a late start runs twice without the epoch fence, and also without a check of the connection's session within one epoch.

--- /dev/null
+++ b/marjoramgrade/decisions/takeover.py
@@ -0,0 +1,81 @@
+"""What a new owner of a shard has to learn before it starts queued tasks."""
+
+from __future__ import annotations
+
+import attrs
+
+from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
+from marjoramgrade.decisions.ownership import DRIFT_MARGIN_MS
+
+
+@attrs.define
+class Reconciliation:
+    """Which workers of a shard are confirmed, lapsed or unknown after a takeover.
+
+    A worker is confirmed when its inventory arrived under the new epoch: from
+    then on its fence refuses the earlier owner. A worker that stays silent has
+    lapsed once no lease that the earlier owner granted can still be in force.
+    The earlier owner's authority ended before `started_ms`, and a worker counts
+    its lease from a heartbeat that this owner answered, so one lease suffices.
+
+    The roster must be read after the takeover took effect, and an owner must
+    write a worker to it before the first start there; otherwise a worker that
+    the earlier owner added is missing here.
+
+    Attributes:
+        roster: The workers that may run tasks of the shard.
+        started_ms: Time of the decision to take over.
+        worker_lease_ms: Length of a worker's lease.
+        margin_ms: Difference of two clocks over one lease.
+    """
+
+    roster: frozenset[str] = attrs.field(converter=frozenset)
+    started_ms: int
+    worker_lease_ms: int = WORKER_LEASE_MS
+    margin_ms: int = DRIFT_MARGIN_MS
+    _confirmed: set[str] = attrs.field(factory=set, init=False)
+
+    @property
+    def lapsed_ms(self) -> int:
+        """Time from which every unconfirmed worker has lapsed."""
+        return self.started_ms + self.worker_lease_ms + self.margin_ms
+
+    def confirm(self, worker_id: str) -> None:
+        """Take note of an inventory that a worker sent under the new epoch."""
+        self._confirmed.add(worker_id)
+
+    def is_confirmed(self, worker_id: str) -> bool:
+        """Return whether a worker sent its inventory under the new epoch."""
+        return worker_id in self._confirmed
+
+    def lapsed(self, now_ms: int) -> frozenset[str]:
+        """Return the unconfirmed workers whose leases have certainly ended."""
+        return self._unconfirmed() if now_ms >= self.lapsed_ms else frozenset()
+
+    def unknown(self, now_ms: int) -> frozenset[str]:
+        """Return the workers that may run tasks the new owner does not know of."""
+        return frozenset() if now_ms >= self.lapsed_ms else self._unconfirmed()
+
+    def is_complete(self, now_ms: int) -> bool:
+        """Return whether queued tasks may start."""
+        return not self.unknown(now_ms)
+
+    def _unconfirmed(self) -> frozenset[str]:
+        return self.roster - self._confirmed
+
+
+def is_lapsed(
+    granted_ms: int,
+    now_ms: int,
+    worker_lease_ms: int = WORKER_LEASE_MS,
+    margin_ms: int = DRIFT_MARGIN_MS,
+) -> bool:
+    """Return whether a silent worker's lease has certainly ended.
+
+    Args:
+        granted_ms: Time at which this owner sent its last grant to the worker.
+        now_ms: The current time.
+        worker_lease_ms: Length of a worker's lease.
+        margin_ms: Difference of two clocks over one lease.
+    """
+    return now_ms >= granted_ms + worker_lease_ms + margin_ms
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,333 @@
+from collections import defaultdict, deque
+
+import attrs
+import hypothesis.strategies as st
+import pytest
+from hypothesis import Phase, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from marjoramgrade.decisions.fencing import (
+    WORKER_LEASE_MS,
+    EpochFence,
+    WorkerLease,
+)
+from marjoramgrade.decisions.ownership import (
+    DRIFT_MARGIN_MS,
+    OWNERSHIP_LEASE_MS,
+    HeldLease,
+    ShardRow,
+    TakeoverWatch,
+)
+from marjoramgrade.decisions.takeover import Reconciliation, is_lapsed
+
+MACHINE = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=250,
+    stateful_step_count=30,
+    phases=[Phase.generate],
+)
+WORKERS = ("w0", "w1")
+WORKER = st.sampled_from(WORKERS)
+OFTEN = st.sampled_from([True, True, True, False])
+
+
+def test_silent_workers_hold_back_starts_until_their_leases_end() -> None:
+    """Guards against a task that starts again while its first worker runs it."""
+    taken_over = Reconciliation(WORKERS, 100, WORKER_LEASE_MS, DRIFT_MARGIN_MS)
+    end_ms = 100 + WORKER_LEASE_MS + DRIFT_MARGIN_MS
+    taken_over.confirm("w0")
+    assert taken_over.unknown(end_ms - 1) == {"w1"}
+    assert not taken_over.is_complete(end_ms - 1)
+    assert taken_over.lapsed(end_ms) == {"w1"}
+    assert taken_over.is_complete(end_ms)
+
+
+def test_confirmed_workers_and_empty_shards_hold_back_nothing() -> None:
+    """Guards against a takeover that waits for nobody."""
+    taken_over = Reconciliation(WORKERS, 0)
+    for worker_id in WORKERS:
+        taken_over.confirm(worker_id)
+    assert taken_over.is_complete(1)
+    assert Reconciliation((), 0).is_complete(0)
+
+
+@attrs.define
+class Owner:
+    name: str
+    lease: HeldLease = attrs.field(factory=lambda: HeldLease(0))
+    watch: TakeoverWatch = attrs.field(factory=TakeoverWatch)
+    taken_over: Reconciliation = attrs.field(factory=lambda: Reconciliation((), 0))
+    task_on: str | None = None
+    session_by_worker: dict[str, int] = attrs.field(factory=dict)
+    live: set[str] = attrs.field(factory=set)
+    granted_ms: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Worker:
+    fence: EpochFence
+    lease: WorkerLease = attrs.field(factory=WorkerLease)
+    session_by_epoch: dict[int, int] = attrs.field(factory=dict)
+    is_running: bool = False
+
+
+class TakeoverMachine(RuleBasedStateMachine):
+    """Two owners and two workers that all want to run the same task.
+
+    The messages of one connection arrive in order, but a connection may deliver
+    long after its owner paused, lost the shard or dialled a new one.
+    """
+
+    fence_type = EpochFence
+    reconciliation_type = Reconciliation
+    checks_sessions = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 1
+        self.version = 1
+        self.sessions = 0
+        self.row = ShardRow("gampaha.0")
+        self.owners = {name: Owner(name) for name in ("a", "b")}
+        self.workers = {name: Worker(self.fence_type()) for name in WORKERS}
+        self.channels: dict[tuple[str, str, int], deque] = defaultdict(deque)
+        self.take_over(is_current=True)
+        for worker in WORKERS:
+            self.dial(is_current=True, worker=worker, is_delivered=True)
+
+    def find_owner(self, is_current: bool) -> Owner:
+        current = self.row.owner or "a"
+        return self.owners[current if is_current else "ba"["ab".index(current)]]
+
+    @rule(by_ms=st.sampled_from([1_000, 5_000, OWNERSHIP_LEASE_MS, 10_500]))
+    def advance(self, by_ms: int) -> None:
+        self.now_ms += by_ms
+
+    @rule()
+    def outlast_worker_leases(self) -> None:
+        for _ in range(3):
+            self.now_ms += 4_000
+            self.renew(is_answered=True)
+
+    @rule()
+    def fail_over(self) -> None:
+        self.take_over(is_current=False)
+        self.now_ms += OWNERSHIP_LEASE_MS + DRIFT_MARGIN_MS
+        self.take_over(is_current=False)
+
+    @rule(is_answered=OFTEN)
+    def renew(self, is_answered: bool) -> None:
+        owner = self.find_owner(is_current=True)
+        is_owner = self.row.owner == owner.name
+        if is_owner and owner.lease.holds(self.now_ms):
+            self.row = self.row.renewed(())
+            self.version += 1
+            if is_answered:
+                owner.lease.confirm(self.now_ms)
+
+    @rule(is_current=OFTEN)
+    def take_over(self, is_current: bool) -> None:
+        owner = self.find_owner(is_current)
+        owner.watch.observe(self.row, self.version, self.now_ms)
+        if self.row.owner != owner.name and owner.watch.may_take(self.now_ms):
+            self.row = self.row.taken_by(owner.name, ())
+            self.version += 1
+            owner.lease = HeldLease(self.row.epoch)
+            owner.lease.confirm(self.now_ms)
+            owner.taken_over = self.reconciliation_type(WORKERS, self.now_ms)
+            owner.task_on = None
+            owner.live.clear()
+
+    @rule()
+    def hand_over(self) -> None:
+        owner = self.find_owner(is_current=True)
+        if self.row.owner == owner.name and owner.lease.holds(self.now_ms):
+            owner.lease.revoke()
+            self.row = self.row.released()
+            self.version += 1
+
+    @rule(is_current=OFTEN, worker=WORKER, is_delivered=OFTEN)
+    def dial(self, is_current: bool, worker: str, is_delivered: bool) -> None:
+        owner = self.find_owner(is_current)
+        self.sessions += 1
+        owner.session_by_worker[worker] = self.sessions
+        owner.live.discard(worker)
+        self.send(owner, worker, "hello")
+        if is_delivered:
+            self.deliver(owner, worker)
+            self.heartbeat(is_current, worker, is_delivered=True)
+            self.start_task(is_current, worker, is_delivered=True)
+
+    @rule(is_current=OFTEN, worker=WORKER, is_delivered=OFTEN)
+    def heartbeat(self, is_current: bool, worker: str, is_delivered: bool) -> None:
+        owner = self.find_owner(is_current)
+        self.lapse(worker)
+        session = self.workers[worker].session_by_epoch.get(owner.lease.epoch)
+        if session != owner.session_by_worker.get(worker):
+            return
+        seq = self.workers[worker].lease.heartbeat(self.now_ms)
+        if owner.lease.holds(self.now_ms):
+            owner.granted_ms[worker] = self.now_ms
+            self.send(owner, worker, "grant", seq)
+            if is_delivered:
+                self.deliver(owner, worker)
+
+    @rule(is_current=OFTEN, worker=WORKER, is_delivered=OFTEN)
+    def start_task(self, is_current: bool, worker: str, is_delivered: bool) -> None:
+        owner = self.find_owner(is_current)
+        self.give_up_lapsed(owner)
+        is_allowed = owner.lease.holds(self.now_ms) and worker in owner.live
+        if not is_allowed or not owner.taken_over.is_complete(self.now_ms):
+            return
+        if owner.task_on is None:
+            owner.task_on = worker
+            self.send(owner, worker, "start")
+            if is_delivered:
+                self.deliver(owner, worker)
+
+    @rule()
+    def finish_task(self) -> None:
+        owner = self.find_owner(is_current=True)
+        if owner.task_on and self.workers[owner.task_on].is_running:
+            self.workers[owner.task_on].is_running = False
+            owner.task_on = None
+
+    def give_up_lapsed(self, owner: Owner) -> None:
+        worker = owner.task_on
+        if worker and is_lapsed(owner.granted_ms.get(worker, 0), self.now_ms):
+            owner.task_on = None
+            owner.live.discard(worker)
+            owner.session_by_worker.pop(worker, None)
+
+    def send(self, owner: Owner, worker: str, kind: str, seq: int = 0) -> None:
+        session = owner.session_by_worker.get(worker)
+        if session is not None:
+            channel = self.channels[owner.name, worker, session]
+            channel.append((owner.lease.epoch, session, kind, seq))
+
+    def deliver(self, owner: Owner, worker: str) -> None:
+        session = owner.session_by_worker.get(worker, 0)
+        self.drain(owner.name, worker, session)
+
+    @rule(pick=st.integers(0, 99))
+    def deliver_from_any_connection(self, pick: int) -> None:
+        waiting = [key for key, channel in self.channels.items() if channel]
+        if waiting:
+            self.drain(*waiting[pick % len(waiting)])
+
+    def drain(self, name: str, worker: str, session: int) -> None:
+        channel = self.channels[name, worker, session]
+        while channel:
+            self.receive(self.owners[name], worker, *channel.popleft())
+
+    def lapse(self, worker: str) -> None:
+        if not self.workers[worker].lease.holds(self.now_ms):
+            self.workers[worker].is_running = False
+
+    def receive(
+        self, owner: Owner, name: str, epoch: int, session: int, kind: str, seq: int
+    ) -> None:
+        self.lapse(name)
+        worker = self.workers[name]
+        if not worker.fence.admit(epoch):
+            return
+        if kind == "hello":
+            last = worker.session_by_epoch.get(epoch, 0)
+            worker.session_by_epoch[epoch] = max(last, session)
+            self.report(owner, name, epoch, session)
+        elif self.checks_sessions and session != worker.session_by_epoch.get(epoch):
+            return
+        elif kind == "grant":
+            worker.lease.granted(seq, WORKER_LEASE_MS)
+        elif worker.lease.holds(self.now_ms):
+            worker.is_running = True
+
+    def report(self, owner: Owner, worker: str, epoch: int, session: int) -> None:
+        is_current = session == owner.session_by_worker.get(worker)
+        if epoch != owner.lease.epoch or not is_current:
+            return
+        owner.taken_over.confirm(worker)
+        owner.live.add(worker)
+        owner.granted_ms[worker] = self.now_ms
+        if self.workers[worker].is_running:
+            owner.task_on = worker
+        elif owner.task_on == worker:
+            owner.task_on = None
+
+    @invariant()
+    def never_in_two_places(self) -> None:
+        places = [
+            name
+            for name, worker in self.workers.items()
+            if worker.is_running and worker.lease.holds(self.now_ms)
+        ]
+        assert len(places) <= 1
+
+
+class OpenFence(EpochFence):
+    def admit(self, epoch: int) -> bool:
+        return True
+
+
+class Hasty(Reconciliation):
+    def is_complete(self, now_ms: int) -> bool:
+        return True
+
+
+class WithoutFence(TakeoverMachine):
+    fence_type = OpenFence
+
+
+class WithoutReconciliation(TakeoverMachine):
+    reconciliation_type = Hasty
+
+
+class WithoutSessions(TakeoverMachine):
+    checks_sessions = False
+
+
+def test_a_task_never_runs_in_two_places() -> None:
+    """Guards against two owners that start one task twice (invariant 2)."""
+    run_state_machine_as_test(TakeoverMachine, settings=MACHINE)
+
+
+def test_the_machine_finds_a_takeover_that_does_not_wait() -> None:
+    """Guards against a machine that would not notice a task in two places."""
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(WithoutReconciliation, settings=MACHINE)
+
+
+def start_late_after(machine: TakeoverMachine, pause: str) -> None:
+    machine.finish_task()
+    machine.start_task(is_current=True, worker="w0", is_delivered=False)
+    if pause == "of the owner":
+        machine.fail_over()
+        order = ("w0", "w1")
+    else:
+        machine.outlast_worker_leases()
+        order = ("w1", "w0")
+    for worker in order:
+        machine.dial(is_current=True, worker=worker, is_delivered=True)
+    machine.deliver_from_any_connection(pick=0)
+    machine.never_in_two_places()
+    assert any(worker.is_running for worker in machine.workers.values())
+
+
+@pytest.mark.parametrize(
+    ("broken", "pause"),
+    [(WithoutFence, "of the owner"), (WithoutSessions, "of the worker")],
+)
+def test_a_start_that_arrives_late_is_refused(
+    broken: type[TakeoverMachine], pause: str
+) -> None:
+    """Guards against a start of an earlier owner or of an earlier connection."""
+    start_late_after(TakeoverMachine(), pause)
+    with pytest.raises(AssertionError):
+        start_late_after(broken(), pause)
