Apply configuration changes by resource and refuse stale ones

Two operators may race on one document. A change names the document version that it was based on; a resource keeps the version that its latest change was based on, so changes of other resources are rebased and a stale change of the same resource is a conflict. Deletions are remembered within a bound, so that a stale change revives nothing; Config gains base_by_path and horizon_version.

--- a/marjoramgrade/model.py
+++ b/marjoramgrade/model.py
@@ -218,6 +218,10 @@
     Attributes:
         version: Version of the table row, or zero before the first read.
         recent_write_ids: Ids of the latest accepted changes, newest last.
+        base_by_path: For each changed or deleted resource (`teams.acme`), the
+            version of the document that its latest change was based on.
+        horizon_version: Deletions based on this version or an earlier one may be
+            missing from `base_by_path`.
     """
 
     version: int = 0
@@ -226,6 +230,8 @@
     zones_by_name: Mapping[str, Zone] = attrs.field(factory=dict)
     services_by_name: Mapping[str, Service] = attrs.field(factory=dict)
     recent_write_ids: tuple[str, ...] = ()
+    base_by_path: Mapping[str, int] = attrs.field(factory=dict)
+    horizon_version: int = -1
 
     def find_key(self, secret: str) -> Key | None:
         """Return the key with this secret, or None."""
