--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -11,7 +11,14 @@
 
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.clock import Clock
-from marjoramgrade.decisions.retries import RetryBudget
+from marjoramgrade.decisions.retries import (
+    Attempt,
+    Backoff,
+    RetryBudget,
+    RetryDecision,
+    Verdict,
+    may_retry,
+)
 from marjoramgrade.errors import (
     DeadlineExceededError,
     MarjoramgradeError,
@@ -20,7 +27,6 @@
     OutcomeUnknownError,
     OverloadedError,
     OwnerUnreachableError,
-    Ran,
     ShuttingDownError,
 )
 from marjoramgrade.messages import (
@@ -42,7 +48,6 @@
 # A summary that is older than this no longer attracts work.
 SUMMARY_LIFETIME_MS = 3_000
 SEND_INTERVAL_MS = 500
-MAX_ATTEMPTS = 4
 READ_TIMEOUT_MS = 2_000
 # Failures after which another shard may answer. A backend server that ran the
 # request and failed has answered.
@@ -164,7 +169,7 @@
         deadline_ms = self._clock.now_ms() + request.remaining_ms - REPLY_RESERVE_MS
         tried: set[str] = set()
         attempts = 0
-        self._budget.note_request()
+        self._budget.record_request()
         while True:
             attempts += 1
             summary = self._choose_backend_shard(request.service, tried)
@@ -178,24 +183,23 @@
                 return await self._run_on(summary, routed)
             except MarjoramgradeError as error:
                 tried.add(summary.shard)
-                if not self._may_retry(request, error, attempts, deadline_ms):
+                decision = self._decide(request, error, attempts, deadline_ms)
+                if decision.verdict is not Verdict.RETRY:
                     raise
                 self._metrics.retried(error.code)
+                await asyncio.sleep(decision.delay_ms / 1000)
 
-    def _may_retry(
+    def _decide(
         self,
         request: RunRequest,
         error: MarjoramgradeError,
         attempts: int,
         deadline_ms: int,
-    ) -> bool:
-        if not isinstance(error, RETRYABLE) or attempts >= MAX_ATTEMPTS:
-            return False
-        if self._clock.now_ms() >= deadline_ms:
-            return False
-        if error.ran is Ran.NO:
-            return True
-        return request.idempotent and self._budget.take()
+    ) -> RetryDecision:
+        if not isinstance(error, RETRYABLE):
+            return RetryDecision(Verdict.NOT_SAFE)
+        attempt = Attempt(request.idempotent, error.ran, True, attempts, deadline_ms)
+        return may_retry(attempt, Backoff(), self._budget, self._clock.now_ms())
 
     async def _run_on(self, summary: DispatchSummary, request: RunRequest) -> RunReply:
         if summary.owner == self._instance_id:
--- a/marjoramgrade/decisions/takeover.py
+++ b/marjoramgrade/decisions/takeover.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
 from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
 from marjoramgrade.decisions.ownership import DRIFT_MARGIN_MS
 
 
+def _freeze(worker_ids: Iterable[str]) -> frozenset[str]:
+    return frozenset(worker_ids)
+
+
 @attrs.define
 class Reconciliation:
     """Which workers of a shard are confirmed, lapsed or unknown after a takeover.
@@ -29,7 +35,7 @@
         margin_ms: Difference of two clocks over one lease.
     """
 
-    roster: frozenset[str]
+    roster: frozenset[str] = attrs.field(converter=_freeze)
     started_ms: int
     worker_lease_ms: int = WORKER_LEASE_MS
     margin_ms: int = DRIFT_MARGIN_MS
--- a/marjoramgrade/documents.py
+++ b/marjoramgrade/documents.py
@@ -57,7 +57,7 @@
 # The largest worker has far less; the bound keeps sums over all tasks exact.
 MAX_AMOUNT = 2**40
 MAX_CONFIG_ENTRIES = 10_000
-MAX_VERSIONS = 4 * MAX_CONFIG_ENTRIES
+MAX_BASES = 4 * MAX_CONFIG_ENTRIES
 MAX_WRITE_IDS = 10_000
 MAX_PORT = 65_535
 
@@ -75,10 +75,10 @@
 
 
 @attrs.frozen
-class _ResourceVersion:
-    """The version of the configuration that last changed a resource."""
+class _ResourceBase:
+    """The version that the latest change of a resource was based on."""
 
-    resource: str
+    path: str
     version: int
 
 
@@ -91,8 +91,9 @@
     keys: tuple[Key, ...] = ()
     zones: tuple[Zone, ...] = ()
     services: tuple[Service, ...] = ()
-    versions: tuple[_ResourceVersion, ...] = ()
     recent_write_ids: tuple[str, ...] = ()
+    bases: tuple[_ResourceBase, ...] = ()
+    horizon_version: int = -1
 
 
 def _outcomes(value: Any, _: Any = None) -> str:
@@ -133,8 +134,8 @@
     Key: {"name": name(), "team": name(), "secret_sha256": sha256()},
     Zone: {"name": name()},
     Service: {"name": name(), "team": name(optional=True)},
-    _ResourceVersion: {
-        "resource": text(2 * MAX_REASON_BYTES),
+    _ResourceBase: {
+        "path": text(MAX_REASON_BYTES),
         "version": whole_number(0),
     },
     Instance: {
@@ -163,8 +164,9 @@
         "keys": items(Key, MAX_CONFIG_ENTRIES)(converter),
         "zones": items(Zone, MAX_CONFIG_ENTRIES)(converter),
         "services": items(Service, MAX_CONFIG_ENTRIES)(converter),
-        "versions": items(_ResourceVersion, MAX_VERSIONS)(converter),
         "recent_write_ids": items(str, MAX_WRITE_IDS)(converter),
+        "bases": items(_ResourceBase, MAX_BASES)(converter),
+        "horizon_version": whole_number(-1),
     },
 )
 converter.register_unstructure_hook(
@@ -275,10 +277,9 @@
         keys_by_name=_by_name("keys", parsed.keys),
         zones_by_name=_by_name("zones", parsed.zones),
         services_by_name=_by_name("services", parsed.services),
-        version_by_resource={
-            entry.resource: entry.version for entry in parsed.versions
-        },
         recent_write_ids=tuple(parsed.recent_write_ids),
+        base_by_path={entry.path: entry.version for entry in parsed.bases},
+        horizon_version=parsed.horizon_version,
     )
 
 
@@ -349,11 +350,12 @@
         "keys": _in_order(config.keys_by_name),
         "zones": _in_order(config.zones_by_name),
         "services": _in_order(config.services_by_name),
-        "versions": [
-            {"resource": resource, "version": version}
-            for resource, version in sorted(config.version_by_resource.items())
-        ],
         "recent_write_ids": list(config.recent_write_ids),
+        "bases": [
+            {"path": path, "version": version}
+            for path, version in sorted(config.base_by_path.items())
+        ],
+        "horizon_version": config.horizon_version,
     }
 
 
