--- a/marjoramgrade/decisions/shares.py
+++ b/marjoramgrade/decisions/shares.py
@@ -11,6 +11,59 @@
 
 from marjoramgrade.resources import NOTHING, Resources
 
+AMOUNTS = ("cpu_millis", "memory_mib", "accelerators", "slots")
+
+
+def fair_shares(
+    total: Resources,
+    weight_by_team: Mapping[str, int],
+    demand_by_team: Mapping[str, Resources],
+) -> dict[str, float]:
+    """Return the dominant share that each team is entitled to.
+
+    All teams grow together in proportion to their weights. A team stops at its
+    demand, or when a resource that it needs is used up (progressive filling).
+
+    Args:
+        total: The capacity.
+        weight_by_team: Weights; a team that is not named weighs 1.
+        demand_by_team: What each team would use if it were alone.
+    """
+    wanted = {t: d.dominant_share(total) for t, d in demand_by_team.items()}
+    active = {team for team, share in wanted.items() if share > 0}
+    weights = {team: weight_by_team.get(team, 1) for team in active}
+    # For each resource, the fraction of it that goes with a unit of dominant share.
+    slopes = {
+        team: _fractions(demand_by_team[team], total, wanted[team]) for team in active
+    }
+    shares = dict.fromkeys(demand_by_team, 0.0)
+    left = [1.0] * len(AMOUNTS)
+    while active:
+        rates = [
+            sum(weights[team] * slopes[team][i] for team in active)
+            for i in range(len(AMOUNTS))
+        ]
+        growth = min(
+            *(max(0.0, left[i]) / rate for i, rate in enumerate(rates) if rate),
+            *((wanted[team] - shares[team]) / weights[team] for team in active),
+        )
+        for team in active:
+            shares[team] += weights[team] * growth
+        left = [room - rate * growth for room, rate in zip(left, rates, strict=True)]
+        used_up = [i for i, room in enumerate(left) if room < 1e-9]
+        active = {
+            team
+            for team in active
+            if wanted[team] - shares[team] > 1e-9
+            and not any(slopes[team][i] for i in used_up)
+        }
+    return shares
+
+
+def _fractions(demand: Resources, total: Resources, dominant: float) -> list[float]:
+    pairs = ((getattr(demand, name), getattr(total, name)) for name in AMOUNTS)
+    return [need / whole / dominant if whole else 0.0 for need, whole in pairs]
+
 
 class ShareBook:
     """What each team uses in one shard, as a weighted dominant share."""
@@ -61,6 +114,23 @@
         levels = self._level_by_team
         return min(teams, key=lambda team: (levels.get(team, 0.0), team))
 
+    def distance_by_team(
+        self, demand_by_team: Mapping[str, Resources]
+    ) -> dict[str, float]:
+        """Return how far each team is from its share, as a part of the capacity.
+
+        Args:
+            demand_by_team: What each team uses and waits for.
+
+        Returns:
+            For each team, positive above its share and negative below it.
+        """
+        fair = fair_shares(self._total, self._weight_by_team, demand_by_team)
+        return {
+            team: self.use_of(team).dominant_share(self._total) - share
+            for team, share in fair.items()
+        }
+
     def _update_level(self, team: str) -> None:
         weight = self._weight_by_team.get(team, 1)
         share = self._use_by_team[team].dominant_share(self._total)
