Keep the order of requeued tasks within a lane

Cause: two preempted tasks went back to a lane in the wrong order, because only a task older than the head was put in front. Found by the preemption tests. Change: a lane keeps requeued entries in a heap by the time they were queued. Result: test_requeued_work_keeps_its_place covers two requeued tasks; it failed before.

--- a/marjoramgrade/decisions/queue_orders.py
+++ b/marjoramgrade/decisions/queue_orders.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
 import attrs
@@ -22,13 +23,40 @@
     """Entries of one team and priority that need the same.
 
     Attributes:
-        entries: Oldest first; cancelled entries stay until they reach the front.
+        entries: New work, oldest first.
+        returned: Heap of `(queued_ms, number, entry)` of requeued work, which keeps
+            its place by the time at which it was first queued.
         reason: Why the head was not started in the last round that tried it.
     """
 
     entries: deque[QueuedTask] = attrs.field(factory=deque)
+    returned: list[tuple[int, int, QueuedTask]] = attrs.field(factory=list)
     reason: str = ""
 
+    def __len__(self) -> int:
+        return len(self.entries) + len(self.returned)
+
+    def head(self) -> QueuedTask:
+        """Return the oldest entry of a lane that is not empty."""
+        return self.returned[0][2] if self._is_returned_next() else self.entries[0]
+
+    def pop(self) -> QueuedTask:
+        """Remove and return the oldest entry of a lane that is not empty."""
+        if self._is_returned_next():
+            return heapq.heappop(self.returned)[2]
+        return self.entries.popleft()
+
+    def keep(self, is_live: Callable[[QueuedTask], bool]) -> None:
+        """Drop all other entries."""
+        self.entries = deque(filter(is_live, self.entries))
+        self.returned = [item for item in self.returned if is_live(item[2])]
+        heapq.heapify(self.returned)
+
+    def _is_returned_next(self) -> bool:
+        if not self.returned or not self.entries:
+            return not self.entries
+        return self.returned[0][0] <= self.entries[0].queued_ms
+
 
 @attrs.define(eq=False)
 class TeamQueue:
--- a/marjoramgrade/decisions/queues.py
+++ b/marjoramgrade/decisions/queues.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import heapq
-from collections import deque
 from itertools import count
 
 import attrs
@@ -123,14 +122,14 @@
             item = (entry.not_before_ms, next(self._number), entry)
             heapq.heappush(self._delayed, item)
         else:
-            self._enter_lane(entry)
+            self._enter_lane(entry, is_requeue)
 
     def begin_round(self, now_ms: int) -> None:
         """Make parked lanes, blocked teams and due tasks eligible again."""
         while self._delayed and self._delayed[0][0] <= now_ms:
             entry = heapq.heappop(self._delayed)[2]
             if self._is_live(entry):
-                self._enter_lane(entry)
+                self._enter_lane(entry, is_requeue=True)
             else:
                 self._dead -= entry.gang_size
         for tier in self._tier_by_priority.values():
@@ -154,7 +153,7 @@
     def take(self, entry: QueuedTask) -> None:
         """Remove the entry that `peek` returned."""
         queue = self._tier_by_priority[entry.priority].queue_by_team[entry.team]
-        queue.lane_by_key[lane_key_of(entry)].entries.popleft()
+        queue.lane_by_key[lane_key_of(entry)].pop()
         entries = self._entries_by_job[entry.task.job_id]
         for task in entry.iter_tasks():
             del entries[task.index]
@@ -259,12 +258,12 @@
         for tier in self._tier_by_priority.values():
             for queue in tier.queue_by_team.values():
                 for lane in queue.lane_by_key.values():
-                    lane.entries = deque(filter(self._is_live, lane.entries))
+                    lane.keep(self._is_live)
         self._delayed = [item for item in self._delayed if self._is_live(item[2])]
         heapq.heapify(self._delayed)
         self._dead = 0
 
-    def _enter_lane(self, entry: QueuedTask) -> None:
+    def _enter_lane(self, entry: QueuedTask, is_requeue: bool) -> None:
         tier = self._tier_by_priority[entry.priority]
         queue = tier.queue_by_team.setdefault(entry.team, TeamQueue())
         key = lane_key_of(entry)
@@ -273,9 +272,9 @@
             lane = queue.lane_by_key[key] = Lane()
             item = (entry.queued_ms, next(self._number), key)
             heapq.heappush(queue.heads, item)
-        # Requeued work keeps its place: it is older than what waits.
-        if lane.entries and entry.queued_ms < lane.entries[0].queued_ms:
-            lane.entries.appendleft(entry)
+        if is_requeue:
+            returned = (entry.queued_ms, next(self._number), entry)
+            heapq.heappush(lane.returned, returned)
         else:
             lane.entries.append(entry)
         if queue.heads and entry.team not in self._blocked_reason_by_team:
@@ -294,13 +293,13 @@
         while queue.heads:
             queued_ms, number, key = queue.heads[0]
             lane = queue.lane_by_key[key]
-            while lane.entries and not self._is_live(lane.entries[0]):
-                self._dead -= lane.entries.popleft().gang_size
-            if not lane.entries:
+            while lane and not self._is_live(lane.head()):
+                self._dead -= lane.pop().gang_size
+            if not lane:
                 heapq.heappop(queue.heads)
                 del queue.lane_by_key[key]
                 continue
-            head = lane.entries[0]
+            head = lane.head()
             if head.queued_ms <= queued_ms:
                 return head
             heapq.heapreplace(queue.heads, (head.queued_ms, number, key))
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -95,7 +95,7 @@
         queue.push(queued("j", index), 0)
         queue.cancel(TaskId("j", index))
     lanes = queue._tier_by_priority[Priority.NORMAL].queue_by_team["a"].lane_by_key
-    assert sum(len(lane.entries) for lane in lanes.values()) <= SWEEP_MINIMUM + 1
+    assert sum(len(lane) for lane in lanes.values()) <= SWEEP_MINIMUM + 1
 
 
 def test_a_cancelled_and_resubmitted_task_is_returned_once() -> None:
@@ -152,5 +152,6 @@
     """Guards against preempted work that starts over at the end of its queue."""
     queue = queue_of()
     queue.push(queued("new", at_ms=5), 5)
-    queue.push(queued("old", at_ms=1), 6, is_requeue=True)
-    assert drain(queue) == ["old/0", "new/0"]
+    queue.push(queued("old", 0, at_ms=1), 6, is_requeue=True)
+    queue.push(queued("old", 1, at_ms=2), 6, is_requeue=True)
+    assert drain(queue) == ["old/0", "old/1", "new/0"]
