--- a/marjoramgrade/decisions/preemption.py
+++ b/marjoramgrade/decisions/preemption.py
@@ -39,6 +39,7 @@
         pool: WorkerPool,
         request: Resources,
         avoid: frozenset[str] = NOBODY,
+        racks_avoid: frozenset[str] = NOBODY,
     ) -> Eviction | None:
         """Return tasks of one worker that make room together, or None.
 
@@ -48,6 +49,7 @@
             pool: The workers of the shard.
             request: What the urgent task needs.
             avoid: Workers that must not be chosen.
+            racks_avoid: Racks whose workers must not be chosen.
         """
         ...
 
@@ -66,6 +68,7 @@
         pool: WorkerPool,
         request: Resources,
         avoid: frozenset[str] = NOBODY,
+        racks_avoid: frozenset[str] = NOBODY,
     ) -> Eviction | None:
         """Return None."""
         return None
@@ -86,6 +89,7 @@
         pool: WorkerPool,
         request: Resources,
         avoid: frozenset[str] = NOBODY,
+        racks_avoid: frozenset[str] = NOBODY,
     ) -> Eviction | None:
         """Return the cheapest tasks of one worker that make room, or None."""
         victims_by_worker: dict[str, list[RunningTask]] = {}
@@ -94,6 +98,8 @@
             worker_id = task.worker_id
             if worker_id in avoid or not pool.is_open(worker_id):
                 continue
+            if pool.node_of(worker_id).rack in racks_avoid:
+                continue
             room = room_by_worker.get(worker_id)
             if room is None:
                 room = pool.available_of(worker_id) + running.ending_on(worker_id)
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -4,9 +4,10 @@
 
 import attrs
 
-from marjoramgrade.decisions.actions import Decision, StartTask, StopMode, StopTask
+from marjoramgrade.decisions.actions import Decision, StartTask, StopMode
 from marjoramgrade.decisions.claims import Claim
 from marjoramgrade.decisions.gangs import GANG_WAIT_MS, place_gang, plan_reservation
+from marjoramgrade.decisions.preemption import Eviction
 from marjoramgrade.decisions.queues import TaskQueue
 from marjoramgrade.decisions.running import Stopping
 from marjoramgrade.decisions.shard_state import (
@@ -50,9 +51,7 @@
         for priority in sorted(Priority, reverse=True):
             for queue in self.state.queues:
                 self._start_queued(queue, priority)
-        decisions = [*self.state.pending, *self._starts]
-        self.state.pending.clear()
-        return decisions
+        return [*self.state.take_stops(), *self._starts]
 
     def _escalate_checkpoints(self) -> None:
         """Stop tasks whose checkpoint takes too long."""
@@ -60,10 +59,7 @@
         while checkpoints and checkpoints[0][0] <= self.now_ms:
             running = checkpoints.popleft()[1]
             if self.state.running.find(running.task) is running:
-                stop = StopTask(
-                    running.task, running.worker_id, StopMode.STOP, PREEMPTED
-                )
-                self.state.pending.append(stop)
+                self.state.tell_stop(running, StopMode.STOP, PREEMPTED)
 
     def _start_claims(self) -> None:
         for claim in self.state.claims:
@@ -141,20 +137,50 @@
         return Claim(entry, tuple(worker_ids), KEEPING_ROOM)
 
     def _preempt_for(self, entry: QueuedTask) -> Claim | None:
-        """Choose running tasks to stop for each member of an urgent entry."""
+        """Make room for an urgent entry by stopping running tasks, or return None."""
         state = self.state
-        preemption = state.policy_by_kind[entry.kind].preemption
-        avoid = state.health.avoided(self.now_ms)
-        if entry.gang_size > 1:
+        worker_ids: list[str] = []
+        victims: list[RunningTask] = []
+        racks: set[str] = set()
+        for _ in range(entry.gang_size):
+            eviction = self._room_for_member(entry, frozenset(racks))
+            if eviction is None:
+                break
+            # Marked and held at once, so that the next member counts on neither.
+            for victim in eviction.victims:
+                state.running.set_stopping(victim, Stopping(True, PREEMPTED))
+            state.pool.hold(eviction.worker_id, entry.resources)
+            worker_ids.append(eviction.worker_id)
+            victims.extend(eviction.victims)
+            if entry.spread_racks:
+                racks.add(state.pool.node_of(eviction.worker_id).rack)
+        for worker_id in worker_ids:
+            state.pool.unhold(worker_id, entry.resources)
+        for victim in victims:
+            state.running.clear_stopping(victim)
+        if len(worker_ids) < entry.gang_size:
             return None
-        eviction = preemption.choose(
-            state.running, state.shares, state.pool, entry.resources, avoid
-        )
-        if eviction is None:
-            return None
-        for victim in eviction.victims:
+        for victim in victims:
             self._checkpoint(victim)
-        return Claim(entry, (eviction.worker_id,), FREEING_ROOM)
+        return Claim(entry, tuple(worker_ids), FREEING_ROOM)
+
+    def _room_for_member(
+        self, entry: QueuedTask, racks_avoid: frozenset[str]
+    ) -> Eviction | None:
+        state = self.state
+        policy = state.policy_by_kind[entry.kind]
+        avoid = state.health.avoided(self.now_ms)
+        free = policy.placement.choose(state.pool, entry.resources, avoid, racks_avoid)
+        if free is not None:
+            return Eviction(free, ())
+        return policy.preemption.choose(
+            state.running,
+            state.shares,
+            state.pool,
+            entry.resources,
+            avoid,
+            racks_avoid,
+        )
 
     def _checkpoint(self, victim: RunningTask) -> None:
         self.state.stop(victim, StopMode.CHECKPOINT, Stopping(True, PREEMPTED))
--- a/marjoramgrade/decisions/running.py
+++ b/marjoramgrade/decisions/running.py
@@ -77,6 +77,11 @@
             _change(self._stopping_by_worker, running, 1)
         self._stopping_by_task[running.task] = stopping
 
+    def clear_stopping(self, running: RunningTask) -> None:
+        """Undo `set_stopping` for a task that was not told to end after all."""
+        del self._stopping_by_task[running.task]
+        _change(self._stopping_by_worker, running, -1)
+
     def find(self, task: TaskId) -> RunningTask | None:
         """Return a running task, or None."""
         return self._tasks_by_job.get(task.job_id, {}).get(task.index)
--- a/marjoramgrade/decisions/shard_state.py
+++ b/marjoramgrade/decisions/shard_state.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from marjoramgrade.decisions.actions import Decision, StartTask, StopMode, StopTask
+from marjoramgrade.decisions.actions import StartTask, StopMode, StopTask
 from marjoramgrade.decisions.claims import ClaimBook
 from marjoramgrade.decisions.gang_runs import GangBook
 from marjoramgrade.decisions.health import WorkerHealth
@@ -59,7 +59,7 @@
         self.gangs = GangBook()
         self.may_start = may_start
         self.note_by_task: dict[TaskId, str] = {}
-        self.pending: list[Decision] = []
+        self._pending_stops: list[tuple[RunningTask, StopTask]] = []
         self.checkpoints: deque[tuple[int, RunningTask]] = deque()
         self._queue_by_order: dict[str, TaskQueue] = {}
         self.policy_by_kind = {
@@ -139,9 +139,26 @@
         if known is not None and (stopping.is_requeued or not known.is_requeued):
             return
         self.running.set_stopping(running, stopping)
-        self.pending.append(
-            StopTask(running.task, running.worker_id, mode, stopping.reason)
-        )
+        self.tell_stop(running, mode, stopping.reason)
+
+    def tell_stop(self, running: RunningTask, mode: StopMode, reason: str) -> None:
+        """Let the next decisions contain a stop."""
+        stop = StopTask(running.task, running.worker_id, mode, reason)
+        self._pending_stops.append((running, stop))
+
+    def take_stops(self) -> list[StopTask]:
+        """Return the stops that were not returned yet.
+
+        A task may end before its stop is sent and even run again elsewhere, so only
+        stops of the same run are returned.
+        """
+        stops = [
+            stop
+            for running, stop in self._pending_stops
+            if self.running.find(running.task) is running
+        ]
+        self._pending_stops.clear()
+        return stops
 
     def drop_claims_on(self, worker_id: str, now_ms: int) -> None:
         """Put work whose room is kept on a worker back into its queue."""
--- /dev/null
+++ b/tests/test_gangs.py
@@ -0,0 +1,90 @@
+from marjoramgrade.decisions.actions import Ending
+from marjoramgrade.decisions.gangs import GANG_WAIT_MS, place_gang, plan_reservation
+from marjoramgrade.decisions.placement import PLACEMENTS
+from marjoramgrade.model import TaskId
+from marjoramgrade.resources import NOTHING
+from tests.scheduling import amount, node, pool_of, queued, scheduler_of, started
+
+BEST_FIT = PLACEMENTS.get("best_fit")()
+WORKERS = [node("w-0", rack="a"), node("w-1", rack="a"), node("w-2", rack="b")]
+
+
+def test_a_gang_is_placed_whole_or_not_at_all() -> None:
+    """Guards against members that wait for others while they use room."""
+    pool = pool_of(*WORKERS)
+    assert place_gang(pool, BEST_FIT, amount(4), 4, False) is None
+    chosen = place_gang(pool, BEST_FIT, amount(2), 6, False)
+    assert chosen is not None
+    assert sorted(chosen) == ["w-0", "w-0", "w-1", "w-1", "w-2", "w-2"]
+    assert all(pool.available_of(f"w-{i}") == amount(4, 8) for i in range(3))
+
+
+def test_spread_members_use_different_racks() -> None:
+    """Guards against a gang that dies with one rack."""
+    pool = pool_of(*WORKERS)
+    assert place_gang(pool, BEST_FIT, amount(1), 3, True) is None
+    chosen = place_gang(pool, BEST_FIT, amount(1), 2, True)
+    assert chosen is not None
+    assert {pool.node_of(name).rack for name in chosen} == {"a", "b"}
+
+
+def test_a_reservation_counts_on_batch_work_to_end_but_not_on_services() -> None:
+    """Guards against room kept where it never becomes free."""
+    pool = pool_of(*WORKERS)
+    for index in range(3):
+        pool.reserve(f"w-{index}", amount(3))
+    services = {"w-0": amount(3)}
+    planned = plan_reservation(
+        pool, amount(2), 4, False, lambda name: services.get(name, NOTHING)
+    )
+    assert planned == ["w-1", "w-1", "w-2", "w-2"]
+    assert plan_reservation(pool, amount(4), 4, False, lambda _: NOTHING) is None
+
+
+def test_a_gang_that_waited_gets_its_room_despite_small_tasks() -> None:
+    """Guards against a gang that small tasks starve."""
+    scheduler = scheduler_of(node("w-0", cores=2), node("w-1", cores=2))
+    running: list[tuple[int, str]] = []
+    for index in range(600):
+        scheduler.submit(queued("small", index), 0)
+    scheduler.submit(queued("gang", members=(0, 1, 2, 3)), 0)
+    # Two ends fall in each step, never four, so that all room is never free at once.
+    for now_ms in range(0, 3 * GANG_WAIT_MS, 100):
+        for _, name in running[:2]:
+            scheduler.task_ended(TaskId.parse(name), Ending.DONE, now_ms)
+        del running[:2]
+        names = started(scheduler.step(now_ms, 100))
+        if "gang/0" in names:
+            assert sum(name.startswith("gang") for name in names) == 4
+            assert now_ms >= GANG_WAIT_MS
+            return
+        running.extend((now_ms, name) for name in names)
+    raise AssertionError("the gang was not started")
+
+
+def test_a_lost_member_brings_the_whole_gang_back() -> None:
+    """Guards against half a gang that goes on, and against a lost member."""
+    scheduler = scheduler_of(node("w-0", cores=1), node("w-1", cores=2))
+    scheduler.submit(queued("gang", members=(0, 1, 2)), 0)
+    placed = started(scheduler.step(0, 10))
+    lost = scheduler.worker_lost("w-0", 1)
+    others = [TaskId.parse(n) for n, w in placed.items() if w == "w-1"]
+    stops = {d.task for d in scheduler.step(1, 10)}
+    assert stops == set(others)
+    scheduler.worker_added(node("w-2", cores=1))
+    scheduler.task_ended(others[0], Ending.STOPPED, 2)
+    assert scheduler.step(2, 10) == []
+    scheduler.task_ended(others[1], Ending.DONE, 3)
+    again = started(scheduler.step(3, 10))
+    assert set(again) == {str(lost[0]), str(others[0])}
+
+
+def test_a_cancelled_gang_does_not_come_back_when_its_members_end() -> None:
+    """Guards against a cancelled gang that a lost member had requeued."""
+    scheduler = scheduler_of(node("w-0", cores=1), node("w-1", cores=1))
+    scheduler.submit(queued("gang", members=(0, 1)), 0)
+    placed = started(scheduler.step(0, 10))
+    scheduler.worker_lost(placed["gang/0"], 1)
+    assert scheduler.cancel_job("gang") == 2
+    scheduler.task_ended(TaskId("gang", 1), Ending.STOPPED, 2)
+    assert scheduler.queued_count == scheduler.running_count == 0
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,116 @@
+from marjoramgrade.decisions.actions import Ending
+from marjoramgrade.decisions.rounds import CHECKPOINT_MS, URGENT_WAIT_MS
+from marjoramgrade.decisions.scheduler import Scheduler
+from marjoramgrade.model import Kind, TaskId
+from tests.scheduling import node, queued, scheduler_of, started, stopped
+
+URGENT = TaskId("urgent", 0)
+
+
+def fill(scheduler: Scheduler, *entries: object) -> None:
+    """Start entries one after the other, so that each is newer than the last."""
+    for number, entry in enumerate(entries):
+        scheduler.submit(entry, number)
+        scheduler.step(number, 10)
+
+
+def victims_of(scheduler: Scheduler, **urgent: object) -> dict[str, str]:
+    scheduler.submit(queued("urgent", urgent=True, at_ms=100, **urgent), 100)
+    assert scheduler.step(100 + URGENT_WAIT_MS - 1, 10) == []
+    return stopped(scheduler.step(100 + URGENT_WAIT_MS, 10))
+
+
+def test_the_newest_task_of_the_team_furthest_above_its_share_is_taken() -> None:
+    """Guards against victims of a team that is below its share."""
+    scheduler = scheduler_of(node("w-0", cores=4))
+    fill(
+        scheduler,
+        queued("a", 0, "a"),
+        queued("a", 1, "a"),
+        queued("a", 2, "a"),
+        queued("b", 0, "b"),
+    )
+    assert victims_of(scheduler, team="c") == {"a/2": "checkpoint"}
+
+
+def test_all_room_is_made_on_one_worker_and_no_task_is_stopped_in_vain() -> None:
+    """Guards against stops spread over workers, which free no room for one task."""
+    scheduler = scheduler_of(node("w-0", cores=3), node("w-1", cores=2))
+    fill(scheduler, *(queued("a", index, "a") for index in range(5)))
+    worker_by_task = {
+        name: scheduler.reason_of(TaskId.parse(name)).rpartition(" ")[2]
+        for name in (f"a/{index}" for index in range(5))
+    }
+    victims = victims_of(scheduler, team="c", cores=2)
+    assert len(victims) == 2
+    assert len({worker_by_task[name] for name in victims}) == 1
+
+
+def test_services_come_last_and_urgent_tasks_are_never_taken() -> None:
+    """Guards against a stopped service while batch work runs, and against loops."""
+    scheduler = scheduler_of(node("w-0", cores=3))
+    fill(
+        scheduler,
+        queued("batch", 0, "a"),
+        queued("service", 0, "a", kind=Kind.SERVICE),
+        queued("first", 0, "a", urgent=True),
+    )
+    assert victims_of(scheduler, team="c") == {"batch/0": "checkpoint"}
+    scheduler.submit(queued("second", team="c", urgent=True, cores=3), 0)
+    assert scheduler.step(2 * URGENT_WAIT_MS, 10) == []
+
+
+def test_nobody_else_takes_the_room_and_the_victim_loses_no_attempt() -> None:
+    """Guards against small tasks in the freed room and a charged preemption."""
+    scheduler = scheduler_of(node("w-0", cores=2))
+    fill(scheduler, *(queued("a", index, "a") for index in range(9)))
+    assert len(victims_of(scheduler, team="c", cores=2)) == 2
+    scheduler.task_ended(TaskId("a", 0), Ending.STOPPED, 1_200)
+    assert scheduler.step(1_200, 10) == []
+    scheduler.task_ended(TaskId("a", 1), Ending.STOPPED, 1_300)
+    assert started(scheduler.step(1_300, 10)) == {"urgent/0": "w-0"}
+    reason = scheduler.reason_of(TaskId("a", 0))
+    assert reason == "waiting: no worker has room"
+    scheduler.task_ended(URGENT, Ending.DONE, 1_400)
+    assert set(started(scheduler.step(1_400, 10))) == {"a/0", "a/1"}
+    entry = scheduler.task_ended(TaskId("a", 0), Ending.FAILED, 1_500)
+    assert entry is not None
+    assert entry.attempts == 1
+
+
+def test_a_slow_checkpoint_is_followed_by_a_stop_within_the_bound() -> None:
+    """Guards against urgent work that waits for a checkpoint without end."""
+    scheduler = scheduler_of(node("w-0", cores=1))
+    fill(scheduler, queued("a", 0, "a"))
+    victims_of(scheduler, team="c")
+    stop_ms = 100 + URGENT_WAIT_MS + CHECKPOINT_MS
+    assert stopped(scheduler.step(stop_ms, 10)) == {"a/0": "stop"}
+    # What remains of 6.1 s is for the worker's stop and the ticks.
+    assert stop_ms - 100 <= 6_100 - 1_000
+
+
+def test_without_preemption_urgent_work_waits() -> None:
+    """Guards against a baseline that preempts."""
+    scheduler = scheduler_of(node("w-0", cores=1), preemption="none")
+    fill(scheduler, queued("a", 0, "a"))
+    assert victims_of(scheduler, team="c") == {}
+
+
+def test_an_urgent_gang_makes_room_for_all_members_or_stops_nothing() -> None:
+    """Guards against stops for a gang that can not start."""
+    scheduler = scheduler_of(node("w-0", cores=1), node("w-1", cores=1))
+    fill(scheduler, queued("a", 0, "a"), queued("a", 1, "a"))
+    assert victims_of(scheduler, team="c", members=(0, 1, 2)) == {}
+    scheduler.cancel_job("urgent")
+    scheduler.submit(queued("pair", urgent=True, members=(0, 1)), 0)
+    assert len(stopped(scheduler.step(2 * URGENT_WAIT_MS, 10))) == 2
+
+
+def test_urgent_work_whose_worker_goes_away_is_not_lost() -> None:
+    """Guards against a claim that vanishes with its worker."""
+    scheduler = scheduler_of(node("w-0", cores=1))
+    fill(scheduler, queued("a", 0, "a"))
+    victims_of(scheduler, team="c")
+    scheduler.worker_lost("w-0", 2_000)
+    scheduler.worker_added(node("w-1", cores=1))
+    assert started(scheduler.step(2_000, 10)) == {"urgent/0": "w-1"}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -74,6 +74,18 @@
     assert scheduler.queued_count == scheduler.running_count == 0
 
 
+def test_a_task_that_ended_before_its_stop_was_sent_is_not_stopped() -> None:
+    """Guards against a stop that reaches a later run of the same task."""
+    scheduler = scheduler_of(node("w-0"))
+    scheduler.submit(queued("j"), 0)
+    scheduler.step(0, 10)
+    scheduler.stop(TaskId("j", 0), "team above its limit", is_requeued=True)
+    scheduler.task_ended(TaskId("j", 0), Ending.STOPPED, 1)
+    decisions = scheduler.step(1, 10)
+    assert stopped(decisions) == {}
+    assert started(decisions) == {"j/0": "w-0"}
+
+
 def test_the_limit_hook_is_asked_with_the_use_so_far() -> None:
     """Guards against a team that passes its limit within one step."""
     policies = {kind: Policies() for kind in Kind}
