Divide team limits into grants by shard

Escrow needs three protections beyond a sum in the row: grant given back is not used again until a later row version shows the outcome; a new owner claims its shard's grant, so that a delayed transaction of the earlier owner fails; and a lowered amount stays counted until its holder has confirmed it.

--- /dev/null
+++ b/marjoramgrade/decisions/grants.py
@@ -0,0 +1,197 @@
+"""The grants row of a team: how its limit is divided among the shards.
+
+Escrow method: O'Neil, "The Escrow Transactional Method", TODS 1986. All
+functions return a new row; it is written only if the old one is still current.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
+from marjoramgrade.errors import NotOwnerError
+from marjoramgrade.resources import NOTHING, Resources
+
+# Stands for an amount that no limit bounds.
+UNLIMITED = 1 << 62
+
+
+def combine(
+    function: Callable[[int, int], int], left: Resources, right: Resources
+) -> Resources:
+    """Return the amounts that a function makes of two amounts of each resource."""
+    return Resources(
+        function(left.cpu_millis, right.cpu_millis),
+        function(left.memory_mib, right.memory_mib),
+        function(left.accelerators, right.accelerators),
+        function(left.slots, right.slots),
+    )
+
+
+def positive_part(amount: Resources) -> Resources:
+    """Return the amounts with zero in place of negative ones."""
+    return combine(max, amount, NOTHING)
+
+
+def bounds_of(limit: Resources) -> Resources:
+    """Return a team's limit with `UNLIMITED` in place of zero."""
+    return combine(lambda amount, _: amount or UNLIMITED, limit, NOTHING)
+
+
+def only_limited(amount: Resources, limit: Resources) -> Resources:
+    """Return the amounts of those resources that a limit bounds."""
+    return combine(lambda value, bound: value if bound else 0, amount, limit)
+
+
+def _total(amounts: Iterable[Resources]) -> Resources:
+    return sum(amounts, NOTHING)
+
+
+@attrs.frozen
+class GrantsRow:
+    """How the limit of a team is divided.
+
+    Attributes:
+        team: Name of the team.
+        limit: Upper limit across the fleet; a zero amount means no limit.
+        amount_by_shard: What each shard may use; the sum is within the limit.
+        unconfirmed_by_shard: What a shard may still use, if that is more,
+            since its owner has not confirmed that it applied a lower limit.
+            Nobody else gets this part before.
+        epoch_by_shard: Epoch of the owner that claimed the shard's grant; a
+            transaction that an earlier owner sent fails from then on.
+    """
+
+    team: str
+    limit: Resources = NOTHING
+    amount_by_shard: Mapping[str, Resources] = attrs.field(factory=dict)
+    unconfirmed_by_shard: Mapping[str, Resources] = attrs.field(factory=dict)
+    epoch_by_shard: Mapping[str, int] = attrs.field(factory=dict)
+
+    def amount(self, shard: str) -> Resources:
+        """Return what a shard may use."""
+        return self.amount_by_shard.get(shard, NOTHING)
+
+    def held(self, shard: str) -> Resources:
+        """Return what the owner of a shard may believe that it may use."""
+        unconfirmed = self.unconfirmed_by_shard.get(shard, NOTHING)
+        return combine(max, self.amount(shard), unconfirmed)
+
+    @property
+    def unallocated(self) -> Resources:
+        """What a shard may take."""
+        shards = {*self.amount_by_shard, *self.unconfirmed_by_shard}
+        held = _total(self.held(shard) for shard in shards)
+        return only_limited(positive_part(self.limit - held), self.limit)
+
+
+def split(team: str, limit: Resources, shards: Iterable[str]) -> GrantsRow:
+    """Return the first row of a team.
+
+    Half of the limit is divided evenly, so that every shard can start at once;
+    the rest is taken by the shards that need it.
+    """
+    names = sorted(shards)
+    part = limit.scaled(1, 2 * len(names)) if names else NOTHING
+    return GrantsRow(team, limit, dict.fromkeys(names, part))
+
+
+def claim(row: GrantsRow, shard: str, epoch: int) -> GrantsRow:
+    """Return the row after a new owner of a shard took over its grant.
+
+    Raises:
+        NotOwnerError: If a later owner has claimed the grant.
+    """
+    _check_epoch(row, shard, epoch)
+    amounts = {shard: NOTHING, **row.amount_by_shard}
+    epochs = {**row.epoch_by_shard, shard: epoch}
+    return attrs.evolve(row, amount_by_shard=amounts, epoch_by_shard=epochs)
+
+
+def take(row: GrantsRow, shard: str, epoch: int, wanted: Resources) -> GrantsRow:
+    """Return the row after a shard took what it wants of the unallocated part.
+
+    Raises:
+        NotOwnerError: If a later owner has claimed the grant.
+    """
+    _check_epoch(row, shard, epoch)
+    taken = combine(min, positive_part(wanted), row.unallocated)
+    return _with_amount(row, shard, row.amount(shard) + taken)
+
+
+def give_back(row: GrantsRow, shard: str, epoch: int, amount: Resources) -> GrantsRow:
+    """Return the row after a shard gave back a part that it does not use.
+
+    Raises:
+        NotOwnerError: If a later owner has claimed the grant.
+    """
+    _check_epoch(row, shard, epoch)
+    left = positive_part(row.amount(shard) - positive_part(amount))
+    return _with_amount(row, shard, left)
+
+
+def confirm(row: GrantsRow, shard: str, epoch: int) -> GrantsRow:
+    """Return the row after a shard went down to its lowered amount.
+
+    Raises:
+        NotOwnerError: If a later owner has claimed the grant.
+    """
+    _check_epoch(row, shard, epoch)
+    unconfirmed = dict(row.unconfirmed_by_shard)
+    unconfirmed.pop(shard, None)
+    return attrs.evolve(row, unconfirmed_by_shard=unconfirmed)
+
+
+def with_limit(row: GrantsRow, limit: Resources) -> GrantsRow:
+    """Return the row after operators changed the limit.
+
+    Amounts shrink in proportion where their sum is above the new limit. A
+    resource that had no limit before is divided evenly.
+    """
+    shards = sorted(row.amount_by_shard)
+    amounts = {shard: row.amount(shard) for shard in shards}
+    if shards:
+        even = limit.scaled(1, len(shards))
+        total = _total(amounts.values())
+        for shard in shards:
+            shrunk = _shrink(amounts[shard], limit, total)
+            amounts[shard] = _choose(row.limit, shrunk, even)
+    unconfirmed = {}
+    for shard in shards:
+        before = _choose(row.limit, row.held(shard), bounds_of(NOTHING))
+        before = only_limited(before, limit)
+        if not before.fits(amounts[shard]):
+            unconfirmed[shard] = before
+    return attrs.evolve(
+        row,
+        limit=limit,
+        amount_by_shard=amounts,
+        unconfirmed_by_shard=unconfirmed,
+    )
+
+
+def _shrink(amount: Resources, limit: Resources, total: Resources) -> Resources:
+    triples = zip(*map(attrs.astuple, (amount, limit, total)), strict=True)
+    return Resources(
+        *(
+            value * bound // whole if bound and whole > bound else value
+            for value, bound, whole in triples
+        )
+    )
+
+
+def _choose(limit: Resources, limited: Resources, unlimited: Resources) -> Resources:
+    """Return each amount of one vector where a limit bounds it, else of another."""
+    triples = zip(*map(attrs.astuple, (limit, limited, unlimited)), strict=True)
+    return Resources(*(one if bound else other for bound, one, other in triples))
+
+
+def _with_amount(row: GrantsRow, shard: str, amount: Resources) -> GrantsRow:
+    amounts = {**row.amount_by_shard, shard: amount}
+    return attrs.evolve(row, amount_by_shard=amounts)
+
+
+def _check_epoch(row: GrantsRow, shard: str, epoch: int) -> None:
+    if epoch < row.epoch_by_shard.get(shard, 0):
+        raise NotOwnerError(f"{shard} has a later owner", team=row.team)
