Show where each configuration version is in force, and watches by team

Status lists the lowest configuration version of each zone's instances; watches and job lists are narrowed to the caller's team; a task listing finds the home shard by itself. A request whose id cannot be recorded is now refused as not run: before, the table error reached the caller as an unknown outcome. A backend server is no longer taken out of choice because a caller's deadline was short.

--- a/marjoramgrade/adapters/backend.py
+++ b/marjoramgrade/adapters/backend.py
@@ -8,6 +8,7 @@
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
 from marjoramgrade.errors import (
+    AnswerTimeoutError,
     BackendFailedError,
     NoBackendError,
     NotOwnerError,
@@ -75,7 +76,7 @@
         except HTTPTimeoutError as error:
             if "connecting" in str(error):
                 raise NoBackendError(f"{backend.instance_id}: {error}") from error
-            raise OutcomeUnknownError(f"{backend.instance_id}: {error}") from error
+            raise AnswerTimeoutError(f"{backend.instance_id}: {error}") from error
         except (HTTPStreamClosedError, HTTPClientError, OSError) as error:
             raise OutcomeUnknownError(f"{backend.instance_id}: {error}") from error
         if response.code == HTTP_CONFLICT:
--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -29,7 +29,6 @@
 )
 from marjoramgrade.filters.chain import Chain
 from marjoramgrade.filters.context import Context
-from marjoramgrade.messages import GetConfig
 
 DEFAULT_DEADLINE_MS = 10_000
 MAX_DEADLINE_MS = 60_000
@@ -154,13 +153,10 @@
         """Stream the changes after a version."""
         try:
             after = self._parse_after()
-            # The chain checks the key; the answer itself is not needed.
-            await self.state.chain.handle(
-                Context(
-                    GetConfig(), self.secret(), uuid.uuid4().hex, self.deadline_ms()
-                )
+            context = Context(
+                Subscribe(after), self.secret(), uuid.uuid4().hex, self.deadline_ms()
             )
-            subscription = await self.state.watch.ask(Subscribe(after))
+            subscription = await self.state.chain.handle(context)
         except MarjoramgradeError as error:
             self.answer_error(error)
             return
--- a/marjoramgrade/adapters/httpresources.py
+++ b/marjoramgrade/adapters/httpresources.py
@@ -343,7 +343,16 @@
         )
         shard["free_slots"] = dict(dispatch.free_slots_by_service)
         shard["queued_requests"] = dispatch.queued
-    return _json({"shards": [shards[name] for name in sorted(shards)]})
+    by_zone: dict[str, int] = {}
+    for instance in summaries.instances:
+        known = by_zone.get(instance.zone, instance.config_version)
+        by_zone[instance.zone] = min(known, instance.config_version)
+    return _json(
+        {
+            "shards": [shards[name] for name in sorted(shards)],
+            "config": {"version_by_zone": by_zone},
+        }
+    )
 
 
 @operation("GET", r"/v1/status", _show_summaries)
--- a/marjoramgrade/adapters/peer.capnp
+++ b/marjoramgrade/adapters/peer.capnp
@@ -48,6 +48,12 @@
   queued @5 :Int32;
 }
 
+struct InstanceSummary {
+  instanceId @0 :Text;
+  zone @1 :Text;
+  configVersion @2 :Int64;
+}
+
 struct GetTasks {
   shard @0 :Text;
   jobId @1 :Text;
@@ -87,5 +93,6 @@
     tasks @9 :List(TaskStatus);
     failure @10 :Failure;
     done @11 :Void;
+    instanceSummary @12 :InstanceSummary;
   }
 }
--- a/marjoramgrade/adapters/peercodec.py
+++ b/marjoramgrade/adapters/peercodec.py
@@ -231,6 +231,19 @@
     }
 
 
+def _parse_instance_summary(data: Any) -> messages.InstanceSummary:
+    return messages.InstanceSummary(data.instanceId, data.zone, data.configVersion)
+
+
+@encodes(messages.InstanceSummary, "instanceSummary", _parse_instance_summary)
+def _serialize_instance_summary(summary: messages.InstanceSummary) -> dict[str, Any]:
+    return {
+        "instanceId": summary.instance_id,
+        "zone": summary.zone,
+        "configVersion": summary.config_version,
+    }
+
+
 def _parse_get_tasks(data: Any) -> messages.GetTasks:
     return messages.GetTasks(data.shard, data.jobId)
 
--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -13,13 +13,16 @@
 from marjoramgrade.clock import Clock
 from marjoramgrade.decisions.slots import SlotPool
 from marjoramgrade.errors import (
+    AnswerTimeoutError,
     DeadlineExceededError,
+    LedgerUnavailableError,
     MarjoramgradeError,
     NoBackendError,
     NotOwnerError,
     OutcomeUnknownError,
     OverloadedError,
     StaleAuthorityError,
+    TableError,
     UnauthenticatedError,
 )
 from marjoramgrade.messages import (
@@ -209,7 +212,7 @@
         epoch, slots = self._epoch, self._slots
         try:
             if not request.idempotent:
-                await self._journal.ask(RecordRequest(request.team, request.request_id))
+                await self._record(request)
             refusal = self._refusal_of(waiting)
             if refusal is not None or epoch != self._epoch:
                 raise refusal or NotOwnerError("the epoch changed before the dispatch")
@@ -221,7 +224,8 @@
         except OutcomeUnknownError as error:
             now_ms = self._clock.now_ms()
             slots.abandon(backend_id, now_ms)
-            slots.mark_failed(backend_id, now_ms)
+            if not isinstance(error, AnswerTimeoutError):
+                slots.mark_failed(backend_id, now_ms)
             _refuse(waiting, error)
         except MarjoramgradeError as error:
             slots.release(backend_id)
@@ -234,6 +238,18 @@
                 waiting.reply.set_result(reply)
         self._dispatch(request.service)
 
+    async def _record(self, request: RunRequest) -> None:
+        """Make the id of a non-idempotent request durable before it runs.
+
+        Raises:
+            DuplicateRequestError: If the id was recorded before.
+            LedgerUnavailableError: If it cannot be recorded now.
+        """
+        try:
+            await self._journal.ask(RecordRequest(request.team, request.request_id))
+        except TableError as error:
+            raise LedgerUnavailableError(error.message) from error
+
     async def _tick_forever(self) -> None:
         next_probe_ms = next_summary_ms = 0
         while True:
--- a/marjoramgrade/controllers/inbound.py
+++ b/marjoramgrade/controllers/inbound.py
@@ -12,6 +12,7 @@
     DispatchSummary,
     GetTasks,
     Inbound,
+    InstanceSummary,
     JobAssigned,
     RunRequest,
     TaskSummary,
@@ -43,6 +44,7 @@
             JobAssigned: jobs,
             DispatchSummary: routes,
             TaskSummary: routes,
+            InstanceSummary: routes,
         }
         self._by_shard_by_type: dict[type[Message[Any]], Mapping[str, Actor]] = {
             RunRequest: dispatcher_by_shard,
--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -23,11 +23,13 @@
     CancelJob,
     ChooseShard,
     GetJob,
+    GetTasks,
     JobAssigned,
     JobsChanged,
     ListJobs,
     StoredJob,
     SubmitJob,
+    TaskStatus,
     TellPeers,
     WriteJob,
 )
@@ -92,7 +94,15 @@
 
     @handles(ListJobs)
     async def _list(self, message: ListJobs) -> tuple[StoredJob, ...]:
-        return tuple(self._job_by_id.values())
+        return tuple(
+            stored
+            for stored in self._job_by_id.values()
+            if message.team in ("", stored.job.spec.team)
+        )
+
+    @handles(GetTasks)
+    async def _get_tasks(self, message: GetTasks) -> Any:
+        return self.spawn(self._find_tasks(message.job_id))
 
     @handles(JobAssigned)
     async def _assigned(self, message: JobAssigned) -> None:
@@ -142,6 +152,11 @@
             current_version=stored.version,
         )
 
+    async def _find_tasks(self, job_id: str) -> tuple[TaskStatus, ...]:
+        known = self._job_by_id.get(job_id)
+        stored = known if known is not None else await self._read(job_id)
+        return await self._routes.ask(GetTasks(stored.job.shard, job_id))
+
     async def _read(self, job_id: str) -> StoredJob:
         try:
             stored = await self._store.read_job(job_id)
--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -36,6 +36,8 @@
     DispatchSummary,
     GetSummaries,
     GetTasks,
+    InstanceSummary,
+    MembersChanged,
     RunReply,
     RunRequest,
     Summaries,
@@ -94,6 +96,7 @@
         self._scheduler_by_shard: dict[str, Actor] = {}
         self._dispatch_by_shard: dict[str, _Seen] = {}
         self._tasks_by_shard: dict[str, _Seen] = {}
+        self._summary_by_instance: dict[str, InstanceSummary] = {}
         self._config = Config()
         self._budget = RetryBudget()
         self._random = random.Random(instance_id)
@@ -125,11 +128,26 @@
     async def _task_summary(self, message: TaskSummary) -> None:
         _keep(self._tasks_by_shard, message, self._clock.now_ms())
 
+    @handles(InstanceSummary)
+    async def _instance_summary(self, message: InstanceSummary) -> None:
+        self._summary_by_instance[message.instance_id] = message
+
+    @handles(MembersChanged)
+    async def _members_changed(self, message: MembersChanged) -> None:
+        """Keep one summary for each member; version zero until it was heard."""
+        self._summary_by_instance = {
+            member.instance_id: self._summary_by_instance.get(
+                member.instance_id, InstanceSummary(member.instance_id, member.zone, 0)
+            )
+            for member in message.members
+        }
+
     @handles(GetSummaries)
     async def _get_summaries(self, message: GetSummaries) -> Summaries:
         return Summaries(
             tuple(self._current(self._dispatch_by_shard)),
             tuple(self._current(self._tasks_by_shard)),
+            tuple(self._summary_by_instance.values()),
         )
 
     @handles(RunRequest)
@@ -250,11 +268,18 @@
     async def _send_summaries(self) -> None:
         while True:
             await asyncio.sleep(SEND_INTERVAL_MS / 1000)
+            self._send_own_summary()
             for seen_by_shard in (self._dispatch_by_shard, self._tasks_by_shard):
                 for summary in self._current(seen_by_shard):
                     if summary.owner == self._instance_id and self._peers is not None:
                         self._peers.tell(TellPeers(summary))
 
+    def _send_own_summary(self) -> None:
+        own = InstanceSummary(self._instance_id, self._zone, self._config.version)
+        self._summary_by_instance[self._instance_id] = own
+        if self._peers is not None:
+            self._peers.tell(TellPeers(own))
+
 
 def _keep(
     seen_by_shard: dict[str, _Seen], summary: DispatchSummary | TaskSummary, now_ms: int
--- a/marjoramgrade/controllers/watch.py
+++ b/marjoramgrade/controllers/watch.py
@@ -18,21 +18,33 @@
 
 
 class Subscription:
-    """One watcher's unread events."""
+    """One watcher's unread events.
 
-    def __init__(self) -> None:
+    Args:
+        team: Show only jobs of this team; empty for all changes.
+    """
+
+    def __init__(self, team: str = "") -> None:
+        self._team = team
         self._unread: deque[WatchEvent] = deque()
         self._changed = asyncio.Event()
         self._is_closed = False
 
     def put(self, event: WatchEvent) -> None:
         """Add an event; a watcher that does not read gets a reset instead."""
+        if not self._is_shown(event):
+            return
         self._unread.append(event)
         if len(self._unread) > MAX_UNREAD_EVENTS:
             self._unread.clear()
             self._unread.append(WatchEvent(event.version, "reset"))
         self._changed.set()
 
+    def _is_shown(self, event: WatchEvent) -> bool:
+        if not self._team or event.kind == "reset":
+            return True
+        return event.job is not None and event.job.spec.team == self._team
+
     def close(self) -> None:
         """End the watch once the unread events are read."""
         self._is_closed = True
@@ -59,6 +71,7 @@
     """Asks for the changes after a version, or from now on if it is None."""
 
     after: int | None
+    team: str = ""
 
 
 @attrs.frozen
@@ -108,7 +121,7 @@
 
     @handles(Subscribe)
     async def _subscribe(self, message: Subscribe) -> Subscription:
-        subscription = Subscription()
+        subscription = Subscription(message.team)
         self._subscriptions.add(subscription)
         latest = max((event.version for event in self._events), default=0)
         if message.after is None or message.after < self._forgotten_version:
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -164,7 +164,7 @@
             store,
             lambda member: PeerLink(settings.instance_id, settings.host, member),
             counters,
-            (self._ownership,),
+            (self._ownership, routes),
         )
         jobs = JobsController(
             store, journal, routes, members, counters, (watch, *schedulers.values())
@@ -196,7 +196,7 @@
         await self._stack.add(self._ownership)
 
         environment = Environment(
-            settings, clock, counters, config, routes, jobs, instances
+            settings, clock, counters, config, routes, jobs, instances, watch
         )
         self._state = FrontState(Chain.from_config(environment), watch, clock)
         server = make_server(self._state, settings.max_body_bytes)
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -234,6 +234,10 @@
     ran = Ran.UNKNOWN
 
 
+class AnswerTimeoutError(OutcomeUnknownError):
+    """No answer came before the deadline; the connection did not break."""
+
+
 class BackendFailedError(MarjoramgradeError):
     """The backend server ran the request and reported a failure."""
 
--- a/marjoramgrade/filters/access.py
+++ b/marjoramgrade/filters/access.py
@@ -11,6 +11,7 @@
 from marjoramgrade import messages
 from marjoramgrade.actor import Actor, Message
 from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.watch import Subscribe
 from marjoramgrade.errors import (
     ForbiddenError,
     NotFoundError,
@@ -108,16 +109,19 @@
         confirmed = await self._config.ask(messages.GetConfig())
         permit = _permit_by_type.get(type(context.message), permit_operators)
         await permit(context.message, context.principal, confirmed.config, self._jobs)
-        message = context.message
-        if isinstance(message, messages.RunRequest):
-            message = attrs.evolve(
-                message,
-                team=context.principal.team,
-                key_name=context.principal.key_name,
-            )
+        message = _narrow(context.message, context.principal)
         return await proceed(attrs.evolve(context, message=message))
 
 
+def _narrow(message: Message[Any], principal: Principal) -> Message[Any]:
+    """Return the message with the principal's team filled in."""
+    if isinstance(message, messages.RunRequest):
+        return attrs.evolve(message, team=principal.team, key_name=principal.key_name)
+    if isinstance(message, messages.ListJobs | Subscribe):
+        return attrs.evolve(message, team=principal.team)
+    return message
+
+
 async def permit_operators(
     message: Any, principal: Principal, config: Config, jobs: Actor
 ) -> None:
@@ -126,6 +130,13 @@
         raise ForbiddenError("this operation needs the operators' key")
 
 
+@permits(messages.ListJobs, Subscribe)
+async def _permit_narrowed(
+    message: Any, principal: Principal, config: Config, jobs: Actor
+) -> None:
+    """Permit everyone; the message is narrowed to the principal's team."""
+
+
 @permits(messages.RunRequest)
 async def _permit_run(
     message: messages.RunRequest, principal: Principal, config: Config, jobs: Actor
--- a/marjoramgrade/filters/chain.py
+++ b/marjoramgrade/filters/chain.py
@@ -31,6 +31,7 @@
         routes: Controller of the routes to shards.
         jobs: Controller of the jobs.
         instances: Controller of the platform's instance list.
+        watch: Controller of the watches.
     """
 
     settings: EntrySettings
@@ -40,6 +41,7 @@
     routes: Actor
     jobs: Actor
     instances: Actor
+    watch: Actor
 
 
 class Filter(abc.ABC):
--- a/marjoramgrade/filters/route.py
+++ b/marjoramgrade/filters/route.py
@@ -7,6 +7,7 @@
 from marjoramgrade import messages
 from marjoramgrade.actor import Actor, Message
 from marjoramgrade.controllers.instances import GetInstances
+from marjoramgrade.controllers.watch import Subscribe
 from marjoramgrade.errors import ProtocolError
 from marjoramgrade.filters.chain import FILTERS, Environment, Filter, Proceed
 from marjoramgrade.filters.context import Context
@@ -29,7 +30,7 @@
         return cls(
             {
                 messages.RunRequest: environment.routes,
-                messages.GetTasks: environment.routes,
+                messages.GetTasks: environment.jobs,
                 messages.GetSummaries: environment.routes,
                 messages.SubmitJob: environment.jobs,
                 messages.GetJob: environment.jobs,
@@ -39,6 +40,7 @@
                 messages.ChangeConfig: environment.config,
                 messages.GrantKey: environment.config,
                 GetInstances: environment.instances,
+                Subscribe: environment.watch,
             }
         )
 
--- a/marjoramgrade/messages.py
+++ b/marjoramgrade/messages.py
@@ -194,7 +194,9 @@
 
 @attrs.frozen
 class ListJobs(Message[tuple[StoredJob, ...]]):
-    """Asks for all jobs that this instance knows."""
+    """Asks for the jobs that this instance knows, of one team or of all."""
+
+    team: str = ""
 
 
 @attrs.frozen
@@ -251,7 +253,12 @@
 
 @attrs.frozen
 class GetTasks(Message[tuple[TaskStatus, ...]]):
-    """Asks the owner of a shard for the tasks of a job."""
+    """Asks the owner of a shard for the tasks of a job.
+
+    Attributes:
+        shard: The home shard of the job; empty if it is to be looked up.
+        job_id: The job.
+    """
 
     shard: str
     job_id: str
@@ -465,12 +472,28 @@
     spec: JobSpec
 
 
+@attrs.frozen
+class InstanceSummary(Message[None]):
+    """What an entry instance tells the others about itself."""
+
+    instance_id: str
+    zone: str
+    config_version: int
+
+
 @attrs.frozen
 class Summaries:
-    """The load of every shard whose owner was heard of lately."""
+    """What is known of the cell.
+
+    Attributes:
+        dispatch: Load of the backend servers of each shard heard of lately.
+        tasks: Load of the workers of each shard heard of lately.
+        instances: The registered entry instances as last heard of.
+    """
 
     dispatch: tuple[DispatchSummary, ...]
     tasks: tuple[TaskSummary, ...]
+    instances: tuple[InstanceSummary, ...]
 
 
 @attrs.frozen
