Hold teams to their upper limits with grants by shard

Each shard has two holders, one for tasks and one for requests, which take, return and confirm grant in transactions on the team's row. Requests wait in a queue by team, so that a team at its limit does not hold up the others; slots of unknown owners count for every team until they are free. Jobs that could never run are refused at submission.

--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
@@ -11,6 +11,8 @@
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.grantkeeper import GrantKeeper
+from marjoramgrade.decisions.requestqueue import RequestQueue
 from marjoramgrade.decisions.slots import SlotPool
 from marjoramgrade.errors import (
     AnswerTimeoutError,
@@ -37,11 +39,14 @@
 )
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import Config, Instance, InstanceKind
+from marjoramgrade.resources import Resources
+from marjoramgrade.store import Store
 
 TICK_MS = 50
 PROBE_INTERVAL_MS = 250
 SUMMARY_INTERVAL_MS = 250
 CONNECTIONS_PER_BACKEND = 64
+ONE_SLOT = Resources(slots=1)
 
 
 class Backends(Protocol):
@@ -76,6 +81,7 @@
         is_member: Whether an instance of the platform's list is in the shard.
         backends: Reaches the backend servers.
         journal: Records the ids of non-idempotent requests.
+        store: Typed access to the table.
         clock: Monotonic time.
         metrics: Counters.
         max_queued: Requests that may wait.
@@ -89,6 +95,7 @@
         is_member: Callable[[Instance], bool],
         backends: Backends,
         journal: Actor,
+        store: Store,
         clock: Clock,
         metrics: Metrics,
         max_queued: int,
@@ -101,16 +108,19 @@
         self._is_member = is_member
         self._backends = backends
         self._journal = journal
+        self._store = store
         self._clock = clock
         self._metrics = metrics
         self._max_queued = max_queued
         self._routes = tuple(routes)
         self._slots = SlotPool()
+        self._running_by_team: Counter[str] = Counter()
         self._backend_by_id: dict[str, Instance] = {}
-        self._waiting_by_service: dict[str, deque[_Waiting]] = {}
+        self._queue_by_service: dict[str, RequestQueue[_Waiting]] = {}
         self._epoch = 0
         self._until_ms = 0
         self._config = Config()
+        self._grants = self._make_grants(0)
         self._fresh_until_ms = 0
         self._probing: set[str] = set()
 
@@ -120,8 +130,8 @@
 
     async def on_stop(self) -> None:
         """Refuse the requests that still wait; they have not run."""
-        for queue in self._waiting_by_service.values():
-            for waiting in queue:
+        for queue in self._queue_by_service.values():
+            for waiting in queue.iter_items():
                 _refuse(waiting, NotOwnerError("the instance has stopped"))
 
     @handles(OwnershipChanged)
@@ -131,6 +141,7 @@
         if message.epoch != self._epoch:
             self._epoch = message.epoch
             self._slots = SlotPool()
+            self._grants = self._make_grants(message.epoch)
             self._sync_backends()
         self._until_ms = message.until_ms
 
@@ -138,6 +149,7 @@
     async def _config_confirmed(self, message: ConfigConfirmed) -> None:
         self._config = message.config
         self._fresh_until_ms = message.fresh_until_ms
+        self._grants.set_config(message.config)
 
     @handles(InstancesChanged)
     async def _instances_changed(self, message: InstancesChanged) -> None:
@@ -152,15 +164,22 @@
     async def _run(self, message: RunRequest) -> Any:
         if not self._is_owner():
             raise NotOwnerError(f"{self._instance_id} does not own {self._shard}")
-        queue = self._waiting_by_service.setdefault(message.service, deque())
+        queue = self._queue_by_service.setdefault(message.service, RequestQueue())
         if len(queue) >= self._max_queued:
             raise OverloadedError(f"the queue of {message.service} is full")
         deadline_ms = self._clock.now_ms() + message.remaining_ms
         reply: asyncio.Future[RunReply] = asyncio.get_running_loop().create_future()
-        queue.append(_Waiting(message, deadline_ms, reply))
+        queue.push(message.team, _Waiting(message, deadline_ms, reply))
         self._dispatch(message.service)
         return reply
 
+    def _make_grants(self, epoch: int) -> GrantKeeper:
+        grants = GrantKeeper(
+            f"{self._shard}:requests", epoch, self._store, self._clock, self._metrics
+        )
+        grants.set_config(self._config)
+        return grants
+
     def _is_owner(self) -> bool:
         return self._clock.now_ms() < self._until_ms
 
@@ -176,18 +195,37 @@
 
     def _dispatch(self, service: str) -> None:
         """Start waiting requests while there are free slots."""
-        queue = self._waiting_by_service.get(service)
-        while queue:
-            refusal = self._refusal_of(queue[0])
+        queue = self._queue_by_service.get(service)
+        while queue and self._config.is_zone_in(self._zone):
+            if not self._slots.free_slots(service):
+                return
+            waiting = queue.pop(self._may_run, self._level_of)
+            if waiting is None:
+                return
+            refusal = self._refusal_of(waiting)
             if refusal is not None:
-                _refuse(queue.popleft(), refusal)
+                _refuse(waiting, refusal)
                 continue
-            if not self._config.is_zone_in(self._zone):
-                return
             backend_id = self._slots.acquire(service)
-            if backend_id is None:
-                return
-            self.spawn(self._send(queue.popleft(), backend_id))
+            assert backend_id is not None
+            self._running_by_team[waiting.request.team] += 1
+            self.spawn(self._send(waiting, backend_id))
+
+    def _may_run(self, team: str) -> bool:
+        return self._grants.may_use(team, ONE_SLOT, self._use_of(team))
+
+    def _use_of(self, team: str) -> Resources:
+        """Return the slots that a team may be using.
+
+        Requests of a previous owner, and those that were given up on, may be of
+        any team, so they count for every team.
+        """
+        slots = self._running_by_team[team] + self._slots.foreign_total()
+        return Resources(slots=slots)
+
+    def _level_of(self, team: str) -> float:
+        known = self._config.teams_by_name.get(team)
+        return self._running_by_team[team] / (known.share if known else 1)
 
     def _refusal_of(self, waiting: _Waiting) -> MarjoramgradeError | None:
         """Return why a request may not be dispatched now or later, or None."""
@@ -236,6 +274,8 @@
             slots.release(backend_id)
             if not waiting.reply.done():
                 waiting.reply.set_result(reply)
+        finally:
+            self._running_by_team[request.team] -= 1
         self._dispatch(request.service)
 
     async def _record(self, request: RunRequest) -> None:
@@ -254,9 +294,11 @@
         next_probe_ms = next_summary_ms = 0
         while True:
             now_ms = self._clock.now_ms()
-            for service in list(self._waiting_by_service):
-                self._expire(service)
+            for service, queue in list(self._queue_by_service.items()):
+                self._expire(queue)
                 self._dispatch(service)
+            if self._is_owner() and self._grants.is_due(now_ms):
+                self.spawn(self._refresh_grants())
             if self._is_owner() and now_ms >= next_probe_ms:
                 next_probe_ms = now_ms + PROBE_INTERVAL_MS
                 self._probe_due(now_ms)
@@ -265,19 +307,18 @@
                 self._publish()
             await asyncio.sleep(TICK_MS / 1000)
 
-    def _expire(self, service: str) -> None:
+    def _expire(self, queue: RequestQueue[_Waiting]) -> None:
         """Refuse waiting requests whose deadline passed, wherever they wait."""
         now_ms = self._clock.now_ms()
-        queue = self._waiting_by_service[service]
-        if not any(now_ms >= waiting.deadline_ms for waiting in queue):
-            return
-        kept: deque[_Waiting] = deque()
-        for waiting in queue:
-            if now_ms < waiting.deadline_ms:
-                kept.append(waiting)
-                continue
+        for waiting in queue.pop_if(lambda item: now_ms >= item.deadline_ms):
             _refuse(waiting, DeadlineExceededError("the deadline passed in the queue"))
-        self._waiting_by_service[service] = kept
+
+    async def _refresh_grants(self) -> None:
+        teams = self._config.teams_by_name
+        await self._grants.refresh(
+            {team: self._use_of(team) for team in teams},
+            is_reconciled=self._slots.foreign_total() == 0,
+        )
 
     def _probe_due(self, now_ms: int) -> None:
         for backend_id in list(self._slots.iter_due_probes(now_ms)):
@@ -309,7 +350,7 @@
         services = {backend.service for backend in self._backend_by_id.values()}
         is_in = self._config.is_zone_in(self._zone)
         free = {name: self._slots.free_slots(name) if is_in else 0 for name in services}
-        queued = sum(len(queue) for queue in self._waiting_by_service.values())
+        queued = sum(len(queue) for queue in self._queue_by_service.values())
         summary = DispatchSummary(
             self._shard, self._instance_id, self._epoch, free, queued
         )
--- /dev/null
+++ b/marjoramgrade/controllers/grantkeeper.py
@@ -0,0 +1,216 @@
+"""Keeps one holder's grants of the team limits in step with the table.
+
+A controller owns a keeper and asks it before each start. Two holders exist for
+each shard: one for tasks and one for requests.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from marjoramgrade.clock import Clock
+from marjoramgrade.decisions import grants
+from marjoramgrade.decisions.grants import GrantsRow, combine, positive_part
+from marjoramgrade.decisions.limits import GrantBook
+from marjoramgrade.errors import (
+    CheckFailedError,
+    MarjoramgradeError,
+    NotOwnerError,
+    TableUnavailableError,
+)
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.model import Config, Team
+from marjoramgrade.resources import NOTHING, Resources
+from marjoramgrade.store import Store, StoredGrants
+
+# One transaction a second for each holder, and sooner when work waits for grant.
+REFRESH_INTERVAL_MS = 1_000
+WANT_INTERVAL_MS = 200
+# Unused grant returns to the pool after this time, where other shards find it.
+IDLE_MS = 2_000
+
+
+@attrs.define
+class _Demand:
+    """What a team lacked, and since when it has had more than it used."""
+
+    wanted: Resources = NOTHING
+    idle_since_ms: int | None = None
+
+
+class GrantKeeper:
+    """The grants of one holder under one epoch.
+
+    Args:
+        holder: Name of the holder in the grants rows.
+        epoch: Epoch of the shard's owner.
+        store: Typed access to the table.
+        clock: Monotonic time.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self, holder: str, epoch: int, store: Store, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._holder = holder
+        self._epoch = epoch
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._book = GrantBook(holder, epoch)
+        self._config = Config()
+        self._read_version = 0
+        self._config_version_by_team: dict[str, int] = {}
+        self._demand_by_team: dict[str, _Demand] = {}
+        self._next_refresh_ms = 0
+        self._is_refreshing = False
+
+    def set_config(self, config: Config) -> None:
+        """Take over the limits in force."""
+        self._config = config
+
+    def may_use(self, team: str, amount: Resources, in_use: Resources) -> bool:
+        """Return whether a team may use an amount on top of what it uses.
+
+        A refusal is remembered, so that the next refresh asks for more.
+        """
+        if self._limit_of(team) == NOTHING:
+            return True
+        self._book.set_reserved(team, in_use)
+        if amount.fits(self._book.headroom(team)):
+            return True
+        demand = self._demand_by_team.setdefault(team, _Demand())
+        demand.wanted = combine(max, demand.wanted, amount)
+        return False
+
+    def excess(self, team: str, in_use: Resources) -> Resources:
+        """Return by how much a team is above a limit that was lowered."""
+        if self._limit_of(team) == NOTHING:
+            return NOTHING
+        self._book.set_reserved(team, in_use)
+        row = self._book.row(team)
+        is_claimed = row is not None and self._holder in row.epoch_by_shard
+        return self._book.excess(team) if is_claimed else NOTHING
+
+    def is_due(self, now_ms: int) -> bool:
+        """Return whether `refresh` should run now."""
+        if self._is_refreshing:
+            return False
+        if any(d.wanted != NOTHING for d in self._demand_by_team.values()):
+            return now_ms >= self._next_refresh_ms - REFRESH_INTERVAL_MS + (
+                WANT_INTERVAL_MS
+            )
+        return now_ms >= self._next_refresh_ms
+
+    async def refresh(
+        self, in_use_by_team: Mapping[str, Resources], *, is_reconciled: bool
+    ) -> None:
+        """Read the rows, then claim, take, return and confirm in one transaction.
+
+        Args:
+            in_use_by_team: What each team uses at this holder.
+            is_reconciled: Whether every use is known; before that nothing is
+                given back or confirmed.
+        """
+        self._is_refreshing = True
+        self._next_refresh_ms = self._clock.now_ms() + REFRESH_INTERVAL_MS
+        try:
+            await self._read()
+            for team, in_use in in_use_by_team.items():
+                self._book.set_reserved(team, in_use)
+            await self._write(self._plan(is_reconciled))
+        except MarjoramgradeError:
+            self._metrics.retried("grants_table_error")
+        finally:
+            self._is_refreshing = False
+
+    def _limit_of(self, team: str) -> Resources:
+        known = self._config.teams_by_name.get(team)
+        return NOTHING if known is None else known.limit
+
+    async def _read(self) -> None:
+        page = await self._store.changed_grants(self._read_version)
+        for stored in page.grants:
+            self._observe(stored)
+        self._read_version = max(self._read_version, page.version)
+
+    def _observe(self, stored: StoredGrants) -> None:
+        self._book.observe(stored.row, stored.version)
+        self._config_version_by_team[stored.row.team] = stored.config_version
+
+    def _plan(self, is_reconciled: bool) -> list[StoredGrants]:
+        """Return the rows to write, at most one step for each team."""
+        planned = []
+        for team in self._config.teams_by_name.values():
+            row = self._next_row(team, is_reconciled)
+            if row is None:
+                continue
+            config_version = max(
+                self._config_version_by_team.get(team.name, 0), self._config.version
+            )
+            version = self._book.version(team.name)
+            planned.append(StoredGrants(row, version, config_version))
+        return planned
+
+    def _next_row(self, team: Team, is_reconciled: bool) -> GrantsRow | None:
+        name = team.name
+        row = self._book.row(name)
+        demand = self._demand_by_team.setdefault(name, _Demand())
+        wanted, demand.wanted = demand.wanted, NOTHING
+        if row is None:
+            return GrantsRow(name, team.limit) if team.limit != NOTHING else None
+        if self._book.is_pending(name):
+            # Writing the row unchanged makes the earlier write fail for good.
+            return row
+        is_newer = self._config.version > self._config_version_by_team.get(name, 0)
+        if is_newer and row.limit != team.limit:
+            return grants.with_limit(row, team.limit)
+        if team.limit == NOTHING:
+            return None
+        try:
+            return self._next_step(name, demand, wanted, is_reconciled)
+        except NotOwnerError:
+            # A later owner has claimed the grant; this holder is about to learn.
+            return None
+
+    def _next_step(
+        self, name: str, demand: _Demand, wanted: Resources, is_reconciled: bool
+    ) -> GrantsRow | None:
+        claimed = self._book.begin_claim(name)
+        if claimed is not None:
+            return claimed
+        lacking = self._book.wanted(name, wanted)
+        if lacking != NOTHING:
+            demand.idle_since_ms = None
+            return self._book.begin_take(name, lacking)
+        if not is_reconciled:
+            return None
+        return self._book.begin_confirm(name) or self._return_idle(name, demand)
+
+    def _return_idle(self, name: str, demand: _Demand) -> GrantsRow | None:
+        now_ms = self._clock.now_ms()
+        if positive_part(self._book.headroom(name)) == NOTHING:
+            demand.idle_since_ms = None
+            return None
+        if demand.idle_since_ms is None:
+            demand.idle_since_ms = now_ms
+        if now_ms < demand.idle_since_ms + IDLE_MS:
+            return None
+        demand.idle_since_ms = None
+        return self._book.begin_return(name, self._book.headroom(name))
+
+    async def _write(self, planned: list[StoredGrants]) -> None:
+        if not planned:
+            return
+        try:
+            version = await self._store.write_grants(planned)
+        except (CheckFailedError, TableUnavailableError) as error:
+            # The transaction certainly had no effect.
+            for stored in planned:
+                self._book.cancel(stored.row.team)
+            self._metrics.retried(f"grants_{error.code}")
+            return
+        for stored in planned:
+            self._observe(attrs.evolve(stored, version=version))
--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
 
 from marjoramgrade.actor import Actor, handles
+from marjoramgrade.decisions.admission import check_job
+from marjoramgrade.decisions.workers import WorkerNode
 from marjoramgrade.errors import (
     CheckFailedError,
     ConflictError,
@@ -22,8 +24,10 @@
 from marjoramgrade.messages import (
     CancelJob,
     ChooseShard,
+    ConfigConfirmed,
     GetJob,
     GetTasks,
+    InstancesChanged,
     JobAssigned,
     JobsChanged,
     ListJobs,
@@ -34,7 +38,14 @@
     WriteJob,
 )
 from marjoramgrade.metrics import Metrics
-from marjoramgrade.model import Job, JobState
+from marjoramgrade.model import (
+    Config,
+    Instance,
+    InstanceKind,
+    Job,
+    JobSpec,
+    JobState,
+)
 from marjoramgrade.store import Store
 from marjoramgrade.table import ABSENT
 
@@ -48,6 +59,7 @@
     Args:
         store: Typed access to the table.
         journal: Writes job rows.
+        shard_of: Returns the shard that a worker belongs to.
         routes: Chooses the home shard of a new job.
         peers: Reaches the other entry instances.
         metrics: Counters.
@@ -58,6 +70,7 @@
         self,
         store: Store,
         journal: Actor,
+        shard_of: Callable[[Instance], str],
         routes: Actor,
         peers: Actor,
         metrics: Metrics,
@@ -66,6 +79,9 @@
         super().__init__()
         self._store = store
         self._journal = journal
+        self._shard_of = shard_of
+        self._config = Config()
+        self._workers_by_shard: dict[str, list[WorkerNode]] = {}
         self._routes = routes
         self._peers = peers
         self._metrics = metrics
@@ -77,6 +93,21 @@
         """Begin to follow the change feed."""
         self.spawn(self._follow())
 
+    @handles(ConfigConfirmed)
+    async def _config_confirmed(self, message: ConfigConfirmed) -> None:
+        self._config = message.config
+
+    @handles(InstancesChanged)
+    async def _instances_changed(self, message: InstancesChanged) -> None:
+        workers: dict[str, list[WorkerNode]] = {}
+        for instance in message.instances:
+            if instance.kind is InstanceKind.WORKER and not instance.leaving:
+                node = WorkerNode(
+                    instance.instance_id, instance.rack, instance.capacity
+                )
+                workers.setdefault(self._shard_of(instance), []).append(node)
+        self._workers_by_shard = workers
+
     @handles(SubmitJob)
     async def _submit(self, message: SubmitJob) -> Any:
         return self.spawn(self._accept(message))
@@ -117,6 +148,7 @@
         known = self._job_by_id.get(message.job_id)
         if known is not None:
             return _same_or_conflict(known, message)
+        self._check(message.spec)
         shard = await self._routes.ask(ChooseShard(message.spec))
         job = Job.from_spec(message.job_id, message.spec, shard)
         try:
@@ -131,6 +163,13 @@
         self._peers.tell(TellPeers(JobAssigned(message.job_id)))
         return stored
 
+    def _check(self, spec: JobSpec) -> None:
+        """Refuse a job that could never run."""
+        team = self._config.teams_by_name.get(spec.team)
+        if team is None:
+            raise NotFoundError(f"there is no team {spec.team}")
+        check_job(spec, team, self._workers_by_shard)
+
     async def _mark_cancelled(self, job_id: str) -> StoredJob:
         for _ in range(CANCEL_ATTEMPTS):
             stored = await self._read(job_id)
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -9,6 +9,7 @@
 
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.grantkeeper import GrantKeeper
 from marjoramgrade.controllers.jobwriter import JobWriter
 from marjoramgrade.controllers.shardtasks import ShardTasks
 from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
@@ -138,7 +139,7 @@
         self._config = message.config
         self._fresh_until_ms = message.fresh_until_ms
         if self._state is not None:
-            self._state.set_teams(message.config.teams_by_name.values())
+            self._state.set_config(message.config)
 
     @handles(InstancesChanged)
     async def _instances_changed(self, message: InstancesChanged) -> None:
@@ -157,11 +158,14 @@
         self._state = ShardTasks.from_rows(
             self._shard,
             self._policies_by_kind,
+            GrantKeeper(
+                self._shard, message.epoch, self._store, self._clock, self._metrics
+            ),
             message.roster,
             message.jobs,
             self._clock.now_ms(),
         )
-        self._state.set_teams(self._config.teams_by_name.values())
+        self._state.set_config(self._config)
         state_change("shard_loaded", shard=self._shard, jobs=len(message.jobs))
         await self._sync_workers(self._state)
 
@@ -251,6 +255,14 @@
             state.expire_workers(now_ms)
             if self._may_start():
                 state.start_tasks(now_ms)
+            if state.grants.is_due(now_ms):
+                state.stop_excess()
+                self.spawn(
+                    state.grants.refresh(
+                        state.use_by_team(),
+                        is_reconciled=state.reconciliation.is_complete(now_ms),
+                    )
+                )
             self._send_batches(state)
             self._write_outcomes(state)
             if now_ms >= next_summary_ms:
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Mapping
 
 import attrs
 
+from marjoramgrade.controllers.grantkeeper import GrantKeeper
 from marjoramgrade.decisions.actions import Ending, StartTask
+from marjoramgrade.decisions.grants import positive_part
 from marjoramgrade.decisions.outcomes import OutcomeBook
 from marjoramgrade.decisions.retries import RETRIES, RetryPolicy, TaskAttempts
 from marjoramgrade.decisions.scheduler import Scheduler
@@ -26,14 +29,15 @@
     WorkerRefused,
 )
 from marjoramgrade.model import (
+    Config,
     Instance,
     Job,
     JobSpec,
     JobState,
     Kind,
     Outcome,
+    Priority,
     TaskId,
-    Team,
 )
 from marjoramgrade.resources import NOTHING, Resources
 from marjoramgrade.settings import Policies
@@ -45,6 +49,8 @@
 MAX_MOVES_AT_ONCE = 100
 
 ZONE_OUT = "zone taken out"
+ABOVE_LIMIT = "team above its lowered limit"
+STOP_ORDER = (Kind.BATCH, Kind.GANG, Kind.SERVICE)
 
 ENDING_BY_OUTCOME = {
     "done": Ending.DONE,
@@ -69,6 +75,7 @@
     Attributes:
         shard: Name of the shard.
         scheduler: Decides what starts and stops.
+        grants: What each team may use here under its upper limit.
         reconciliation: Which workers of the previous owner are accounted for.
         roster: The workers that the table lists for this shard.
         job_by_id: Jobs that are homed in this shard and not ended.
@@ -78,6 +85,7 @@
 
     shard: str
     scheduler: Scheduler
+    grants: GrantKeeper
     reconciliation: Reconciliation
     roster: StoredRoster
     job_by_id: dict[str, StoredJob] = attrs.field(factory=dict)
@@ -94,19 +102,30 @@
         cls,
         shard: str,
         policies_by_kind: Mapping[Kind, Policies],
+        grants: GrantKeeper,
         roster: StoredRoster,
         jobs: Iterable[StoredJob],
         now_ms: int,
     ) -> ShardTasks:
         """Return the state of a new owner, before any worker has reported."""
-        scheduler = Scheduler.from_config(policies_by_kind)
+        scheduler = Scheduler.from_config(
+            policies_by_kind,
+            lambda team, amount: grants.may_use(
+                team, amount, scheduler.shares.use_of(team)
+            ),
+        )
         reconciliation = Reconciliation(roster.worker_ids, now_ms)
         retry_by_kind = {
             kind: RETRIES.get(policies.retry)()
             for kind, policies in policies_by_kind.items()
         }
         tasks = cls(
-            shard, scheduler, reconciliation, roster, retry_by_kind=retry_by_kind
+            shard,
+            scheduler,
+            grants,
+            reconciliation,
+            roster,
+            retry_by_kind=retry_by_kind,
         )
         for stored in jobs:
             tasks.job_changed(stored, now_ms)
@@ -114,9 +133,31 @@
 
     # Jobs
 
-    def set_teams(self, teams: Iterable[Team]) -> None:
-        """Take over shares and queue bounds."""
-        self.scheduler.set_teams(teams)
+    def set_config(self, config: Config) -> None:
+        """Take over shares, queue bounds and limits."""
+        self.scheduler.set_teams(config.teams_by_name.values())
+        self.grants.set_config(config)
+
+    def use_by_team(self) -> dict[str, Resources]:
+        """Return what each team with running tasks uses."""
+        shares = self.scheduler.shares
+        return {team: shares.use_of(team) for team in self.scheduler.running.teams()}
+
+    def stop_excess(self) -> None:
+        """Stop the newest tasks of teams that are above a lowered limit."""
+        for team, in_use in self.use_by_team().items():
+            excess = self.grants.excess(team, in_use)
+            if excess != NOTHING:
+                self._stop_newest(team, excess)
+
+    def _stop_newest(self, team: str, excess: Resources) -> None:
+        running = self.scheduler.running
+        for kind, priority in itertools.product(STOP_ORDER, Priority):
+            for task in list(running.iter_newest(team, kind, priority)):
+                if positive_part(excess) == NOTHING:
+                    return
+                self.scheduler.stop(task.task, ABOVE_LIMIT, is_requeued=True)
+                excess = excess - task.resources
 
     def job_changed(self, stored: StoredJob, now_ms: int) -> None:
         """Take over a newer version of a job row."""
--- a/marjoramgrade/decisions/limits.py
+++ b/marjoramgrade/decisions/limits.py
@@ -118,6 +118,24 @@
         else:
             self._running_by_team[team] = before - amount
 
+    def set_reserved(self, team: str, amount: Resources) -> None:
+        """Take over what a caller that keeps its own count says is reserved."""
+        grant = self._grant_by_team.get(team)
+        if grant is not None:
+            grant.reserved = amount
+        else:
+            self._running_by_team[team] = amount
+
+    def is_pending(self, team: str) -> bool:
+        """Return whether a write of the team's row may still take effect."""
+        grant = self._grant_by_team.get(team)
+        return grant is not None and grant.is_pending
+
+    def row(self, team: str) -> GrantsRow | None:
+        """Return the row in force here, or None if none was observed."""
+        grant = self._grant_by_team.get(team)
+        return None if grant is None else grant.row
+
     def headroom(self, team: str) -> Resources:
         """Return what the team may still start here."""
         grant = self._grant_by_team.get(team)
--- a/marjoramgrade/decisions/slots.py
+++ b/marjoramgrade/decisions/slots.py
@@ -242,6 +242,10 @@
         backends = self._backend_by_id.values()
         return sum(backend.free for backend in backends if backend.service == service)
 
+    def foreign_total(self) -> int:
+        """Return how many slots requests of unknown teams may hold."""
+        return sum(backend.foreign for backend in self._backend_by_id.values())
+
     def backend_ids(self) -> set[str]:
         """Return the servers that may be used."""
         backends = self._backend_by_id.values()
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -131,6 +131,7 @@
                 is_member,
                 backends,
                 journal,
+                store,
                 clock,
                 counters,
                 settings.max_queued_requests,
@@ -167,14 +168,22 @@
             (self._ownership, routes),
         )
         jobs = JobsController(
-            store, journal, routes, members, counters, (watch, *schedulers.values())
+            store,
+            journal,
+            lambda instance: shard_of(instance, settings.shards_per_zone),
+            routes,
+            members,
+            counters,
+            (watch, *schedulers.values()),
         )
         jobs_holder.append(jobs)
         routes.connect(members, dispatchers, schedulers)
         config = ConfigController(
-            store, members, clock, counters, (watch, routes, *by_shard)
+            store, members, clock, counters, (watch, routes, jobs, *by_shard)
+        )
+        instances = InstancesController(
+            InstanceList(platform), counters, (jobs, *by_shard)
         )
-        instances = InstancesController(InstanceList(platform), counters, by_shard)
         inbound = InboundController(config, jobs, routes, dispatchers, schedulers)
 
         for actor in (
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -6,12 +6,15 @@
 
 import attrs
 
+from marjoramgrade.decisions.grants import GrantsRow
 from marjoramgrade.decisions.ownership import ShardRow
 from marjoramgrade.documents import (
     parse_config,
     parse_job,
+    parse_resources,
     serialize_config,
     serialize_job,
+    serialize_resources,
 )
 from marjoramgrade.errors import (
     CheckFailedError,
@@ -20,9 +23,11 @@
 )
 from marjoramgrade.messages import Member, StoredJob, WriteJob
 from marjoramgrade.model import Config
+from marjoramgrade.resources import Resources
 from marjoramgrade.table import ABSENT, Row, Table, Transaction, Value
 
 CONFIG_KEY = "config"
+GRANTS_PREFIX = "grants/"
 JOBS_PREFIX = "jobs/"
 MEMBERS_PREFIX = "members/"
 REQUESTS_PREFIX = "requests/"
@@ -62,6 +67,29 @@
     jobs: tuple[StoredJob, ...]
 
 
+@attrs.frozen
+class StoredGrants:
+    """The grants row of a team.
+
+    Attributes:
+        row: How the team's limit is divided.
+        version: Version of the row.
+        config_version: Version of the configuration that the limit is from.
+    """
+
+    row: GrantsRow
+    version: int
+    config_version: int
+
+
+@attrs.frozen
+class GrantsPage:
+    """Grants rows that changed after a version, and the version reached."""
+
+    version: int
+    grants: tuple[StoredGrants, ...]
+
+
 @attrs.frozen
 class RequestRecord:
     """The id of a non-idempotent request that is about to run."""
@@ -180,6 +208,26 @@
             return None
         return _parse_stored_job(row)
 
+    async def changed_grants(self, after: int) -> GrantsPage:
+        """Return the grants rows that changed after a version."""
+        page = await self._table.changes(GRANTS_PREFIX, after)
+        grants = tuple(_parse_grants(row) for row in page.rows if row.value is not None)
+        return GrantsPage(page.version, grants)
+
+    async def write_grants(self, grants: Sequence[StoredGrants]) -> int:
+        """Write grants rows in one transaction and return their new version.
+
+        Args:
+            grants: The new rows, each with the version that it must replace.
+
+        Raises:
+            CheckFailedError: If one has changed; nothing was written.
+            TableError: If the table gave no answer.
+        """
+        checks = {GRANTS_PREFIX + g.row.team: g.version for g in grants}
+        writes = {GRANTS_PREFIX + g.row.team: _serialize_grants(g) for g in grants}
+        return await self._table.commit_resolved(Transaction(checks, writes))
+
     async def commit_records(
         self, jobs: Sequence[WriteJob], requests: Sequence[RequestRecord]
     ) -> int:
@@ -227,6 +275,41 @@
     )
 
 
+def _serialize_grants(stored: StoredGrants) -> Value:
+    row = stored.row
+    return {
+        "limit": serialize_resources(row.limit),
+        "amounts": _serialize_amounts(row.amount_by_shard),
+        "unconfirmed": _serialize_amounts(row.unconfirmed_by_shard),
+        "epochs": dict(row.epoch_by_shard),
+        "config_version": stored.config_version,
+    }
+
+
+def _serialize_amounts(amounts: Mapping[str, Resources]) -> Value:
+    return {name: serialize_resources(amount) for name, amount in amounts.items()}
+
+
+def _parse_grants(row: Row) -> StoredGrants:
+    assert row.value is not None
+    try:
+        value = row.value
+        grants = GrantsRow(
+            row.key.removeprefix(GRANTS_PREFIX),
+            parse_resources(value["limit"]),
+            _parse_amounts(value["amounts"]),
+            _parse_amounts(value["unconfirmed"]),
+            dict(value["epochs"]),
+        )
+        return StoredGrants(grants, row.version, int(value["config_version"]))
+    except (InvalidInputError, KeyError, TypeError, ValueError) as error:
+        raise ProtocolError(f"row {row.key} is invalid: {error}") from error
+
+
+def _parse_amounts(value: Mapping[str, object]) -> dict[str, Resources]:
+    return {name: parse_resources(amount) for name, amount in value.items()}
+
+
 def _parse_stored_job(row: Row) -> StoredJob:
     assert row.value is not None
     try:
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -264,8 +264,11 @@
 
     async def wait_ready(self, plan: EntryPlan) -> None:
         """Wait until an entry instance answers."""
+        process = self.process_by_name[plan.instance_id]
 
         async def is_ready() -> bool:
+            if process.popen.poll() is not None:
+                raise RuntimeError(f"{plan.instance_id} ended: see {process.log}")
             try:
                 return (await self.fetch(f"{plan.url}/ready")).code == 200
             except OSError:
--- /dev/null
+++ b/tests/test_grantkeeper.py
@@ -0,0 +1,107 @@
+import asyncio
+
+from marjoramgrade.clock import ManualClock
+from marjoramgrade.controllers.grantkeeper import GrantKeeper
+from marjoramgrade.errors import WriteOutcomeUnknownError
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.model import Config, Team
+from marjoramgrade.resources import NOTHING, Resources
+from marjoramgrade.store import Store
+from marjoramgrade.table import MemoryTable, RowsPage, Transaction
+
+LIMIT = Resources(cpu_millis=10)
+ONE = Resources(cpu_millis=1)
+
+
+class SilentTable(MemoryTable):
+    """Loses transactions before they take effect, and the reads that follow."""
+
+    is_silent = False
+
+    async def commit(self, transaction: Transaction) -> int:
+        if self.is_silent:
+            raise WriteOutcomeUnknownError("no answer")
+        return await super().commit(transaction)
+
+    async def changes(self, prefix: str, after: int = 0) -> RowsPage:
+        if self.is_silent:
+            raise WriteOutcomeUnknownError("no answer")
+        return await super().changes(prefix, after)
+
+
+class Holder:
+    """One holder that uses as much as it may."""
+
+    def __init__(self, name: str, table: MemoryTable, epoch: int = 1) -> None:
+        self.clock = ManualClock()
+        self.keeper = GrantKeeper(
+            name, epoch, Store(table), self.clock, MemoryMetrics()
+        )
+        self.keeper.set_config(Config(1, {"acme": Team("acme", limit=LIMIT)}))
+        self.in_use = NOTHING
+
+    def start_up_to(self, count: int) -> None:
+        for _ in range(count):
+            if self.keeper.may_use("acme", ONE, self.in_use):
+                self.in_use = self.in_use + ONE
+
+    async def refresh(self) -> None:
+        self.clock.advance(1_000)
+        await self.keeper.refresh({"acme": self.in_use}, is_reconciled=True)
+
+
+def test_holders_together_stay_within_the_limit() -> None:
+    """Guards against a limit that each shard applies for itself."""
+
+    async def run() -> tuple[Holder, Holder]:
+        table = MemoryTable()
+        first, second = Holder("a.0", table), Holder("b.0", table)
+        for _ in range(40):
+            for holder in (first, second):
+                holder.start_up_to(1)
+                await holder.refresh()
+                assert (first.in_use + second.in_use).fits(LIMIT)
+        return first, second
+
+    first, second = asyncio.run(run())
+    assert first.in_use + second.in_use == LIMIT
+
+
+def test_unused_grant_moves_to_the_holder_that_needs_it() -> None:
+    """Guards against grant that stays where no work is left."""
+
+    async def run() -> Resources:
+        table = MemoryTable()
+        first, second = Holder("a.0", table), Holder("b.0", table)
+        for _ in range(30):
+            first.start_up_to(1)
+            await first.refresh()
+        assert first.in_use == LIMIT
+        first.in_use = NOTHING
+        for _ in range(30):
+            await first.refresh()
+            second.start_up_to(1)
+            await second.refresh()
+        return second.in_use
+
+    assert asyncio.run(run()) == LIMIT
+
+
+def test_a_holder_goes_on_after_a_transaction_that_was_lost() -> None:
+    """Guards against a pending write that blocks a team for ever."""
+
+    async def run() -> Resources:
+        table = SilentTable()
+        holder = Holder("a.0", table)
+        await holder.refresh()
+        await holder.refresh()
+        holder.start_up_to(1)
+        table.is_silent = True
+        await holder.refresh()
+        table.is_silent = False
+        for _ in range(4):
+            holder.start_up_to(1)
+            await holder.refresh()
+        return holder.in_use
+
+    assert asyncio.run(run()) != NOTHING
