Test the client against a real entry instance

The tests of the client answered with what the client expects, so a change of the server's documents would not fail them. One test now drives a cell of separate processes through the client: resources, conflicts, keys, a job, a request and a watch. The command line's tests use the daemon's real names of filters and policies and only keep it from running.

--- a/marjoramgrade/commands/daemon.py
+++ b/marjoramgrade/commands/daemon.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import importlib
 import pathlib
+import types
 from typing import Annotated, Any
 
 import typer
@@ -19,9 +19,11 @@
 FileArgument = Annotated[pathlib.Path, typer.Argument(help="A JSON file.")]
 
 
-def _entry() -> Any:
+def _entry() -> types.ModuleType:
     # The daemon's modules are slow to load, and most commands do not need them.
-    return importlib.import_module("marjoramgrade.entry")
+    from marjoramgrade import entry
+
+    return entry
 
 
 @app.command()
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -1,13 +1,22 @@
 import asyncio
 import json
+import pathlib
 
 import pytest
 from hypothesis import given
 
 from marjoramgrade import errors, model
 from marjoramgrade.api import Client, Listing, Versioned
-from marjoramgrade.resourcekinds import KEYS, RESOURCE_KINDS, TEAMS, ZONES, KeySummary
+from marjoramgrade.resourcekinds import (
+    KEYS,
+    RESOURCE_KINDS,
+    SERVICES,
+    TEAMS,
+    ZONES,
+    KeySummary,
+)
 from marjoramgrade.transport import ServerUnreachableError, parse_error
+from standins.cell import OPERATOR_SECRET, Cell
 from tests import strategies
 from tests.scriptedserver import Answer, ScriptedServer, fails, hangs_up, ran, run, says
 
@@ -158,3 +167,53 @@
     assert list(RESOURCE_KINDS.iter_names()) == ["keys", "services", "teams", "zones"]
     key = KeySummary("k", "a")
     assert KEYS.parse(KEYS.serialize(key)) == key
+
+
+def test_the_client_and_the_entry_instance_agree(tmp_path: pathlib.Path) -> None:
+    """Guards against a client and a server that drift apart."""
+
+    async def configure(client: Client) -> str:
+        for zone in ("leeds", "manchester"):
+            await client.put(ZONES, model.Zone(zone), 0)
+        await client.put(SERVICES, model.Service("charity-accounts"), 0)
+        version = await client.put(TEAMS, model.Team("a", share=2), 0)
+        assert await client.get(TEAMS, "a") == Versioned(
+            model.Team("a", share=2), version
+        )
+        with pytest.raises(errors.ConflictError) as caught:
+            await client.put(TEAMS, model.Team("a"), version - 1)
+        assert caught.value.current_version == version
+        secret = await client.grant_key("k", "a")
+        assert (await client.list(KEYS)).items == (KeySummary("k", "a"),)
+        return secret
+
+    async def work(cell: Cell) -> None:
+        first, second = cell.running_entries()
+        operator = Client.from_url(first.url, OPERATOR_SECRET)
+        async with operator, Client.from_url(second.url) as stranger:
+            secret = await configure(operator)
+            await cell.wait_for_shards()
+            assert len(await operator.list_workers()) == 8
+            with pytest.raises(errors.UnauthenticatedError):
+                await stranger.get_job("j1")
+            watching = asyncio.ensure_future(watch_until_done(operator))
+            async with Client.from_url(second.url, secret) as client:
+                spec = model.JobSpec("a", model.Kind.BATCH, tasks=2, run_ms=20)
+                assert (await client.submit(spec, "j1")).spec == spec
+                answer = await client.run("charity-accounts", b'{"work_ms":5}')
+                assert answer == b'{"work_ms":5}'
+                done = await asyncio.wait_for(watching, 20)
+                assert done == (await client.get_job("j1")).outcomes == "dd"
+
+    async def watch_until_done(client: Client) -> str:
+        async for event in client.watch(0):
+            document = event.document or {}
+            if event.name == "j1" and document["state"] == "done":
+                return str(document["outcomes"])
+        raise AssertionError("the watch ended")
+
+    async def body() -> None:
+        async with Cell(tmp_path) as cell:
+            await work(cell)
+
+    asyncio.run(body())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,8 +1,6 @@
 import asyncio
 import json
 import pathlib
-import sys
-import types
 
 import pytest
 from click.testing import Result
@@ -15,7 +13,7 @@
 from tests.scriptedserver import Answer, ScriptedServer, fails, hangs_up, run, says
 from tests.scriptedserver import streams as streams_lines
 from tests.test_deployment import FOLDER
-from tests.test_settingsfile import GOOD, NAMES
+from tests.test_settingsfile import GOOD
 
 ZONE = {"name": "leeds", "state": "in"}
 JOB = {
@@ -52,12 +50,9 @@
 
 @pytest.fixture
 def entry(monkeypatch: pytest.MonkeyPatch) -> list[object]:
-    """Replace the daemon; returns the settings that it was started with."""
+    """Keep the daemon from running; returns the settings that it was given."""
     started: list[object] = []
-    module = types.ModuleType("marjoramgrade.entry")
-    module.KNOWN_NAMES = NAMES  # type: ignore[attr-defined]
-    module.run = started.append  # type: ignore[attr-defined]
-    monkeypatch.setitem(sys.modules, "marjoramgrade.entry", module)
+    monkeypatch.setattr("marjoramgrade.entry.run", started.append)
     return started
 
 
