--- a/marjoramgrade/controllers/config.py
+++ b/marjoramgrade/controllers/config.py
@@ -10,7 +10,13 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
 from marjoramgrade.decisions.freshness import FreshnessLease
-from marjoramgrade.decisions.versions import ConfigChange, ConfigStore, apply_change
+from marjoramgrade.decisions.versions import (
+    Change,
+    ConfigStore,
+    apply_change,
+    is_applied,
+    next_version,
+)
 from marjoramgrade.errors import (
     CheckFailedError,
     ConflictError,
@@ -135,17 +141,20 @@
 
     async def _commit_change(self, message: ChangeConfig) -> Config:
         """Apply a change to the newest version; rebase over racing changes."""
-        change = ConfigChange(
-            message.kind, message.name, message.value, message.expected_version
-        )
         write_id = uuid.uuid4().hex
+        base_version = message.expected_version
         for _ in range(REBASE_ATTEMPTS):
             asked_ms = self._clock.now_ms()
             try:
                 stored = await self._store.read_config()
-                if write_id in stored.config.recent_write_ids:
+                if base_version is None:
+                    base_version = stored.config.version
+                change = Change(
+                    message.kind, message.name, message.value, base_version, write_id
+                )
+                if is_applied(stored.config, change):
                     return stored.config
-                changed = apply_change(stored.config, change, write_id)
+                changed = next_version(apply_change(stored.config, change))
                 row_version = await self._store.write_config(
                     changed, stored.row_version
                 )
--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -11,7 +11,14 @@
 
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.clock import Clock
-from marjoramgrade.decisions.retries import RetryBudget
+from marjoramgrade.decisions.retries import (
+    Attempt,
+    Backoff,
+    RetryBudget,
+    RetryDecision,
+    Verdict,
+    may_retry,
+)
 from marjoramgrade.errors import (
     DeadlineExceededError,
     MarjoramgradeError,
@@ -20,7 +27,6 @@
     OutcomeUnknownError,
     OverloadedError,
     OwnerUnreachableError,
-    Ran,
     ShuttingDownError,
 )
 from marjoramgrade.messages import (
@@ -30,6 +36,8 @@
     DispatchSummary,
     GetSummaries,
     GetTasks,
+    InstanceSummary,
+    MembersChanged,
     RunReply,
     RunRequest,
     Summaries,
@@ -42,7 +50,6 @@
 # A summary that is older than this no longer attracts work.
 SUMMARY_LIFETIME_MS = 3_000
 SEND_INTERVAL_MS = 500
-MAX_ATTEMPTS = 4
 READ_TIMEOUT_MS = 2_000
 # Failures after which another shard may answer. A backend server that ran the
 # request and failed has answered.
@@ -89,6 +96,7 @@
         self._scheduler_by_shard: dict[str, Actor] = {}
         self._dispatch_by_shard: dict[str, _Seen] = {}
         self._tasks_by_shard: dict[str, _Seen] = {}
+        self._summary_by_instance: dict[str, InstanceSummary] = {}
         self._config = Config()
         self._budget = RetryBudget()
         self._random = random.Random(instance_id)
@@ -120,11 +128,26 @@
     async def _task_summary(self, message: TaskSummary) -> None:
         _keep(self._tasks_by_shard, message, self._clock.now_ms())
 
+    @handles(InstanceSummary)
+    async def _instance_summary(self, message: InstanceSummary) -> None:
+        self._summary_by_instance[message.instance_id] = message
+
+    @handles(MembersChanged)
+    async def _members_changed(self, message: MembersChanged) -> None:
+        """Keep one summary for each member; version zero until it was heard."""
+        self._summary_by_instance = {
+            member.instance_id: self._summary_by_instance.get(
+                member.instance_id, InstanceSummary(member.instance_id, member.zone, 0)
+            )
+            for member in message.members
+        }
+
     @handles(GetSummaries)
     async def _get_summaries(self, message: GetSummaries) -> Summaries:
         return Summaries(
             tuple(self._current(self._dispatch_by_shard)),
             tuple(self._current(self._tasks_by_shard)),
+            tuple(self._summary_by_instance.values()),
         )
 
     @handles(RunRequest)
@@ -164,7 +187,7 @@
         deadline_ms = self._clock.now_ms() + request.remaining_ms - REPLY_RESERVE_MS
         tried: set[str] = set()
         attempts = 0
-        self._budget.note_request()
+        self._budget.record_request()
         while True:
             attempts += 1
             summary = self._choose_backend_shard(request.service, tried)
@@ -178,24 +201,23 @@
                 return await self._run_on(summary, routed)
             except MarjoramgradeError as error:
                 tried.add(summary.shard)
-                if not self._may_retry(request, error, attempts, deadline_ms):
+                decision = self._decide(request, error, attempts, deadline_ms)
+                if decision.verdict is not Verdict.RETRY:
                     raise
                 self._metrics.retried(error.code)
+                await asyncio.sleep(decision.delay_ms / 1000)
 
-    def _may_retry(
+    def _decide(
         self,
         request: RunRequest,
         error: MarjoramgradeError,
         attempts: int,
         deadline_ms: int,
-    ) -> bool:
-        if not isinstance(error, RETRYABLE) or attempts >= MAX_ATTEMPTS:
-            return False
-        if self._clock.now_ms() >= deadline_ms:
-            return False
-        if error.ran is Ran.NO:
-            return True
-        return request.idempotent and self._budget.take()
+    ) -> RetryDecision:
+        if not isinstance(error, RETRYABLE):
+            return RetryDecision(Verdict.NOT_SAFE)
+        attempt = Attempt(request.idempotent, error.ran, True, attempts, deadline_ms)
+        return may_retry(attempt, Backoff(), self._budget, self._clock.now_ms())
 
     async def _run_on(self, summary: DispatchSummary, request: RunRequest) -> RunReply:
         if summary.owner == self._instance_id:
@@ -246,11 +268,18 @@
     async def _send_summaries(self) -> None:
         while True:
             await asyncio.sleep(SEND_INTERVAL_MS / 1000)
+            self._send_own_summary()
             for seen_by_shard in (self._dispatch_by_shard, self._tasks_by_shard):
                 for summary in self._current(seen_by_shard):
                     if summary.owner == self._instance_id and self._peers is not None:
                         self._peers.tell(TellPeers(summary))
 
+    def _send_own_summary(self) -> None:
+        own = InstanceSummary(self._instance_id, self._zone, self._config.version)
+        self._summary_by_instance[self._instance_id] = own
+        if self._peers is not None:
+            self._peers.tell(TellPeers(own))
+
 
 def _keep(
     seen_by_shard: dict[str, _Seen], summary: DispatchSummary | TaskSummary, now_ms: int
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -8,7 +8,7 @@
 
 from marjoramgrade.decisions.actions import Ending, StartTask
 from marjoramgrade.decisions.outcomes import OutcomeBook
-from marjoramgrade.decisions.retries import RETRIES, TaskRetry
+from marjoramgrade.decisions.retries import RETRIES, RetryPolicy, TaskAttempts
 from marjoramgrade.decisions.scheduler import Scheduler
 from marjoramgrade.decisions.sessions import WorkerSessions
 from marjoramgrade.decisions.takeover import Reconciliation
@@ -28,6 +28,7 @@
 from marjoramgrade.model import (
     Instance,
     Job,
+    JobSpec,
     JobState,
     Kind,
     Outcome,
@@ -82,7 +83,7 @@
     job_by_id: dict[str, StoredJob] = attrs.field(factory=dict)
     sessions: WorkerSessions = attrs.field(factory=WorkerSessions)
     outcomes: OutcomeBook = attrs.field(factory=OutcomeBook)
-    _retry_by_kind: dict[Kind, TaskRetry] = attrs.field(factory=dict)
+    _retry_by_kind: dict[Kind, RetryPolicy] = attrs.field(factory=dict)
     _outbox_by_worker: dict[str, _Outbox] = attrs.field(factory=dict)
     _attempt_by_task: dict[TaskId, int] = attrs.field(factory=dict)
     _moving: set[str] = attrs.field(factory=set)
@@ -384,11 +385,8 @@
         if again is None:
             return
         spec = stored.job.spec
-        # A service has no last attempt: it should run until it is cancelled.
-        max_attempts = 0 if spec.kind is Kind.SERVICE else spec.max_attempts
-        retry = self._retry_by_kind[spec.kind]
-        delay_ms = retry.delay_ms(again.attempts, max_attempts)
-        if delay_ms is None:
+        delay_ms = self._retry_by_kind[spec.kind].delay_ms(again.attempts)
+        if delay_ms is None or _is_exhausted(spec, again):
             for failed in again.iter_tasks():
                 self.outcomes.note(failed, Outcome.FAILED)
             return
@@ -405,6 +403,14 @@
         return self._outbox_by_worker.setdefault(worker_id, _Outbox())
 
 
+def _is_exhausted(spec: JobSpec, entry: QueuedTask) -> bool:
+    """Return whether failed work is given up; a service runs until cancelled."""
+    if spec.kind is Kind.SERVICE:
+        return False
+    attempts = TaskAttempts(entry.attempts)
+    return attempts.exhausted_reason(spec.max_attempts) is not None
+
+
 def _is_open(job: Job, task: TaskId) -> bool:
     is_known = 0 <= task.index < len(job.outcomes)
     return is_known and job.outcomes[task.index] == Outcome.OPEN.value
--- a/marjoramgrade/decisions/freshness.py
+++ b/marjoramgrade/decisions/freshness.py
@@ -1,33 +1,34 @@
-"""Until when the known configuration is certainly current."""
+"""Whether this instance's configuration is known to be current."""
 
 from __future__ import annotations
 
 import attrs
 
-# A withdrawn key must stop working within 8 s everywhere; the rest is for the
-# write, the next read and the tick that acts on it.
-FRESH_MS = 5_000
+FRESHNESS_MS = 5_000
 
 
 @attrs.define
 class FreshnessLease:
-    """Counts from before the question that confirmed the configuration.
+    """Holds while the configuration in force was confirmed recently.
+
+    A change accepted elsewhere is in force here, or this instance has stopped
+    relying on its copy, once the lease has run out.
 
     Attributes:
-        until_ms: The configuration is known to be current before this time.
+        until_ms: The configuration may be relied on before this time.
     """
 
     until_ms: int = 0
 
-    def confirm(self, asked_ms: int, fresh_ms: int = FRESH_MS) -> None:
-        """Extend the lease after an answer.
+    def confirm(self, asked_ms: int) -> None:
+        """Extend the lease.
 
         Args:
-            asked_ms: Time just before the question was sent.
-            fresh_ms: Length of the lease from that time.
+            asked_ms: Time just before the table was read, or just before the
+                earliest of the promises of every member was asked for.
         """
-        self.until_ms = max(self.until_ms, asked_ms + fresh_ms)
+        self.until_ms = max(self.until_ms, asked_ms + FRESHNESS_MS)
 
     def holds(self, now_ms: int) -> bool:
-        """Return whether the configuration is known to be current."""
+        """Return whether the configuration may be relied on now."""
         return now_ms < self.until_ms
--- a/marjoramgrade/model.py
+++ b/marjoramgrade/model.py
@@ -217,9 +217,11 @@
 
     Attributes:
         version: Raised by one with every change; zero before the first.
-        version_by_resource: For each resource, as `teams/name`, the version of the
-            configuration that last changed it. A deleted resource stays listed.
         recent_write_ids: Ids of the latest accepted changes, newest last.
+        base_by_path: For each changed or deleted resource (`teams.acme`), the
+            version of the document that its latest change was based on.
+        horizon_version: Deletions based on this version or an earlier one may be
+            missing from `base_by_path`.
     """
 
     version: int = 0
@@ -227,12 +229,13 @@
     keys_by_name: Mapping[str, Key] = attrs.field(factory=dict)
     zones_by_name: Mapping[str, Zone] = attrs.field(factory=dict)
     services_by_name: Mapping[str, Service] = attrs.field(factory=dict)
-    version_by_resource: Mapping[str, int] = attrs.field(factory=dict)
     recent_write_ids: tuple[str, ...] = ()
+    base_by_path: Mapping[str, int] = attrs.field(factory=dict)
+    horizon_version: int = -1
 
     def version_of(self, kind: str, name: str) -> int:
         """Return the version that last changed a resource, zero if none did."""
-        return self.version_by_resource.get(f"{kind}/{name}", 0)
+        return self.base_by_path.get(f"{kind}.{name}", -1) + 1
 
     def find_key(self, secret: str) -> Key | None:
         """Return the key with this secret, or None."""
--- a/marjoramgrade/settings.py
+++ b/marjoramgrade/settings.py
@@ -26,7 +26,7 @@
     queue_order: str = "weighted_drf"
     placement: str = "best_fit"
     preemption: str = "above_share"
-    retry: str = "backoff"
+    retry: str = "task_backoff"
 
 
 def _default_policies() -> Mapping[Kind, Policies]:
--- a/tests/test_settingsfile.py
+++ b/tests/test_settingsfile.py
@@ -20,7 +20,7 @@
         "queue_order": ["weighted_drf", "fifo"],
         "placement": ["best_fit"],
         "preemption": ["above_share"],
-        "retry": ["backoff"],
+        "retry": ["task_backoff"],
     },
 )
 GOOD = {
