--- a/marjoramgrade/decisions/slots.py
+++ b/marjoramgrade/decisions/slots.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
 
 import attrs
 
@@ -230,12 +229,17 @@
         settled_ms = now_ms + ABANDONED_SETTLE_MS
         backend.settled_ms = max(backend.settled_ms, settled_ms)
 
-    def iter_due_probes(self, now_ms: int) -> Iterator[str]:
-        """Yield the servers that should be asked for their count now."""
+    def due_probes(self, now_ms: int) -> tuple[str, ...]:
+        """Return the servers that should be asked for their count now.
+
+        Also forgets removed servers whose requests have ended.
+        """
         self._forget_removed(now_ms)
-        for backend in self._backend_by_id.values():
-            if backend.needs_probe(now_ms):
-                yield backend.backend_id
+        return tuple(
+            backend.backend_id
+            for backend in self._backend_by_id.values()
+            if backend.needs_probe(now_ms)
+        )
 
     def free_slots(self, service: str) -> int:
         """Return the slots that requests of a service could take now."""
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -78,7 +78,7 @@
     pauses = []
     for now_ms in range(0, 200_000, 20_000):
         pool.mark_failed("b1", now_ms)
-        due = (t for t in range(20_000) if list(pool.iter_due_probes(now_ms + t)))
+        due = (t for t in range(20_000) if pool.due_probes(now_ms + t))
         pauses.append(next(due))
     assert pauses == sorted(pauses)
     assert pauses[0] < pauses[-1] == MAX_BACKOFF_MS
@@ -219,7 +219,7 @@
     def lose_server(self, is_flapping: bool) -> None:
         if is_flapping:
             self.pool.remove("b1")
-            list(self.pool.iter_due_probes(self.now_ms))
+            self.pool.due_probes(self.now_ms)
             self.pool.add("b1", "quick", self.slots, 64)
         else:
             self.pool.mark_failed("b1", self.now_ms)
