--- a/marjoramgrade/decisions/slots.py
+++ b/marjoramgrade/decisions/slots.py
@@ -51,7 +51,7 @@
     is_recounting: bool = False
     settled_ms: int = 0
     failures: int = 0
-    failed_ms: int = 0
+    failed_ms: int = -1
     probe_ms: int = 0
     _stale_probes: int = 0
 
@@ -170,12 +170,6 @@
         backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << exponent)
         backend.probe_ms = now_ms + backoff_ms
 
-    def mark_recovered(self, backend_id: str) -> None:
-        """Forget the failures of a server that answered."""
-        backend = self._backend_by_id.get(backend_id)
-        if backend is not None:
-            backend.failures = 0
-
     def fenced(self, backend_id: str, in_use: int, asked_ms: int) -> None:
         """Take over the count that a server gave under the current epoch.
 
@@ -185,9 +179,8 @@
             asked_ms: Time just before the count was asked for.
         """
         backend = self._backend_by_id.get(backend_id)
-        if backend is None or (backend.failures and asked_ms <= backend.failed_ms):
-            return
-        backend.take_count(in_use, asked_ms)
+        if backend is not None and asked_ms > backend.failed_ms:
+            backend.take_count(in_use, asked_ms)
 
     def acquire(self, service: str) -> str | None:
         """Take a slot for a request.
@@ -210,6 +203,9 @@
     def release(self, backend_id: str) -> None:
         """Give back the slot of a request that the server answered.
 
+        An answer ends the back-off; a count does not, since a server may answer
+        probes and fail every request.
+
         Raises:
             ValueError: If this owner holds no slot of the server.
         """
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -124,6 +124,16 @@
     assert pool.acquire("quick") == "b1"
 
 
+def test_an_answer_that_was_under_way_does_not_undo_a_failure() -> None:
+    """Guards against a restarted server that is used without its fence."""
+    pool = counted_pool("b1")
+    pool.acquire("quick")
+    pool.mark_failed("b1", now_ms=100)
+    pool.release("b1")
+    pool.fenced("b1", 0, asked_ms=100)
+    assert pool.acquire("quick") is None
+
+
 @attrs.define
 class Request:
     epoch: int
