Let the floor of the retry budget refill with time

The floor was spent once and for all, so an instance with few requests had no retries after its first three.

--- a/marjoramgrade/decisions/retries.py
+++ b/marjoramgrade/decisions/retries.py
@@ -15,8 +15,9 @@
 MAX_DELAY_MS = 2_000
 MAX_REQUEST_ATTEMPTS = 4
 BUDGET_PERCENT = 10
-# Lets a caller with few requests retry at all.
+# Retries that time alone earns, so that an instance with few requests has some.
 BUDGET_FLOOR = 3
+FLOOR_INTERVAL_MS = 1_000
 # Retries saved up beyond this would let a burst double the load.
 BUDGET_CEILING = 100
 # Attempts that were refused before they ran; each is tried elsewhere.
@@ -81,18 +82,27 @@
     Amounts are hundredths of a retry, so that whole numbers suffice.
     """
 
-    _hundredths: int = BUDGET_FLOOR * 100
+    _hundredths: int = 0
+    _floor: int = BUDGET_FLOOR
+    _floor_ms: int = 0
 
     def record_request(self) -> None:
         """Take note of a first attempt, which earns a part of a retry."""
         ceiling = BUDGET_CEILING * 100
         self._hundredths = min(ceiling, self._hundredths + BUDGET_PERCENT)
 
-    def try_spend(self) -> bool:
+    def try_spend(self, now_ms: int) -> bool:
         """Return whether a retry is within the budget, and charge it."""
-        if self._hundredths < 100:
+        if self._hundredths >= 100:
+            self._hundredths -= 100
+            return True
+        earned = (now_ms - self._floor_ms) // FLOOR_INTERVAL_MS
+        if earned > 0:
+            self._floor = min(BUDGET_FLOOR, self._floor + earned)
+            self._floor_ms = now_ms
+        if self._floor == 0:
             return False
-        self._hundredths -= 100
+        self._floor -= 1
         return True
 
 
@@ -172,7 +182,7 @@
         return RetryDecision(Verdict.EXHAUSTED)
     if now_ms + delay_ms >= attempt.deadline_ms:
         return RetryDecision(Verdict.NO_TIME)
-    if not budget.try_spend():
+    if not budget.try_spend(now_ms):
         return RetryDecision(Verdict.OVER_BUDGET)
     return RetryDecision(Verdict.RETRY, delay_ms)
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -72,7 +72,9 @@
         decision = may_retry(SENT, policy, budget, 0)
         retries += decision.verdict is Verdict.RETRY
     assert retries == 100 + BUDGET_FLOOR
-    assert not budget.try_spend()
+    assert not budget.try_spend(999)
+    spent = [budget.try_spend(60_000) for _ in range(BUDGET_FLOOR + 1)]
+    assert spent == [True] * BUDGET_FLOOR + [False]
 
 
 def test_policies_are_found_by_name() -> None:
