--- a/marjoramgrade/decisions/versions.py
+++ b/marjoramgrade/decisions/versions.py
@@ -57,9 +57,9 @@
         kind: `teams`, `keys`, `zones` or `services`.
         name: Name of the resource.
         resource: Its new state, or None to delete it.
-        base_version: Version of the document that the operator saw, from the
-            `If-Match` header or the document in force when the change arrived;
-            zero if the resource must not exist yet.
+        base_version: Version of the resource or of the document that the
+            operator saw, from `If-Match`, or else of the document in force when
+            the change arrived; zero if the resource must not exist yet.
         write_id: Unique id of the change, the same for every attempt.
     """
 
@@ -87,6 +87,17 @@
     return found
 
 
+def resource_version(config: Config, kind: str, name: str) -> int:
+    """Return the version of one resource, or zero if it does not exist.
+
+    It stays the same while only other resources change, and serves as the
+    `base_version` of a change of this one.
+    """
+    if name not in resources_of(config, kind):
+        return 0
+    return config.base_by_path.get(f"{kind}.{name}", 0) + 1
+
+
 def is_applied(config: Config, change: Change) -> bool:
     """Return whether a document shows that a change was accepted."""
     return change.write_id in config.recent_write_ids
@@ -140,7 +151,7 @@
         raise ConflictError(
             f"{change.path} has changed",
             expected_version=change.base_version,
-            current_version=config.version,
+            current_version=resource_version(config, change.kind, change.name),
         )
 
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -17,6 +17,7 @@
     apply_change,
     is_applied,
     iter_problems,
+    resource_version,
 )
 from marjoramgrade.errors import (
     CheckFailedError,
@@ -97,6 +98,10 @@
     with pytest.raises(ConflictError):
         put_team(config, "a", base_version=0)
     assert put_team(config, "a", base_version=3).version == 4
+    later = put_team(put_team(config, "b"), "c")
+    assert resource_version(later, "teams", "a") == 3
+    assert resource_version(later, "teams", "x") == 0
+    assert put_team(later, "a", base_version=3).version == 6
 
 
 def test_a_stale_change_does_not_revive_a_deleted_resource() -> None:
