--- a/marjoramgrade/decisions/limits.py
+++ b/marjoramgrade/decisions/limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 
 from marjoramgrade.decisions import grants
@@ -14,6 +16,26 @@
 from marjoramgrade.resources import NOTHING, Resources
 
 
+def choose_donor(
+    wanted: Resources, unused_by_shard: Mapping[str, Resources]
+) -> str | None:
+    """Return the shard that is asked to give back grant of a team.
+
+    Args:
+        wanted: What another shard lacks.
+        unused_by_shard: What each other shard can spare, from their summaries.
+
+    Returns:
+        The shard that can spare the largest part, or None.
+    """
+    part_by_shard = {
+        shard: combine(min, wanted, unused).dominant_share(wanted)
+        for shard, unused in sorted(unused_by_shard.items())
+    }
+    best = max(part_by_shard, key=lambda shard: part_by_shard[shard], default=None)
+    return best if best is not None and part_by_shard[best] > 0 else None
+
+
 @attrs.define
 class TeamGrant:
     """One team's grant in one shard.
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,7 +11,7 @@
 
 from marjoramgrade.decisions import grants
 from marjoramgrade.decisions.grants import UNLIMITED, GrantsRow
-from marjoramgrade.decisions.limits import GrantBook
+from marjoramgrade.decisions.limits import GrantBook, choose_donor
 from marjoramgrade.errors import CheckFailedError
 from marjoramgrade.resources import NOTHING, Resources
 from marjoramgrade.table import MemoryTable, Transaction
@@ -98,6 +98,14 @@
     assert confirmed is not None and confirmed.unconfirmed_by_shard == {}
 
 
+def test_the_shard_that_can_spare_most_is_asked() -> None:
+    """Guards against requests to shards that have nothing to give back."""
+    unused = {"x": units(1), "y": units(9), "z": Resources(cpu_millis=99)}
+    assert choose_donor(units(4), unused) == "y"
+    assert choose_donor(units(4), {"z": unused["z"]}) is None
+    assert choose_donor(units(4), {}) is None
+
+
 @attrs.define
 class Owner:
     book: GrantBook
