--- /dev/null
+++ b/tests/test_promises_machine.py
@@ -0,0 +1,351 @@
+import attrs
+import hypothesis.strategies as st
+import pytest
+from hypothesis import Phase, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from marjoramgrade.decisions.newcomers import may_change_config, may_take_shard
+from marjoramgrade.decisions.ownership import (
+    OWNERSHIP_LEASE_MS,
+    HeldLease,
+    ShardRow,
+    TakeoverWatch,
+)
+from marjoramgrade.decisions.promises import (
+    FLEET,
+    PROMISE_MS,
+    GivenPromises,
+    PromiseBook,
+    PromiseReply,
+    PromiseRequest,
+    ReceivedPromises,
+)
+
+MACHINE = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=250,
+    stateful_step_count=40,
+    phases=[Phase.generate],
+)
+
+
+@attrs.define
+class Write:
+    """A write on its way to the table, where it may arrive at any time."""
+
+    name: str
+    version: int
+    row: ShardRow | None = None
+
+
+@attrs.define
+class Member:
+    name: str
+    book: PromiseBook
+    lease: HeldLease = attrs.field(factory=lambda: HeldLease(0))
+    watch: TakeoverWatch = attrs.field(factory=TakeoverWatch)
+    row: ShardRow = ShardRow("z.0")
+    registered: tuple[str, ...] = ()
+    earlier: tuple[str, ...] = ()
+    acknowledged_by: set[str] = attrs.field(factory=set)
+    write: Write | None = None
+
+    @property
+    def given(self) -> GivenPromises:
+        return self.book.given
+
+    @property
+    def fleet(self) -> ReceivedPromises:
+        return self.book.fleet
+
+    @property
+    def zone(self) -> ReceivedPromises:
+        return self.book.for_shard("z.0")
+
+
+NAME = st.sampled_from("abc")
+OFTEN = st.sampled_from([True, True, True, False])
+
+
+class PromiseMachine(RuleBasedStateMachine):
+    """Three instances of a zone, the last a newcomer, and a table with outages.
+
+    Each instance sees its own outage; writes arrive late and lose their answers.
+    """
+
+    given_type = GivenPromises
+    received_type = ReceivedPromises
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.row = ShardRow("z.0", "a", 1, 0, ("a", "b"))
+        self.row_version = self.config_version = 1
+        self.registered: tuple[str, ...] = ("a", "b")
+        self.reaches = dict.fromkeys("abc", True)
+        self.writes: list[Write] = []
+        self.members = {name: self.make_member(name) for name in "abc"}
+        self.members["a"].lease = HeldLease(1, OWNERSHIP_LEASE_MS)
+        for name in "abc":
+            self.members[name].given.is_admitted = name != "c"
+            self.read_table(name)
+
+    def make_member(self, name: str) -> Member:
+        fleet = self.received_type(name, FLEET)
+        book = PromiseBook(name, "z", self.given_type(), fleet)
+        book._received_by_shard["z.0"] = self.received_type(name, "z")
+        return Member(name, book)
+
+    @rule(by_ms=st.sampled_from([500, 2_000, PROMISE_MS, 6_500]))
+    def advance(self, by_ms: int) -> None:
+        self.now_ms += by_ms
+
+    @rule(name=NAME)
+    def toggle_table(self, name: str) -> None:
+        self.reaches[name] = not self.reaches[name]
+        self.read_table(name)
+
+    @rule()
+    def lose_table(self) -> None:
+        self.reaches = dict.fromkeys("abc", False)
+        for name in "abc":
+            self.read_table(name)
+
+    @rule(name=NAME)
+    def read_table(self, name: str) -> None:
+        member = self.members[name]
+        member.given.is_table_reached = self.reaches[name]
+        if not self.reaches[name]:
+            return
+        if member.write is not None and member.write not in self.writes:
+            self.end_write(member)
+        member.watch.observe(self.row, self.row_version, self.now_ms)
+        member.row = self.row
+        member.registered = self.registered
+        member.fleet.expect(self.registered)
+        member.zone.expect({self.row.owner, *self.row.guardians})
+
+    @rule()
+    def register_newcomer(self) -> None:
+        if self.reaches["c"] and "c" not in self.registered:
+            self.members["c"].earlier = self.registered
+            self.registered = (*self.registered, "c")
+
+    @rule(name=st.sampled_from("ab"))
+    def acknowledge(self, name: str) -> None:
+        newcomer = self.members["c"]
+        book = self.members[name].book
+        if "c" in self.registered and book.acknowledge("c", "z", self.now_ms):
+            newcomer.acknowledged_by.add(name)
+
+    @rule(name=NAME, peer=NAME, is_fleet=st.booleans(), is_quick=OFTEN)
+    def ask(self, name: str, peer: str, is_fleet: bool, is_quick: bool) -> None:
+        member = self.members[name]
+        received = member.fleet if is_fleet else member.zone
+        request, asked_ms = received.request(), self.now_ms
+        reply = self.members[peer].given.attest(
+            request, self.config_version, self.now_ms
+        )
+        self.now_ms += 0 if is_quick else 3_000
+        if peer in received.peers:
+            received.record(peer, request, reply, asked_ms)
+        member.zone.extend(member.lease, self.now_ms)
+
+    @rule(name=NAME)
+    def ask_all(self, name: str) -> None:
+        for received in (self.members[name].fleet, self.members[name].zone):
+            for peer in sorted(received.peers):
+                self.ask(name, peer, received.scope == FLEET, is_quick=True)
+
+    @rule(name=NAME, is_at_once=OFTEN)
+    def change_config(self, name: str, is_at_once: bool) -> None:
+        member = self.members[name]
+        others = () if name != "c" else member.earlier or ("a", "b")
+        if may_change_config(name, others, member.acknowledged_by):
+            self.send(member, Write(name, self.config_version), is_at_once)
+
+    @rule(name=NAME, is_at_once=OFTEN)
+    def take_over(self, name: str, is_at_once: bool) -> None:
+        member = self.members[name]
+        row = member.row
+        if name != row.owner and member.watch.may_take(self.now_ms):
+            allowed = may_take_shard(
+                name, row, member.registered, member.acknowledged_by
+            )
+            taken = row.taken_by(name, tuple(self.registered))
+            if allowed:
+                write = Write(name, member.watch.version, taken)
+                self.send(member, write, is_at_once)
+
+    def send(self, member: Member, write: Write, is_at_once: bool) -> None:
+        is_idle = member.write is None and self.reaches[member.name]
+        if is_idle and member.given.begin_write("w", self.now_ms):
+            member.write = write
+            self.writes.append(write)
+            if is_at_once:
+                self.arrive(pick=-1, is_answered=True)
+
+    @rule(pick=st.integers(0, 9), is_answered=st.booleans())
+    def arrive(self, pick: int, is_answered: bool) -> None:
+        if not self.writes:
+            return
+        write = self.writes.pop(pick % len(self.writes))
+        member = self.members[write.name]
+        if write.row is None and write.version == self.config_version:
+            self.check_nobody_relies_on(write.name)
+            self.config_version += 1
+        elif write.row is not None and write.version == self.row_version:
+            self.check_nobody_relies_on(write.name)
+            assert not self.find_holders(besides=write.name)
+            self.row = write.row
+            self.row_version += 1
+            if is_answered:
+                member.lease = HeldLease(self.row.epoch)
+                member.lease.confirm(self.now_ms)
+        if is_answered:
+            self.end_write(member)
+
+    def end_write(self, member: Member) -> None:
+        member.write = None
+        member.given.end_write("w")
+
+    @rule(is_answered=OFTEN)
+    def renew(self, is_answered: bool) -> None:
+        owner = self.members[self.row.owner]
+        is_current = owner.lease.epoch == self.row.epoch
+        if is_current and owner.lease.holds(self.now_ms) and self.reaches[owner.name]:
+            owner.zone.propose(owner.registered)
+            self.row = self.row.renewed(tuple(owner.registered))
+            self.row_version += 1
+            if is_answered:
+                owner.zone.expect(owner.registered)
+                owner.lease.confirm(self.now_ms)
+
+    def find_holders(self, besides: str) -> list[str]:
+        return [
+            name
+            for name, member in self.members.items()
+            if name != besides and member.lease.holds(self.now_ms)
+        ]
+
+    def check_nobody_relies_on(self, name: str) -> None:
+        for member in self.members.values():
+            relies = member.fleet.holds(self.now_ms) and member.name in self.registered
+            assert member.name == name or not relies
+
+
+def test_authority_by_promises_never_overlaps_with_a_change() -> None:
+    """Guards against stale authority and a second owner (invariants 2 and 11)."""
+    run_state_machine_as_test(PromiseMachine, settings=MACHINE)
+
+
+class Careless(GivenPromises):
+    def begin_write(self, write_id: str, now_ms: int) -> bool:
+        return True
+
+
+class Impatient(GivenPromises):
+    def attest(
+        self, request: PromiseRequest, config_version: int, now_ms: int
+    ) -> PromiseReply:
+        self._writes_in_flight.clear()
+        return super().attest(request, config_version, now_ms)
+
+
+class Hospitable(GivenPromises):
+    def acknowledge(self, newcomer: str, zone: str, now_ms: int) -> bool:
+        return True
+
+
+class WithoutProposals(ReceivedPromises):
+    def propose(self, members) -> None:
+        pass
+
+
+class Majority(ReceivedPromises):
+    def until_ms(self, now_ms: int) -> int:
+        ends = sorted(promise.until_ms for promise in self._promise_by_peer.values())
+        return ends[-1] if ends else 0
+
+
+def change_after_promise(machine: PromiseMachine) -> None:
+    machine.lose_table()
+    machine.ask_all("a")
+    machine.toggle_table("b")
+    machine.change_config("b", is_at_once=True)
+
+
+def change_sent_before_promise(machine: PromiseMachine) -> None:
+    machine.change_config("b", is_at_once=False)
+    machine.lose_table()
+    machine.ask_all("a")
+    machine.arrive(pick=0, is_answered=False)
+
+
+def change_by_newcomer(machine: PromiseMachine) -> None:
+    machine.reaches.update(a=False, b=False)
+    machine.read_table("a")
+    machine.read_table("b")
+    machine.register_newcomer()
+    machine.acknowledge("b")
+    machine.ask_all("a")
+    machine.change_config("c", is_at_once=True)
+
+
+def change_by_a_member_not_asked(machine: PromiseMachine) -> None:
+    machine.register_newcomer()
+    machine.read_table("a")
+    machine.reaches.update(a=False, b=False)
+    machine.read_table("a")
+    machine.read_table("b")
+    machine.acknowledge("b")
+    machine.ask_all("a")
+    machine.change_config("c", is_at_once=True)
+
+
+def takeover_by_a_guardian_of_a_lost_renewal(machine: PromiseMachine) -> None:
+    machine.register_newcomer()
+    machine.read_table("a")
+    machine.renew(is_answered=False)
+    machine.read_table("c")
+    machine.reaches.update(a=False, b=False)
+    for name in "ab":
+        machine.read_table(name)
+    for _ in range(14):
+        machine.ask_all("a")
+        machine.advance(500)
+    machine.take_over("c", is_at_once=True)
+
+
+def machine_with(
+    given: type[GivenPromises] = GivenPromises,
+    received: type[ReceivedPromises] = ReceivedPromises,
+) -> PromiseMachine:
+    class Machine(PromiseMachine):
+        given_type = given
+        received_type = received
+
+    return Machine()
+
+
+@pytest.mark.parametrize(
+    ("play", "broken"),
+    [
+        (change_after_promise, {"given": Careless}),
+        (change_sent_before_promise, {"given": Impatient}),
+        (change_by_newcomer, {"given": Hospitable}),
+        (change_by_a_member_not_asked, {"received": Majority}),
+        (takeover_by_a_guardian_of_a_lost_renewal, {"received": WithoutProposals}),
+    ],
+)
+def test_the_machine_finds_a_missing_mechanism(play, broken) -> None:
+    """Guards against a machine that would not notice overlapping authority."""
+    play(machine_with())
+    with pytest.raises(AssertionError):
+        play(machine_with(**broken))
