--- /dev/null
+++ b/formal/__init__.py
@@ -0,0 +1,1 @@
+"""The specification of the core protocol, checked with z3."""
--- /dev/null
+++ b/formal/bounded.py
@@ -0,0 +1,302 @@
+"""Specifications as guarded actions, checked to a bounded depth and by induction.
+
+A step is one action followed by any passage of time, so a process may pause for
+any time between two of its steps, and every order of steps is covered.
+"""
+
+from __future__ import annotations
+
+import enum
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+import z3
+
+from marjoramgrade.decisions.ownership import DRIFT_MARGIN_MS
+
+# Each clock stays within this distance ahead of the common time, so two clocks
+# differ by at most DRIFT_MARGIN_MS over any interval.
+SKEW_MS = DRIFT_MARGIN_MS // 2
+NOW = "now"
+
+Expr = Any
+Step = tuple[Expr, Mapping[str, Expr]]
+
+
+class Sort(enum.Enum):
+    """The sorts of state variables."""
+
+    INT = "int"
+    BOOL = "bool"
+
+
+@attrs.frozen
+class State:
+    """The variables of one state; `s["until", "a"]` names `until_a`."""
+
+    expression_by_name: Mapping[str, Expr]
+
+    def __getitem__(self, key: str | tuple[str, ...]) -> Expr:
+        return self.expression_by_name[name_of(key)]
+
+
+def name_of(key: str | tuple[str, ...]) -> str:
+    """Return the variable name of a key."""
+    return key if isinstance(key, str) else "_".join(key)
+
+
+def updates(*pairs: tuple[str | tuple[str, ...], Expr]) -> dict[str, Expr]:
+    """Return the next value by variable name."""
+    return {name_of(key): value for key, value in pairs}
+
+
+class Verdict(enum.Enum):
+    """What a check found."""
+
+    HOLDS = "holds"
+    VIOLATED = "violated"
+    REACHED = "reached"
+    UNREACHED = "unreached"
+    INDUCTIVE = "inductive"
+    NOT_INDUCTIVE = "not inductive"
+    UNDECIDED = "undecided"
+
+
+@attrs.frozen
+class Result:
+    """The outcome of one check.
+
+    Attributes:
+        verdict: What was found.
+        depth: Steps explored, or the length of the trace.
+        seconds: Time taken.
+        trace: Actions of the run that was found, each with the common time.
+    """
+
+    verdict: Verdict
+    depth: int
+    seconds: float
+    trace: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Action:
+    """One action, instantiated for its arguments."""
+
+    name: str
+    function: Callable[..., Step]
+    arguments: tuple[str, ...]
+
+    def step(self, state: State, mutation: str) -> Step:
+        """Return the guard and the updates in a state."""
+        return self.function(state, mutation, *self.arguments)
+
+
+@attrs.define
+class Spec:
+    """A specification; decorators register its parts.
+
+    Attributes:
+        name: Name in the table of results.
+        sort_by_name: The state variables.
+        clocks: Variables that are clocks of processes.
+        init: The initial states.
+        invariants: Properties of every reachable state.
+        goals: Properties of some reachable state.
+        lemmas: Conjuncts of the inductive invariant.
+        mutations: Names of the mutations that the actions understand.
+    """
+
+    name: str
+    sort_by_name: dict[str, Sort]
+    clocks: tuple[str, ...]
+    actions: list[Action] = attrs.field(factory=list)
+    init: Callable[[State], Expr] = attrs.field(default=lambda _: True)
+    invariants: dict[str, Callable[[State], Expr]] = attrs.field(factory=dict)
+    goals: dict[str, Callable[[State], Expr]] = attrs.field(factory=dict)
+    lemmas: dict[str, Callable[[State], Expr]] = attrs.field(factory=dict)
+    mutations: dict[str, str] = attrs.field(factory=dict)
+
+    def initial(self, function: Callable[[State], Expr]) -> Callable[[State], Expr]:
+        """Register the initial states."""
+        self.init = function
+        return function
+
+    def action(self, *choices: tuple[str, ...]) -> Callable[..., Any]:
+        """Register an action, once for each choice of arguments."""
+
+        def register(function: Callable[..., Step]) -> Callable[..., Step]:
+            for arguments in choices or ((),):
+                name = " ".join((function.__name__, *arguments))
+                self.actions.append(Action(name, function, arguments))
+            return function
+
+        return register
+
+    def invariant(self, function: Callable[[State], Expr]) -> Callable[[State], Expr]:
+        """Register a property of every reachable state."""
+        self.invariants[function.__name__] = function
+        return function
+
+    def goal(self, function: Callable[[State], Expr]) -> Callable[[State], Expr]:
+        """Register a property that some reachable state must have."""
+        self.goals[function.__name__] = function
+        return function
+
+    def lemma(self, function: Callable[[State], Expr]) -> Callable[[State], Expr]:
+        """Register a conjunct of the inductive invariant."""
+        self.lemmas[function.__name__] = function
+        return function
+
+    def mutation(self, name: str, invariant: str) -> str:
+        """Register a mutation and the invariant that it must violate."""
+        self.mutations[name] = invariant
+        return name
+
+    def state(self, index: int) -> State:
+        """Return fresh variables for the state after `index` steps."""
+        make = {Sort.INT: z3.Int, Sort.BOOL: z3.Bool}
+        sorts = {NOW: Sort.INT, **dict.fromkeys(self.clocks, Sort.INT)}
+        sorts.update(self.sort_by_name)
+        return State({n: make[k](f"{n}@{index}") for n, k in sorts.items()})
+
+    def clocks_valid(self, state: State) -> Expr:
+        """Return that every clock is within the skew of the common time."""
+        now = state[NOW]
+        ahead = [
+            z3.And(state[c] >= now, state[c] <= now + SKEW_MS) for c in self.clocks
+        ]
+        return z3.And(now >= 0, *ahead)
+
+    def step(
+        self, before: State, after: State, index: int, mutation: str
+    ) -> tuple[Expr, list[Expr]]:
+        """Return the transition relation and one chosen-flag for each action."""
+        chosen = [z3.Bool(f"act{n}@{index}") for n in range(len(self.actions))]
+        parts = [z3.PbEq([(flag, 1) for flag in chosen], 1)]
+        writers: dict[str, list[Expr]] = {name: [] for name in self.sort_by_name}
+        for flag, action in zip(chosen, self.actions, strict=True):
+            guard, changes = action.step(before, mutation)
+            parts.append(z3.Implies(flag, guard))
+            for name, value in changes.items():
+                parts.append(z3.Implies(flag, after[name] == value))
+                writers[name].append(flag)
+        for name, flags in writers.items():
+            parts.append(z3.Or(after[name] == before[name], *flags))
+        parts.extend(after[c] >= before[c] for c in (NOW, *self.clocks))
+        parts.append(self.clocks_valid(after))
+        return z3.And(*parts), chosen
+
+
+def explore(
+    spec: Spec, wanted: Callable[[State], Expr], depth: int, mutation: str
+) -> tuple[int, tuple[str, ...]] | None:
+    """Search every order of steps for a state, shortest runs first.
+
+    Args:
+        spec: The specification.
+        wanted: The state that is searched for.
+        depth: Largest number of steps.
+        mutation: Mutation in force, or empty.
+
+    Returns:
+        Length and actions of a shortest run, or None if there is none.
+    """
+    solver = z3.SolverFor("QF_LIA")
+    state = spec.state(0)
+    solver.add(state[NOW] == 0, spec.clocks_valid(state), spec.init(state))
+    states, flags = [state], []
+    for length in range(depth + 1):
+        target = z3.Bool(f"target@{length}")
+        solver.add(z3.Implies(target, wanted(state)))
+        answer = solver.check(target)
+        if answer == z3.sat:
+            return length, read_trace(spec, solver.model(), states, flags)
+        if answer != z3.unsat:
+            raise TimeoutError(f"{spec.name}: z3 gave no answer at depth {length}")
+        solver.add(z3.Not(wanted(state)))
+        if length < depth:
+            after = spec.state(length + 1)
+            relation, chosen = spec.step(state, after, length, mutation)
+            solver.add(relation)
+            states.append(after)
+            flags.append(chosen)
+            state = after
+    return None
+
+
+def read_trace(
+    spec: Spec, model: z3.ModelRef, states: list[State], flags: list[list[Expr]]
+) -> tuple[str, ...]:
+    """Return the actions of a run with the common time at which each happens."""
+    lines = []
+    for state, chosen in zip(states, flags, strict=False):
+        at_ms = model.eval(state[NOW], model_completion=True)
+        for flag, action in zip(chosen, spec.actions, strict=True):
+            if z3.is_true(model.eval(flag)):
+                lines.append(f"{at_ms} ms: {action.name}")
+    return tuple(lines)
+
+
+def check_invariant(spec: Spec, name: str, depth: int, mutation: str = "") -> Result:
+    """Check that no run of at most `depth` steps violates an invariant."""
+    if mutation and mutation not in spec.mutations:
+        raise ValueError(f"{spec.name} has no mutation {mutation!r}")
+    started = time.monotonic()
+    invariant = spec.invariants[name]
+    found = explore(spec, lambda s: z3.Not(invariant(s)), depth, mutation)
+    seconds = time.monotonic() - started
+    if found is None:
+        return Result(Verdict.HOLDS, depth, seconds)
+    return Result(Verdict.VIOLATED, found[0], seconds, found[1])
+
+
+def check_all_invariants(spec: Spec, depth: int) -> Result:
+    """Check all invariants of a specification in one search."""
+    started = time.monotonic()
+    found = explore(
+        spec,
+        lambda s: z3.Not(z3.And(*(check(s) for check in spec.invariants.values()))),
+        depth,
+        "",
+    )
+    seconds = time.monotonic() - started
+    if found is None:
+        return Result(Verdict.HOLDS, depth, seconds)
+    return Result(Verdict.VIOLATED, found[0], seconds, found[1])
+
+
+def check_goal(spec: Spec, name: str, depth: int) -> Result:
+    """Check that some run of at most `depth` steps reaches a goal."""
+    started = time.monotonic()
+    found = explore(spec, spec.goals[name], depth, "")
+    seconds = time.monotonic() - started
+    if found is None:
+        return Result(Verdict.UNREACHED, depth, seconds)
+    return Result(Verdict.REACHED, found[0], seconds, found[1])
+
+
+def check_induction(spec: Spec, mutation: str = "") -> Result:
+    """Check that the lemmas are inductive and imply every invariant."""
+    started = time.monotonic()
+    before, after = spec.state(0), spec.state(1)
+    relation, chosen = spec.step(before, after, 0, mutation)
+    lemmas = z3.And(*(lemma(before) for lemma in spec.lemmas.values()))
+    known = z3.And(spec.clocks_valid(before), lemmas)
+    start = z3.And(before[NOW] == 0, spec.clocks_valid(before), spec.init(before))
+    cases: list[tuple[str, Expr]] = []
+    for name, lemma in spec.lemmas.items():
+        cases.append((f"init: {name}", z3.And(start, z3.Not(lemma(before)))))
+        cases.append((f"step: {name}", z3.And(known, relation, z3.Not(lemma(after)))))
+    for name, invariant in spec.invariants.items():
+        cases.append((f"implied: {name}", z3.And(known, z3.Not(invariant(before)))))
+    for name, case in cases:
+        solver = z3.SolverFor("QF_LIA")
+        solver.add(case)
+        if solver.check() != z3.unsat:
+            taken = read_trace(spec, solver.model(), [before], [chosen])
+            seconds = time.monotonic() - started
+            return Result(Verdict.NOT_INDUCTIVE, 1, seconds, (name, *taken))
+    return Result(Verdict.INDUCTIVE, 1, time.monotonic() - started)
--- /dev/null
+++ b/formal/config.py
@@ -0,0 +1,315 @@
+"""Versions of the configuration at two entry instances.
+
+The document has two parts, so that a lost update and a partly applied document
+can be seen. Versions reach an instance by reading the table and by pushes, which
+may be delayed for any time. An instance that restarts has forgotten everything.
+A change is accepted when the operator is told so. A promise is the statement of
+the only peer that it knows no newer document.
+"""
+
+from __future__ import annotations
+
+import z3
+
+from formal.bounded import NOW, Expr, Sort, Spec, State, Step, updates
+
+INSTANCES = ("a", "b")
+PEER = {"a": "b", "b": "a"}
+EACH = tuple((i,) for i in INSTANCES)
+# From docs/design.md, question 3 and invariant 11.
+FRESH_MS = 5_000
+IN_FORCE_MS = 8_000
+FIRST_VERSION = 1
+LAST_VERSION = 3
+IDLE, SENT, APPLIED, REJECTED, UNKNOWN = range(5)
+# Progress of a read, and of a promise that a peer was asked for.
+ASKED, ANSWERED = 1, 2
+
+INTS = (
+    *("applied", "applied_p", "applied_q", "highest", "fresh_until"),
+    *("reading", "read_asked", "read_version", "read_p", "read_q"),
+    *("write", "write_version", "write_p", "write_q"),
+    *("asking", "promise_asked", "promise_version", "promise_p", "promise_q"),
+    *("push_version", "push_p", "push_q"),
+)
+BOOLS = ("loaded", "late", "pushed", "changes_first_part")
+
+SPEC = Spec(
+    "config",
+    {
+        # The document in the table, and the number of accepted changes by part.
+        **dict.fromkeys(("version", "p", "q", "changes_p", "changes_q"), Sort.INT),
+        **{f"told_at_{n}": Sort.INT for n in range(2, LAST_VERSION + 1)},
+        **{f"{name}_{i}": Sort.INT for name in INTS for i in INSTANCES},
+        **{f"{name}_{i}": Sort.BOOL for name in BOOLS for i in INSTANCES},
+    },
+    clocks=("clock_a", "clock_b"),
+)
+NO_CAS = SPEC.mutation("configuration without compare-and-set", "no_change_lost")
+OLDER = SPEC.mutation("older version accepted", "never_reverts")
+PARTIAL = SPEC.mutation("document applied in part", "applied_whole")
+FROM_ANSWER = SPEC.mutation("freshness counted from the answer", "in_force")
+FORGETS = SPEC.mutation("restarted instance promises", "in_force")
+COPIED = SPEC.mutation("restarted instance confirmed by a promise", "in_force")
+NOT_APPLIED = SPEC.mutation("writer applies at its next read", "in_force")
+NO_VERSION = SPEC.mutation("promise without the document", "in_force")
+NOT_TOLD = -1
+
+
+@SPEC.initial
+def initial(s: State) -> Expr:
+    """Both instances have applied the first version and know it to be current."""
+    parts = [s["version"] == FIRST_VERSION]
+    parts += [s[f"told_at_{n}"] == NOT_TOLD for n in range(2, LAST_VERSION + 1)]
+    parts += [s[n] == 0 for n in ("p", "q", "changes_p", "changes_q")]
+    for i in INSTANCES:
+        parts += [s["applied", i] == FIRST_VERSION, s["highest", i] == FIRST_VERSION]
+        parts += [s["applied_p", i] == 0, s["applied_q", i] == 0]
+        parts += [s["fresh_until", i] == FRESH_MS, s["loaded", i]]
+        parts += [s[n, i] == IDLE for n in ("reading", "write", "asking")]
+        parts += [z3.Not(s["late", i]), z3.Not(s["pushed", i])]
+    return z3.And(*parts)
+
+
+def serves(s: State, i: str) -> Expr:
+    """Return whether an instance does work that needs a current configuration."""
+    return z3.And(s["applied", i] > 0, s["clock", i] < s["fresh_until", i])
+
+
+def _offer(
+    s: State, m: str, i: str, source: str, valid: Expr | bool = True
+) -> dict[str, Expr]:
+    """Apply an offered document whole if it is newer than the applied one."""
+    version = s[f"{source}_version", i]
+    newer = z3.And(valid, z3.Or(m == OLDER, version > s["applied", i]))
+    higher = z3.And(newer, version > s["highest", i])
+    highest = z3.If(higher, version, s["highest", i])
+    changes = updates(
+        (("applied", i), z3.If(newer, version, s["applied", i])),
+        (("applied_p", i), z3.If(newer, s[f"{source}_p", i], s["applied_p", i])),
+        (("applied_q", i), z3.If(newer, s[f"{source}_q", i], s["applied_q", i])),
+        (("highest", i), highest),
+    )
+    if m == PARTIAL:
+        del changes[f"applied_q_{i}"]
+    return changes
+
+
+def _extend(s: State, i: str, confirmed: Expr, counted: Expr) -> Expr:
+    until = counted + FRESH_MS
+    later = z3.And(confirmed, until > s["fresh_until", i])
+    return z3.If(later, until, s["fresh_until", i])
+
+
+@SPEC.action(*EACH)
+def read_asked(s: State, _m: str, i: str) -> Step:
+    """An instance asks the table for the document."""
+    return s["reading", i] == IDLE, updates(
+        (("reading", i), ASKED), (("read_asked", i), s["clock", i])
+    )
+
+
+@SPEC.action(*EACH)
+def read_served(s: State, _m: str, i: str) -> Step:
+    """The table answers; the answer is under way."""
+    return s["reading", i] == ASKED, updates(
+        (("reading", i), ANSWERED),
+        (("read_version", i), s["version"]),
+        (("read_p", i), s["p"]),
+        (("read_q", i), s["q"]),
+    )
+
+
+@SPEC.action(*EACH)
+def read_answered(s: State, m: str, i: str) -> Step:
+    """The answer confirms the configuration from before it was asked for."""
+    changes = _offer(s, m, i, "read")
+    counted = s["clock", i] if m == FROM_ANSWER else s["read_asked", i]
+    # A change of unknown outcome is dead once the row has another version.
+    settled = z3.And(
+        s["write", i] == UNKNOWN, s["read_version", i] >= s["write_version", i]
+    )
+    changes.update(
+        updates(
+            (("reading", i), IDLE),
+            (("loaded", i), z3.BoolVal(True)),
+            (("write", i), z3.If(settled, IDLE, s["write", i])),
+            (("fresh_until", i), _extend(s, i, z3.BoolVal(True), counted)),
+        )
+    )
+    return s["reading", i] == ANSWERED, changes
+
+
+@SPEC.action(("a", "p"), ("a", "q"), ("b", "p"), ("b", "q"))
+def change_sent(s: State, _m: str, i: str, part: str) -> Step:
+    """An operator changes one part of the document as this instance has it."""
+    ready = z3.And(s["write", i] == IDLE, s["applied", i] > 0)
+    # Bounds the number of versions.
+    ready = z3.And(ready, s["version"] < LAST_VERSION)
+    return ready, updates(
+        (("write", i), SENT),
+        (("write_version", i), s["applied", i] + 1),
+        (("write_p", i), s["applied_p", i] + (1 if part == "p" else 0)),
+        (("write_q", i), s["applied_q", i] + (1 if part == "q" else 0)),
+        (("changes_first_part", i), z3.BoolVal(part == "p")),
+    )
+
+
+@SPEC.action(*EACH)
+def change_applied(s: State, m: str, i: str) -> Step:
+    """The table applies a change or rejects it, in time or late."""
+    accepted = s["version"] + 1 == s["write_version", i]
+    if m == NO_CAS:
+        accepted = s["version"] < LAST_VERSION
+    in_time = s["write", i] == SENT
+    outcome = z3.If(accepted, APPLIED, REJECTED)
+    is_p = s["changes_first_part", i]
+    return z3.Or(in_time, s["late", i]), updates(
+        (("write", i), z3.If(in_time, outcome, s["write", i])),
+        (("late", i), z3.And(in_time, s["late", i])),
+        ("version", s["version"] + z3.If(accepted, 1, 0)),
+        ("p", z3.If(accepted, s["write_p", i], s["p"])),
+        ("q", z3.If(accepted, s["write_q", i], s["q"])),
+        ("changes_p", s["changes_p"] + z3.If(z3.And(accepted, is_p), 1, 0)),
+        ("changes_q", s["changes_q"] + z3.If(z3.And(accepted, z3.Not(is_p)), 1, 0)),
+    )
+
+
+@SPEC.action(*EACH)
+def change_answered(s: State, m: str, i: str) -> Step:
+    """The writer applies its accepted change and tells the operator."""
+    accepted = s["write", i] == APPLIED
+    changes = {} if m == NOT_APPLIED else _offer(s, m, i, "write", accepted)
+    changes[f"write_{i}"] = z3.IntVal(IDLE)
+    for n in range(2, LAST_VERSION + 1):
+        told = z3.And(accepted, s["write_version", i] == n)
+        changes[f"told_at_{n}"] = z3.If(told, s[NOW], s[f"told_at_{n}"])
+    return z3.Or(accepted, s["write", i] == REJECTED), changes
+
+
+@SPEC.action(*EACH)
+def change_answer_lost(s: State, _m: str, i: str) -> Step:
+    """The outcome is unknown, and a change that is under way may land late."""
+    waiting = z3.Or(*(s["write", i] == w for w in (SENT, APPLIED, REJECTED)))
+    ready = z3.And(waiting, z3.Not(s["late", i]))
+    return ready, updates((("write", i), UNKNOWN), (("late", i), s["write", i] == SENT))
+
+
+@SPEC.action(*EACH)
+def push_sent(s: State, _m: str, i: str) -> Step:
+    """An instance pushes its document to the peer."""
+    return z3.And(s["applied", i] > 0, z3.Not(s["pushed", PEER[i]])), updates(
+        (("pushed", PEER[i]), z3.BoolVal(True)),
+        (("push_version", PEER[i]), s["applied", i]),
+        (("push_p", PEER[i]), s["applied_p", i]),
+        (("push_q", PEER[i]), s["applied_q", i]),
+    )
+
+
+@SPEC.action(*EACH)
+def push_received(s: State, m: str, i: str) -> Step:
+    """A push is applied if it is newer; it confirms nothing."""
+    changes = _offer(s, m, i, "push")
+    changes[f"pushed_{i}"] = z3.BoolVal(False)
+    return s["pushed", i], changes
+
+
+@SPEC.action(*EACH)
+def promise_asked(s: State, _m: str, i: str) -> Step:
+    """An instance that cannot reach the table asks its peer for a promise."""
+    return s["asking", i] == IDLE, updates(
+        (("asking", i), ASKED), (("promise_asked", i), s["clock", i])
+    )
+
+
+@SPEC.action(*EACH)
+def promise_given(s: State, m: str, i: str) -> Step:
+    """The peer of i promises if it has read the table since it started."""
+    peer = PEER[i]
+    known = s["applied", peer] > 0 if m == FORGETS else s["loaded", peer]
+    return z3.And(s["asking", i] == ASKED, known), updates(
+        (("asking", i), ANSWERED),
+        (("promise_version", i), s["applied", peer]),
+        (("promise_p", i), s["applied_p", peer]),
+        (("promise_q", i), s["applied_q", peer]),
+    )
+
+
+@SPEC.action(*EACH)
+def promise_received(s: State, m: str, i: str) -> Step:
+    """A promise confirms the newer of two documents, if this one was read."""
+    changes = {} if m == NO_VERSION else _offer(s, m, i, "promise")
+    known = z3.BoolVal(True) if m == COPIED else s["loaded", i]
+    until = _extend(s, i, known, s["promise_asked", i])
+    changes.update(updates((("asking", i), IDLE), (("fresh_until", i), until)))
+    return s["asking", i] == ANSWERED, changes
+
+
+@SPEC.action(*EACH)
+def restarted(s: State, _m: str, i: str) -> Step:
+    """An instance restarts and forgets all; its pending change may still land."""
+    return z3.Not(s["late", i]), updates(
+        *(((n, i), 0) for n in ("applied", "applied_p", "applied_q", "fresh_until")),
+        *(((n, i), IDLE) for n in ("reading", "asking", "write")),
+        (("loaded", i), z3.BoolVal(False)),
+        (("late", i), s["write", i] == SENT),
+    )
+
+
+@SPEC.invariant
+def no_change_lost(s: State) -> Expr:
+    """Every accepted change is in the document."""
+    return z3.And(s["p"] == s["changes_p"], s["q"] == s["changes_q"])
+
+
+@SPEC.invariant
+def never_reverts(s: State) -> Expr:
+    """An instance never serves under an older version than before."""
+    return z3.And(
+        *(
+            z3.Implies(serves(s, i), s["applied", i] >= s["highest", i])
+            for i in INSTANCES
+        )
+    )
+
+
+@SPEC.invariant
+def applied_whole(s: State) -> Expr:
+    """Each version adds one change, and an instance has all of them or none."""
+    return z3.And(
+        *(
+            z3.Implies(
+                s["applied", i] > 0,
+                s["applied_p", i] + s["applied_q", i]
+                == s["applied", i] - FIRST_VERSION,
+            )
+            for i in INSTANCES
+        )
+    )
+
+
+@SPEC.invariant
+def in_force(s: State) -> Expr:
+    """No instance serves without a version that was accepted 8 s ago."""
+    parts = []
+    for i in INSTANCES:
+        for n in range(2, LAST_VERSION + 1):
+            told = s[f"told_at_{n}"] != NOT_TOLD
+            late = z3.And(told, s[NOW] > s[f"told_at_{n}"] + IN_FORCE_MS)
+            parts.append(z3.Not(z3.And(serves(s, i), s["applied", i] < n, late)))
+    return z3.And(*parts)
+
+
+@SPEC.goal
+def changed_twice(s: State) -> Expr:
+    """Both operators' changes are in the document and one instance has them."""
+    changed = z3.And(s["changes_p"] == 1, s["changes_q"] == 1)
+    return z3.And(changed, s["applied", "a"] == LAST_VERSION, serves(s, "a"))
+
+
+@SPEC.goal
+def change_in_force(s: State) -> Expr:
+    """Both instances serve under a changed document after 8 s."""
+    applied = [s["applied", i] == FIRST_VERSION + 1 for i in INSTANCES]
+    told = z3.And(s["told_at_2"] >= 0, s[NOW] > s["told_at_2"] + IN_FORCE_MS)
+    return z3.And(*applied, told, serves(s, "a"), serves(s, "b"))
