Leave a backend server alone that fails every request

A server that fails at once is always free and drew the queue; after three failures in a row it backs off and is probed.

--- a/marjoramgrade/adapters/httpresources.py
+++ b/marjoramgrade/adapters/httpresources.py
@@ -11,6 +11,7 @@
 from marjoramgrade import documents, jsontext, messages
 from marjoramgrade.actor import Message
 from marjoramgrade.controllers.instances import GetInstances
+from marjoramgrade.decisions.versions import resource_version
 from marjoramgrade.errors import InvalidInputError, NotFoundError
 from marjoramgrade.model import (
     Config,
@@ -264,14 +265,14 @@
         found = kind.find(confirmed.config).get(name)
         if found is None:
             raise NotFoundError(f"there is nothing named {name} in {kind.kind}")
-        version = confirmed.config.version_of(kind.kind, name)
+        version = resource_version(confirmed.config, kind.kind, name)
         return _json(kind.serialize(found), version=version)
 
     def show_changed(call: HttpCall, config: Config) -> HttpAnswer:
         name = call.arguments[0]
         found = kind.find(config).get(name)
         document = kind.serialize(found) if found is not None else {"name": name}
-        version = config.version_of(kind.kind, name)
+        version = resource_version(config, kind.kind, name)
         return _json({**document, "version": config.version}, version=version)
 
     def parse_get(call: HttpCall) -> messages.GetConfig:
--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -16,6 +16,7 @@
 from marjoramgrade.decisions.slots import SlotPool
 from marjoramgrade.errors import (
     AnswerTimeoutError,
+    BackendFailedError,
     DeadlineExceededError,
     LedgerUnavailableError,
     MarjoramgradeError,
@@ -265,6 +266,9 @@
             if not isinstance(error, AnswerTimeoutError):
                 slots.mark_failed(backend_id, now_ms)
             _refuse(waiting, error)
+        except BackendFailedError as error:
+            slots.release_failed(backend_id, self._clock.now_ms())
+            _refuse(waiting, error)
         except MarjoramgradeError as error:
             slots.release(backend_id)
             if isinstance(error, NoBackendError):
@@ -321,7 +325,7 @@
         )
 
     def _probe_due(self, now_ms: int) -> None:
-        for backend_id in list(self._slots.iter_due_probes(now_ms)):
+        for backend_id in self._slots.due_probes(now_ms):
             if backend_id not in self._probing:
                 self._probing.add(backend_id)
                 self.spawn(self._probe(backend_id))
@@ -339,7 +343,6 @@
         except MarjoramgradeError:
             slots.mark_failed(backend_id, self._clock.now_ms())
         else:
-            slots.mark_recovered(backend_id)
             slots.fenced(backend_id, answer.in_use, asked_ms)
             if slots is self._slots:
                 self._dispatch(backend.service)
--- a/marjoramgrade/decisions/slots.py
+++ b/marjoramgrade/decisions/slots.py
@@ -13,6 +13,7 @@
 
 FIRST_BACKOFF_MS = 250
 MAX_BACKOFF_MS = 8_000
+FAILED_ANSWERS_ALLOWED = 3
 # A request on a broken connection may still reach the server this much later.
 ABANDONED_SETTLE_MS = 1_000
 # Probes with no lower count before a server is emptied to get an exact one.
@@ -37,6 +38,7 @@
             lack a request that was given up on the way to the server.
         failures: Failed connections in a row.
         failed_ms: Time of the last failure.
+        failed_answers: Requests in a row that the server ran and failed.
         probe_ms: A failed server is probed again from this time.
     """
 
@@ -53,6 +55,7 @@
     failures: int = 0
     failed_ms: int = -1
     probe_ms: int = 0
+    failed_answers: int = 0
     _stale_probes: int = 0
 
     @property
@@ -211,6 +214,21 @@
         """
         backend = self._end_request(backend_id)
         backend.failures = 0
+        backend.failed_answers = 0
+
+    def release_failed(self, backend_id: str, now_ms: int) -> None:
+        """Give back the slot of a request that the server ran and failed.
+
+        A server that fails everything at once is always free, so it would draw
+        the queue; after a few failures in a row it is not selected for a while.
+
+        Raises:
+            ValueError: If this owner holds no slot of the server.
+        """
+        backend = self._end_request(backend_id)
+        backend.failed_answers += 1
+        if backend.failed_answers >= FAILED_ANSWERS_ALLOWED:
+            self.mark_failed(backend_id, now_ms)
 
     def abandon(self, backend_id: str, now_ms: int) -> None:
         """Give up on a request that may still run on the server.
--- a/marjoramgrade/model.py
+++ b/marjoramgrade/model.py
@@ -233,10 +233,6 @@
     base_by_path: Mapping[str, int] = attrs.field(factory=dict)
     horizon_version: int = -1
 
-    def version_of(self, kind: str, name: str) -> int:
-        """Return the version that last changed a resource, zero if none did."""
-        return self.base_by_path.get(f"{kind}.{name}", -1) + 1
-
     def find_key(self, secret: str) -> Key | None:
         """Return the key with this secret, or None."""
         digest = hash_secret(secret)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -15,6 +15,8 @@
 from marjoramgrade.decisions.fencing import EpochFence
 from marjoramgrade.decisions.slots import (
     ABANDONED_SETTLE_MS,
+    FAILED_ANSWERS_ALLOWED,
+    FIRST_BACKOFF_MS,
     MAX_BACKOFF_MS,
     RECOUNT_AFTER_PROBES,
     BackendSlots,
@@ -278,3 +280,15 @@
     take_over_from_a_busy_owner(SlotMachine())
     with pytest.raises(AssertionError):
         take_over_from_a_busy_owner(machine_with(ForgetfulSlots)())
+
+
+def test_a_server_that_fails_every_request_is_left_alone_for_a_while() -> None:
+    """Guards against a broken server that draws the queue by being free."""
+    pool = SlotPool(random.Random(1))
+    pool.add("broken", "checks", 8, 64)
+    pool.fenced("broken", 0, asked_ms=1)
+    for now_ms in range(2, 2 + FAILED_ANSWERS_ALLOWED):
+        assert pool.acquire("checks") == "broken"
+        pool.release_failed("broken", now_ms)
+    assert pool.acquire("checks") is None
+    assert pool.due_probes(now_ms + FIRST_BACKOFF_MS) == ("broken",)
