--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,258 @@
+"""Load driver: sends requests and jobs and classifies what became of each.
+
+It retries at another entry instance only what the protocol allows: a request
+that did not run, an idempotent request with an unknown outcome, and a job under
+the same id. The audit of the outcome is in `standins.audit`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import json
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import attrs
+from tornado.httpclient import HTTPClientError, HTTPResponse
+from tornado.simple_httpclient import HTTPTimeoutError
+
+from standins.cell import Cell
+
+DEADLINE_MS = 6_000
+# An answer that is later than this after the deadline does not come any more.
+ANSWER_GRACE_MS = 2_000
+RETRY_INTERVAL_MS = 100
+MAX_ATTEMPTS = 40
+
+
+class Outcome(enum.Enum):
+    """What a caller knows about a request or a job."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+@attrs.define
+class SentRequest:
+    """A request and what became of it."""
+
+    request_id: str
+    idempotent: bool
+    body: dict[str, Any]
+    outcome: Outcome = Outcome.LOST
+    codes: list[str] = attrs.field(factory=list)
+
+    def check_body(self, body: bytes) -> None:
+        """Count an answer that is not the request's own as lost."""
+        if json.loads(body) != self.body:
+            self.codes.append("wrong_body")
+            self.outcome = Outcome.LOST
+
+
+@attrs.define
+class SentJob:
+    """A job and what became of it."""
+
+    job_id: str
+    tasks: int
+    outcome: Outcome = Outcome.LOST
+    codes: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class _Attempt:
+    """How one attempt ended, as the protocol reports it."""
+
+    outcome: Outcome
+    code: str
+    body: bytes = b""
+
+
+@attrs.define
+class Load:
+    """Requests and jobs for one cell.
+
+    Attributes:
+        cell: The cell under load.
+        team: Team of all work.
+        secret: Secret of the team's key.
+        requests: Number of requests; every second one is not idempotent.
+        jobs: Number of jobs.
+        tasks_per_job: Tasks of each job.
+        spread_ms: Time over which requests and jobs are sent.
+        work_ms: Run time of a request.
+        run_ms: Run time of a task.
+        disturbed_urls: Entry instances that may leave a caller without answer,
+            because the test kills, freezes or cuts them.
+    """
+
+    cell: Cell
+    team: str
+    secret: str
+    requests: int = 1_000
+    jobs: int = 50
+    tasks_per_job: int = 20
+    spread_ms: int = 4_000
+    work_ms: int = 5
+    run_ms: int = 20
+    prefix: str = "load"
+    disturbed_urls: set[str] = attrs.field(factory=set)
+    sent_requests: list[SentRequest] = attrs.field(factory=list)
+    sent_jobs: list[SentJob] = attrs.field(factory=list)
+
+    async def run(self) -> None:
+        """Send everything and return when each request and job is classified."""
+        started = time.monotonic()
+        work: list[Awaitable[None]] = []
+        for number in range(self.requests):
+            request = self._make_request(number)
+            self.sent_requests.append(request)
+            work.append(self._paced(started, number, self.requests, request))
+        for number in range(self.jobs):
+            job = SentJob(f"{self.prefix}-job-{number}", self.tasks_per_job)
+            self.sent_jobs.append(job)
+            work.append(self._paced(started, number, self.jobs, job))
+        await asyncio.gather(*work)
+
+    async def wait_for_jobs(self, timeout_s: float = 25.0) -> None:
+        """Wait until no accepted job is open, and classify every job."""
+        accepted = [job for job in self.sent_jobs if job.outcome is Outcome.DONE]
+        for job in accepted:
+            job.outcome = Outcome.LOST
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            listed = await self.read_jobs()
+            for job in accepted:
+                state = listed.get(job.job_id, {}).get("state", "")
+                if state not in ("", "open"):
+                    is_done = state == "done"
+                    job.outcome = Outcome.DONE if is_done else Outcome.FAILED
+            if all(job.outcome is not Outcome.LOST for job in accepted):
+                return
+            await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
+
+    async def read_jobs(self) -> dict[str, dict[str, Any]]:
+        """Return the jobs by id as some answering entry instance lists them."""
+        for plan in self.cell.running_entries():
+            if plan.url in self.disturbed_urls:
+                continue
+            answer = await self.cell.fetch_json(f"{plan.url}/v1/jobs")
+            return {job["job_id"]: job for job in answer["items"]}
+        return {}
+
+    def tally(self) -> dict[str, dict[str, int]]:
+        """Return the number of requests and jobs by outcome."""
+        requests = Counter(request.outcome.value for request in self.sent_requests)
+        jobs = Counter(job.outcome.value for job in self.sent_jobs)
+        return {"requests": dict(requests), "jobs": dict(jobs)}
+
+    def _make_request(self, number: int) -> SentRequest:
+        request_id = f"{self.prefix}-{number}"
+        body = {"work_ms": self.work_ms, "case": request_id}
+        return SentRequest(request_id, number % 2 == 0, body)
+
+    async def _paced(
+        self, started: float, number: int, count: int, item: SentRequest | SentJob
+    ) -> None:
+        due = started + self.spread_ms / 1000 * number / count
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+        if isinstance(item, SentRequest):
+            send, may_repeat = self._request_call(item), item.idempotent
+        else:
+            send, may_repeat = self._job_call(item), True
+        final = await self._attempt_until_known(number, send, may_repeat, item.codes)
+        item.outcome = final.outcome
+        if isinstance(item, SentRequest) and final.outcome is Outcome.DONE:
+            item.check_body(final.body)
+
+    async def _attempt_until_known(
+        self,
+        number: int,
+        send: Callable[[str], Awaitable[HTTPResponse]],
+        may_repeat: bool,
+        codes: list[str],
+    ) -> _Attempt:
+        """Try entry instances in turn for as long as the protocol allows."""
+        is_unknown = False
+        until = time.monotonic() + DEADLINE_MS / 1000
+        for index in range(MAX_ATTEMPTS):
+            plans = self.cell.running_entries()
+            plan = plans[(number + index) % len(plans)]
+            attempt = await self._try_once(plan.url, send)
+            codes.append(attempt.code)
+            if attempt.outcome not in (Outcome.NOT_RUN, Outcome.UNKNOWN):
+                return attempt
+            is_unknown = is_unknown or attempt.outcome is Outcome.UNKNOWN
+            if is_unknown and not may_repeat:
+                break
+            if time.monotonic() > until:
+                break
+            await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
+        return _Attempt(Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN, codes[-1])
+
+    async def _try_once(
+        self, url: str, send: Callable[[str], Awaitable[HTTPResponse]]
+    ) -> _Attempt:
+        try:
+            response = await send(url)
+        except ConnectionRefusedError:
+            return _Attempt(Outcome.NOT_RUN, "connection_refused")
+        except HTTPTimeoutError as error:
+            if "connecting" in str(error):
+                return _Attempt(Outcome.NOT_RUN, "connect_timeout")
+            is_expected = url in self.disturbed_urls
+            outcome = Outcome.UNKNOWN if is_expected else Outcome.LOST
+            return _Attempt(outcome, "no_answer")
+        except (HTTPClientError, OSError):
+            return _Attempt(Outcome.UNKNOWN, "connection_broken")
+        if response.code in (200, 201):
+            return _Attempt(Outcome.DONE, "ok", response.body)
+        problem = json.loads(response.body)["error"]
+        outcome_by_ran = {"no": Outcome.NOT_RUN, "yes": Outcome.FAILED}
+        outcome = outcome_by_ran.get(problem["ran"], Outcome.UNKNOWN)
+        return _Attempt(outcome, problem["code"])
+
+    def _request_call(
+        self, request: SentRequest
+    ) -> Callable[[str], Awaitable[HTTPResponse]]:
+        headers = {
+            "Request-Id": request.request_id,
+            "Deadline-Ms": str(DEADLINE_MS),
+            "Idempotent": "true" if request.idempotent else "false",
+        }
+        path = f"/v1/run/{self.cell.service}"
+        return lambda url: self._post(url + path, request.body, headers)
+
+    def _job_call(self, job: SentJob) -> Callable[[str], Awaitable[HTTPResponse]]:
+        spec = {
+            "team": self.team,
+            "kind": "batch",
+            "tasks": job.tasks,
+            "run_ms": self.run_ms,
+        }
+        document = {"job_id": job.job_id, "spec": spec}
+        headers = {"Deadline-Ms": str(DEADLINE_MS)}
+        return lambda url: self._post(f"{url}/v1/jobs", document, headers)
+
+    async def _post(
+        self, url: str, document: dict[str, Any], headers: dict[str, str]
+    ) -> HTTPResponse:
+        return await self.cell.fetch(
+            url,
+            "POST",
+            body=document,
+            secret=self.secret,
+            headers=headers,
+            timeout_s=(DEADLINE_MS + ANSWER_GRACE_MS) / 1000,
+        )
+
+
+def count_codes(items: Iterable[SentRequest | SentJob]) -> dict[str, int]:
+    """Return how often each answer code came."""
+    return dict(Counter(code for item in items for code in item.codes))
