--- a/marjoramgrade/decisions/limits.py
+++ b/marjoramgrade/decisions/limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 
 from marjoramgrade.decisions import grants
@@ -14,6 +16,26 @@
 from marjoramgrade.resources import NOTHING, Resources
 
 
+def choose_donor(
+    wanted: Resources, unused_by_shard: Mapping[str, Resources]
+) -> str | None:
+    """Return the shard that is asked to give back grant of a team.
+
+    Args:
+        wanted: What another shard lacks.
+        unused_by_shard: What each other shard can spare, from their summaries.
+
+    Returns:
+        The shard that can spare the largest part, or None.
+    """
+    part_by_shard = {
+        shard: combine(min, wanted, unused).dominant_share(wanted)
+        for shard, unused in sorted(unused_by_shard.items())
+    }
+    best = max(part_by_shard, key=lambda shard: part_by_shard[shard], default=None)
+    return best if best is not None and part_by_shard[best] > 0 else None
+
+
 @attrs.define
 class TeamGrant:
     """One team's grant in one shard.
@@ -118,6 +140,24 @@
         else:
             self._running_by_team[team] = before - amount
 
+    def set_reserved(self, team: str, amount: Resources) -> None:
+        """Take over what a caller that keeps its own count says is reserved."""
+        grant = self._grant_by_team.get(team)
+        if grant is not None:
+            grant.reserved = amount
+        else:
+            self._running_by_team[team] = amount
+
+    def is_pending(self, team: str) -> bool:
+        """Return whether a write of the team's row may still take effect."""
+        grant = self._grant_by_team.get(team)
+        return grant is not None and grant.is_pending
+
+    def row(self, team: str) -> GrantsRow | None:
+        """Return the row in force here, or None if none was observed."""
+        grant = self._grant_by_team.get(team)
+        return None if grant is None else grant.row
+
     def headroom(self, team: str) -> Resources:
         """Return what the team may still start here."""
         grant = self._grant_by_team.get(team)
--- a/marjoramgrade/decisions/slots.py
+++ b/marjoramgrade/decisions/slots.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
 
 import attrs
 
@@ -52,7 +51,7 @@
     is_recounting: bool = False
     settled_ms: int = 0
     failures: int = 0
-    failed_ms: int = 0
+    failed_ms: int = -1
     probe_ms: int = 0
     _stale_probes: int = 0
 
@@ -171,12 +170,6 @@
         backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << exponent)
         backend.probe_ms = now_ms + backoff_ms
 
-    def mark_recovered(self, backend_id: str) -> None:
-        """Forget the failures of a server that answered."""
-        backend = self._backend_by_id.get(backend_id)
-        if backend is not None:
-            backend.failures = 0
-
     def fenced(self, backend_id: str, in_use: int, asked_ms: int) -> None:
         """Take over the count that a server gave under the current epoch.
 
@@ -186,9 +179,8 @@
             asked_ms: Time just before the count was asked for.
         """
         backend = self._backend_by_id.get(backend_id)
-        if backend is None or (backend.failures and asked_ms <= backend.failed_ms):
-            return
-        backend.take_count(in_use, asked_ms)
+        if backend is not None and asked_ms > backend.failed_ms:
+            backend.take_count(in_use, asked_ms)
 
     def acquire(self, service: str) -> str | None:
         """Take a slot for a request.
@@ -211,6 +203,9 @@
     def release(self, backend_id: str) -> None:
         """Give back the slot of a request that the server answered.
 
+        An answer ends the back-off; a count does not, since a server may answer
+        probes and fail every request.
+
         Raises:
             ValueError: If this owner holds no slot of the server.
         """
@@ -230,18 +225,27 @@
         settled_ms = now_ms + ABANDONED_SETTLE_MS
         backend.settled_ms = max(backend.settled_ms, settled_ms)
 
-    def iter_due_probes(self, now_ms: int) -> Iterator[str]:
-        """Yield the servers that should be asked for their count now."""
+    def due_probes(self, now_ms: int) -> tuple[str, ...]:
+        """Return the servers that should be asked for their count now.
+
+        Also forgets removed servers whose requests have ended.
+        """
         self._forget_removed(now_ms)
-        for backend in self._backend_by_id.values():
-            if backend.needs_probe(now_ms):
-                yield backend.backend_id
+        return tuple(
+            backend.backend_id
+            for backend in self._backend_by_id.values()
+            if backend.needs_probe(now_ms)
+        )
 
     def free_slots(self, service: str) -> int:
         """Return the slots that requests of a service could take now."""
         backends = self._backend_by_id.values()
         return sum(backend.free for backend in backends if backend.service == service)
 
+    def foreign_total(self) -> int:
+        """Return how many slots requests of unknown teams may hold."""
+        return sum(backend.foreign for backend in self._backend_by_id.values())
+
     def backend_ids(self) -> set[str]:
         """Return the servers that may be used."""
         backends = self._backend_by_id.values()
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -78,7 +78,7 @@
     pauses = []
     for now_ms in range(0, 200_000, 20_000):
         pool.mark_failed("b1", now_ms)
-        due = (t for t in range(20_000) if list(pool.iter_due_probes(now_ms + t)))
+        due = (t for t in range(20_000) if pool.due_probes(now_ms + t))
         pauses.append(next(due))
     assert pauses == sorted(pauses)
     assert pauses[0] < pauses[-1] == MAX_BACKOFF_MS
@@ -124,6 +124,16 @@
     assert pool.acquire("quick") == "b1"
 
 
+def test_an_answer_that_was_under_way_does_not_undo_a_failure() -> None:
+    """Guards against a restarted server that is used without its fence."""
+    pool = counted_pool("b1")
+    pool.acquire("quick")
+    pool.mark_failed("b1", now_ms=100)
+    pool.release("b1")
+    pool.fenced("b1", 0, asked_ms=100)
+    assert pool.acquire("quick") is None
+
+
 @attrs.define
 class Request:
     epoch: int
@@ -219,7 +229,7 @@
     def lose_server(self, is_flapping: bool) -> None:
         if is_flapping:
             self.pool.remove("b1")
-            list(self.pool.iter_due_probes(self.now_ms))
+            self.pool.due_probes(self.now_ms)
             self.pool.add("b1", "quick", self.slots, 64)
         else:
             self.pool.mark_failed("b1", self.now_ms)
