--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -294,19 +294,6 @@
         except TableError as error:
             raise LedgerUnavailableError(error.message) from error
 
-    async def _record(self, request: RunRequest) -> None:
-        """Record the id of a request before it may run.
-
-        Raises:
-            LedgerUnavailableError: If the record is not known to be durable. The
-                request has not been sent, so it did not run in either case.
-            DuplicateRequestError: If the id has been recorded before.
-        """
-        try:
-            await self._journal.ask(RecordRequest(request.team, request.request_id))
-        except TableError as error:
-            raise LedgerUnavailableError(error.message) from error
-
     async def _tick_forever(self) -> None:
         next_probe_ms = next_summary_ms = 0
         while True:
