--- a/marjoramgrade/decisions/promises.py
+++ b/marjoramgrade/decisions/promises.py
@@ -188,8 +188,9 @@
     def propose(self, members: Iterable[str]) -> None:
         """Take note of a list that is about to be written to the shard row.
 
-        Until the answer arrives, the table may hold the old list or the new
-        one, and a guardian on either may take over.
+        Must be called before each renewal and before the takeover itself. Until
+        the answer arrives, the table may hold the old list or the new one, and a
+        guardian on either may take over.
         """
         self._proposed |= frozenset(members)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -170,6 +170,15 @@
         self.owners[shard].book.release("t", units(ended))
         self.running[shard] -= ended
 
+    @rule(shard=SHARD)
+    def fill(self, shard: str) -> None:
+        self.send_again(shard)
+        self.arrive(pick=-1, is_answered=True)
+        self.observe(shard)
+        self.take(shard, 6, is_at_once=True)
+        for _ in range(6):
+            self.start(shard, 1)
+
     @rule(shard=SHARD, amount=st.integers(1, 6), is_at_once=OFTEN)
     def take(self, shard: str, amount: int, is_at_once: bool) -> None:
         row = self.owners[shard].book.begin_take("t", units(amount))
@@ -294,10 +303,7 @@
 
 def use_up(machine: GrantMachine) -> None:
     for shard in ("y", "z"):
-        machine.observe(shard)
-        machine.take(shard, 6, is_at_once=True)
-        for _ in range(6):
-            machine.start(shard, 1)
+        machine.fill(shard)
         machine.never_above_the_limit()
     assert sum(machine.running.values()) >= 3
 
--- a/tests/test_promises_machine.py
+++ b/tests/test_promises_machine.py
@@ -170,6 +170,15 @@
         if may_change_config(name, others, member.acknowledged_by):
             self.send(member, Write(name, self.config_version), is_at_once)
 
+    @rule(name=NAME, is_asking=OFTEN)
+    def fail_over(self, name: str, is_asking: bool) -> None:
+        self.read_table(name)
+        for _ in range(4):
+            if is_asking:
+                self.ask_all(self.row.owner)
+            self.advance(by_ms=2_000)
+        self.take_over(name, is_at_once=True)
+
     @rule(name=NAME, is_at_once=OFTEN)
     def take_over(self, name: str, is_at_once: bool) -> None:
         member = self.members[name]
@@ -180,6 +189,7 @@
             )
             taken = row.taken_by(name, tuple(self.registered))
             if allowed:
+                member.zone.propose(taken.guardians)
                 write = Write(name, member.watch.version, taken)
                 self.send(member, write, is_at_once)
 
@@ -317,10 +327,7 @@
     machine.reaches.update(a=False, b=False)
     for name in "ab":
         machine.read_table(name)
-    for _ in range(14):
-        machine.ask_all("a")
-        machine.advance(500)
-    machine.take_over("c", is_at_once=True)
+    machine.fail_over("c", is_asking=True)
 
 
 def machine_with(
