Mend three faults that a review of the decisions found

A worker whose lease lapses now sends an inventory: before, an owner that answered its next heartbeat kept stopped tasks as running for ever. A grants transaction whose check fails stays pending until the row is read again: an earlier attempt with a lost answer may have given grant back.

--- a/marjoramgrade/controllers/grantkeeper.py
+++ b/marjoramgrade/controllers/grantkeeper.py
@@ -206,11 +206,15 @@
             return
         try:
             version = await self._store.write_grants(planned)
-        except (CheckFailedError, TableUnavailableError) as error:
-            # The transaction certainly had no effect.
+        except CheckFailedError:
+            # An earlier attempt with a lost answer may have taken effect and been
+            # overwritten since; the next read of the row shows what holds.
+            self._metrics.retried("grants_conflict")
+            return
+        except TableUnavailableError:
             for stored in planned:
                 self._book.cancel(stored.row.team)
-            self._metrics.retried(f"grants_{error.code}")
+            self._metrics.retried("grants_unavailable")
             return
         for stored in planned:
             self._observe(attrs.evolve(stored, version=version))
--- a/marjoramgrade/decisions/fencing.py
+++ b/marjoramgrade/decisions/fencing.py
@@ -6,6 +6,7 @@
 
 WORKER_LEASE_MS = 10_000
 HEARTBEAT_INTERVAL_MS = 2_500
+KEPT_HEARTBEATS = 100
 
 
 @attrs.define
@@ -45,6 +46,8 @@
         """Return the sequence number of a heartbeat that is sent now."""
         self._last_seq += 1
         self._sent_ms_by_seq[self._last_seq] = now_ms
+        # An answer to an older heartbeat could extend nothing any more.
+        self._sent_ms_by_seq.pop(self._last_seq - KEPT_HEARTBEATS, None)
         return self._last_seq
 
     def granted(self, seq: int, lease_ms: int) -> None:
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -98,9 +98,15 @@
             self._end(task, "stopped")
 
     def stop_all(self) -> None:
-        """Stop every task without a report, as a lapsed lease demands."""
+        """Stop every task, as a lapsed lease demands, and send an inventory.
+
+        Without the inventory an owner that answers the next heartbeat would
+        think that the tasks still run.
+        """
         for task in list(self.running_by_task.values()):
             self._close(task)
+        if self.session is not None:
+            self.session.send(self.inventory())
 
     def inventory(self) -> dict[str, Any]:
         """Return the message that lists running tasks and unacknowledged ends."""
