Let promises of all members stand in for a table that nobody reaches

Cause: without the table an owner lost its shard after 6 s, so a platform outage ended all running work. While the table is unreachable an instance now asks every member to promise that it changes nothing; promises of all extend the shards and confirm the configuration, and one member that reaches the table refuses. An instance changes the configuration or takes a shard over only after an earlier member acknowledged it, and a member that the platform's list dropped is removed after 10 s.

--- a/marjoramgrade/adapters/peer.capnp
+++ b/marjoramgrade/adapters/peer.capnp
@@ -54,6 +54,22 @@
   configVersion @2 :Int64;
 }
 
+struct Attest {
+  scope @0 :Text;
+  members @1 :List(Text);
+}
+
+struct PromiseReply {
+  refusal @0 :Text;
+  # Empty if the promise is made.
+  configVersion @1 :Int64;
+}
+
+struct AcknowledgeNewcomer {
+  instanceId @0 :Text;
+  zone @1 :Text;
+}
+
 struct GetTasks {
   shard @0 :Text;
   jobId @1 :Text;
@@ -94,5 +110,9 @@
     failure @10 :Failure;
     done @11 :Void;
     instanceSummary @12 :InstanceSummary;
+    attest @13 :Attest;
+    promiseReply @14 :PromiseReply;
+    acknowledgeNewcomer @15 :AcknowledgeNewcomer;
+    acknowledged @16 :Bool;
   }
 }
--- a/marjoramgrade/adapters/peercodec.py
+++ b/marjoramgrade/adapters/peercodec.py
@@ -14,6 +14,7 @@
 import capnp
 
 from marjoramgrade import errors, messages
+from marjoramgrade.decisions.promises import PromiseReply, PromiseRequest, Refusal
 from marjoramgrade.model import TaskId
 from marjoramgrade.resources import Resources
 
@@ -276,6 +277,42 @@
     ]
 
 
+def _parse_attest(data: Any) -> messages.Attest:
+    request = PromiseRequest(data.scope, frozenset(data.members))
+    return messages.Attest(request)
+
+
+@encodes(messages.Attest, "attest", _parse_attest)
+def _serialize_attest(message: messages.Attest) -> dict[str, Any]:
+    request = message.request
+    return {"scope": request.scope, "members": sorted(request.members)}
+
+
+def _parse_promise_reply(data: Any) -> PromiseReply:
+    refusal = Refusal(data.refusal) if data.refusal else None
+    return PromiseReply(refusal, data.configVersion)
+
+
+@encodes(PromiseReply, "promiseReply", _parse_promise_reply)
+def _serialize_promise_reply(reply: PromiseReply) -> dict[str, Any]:
+    refusal = "" if reply.refusal is None else reply.refusal.value
+    return {"refusal": refusal, "configVersion": reply.config_version}
+
+
+def _parse_newcomer(data: Any) -> messages.AcknowledgeNewcomer:
+    return messages.AcknowledgeNewcomer(data.instanceId, data.zone)
+
+
+@encodes(messages.AcknowledgeNewcomer, "acknowledgeNewcomer", _parse_newcomer)
+def _serialize_newcomer(message: messages.AcknowledgeNewcomer) -> dict[str, str]:
+    return {"instanceId": message.instance_id, "zone": message.zone}
+
+
+@encodes(messages.Acknowledged, "acknowledged", messages.Acknowledged)
+def _serialize_acknowledged(reply: messages.Acknowledged) -> bool:
+    return reply.is_acknowledged
+
+
 def _parse_failure(data: Any) -> errors.MarjoramgradeError:
     details = {entry.name: entry.value for entry in data.details}
     return errors.from_code(data.code, data.message, details)
--- a/marjoramgrade/controllers/config.py
+++ b/marjoramgrade/controllers/config.py
@@ -28,12 +28,16 @@
 )
 from marjoramgrade.logs import state_change
 from marjoramgrade.messages import (
+    BeginWrite,
     ChangeConfig,
+    ConfigAttested,
     ConfigConfirmed,
     ConfigPushed,
+    EndWrite,
     GetConfig,
     GrantKey,
     KeyGranted,
+    TableContact,
     TellPeers,
 )
 from marjoramgrade.metrics import Metrics
@@ -50,6 +54,7 @@
     Args:
         store: Typed access to the table.
         peers: Reaches the other entry instances.
+        authority: Controller of the promises.
         clock: Monotonic time.
         metrics: Counters.
         subscribers: Actors that are told `ConfigConfirmed`.
@@ -59,6 +64,7 @@
         self,
         store: Store,
         peers: Actor,
+        authority: Actor,
         clock: Clock,
         metrics: Metrics,
         subscribers: Sequence[Actor],
@@ -66,6 +72,7 @@
         super().__init__()
         self._store = store
         self._peers = peers
+        self._authority = authority
         self._clock = clock
         self._metrics = metrics
         self._subscribers = tuple(subscribers)
@@ -87,6 +94,13 @@
         if message.version > self._versions.current.version:
             self.spawn(self._read())
 
+    @handles(ConfigAttested)
+    async def _attested(self, message: ConfigAttested) -> None:
+        """Rely on the promises of all members while the table is unreachable."""
+        if message.version == self._versions.current.version:
+            self._freshness.confirm(message.asked_ms)
+            self._publish()
+
     @handles(ChangeConfig)
     async def _change(self, message: ChangeConfig) -> Any:
         return self.spawn(self._commit_change(message))
@@ -107,7 +121,9 @@
             stored = await self._store.read_config()
         except MarjoramgradeError:
             self._metrics.retried("config_table_error")
+            self._authority.tell(TableContact(False))
             return
+        self._authority.tell(TableContact(True))
         if stored.config.version < self._versions.current.version:
             self._metrics.retried("config_stale_read")
             return
@@ -124,6 +140,9 @@
             self._row_version = stored.row_version
             state_change("config_in_force", version=stored.config.version)
         self._freshness.confirm(asked_ms)
+        self._publish()
+
+    def _publish(self) -> None:
         message = self._confirmed()
         for subscriber in self._subscribers:
             subscriber.tell(message)
@@ -140,31 +159,44 @@
         return KeyGranted(key, message.secret, config.version)
 
     async def _commit_change(self, message: ChangeConfig) -> Config:
-        """Apply a change to the newest version; rebase over racing changes."""
+        """Commit a change, unless a promise to change nothing is in force."""
         write_id = uuid.uuid4().hex
+        await self._authority.ask(BeginWrite(write_id))
+        try:
+            changed = await self._rebase_and_write(message, write_id)
+        except WriteOutcomeUnknownError as error:
+            self.spawn(self._settle(write_id))
+            raise OutcomeUnknownError(error.message) from error
+        except TableUnavailableError as error:
+            self._authority.tell(EndWrite(write_id))
+            raise TableRefusedError(error.message) from error
+        except MarjoramgradeError:
+            self._authority.tell(EndWrite(write_id))
+            raise
+        self._authority.tell(EndWrite(write_id))
+        return changed
+
+    async def _rebase_and_write(self, message: ChangeConfig, write_id: str) -> Config:
+        """Apply a change to the newest version, again after each racing change."""
         base_version = message.expected_version
         for _ in range(REBASE_ATTEMPTS):
             asked_ms = self._clock.now_ms()
+            stored = await self._store.read_config()
+            if base_version is None:
+                base_version = stored.config.version
+            change = Change(
+                message.kind, message.name, message.value, base_version, write_id
+            )
+            if is_applied(stored.config, change):
+                return stored.config
+            changed = next_version(apply_change(stored.config, change))
             try:
-                stored = await self._store.read_config()
-                if base_version is None:
-                    base_version = stored.config.version
-                change = Change(
-                    message.kind, message.name, message.value, base_version, write_id
-                )
-                if is_applied(stored.config, change):
-                    return stored.config
-                changed = next_version(apply_change(stored.config, change))
                 row_version = await self._store.write_config(
                     changed, stored.row_version
                 )
             except CheckFailedError:
                 self._metrics.retried("config_conflict")
                 continue
-            except WriteOutcomeUnknownError as error:
-                raise OutcomeUnknownError(error.message) from error
-            except TableUnavailableError as error:
-                raise TableRefusedError(error.message) from error
             self._adopt(StoredConfig(changed, row_version), asked_ms)
             self._peers.tell(TellPeers(ConfigPushed(changed.version)))
             return changed
@@ -173,3 +205,24 @@
             expected_version=stored.config.version,
             current_version=stored.config.version,
         )
+
+    async def _settle(self, write_id: str) -> None:
+        """Make sure that a write with an unknown outcome takes no effect later.
+
+        Every transaction checks the version of the row, so any later version
+        makes the lost one fail.
+        """
+        while True:
+            await asyncio.sleep(READ_INTERVAL_MS / 1000)
+            try:
+                stored = await self._store.read_config()
+                await self._store.write_config(
+                    next_version(stored.config), stored.row_version
+                )
+            except CheckFailedError:
+                pass
+            except MarjoramgradeError:
+                self._metrics.retried("config_table_error")
+                continue
+            self._authority.tell(EndWrite(write_id))
+            return
--- a/marjoramgrade/controllers/inbound.py
+++ b/marjoramgrade/controllers/inbound.py
@@ -8,6 +8,8 @@
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.errors import NotOwnerError, ProtocolError
 from marjoramgrade.messages import (
+    AcknowledgeNewcomer,
+    Attest,
     ConfigPushed,
     DispatchSummary,
     GetTasks,
@@ -23,6 +25,7 @@
     """Hands each inbound message to the controller that answers it.
 
     Args:
+        authority: Controller of the promises.
         config: Controller of the configuration.
         jobs: Controller of the jobs.
         routes: Controller of the routes.
@@ -32,6 +35,7 @@
 
     def __init__(
         self,
+        authority: Actor,
         config: Actor,
         jobs: Actor,
         routes: Actor,
@@ -40,6 +44,8 @@
     ) -> None:
         super().__init__()
         self._controller_by_type: dict[type[Message[Any]], Actor] = {
+            AcknowledgeNewcomer: authority,
+            Attest: authority,
             ConfigPushed: config,
             JobAssigned: jobs,
             DispatchSummary: routes,
--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from marjoramgrade.actor import Actor, handles
-from marjoramgrade.errors import OwnerUnreachableError, TableError
+from marjoramgrade.clock import Clock
+from marjoramgrade.errors import (
+    OwnerUnreachableError,
+    StaleAuthorityError,
+    TableError,
+)
 from marjoramgrade.logs import state_change
 from marjoramgrade.messages import (
+    BeginWrite,
     CallPeer,
+    EndWrite,
+    InstancesChanged,
     Member,
     MembersChanged,
     PeerCall,
@@ -18,9 +27,12 @@
     TellPeers,
 )
 from marjoramgrade.metrics import Metrics
+from marjoramgrade.model import InstanceKind
 from marjoramgrade.store import Store
 
 READ_INTERVAL_MS = 1_000
+# Longer than every lease that a member may hold.
+REMOVE_AFTER_MS = 10_000
 
 
 class MembersController(Actor):
@@ -29,6 +41,8 @@
     Args:
         own: This instance.
         store: Typed access to the table.
+        authority: Controller of the promises.
+        clock: Monotonic time.
         make_link: Makes the actor that owns the connection to a peer.
         metrics: Counters.
         subscribers: Actors that are told `MembersChanged`.
@@ -38,6 +52,8 @@
         self,
         own: Member,
         store: Store,
+        authority: Actor,
+        clock: Clock,
         make_link: Callable[[Member], Actor],
         metrics: Metrics,
         subscribers: Sequence[Actor],
@@ -45,12 +61,16 @@
         super().__init__()
         self._own = own
         self._store = store
+        self._authority = authority
+        self._clock = clock
         self._make_link = make_link
         self._metrics = metrics
         self._subscribers = tuple(subscribers)
         self._member_by_id: dict[str, Member] = {}
         self._link_by_id: dict[str, Actor] = {}
         self._is_registered = False
+        self._listed: frozenset[str] = frozenset()
+        self._missing_since_ms: dict[str, int] = {}
 
     async def on_start(self) -> None:
         """Begin to register and to read the register."""
@@ -77,6 +97,14 @@
         for link in self._link_by_id.values():
             link.tell(PeerTell(message.message))
 
+    @handles(InstancesChanged)
+    async def _instances_changed(self, message: InstancesChanged) -> None:
+        self._listed = frozenset(
+            instance.instance_id
+            for instance in message.instances
+            if instance.kind is InstanceKind.ENTRY
+        )
+
     async def _read_forever(self) -> None:
         while True:
             try:
@@ -84,10 +112,40 @@
                     await self._store.write_member(self._own)
                     self._is_registered = True
                 await self._apply(await self._store.read_members())
+                await self._remove_ended()
             except TableError:
                 self._metrics.retried("members_table_error")
             await asyncio.sleep(READ_INTERVAL_MS / 1000)
 
+    async def _remove_ended(self) -> None:
+        """Remove members that the platform's list has dropped for a while.
+
+        A list without this instance itself lags too far to be relied on.
+        """
+        if self._own.instance_id not in self._listed:
+            return
+        now_ms = self._clock.now_ms()
+        missing = set(self._member_by_id) - self._listed
+        self._missing_since_ms = {
+            member: self._missing_since_ms.get(member, now_ms) for member in missing
+        }
+        for member, since_ms in self._missing_since_ms.items():
+            if now_ms >= since_ms + REMOVE_AFTER_MS:
+                await self._remove(member)
+
+    async def _remove(self, member: str) -> None:
+        write_id = uuid.uuid4().hex
+        try:
+            await self._authority.ask(BeginWrite(write_id))
+        except StaleAuthorityError:
+            self._metrics.retried("removal_without_authority")
+            return
+        try:
+            await self._store.delete_member(member)
+        finally:
+            self._authority.tell(EndWrite(write_id))
+        state_change("member_removed", member=member)
+
     async def _apply(self, members: tuple[Member, ...]) -> None:
         found = {m.instance_id: m for m in members}
         if found == self._member_by_id:
@@ -97,7 +155,8 @@
         for gone in set(self._link_by_id) - set(found):
             await self._link_by_id.pop(gone).stop()
         for member in members:
-            if member == self._own or member.instance_id in self._link_by_id:
+            is_own = member.instance_id == self._own.instance_id
+            if is_own or member.instance_id in self._link_by_id:
                 continue
             link = self._make_link(member)
             await link.start()
--- a/marjoramgrade/controllers/ownership.py
+++ b/marjoramgrade/controllers/ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 from collections.abc import Sequence
 from typing import Any
 
@@ -16,9 +17,24 @@
     ShardRow,
     TakeoverWatch,
 )
-from marjoramgrade.errors import CheckFailedError, TableError
+from marjoramgrade.errors import (
+    CheckFailedError,
+    StaleAuthorityError,
+    TableError,
+    TableUnavailableError,
+)
 from marjoramgrade.logs import state_change
-from marjoramgrade.messages import MembersChanged, OwnershipChanged, ReleaseShards
+from marjoramgrade.messages import (
+    BeginWrite,
+    EndWrite,
+    MayTakeShard,
+    MembersChanged,
+    OwnershipAttested,
+    OwnershipChanged,
+    ReleaseShards,
+    ShardDropped,
+    ShardHeld,
+)
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.store import Store
 
@@ -33,6 +49,7 @@
     version: int = 0
     watch: TakeoverWatch = attrs.field(factory=TakeoverWatch)
     lease: HeldLease | None = None
+    unsettled_writes: list[str] = attrs.field(factory=list)
 
 
 class OwnershipController(Actor):
@@ -43,6 +60,7 @@
         zone: Its zone.
         shards: Names of the zone's shards.
         store: Typed access to the table.
+        authority: Controller of the promises.
         clock: Monotonic time.
         metrics: Counters.
         subscribers: Actors that are told `OwnershipChanged`.
@@ -54,6 +72,7 @@
         zone: str,
         shards: Sequence[str],
         store: Store,
+        authority: Actor,
         clock: Clock,
         metrics: Metrics,
         subscribers: Sequence[Actor],
@@ -62,6 +81,7 @@
         self._instance_id = instance_id
         self._zone = zone
         self._store = store
+        self._authority = authority
         self._clock = clock
         self._metrics = metrics
         self._subscribers = tuple(subscribers)
@@ -85,6 +105,14 @@
         self._is_releasing = True
         return self.spawn(self._release_all())
 
+    @handles(OwnershipAttested)
+    async def _attested(self, message: OwnershipAttested) -> None:
+        """Extend a lease by promises; one that has lapsed stays so."""
+        lease = self._state_by_shard[message.shard].lease
+        if lease is not None and lease.holds(self._clock.now_ms()):
+            lease.until_ms = max(lease.until_ms, message.until_ms)
+            self._publish(message.shard, lease)
+
     async def _keep(self, shard: str) -> None:
         state = self._state_by_shard[shard]
         while not self._is_releasing:
@@ -106,17 +134,34 @@
         state.row, state.version = stored.row, stored.version
         now_ms = self._clock.now_ms()
         state.watch.observe(stored.row, stored.version, now_ms)
-        if state.watch.may_take(now_ms) and not self._is_releasing:
+        if not state.watch.may_take(now_ms) or self._is_releasing:
+            return
+        if await self._authority.ask(MayTakeShard(stored.row)):
             await self._take(state)
+        else:
+            self._metrics.retried("takeover_not_acknowledged")
 
     async def _take(self, state: _ShardState) -> None:
+        write_id = uuid.uuid4().hex
+        try:
+            await self._authority.ask(BeginWrite(write_id))
+        except StaleAuthorityError:
+            self._metrics.retried("takeover_without_authority")
+            return
+        state.unsettled_writes.append(write_id)
         asked_ms = self._clock.now_ms()
         row = state.row.taken_by(self._instance_id, self._guardians)
         try:
             state.version = await self._store.write_shard(row, state.version)
         except CheckFailedError:
             self._metrics.retried("takeover_lost_race")
+            self._settle_writes(state)
             return
+        except TableUnavailableError:
+            self._settle_writes(state)
+            raise
+        self._settle_writes(state)
+        self._authority.tell(ShardHeld(row.shard, row.guardians, is_proposed=False))
         state.row = row
         state.lease = HeldLease(row.epoch)
         state.lease.confirm(asked_ms)
@@ -126,15 +171,27 @@
     async def _renew(self, state: _ShardState, lease: HeldLease) -> None:
         asked_ms = self._clock.now_ms()
         row = state.row.renewed(self._guardians)
+        self._authority.tell(ShardHeld(row.shard, row.guardians, is_proposed=True))
         try:
             state.version = await self._store.write_shard(row, state.version)
         except CheckFailedError:
             await self._resolve_conflict(state, lease, asked_ms)
             return
         state.row = row
+        self._authority.tell(ShardHeld(row.shard, row.guardians, is_proposed=False))
         lease.confirm(asked_ms)
         self._publish(row.shard, lease)
 
+    def _settle_writes(self, state: _ShardState) -> None:
+        """Tell that no earlier takeover write can take effect any more.
+
+        A definite answer to a later write settles earlier ones, which checked
+        the same version of the row or an older one.
+        """
+        for write_id in state.unsettled_writes:
+            self._authority.tell(EndWrite(write_id))
+        state.unsettled_writes.clear()
+
     async def _resolve_conflict(
         self, state: _ShardState, lease: HeldLease, asked_ms: int
     ) -> None:
@@ -156,6 +213,7 @@
         state.lease = None
         state.watch = TakeoverWatch()
         state_change("shard_lost", shard=state.row.shard, epoch=lease.epoch)
+        self._authority.tell(ShardDropped(state.row.shard))
         self._publish(state.row.shard, lease)
 
     async def _release_all(self) -> None:
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -17,6 +17,7 @@
 from marjoramgrade.adapters.platform import HttpTable, InstanceList, PlatformClient
 from marjoramgrade.adapters.workerlink import WorkerLink
 from marjoramgrade.clock import SystemClock
+from marjoramgrade.controllers.authority import AuthorityController
 from marjoramgrade.controllers.config import ConfigController
 from marjoramgrade.controllers.dispatch import DispatchController
 from marjoramgrade.controllers.inbound import InboundController
@@ -116,6 +117,7 @@
             settings.instance_id, settings.zone, settings.host, settings.peer_port
         )
 
+        authority = AuthorityController(own, clock, counters)
         journal = JournalController(store)
         watch = WatchController()
         routes = RoutesController(settings.instance_id, settings.zone, clock, counters)
@@ -156,6 +158,7 @@
             settings.zone,
             shards,
             store,
+            authority,
             clock,
             counters,
             by_shard,
@@ -163,9 +166,11 @@
         members = MembersController(
             own,
             store,
+            authority,
+            clock,
             lambda member: PeerLink(settings.instance_id, settings.host, member),
             counters,
-            (self._ownership, routes),
+            (self._ownership, routes, authority),
         )
         jobs = JobsController(
             store,
@@ -179,14 +184,23 @@
         jobs_holder.append(jobs)
         routes.connect(members, dispatchers, schedulers)
         config = ConfigController(
-            store, members, clock, counters, (watch, routes, jobs, *by_shard)
+            store,
+            members,
+            authority,
+            clock,
+            counters,
+            (watch, routes, jobs, authority, *by_shard),
         )
         instances = InstancesController(
-            InstanceList(platform), counters, (jobs, *by_shard)
+            InstanceList(platform), counters, (jobs, members, *by_shard)
+        )
+        inbound = InboundController(
+            authority, config, jobs, routes, dispatchers, schedulers
         )
-        inbound = InboundController(config, jobs, routes, dispatchers, schedulers)
+        authority.connect(peers=members, config=config, ownership=self._ownership)
 
         for actor in (
+            authority,
             journal,
             watch,
             routes,
--- a/marjoramgrade/messages.py
+++ b/marjoramgrade/messages.py
@@ -8,6 +8,8 @@
 import attrs
 
 from marjoramgrade.actor import Message
+from marjoramgrade.decisions.ownership import ShardRow
+from marjoramgrade.decisions.promises import PromiseReply, PromiseRequest
 from marjoramgrade.model import Config, Instance, Job, JobSpec, Key, TaskId
 from marjoramgrade.resources import NOTHING, Resources
 
@@ -89,12 +91,21 @@
 
 @attrs.frozen
 class Member:
-    """An entry instance as registered in the table."""
+    """An entry instance as registered in the table.
+
+    Attributes:
+        instance_id: Its id.
+        zone: Its availability zone.
+        host: IP number.
+        peer_port: TCP port for other entry instances.
+        row_version: Version of its row; a lower one was registered earlier.
+    """
 
     instance_id: str
     zone: str
     host: str
     peer_port: int
+    row_version: int = 0
 
 
 @attrs.frozen
@@ -143,6 +154,97 @@
     message: Message[Any]
 
 
+# Authority without the table
+
+
+@attrs.frozen
+class TableContact(Message[None]):
+    """Whether the last read of the table was answered."""
+
+    is_reached: bool
+
+
+@attrs.frozen
+class Attest(Message[PromiseReply]):
+    """Asks a peer to promise that it changes nothing for a while."""
+
+    request: PromiseRequest
+
+
+@attrs.frozen
+class Acknowledged:
+    """Whether a member agrees that a newcomer may change things."""
+
+    is_acknowledged: bool
+
+
+@attrs.frozen
+class AcknowledgeNewcomer(Message[Acknowledged]):
+    """Asks a member to agree that a newcomer may change things."""
+
+    instance_id: str
+    zone: str
+
+
+@attrs.frozen
+class BeginWrite(Message[None]):
+    """Asks for leave to write something that promises cover."""
+
+    write_id: str
+
+
+@attrs.frozen
+class EndWrite(Message[None]):
+    """Tells that a write took effect or certainly never will."""
+
+    write_id: str
+
+
+@attrs.frozen
+class MayTakeShard(Message[bool]):
+    """Asks whether the newcomer rule allows a takeover."""
+
+    row: ShardRow
+
+
+@attrs.frozen
+class ShardHeld(Message[None]):
+    """Tells whose promises can extend the ownership of a shard.
+
+    Attributes:
+        shard: Name of the shard.
+        guardians: Instances on its row.
+        is_proposed: Whether the row is about to be written.
+    """
+
+    shard: str
+    guardians: tuple[str, ...]
+    is_proposed: bool
+
+
+@attrs.frozen
+class ShardDropped(Message[None]):
+    """Tells that a shard is no longer owned."""
+
+    shard: str
+
+
+@attrs.frozen
+class ConfigAttested(Message[None]):
+    """A configuration was current at a time, by the promises of all members."""
+
+    version: int
+    asked_ms: int
+
+
+@attrs.frozen
+class OwnershipAttested(Message[None]):
+    """Nobody takes over a shard before a time, by promises."""
+
+    shard: str
+    until_ms: int
+
+
 # Ownership
 
 
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -77,6 +77,26 @@
 )
 
 
+declare(
+    "promise_refused.*",
+    MetricKind.COUNTER,
+    "requests",
+    "Promises refused to a peer that cannot reach the table, by the reason.",
+)
+declare(
+    "config_attested",
+    MetricKind.COUNTER,
+    "confirmations",
+    "Times that promises of all members confirmed the configuration.",
+)
+declare(
+    "ownership_attested",
+    MetricKind.COUNTER,
+    "extensions",
+    "Times that promises extended the ownership of a shard.",
+)
+
+
 def iter_metrics() -> Iterator[Metric]:
     """Yield the declared metrics in alphabetical order."""
     return (METRICS.get(name) for name in METRICS.iter_names())
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -175,7 +175,9 @@
 
     async def write_member(self, member: Member) -> None:
         """Register an entry instance."""
-        document = attrs.asdict(member)
+        document = attrs.asdict(
+            member, filter=lambda field, _: field.name != "row_version"
+        )
         key = MEMBERS_PREFIX + member.instance_id
         row = await self._table.read(key)
         version = ABSENT if row is None else row.version
@@ -191,7 +193,11 @@
     async def read_members(self) -> tuple[Member, ...]:
         """Return the registered entry instances."""
         page = await self._table.changes(MEMBERS_PREFIX)
-        return tuple(Member(**row.value) for row in page.rows if row.value is not None)
+        return tuple(
+            Member(**row.value, row_version=row.version)
+            for row in page.rows
+            if row.value is not None
+        )
 
     async def changed_jobs(self, after: int) -> JobsPage:
         """Return the jobs whose rows changed after a version."""
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -143,6 +143,29 @@
         path.write_text(json.dumps(settings), encoding="utf-8")
         self.entry_by_id[plan.instance_id] = plan
         self._spawn(plan.instance_id, "marjoramgrade", "run", "--settings", str(path))
+        self.instances.append(
+            {
+                "instance_id": plan.instance_id,
+                "kind": "entry",
+                "zone": plan.zone,
+                "host": plan.host,
+                "port": plan.http_port,
+            }
+        )
+
+    async def replace_entry(self, instance_id: str, name: str) -> EntryPlan:
+        """Kill an entry instance, drop it from the list and start another."""
+        zone = self.entry_by_id[instance_id].zone
+        self.process_by_name[instance_id].end()
+        plan = self.plan_entry(zone, name)
+        self.start_entry(plan)
+        await self.publish_instances(instance_id)
+        return plan
+
+    async def publish_instances(self, *dropped: str) -> None:
+        """Give the platform the list of instances, without some that have ended."""
+        self.instances = [i for i in self.instances if i["instance_id"] not in dropped]
+        await self.control_platform(instances=self.instances)
 
     def plan_entry(self, zone: str, name: str) -> EntryPlan:
         """Return a free place for an entry instance."""
@@ -295,6 +318,11 @@
 
     async def _put(self, url: str, document: dict[str, Any]) -> dict[str, Any]:
         response = await self.fetch(url, "PUT", body=document)
+        until = time.monotonic() + START_TIMEOUT_S
+        # An instance that has just started is not admitted as a member yet.
+        while response.code == 503 and time.monotonic() < until:
+            await asyncio.sleep(POLL_S)
+            response = await self.fetch(url, "PUT", body=document)
         if response.code != 200:
             raise RuntimeError(f"PUT {url}: {response.code} {response.body!r}")
         answer: dict[str, Any] = json.loads(response.body)
@@ -318,6 +346,7 @@
         for zone in self.zones:
             for number in range(self.entries_per_zone):
                 self.start_entry(self.plan_entry(zone, f"{zone}-entry-{number + 1}"))
+        await self.publish_instances()
         for plan in self.entry_by_id.values():
             await self.wait_ready(plan)
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -59,8 +59,7 @@
         await asyncio.sleep(1.5)
         killed = await cell.owner_of("leeds.0")
         load.disturbed_urls.add(killed.url)
-        cell.process_by_name[killed.instance_id].end()
-        cell.start_entry(cell.plan_entry("leeds", "leeds-entry-2"))
+        await cell.replace_entry(killed.instance_id, "leeds-entry-2")
 
     _assert_work_went_on(asyncio.run(_run_load(tmp_path, replace)))
 
