--- /dev/null
+++ b/formal/acceptance.py
@@ -0,0 +1,142 @@
+"""Acceptance of one job: its row, the answer to the caller and the owner's queue."""
+
+from __future__ import annotations
+
+import z3
+
+from formal.bounded import Expr, Sort, Spec, State, Step, updates
+
+NEW, SENT, APPLIED, LOST, OVER = range(5)
+NOTHING, TOLD_ACCEPTED, TOLD_NOT_RUN, TOLD_UNKNOWN = range(4)
+
+SPEC = Spec(
+    "acceptance",
+    {
+        "stage": Sort.INT,
+        "told": Sort.INT,
+        **dict.fromkeys(("row", "late", "notice", "queued", "started"), Sort.BOOL),
+        # The owner has applied the change feed up to the row's version.
+        "feed_read": Sort.BOOL,
+    },
+    clocks=(),
+)
+TOLD_FIRST = SPEC.mutation("acceptance told before the durable write", "accepted_kept")
+LOST_IS_NO = SPEC.mutation("lost answer told as not run", "not_run_is_true")
+QUEUED_FIRST = SPEC.mutation("job queued before its row is durable", "not_run_is_true")
+NOTICE_ONLY = SPEC.mutation("owner told by message alone", "accepted_found")
+
+
+@SPEC.initial
+def initial(s: State) -> Expr:
+    """Nothing was sent."""
+    flags = ("row", "late", "notice", "queued", "started", "feed_read")
+    parts = [z3.Not(s[n]) for n in flags]
+    return z3.And(s["stage"] == NEW, s["told"] == NOTHING, *parts)
+
+
+@SPEC.action()
+def write_sent(s: State, m: str) -> Step:
+    """The accepting instance writes the job's row."""
+    changes = updates(("stage", SENT))
+    if m == TOLD_FIRST:
+        changes["told"] = z3.IntVal(TOLD_ACCEPTED)
+    if m == QUEUED_FIRST:
+        changes["notice"] = z3.BoolVal(True)
+    return s["stage"] == NEW, changes
+
+
+@SPEC.action()
+def write_applied(s: State, _m: str) -> Step:
+    """The row becomes durable, in time or after the sender gave up."""
+    in_time = s["stage"] == SENT
+    return z3.Or(in_time, s["late"]), updates(
+        ("row", z3.BoolVal(True)),
+        ("late", z3.BoolVal(False)),
+        ("stage", z3.If(in_time, APPLIED, s["stage"])),
+        ("feed_read", z3.BoolVal(False)),
+    )
+
+
+@SPEC.action()
+def write_failed(s: State, m: str) -> Step:
+    """The table says that nothing was written."""
+    told = s["told"] if m == TOLD_FIRST else z3.IntVal(TOLD_NOT_RUN)
+    return s["stage"] == SENT, updates(("stage", OVER), ("told", told))
+
+
+@SPEC.action()
+def write_answered(s: State, _m: str) -> Step:
+    """The caller hears of the acceptance and the owner of the job."""
+    return s["stage"] == APPLIED, updates(
+        ("stage", OVER), ("told", TOLD_ACCEPTED), ("notice", z3.BoolVal(True))
+    )
+
+
+@SPEC.action()
+def answer_lost(s: State, m: str) -> Step:
+    """The outcome is unknown and the write may still take effect."""
+    told = TOLD_NOT_RUN if m == LOST_IS_NO else TOLD_UNKNOWN
+    return z3.Or(s["stage"] == SENT, s["stage"] == APPLIED), updates(
+        ("stage", OVER), ("told", told), ("late", s["stage"] == SENT)
+    )
+
+
+@SPEC.action()
+def notice_received(s: State, _m: str) -> Step:
+    """The owner queues a job that it was told of."""
+    return s["notice"], updates(
+        ("notice", z3.BoolVal(False)), ("queued", z3.BoolVal(True))
+    )
+
+
+@SPEC.action()
+def notice_lost(s: State, _m: str) -> Step:
+    """The message to the owner is lost."""
+    return s["notice"], updates(("notice", z3.BoolVal(False)))
+
+
+@SPEC.action()
+def takeover(s: State, _m: str) -> Step:
+    """A new owner starts with an empty queue and reads the feed anew."""
+    return z3.BoolVal(True), updates(
+        ("queued", z3.BoolVal(False)), ("feed_read", z3.BoolVal(False))
+    )
+
+
+@SPEC.action()
+def feed_read(s: State, m: str) -> Step:
+    """The owner follows the change feed of the job rows."""
+    queued = s["queued"] if m == NOTICE_ONLY else z3.Or(s["queued"], s["row"])
+    return z3.BoolVal(True), updates(
+        ("feed_read", z3.BoolVal(True)), ("queued", queued)
+    )
+
+
+@SPEC.action()
+def started(s: State, _m: str) -> Step:
+    """The owner starts the queued job."""
+    return s["queued"], updates(("started", z3.BoolVal(True)))
+
+
+@SPEC.invariant
+def accepted_kept(s: State) -> Expr:
+    """A job whose acceptance was told is in the table."""
+    return z3.Implies(s["told"] == TOLD_ACCEPTED, s["row"])
+
+
+@SPEC.invariant
+def accepted_found(s: State) -> Expr:
+    """An owner that has read the feed has every job of its shard in its queue."""
+    return z3.Implies(z3.And(s["row"], s["feed_read"]), s["queued"])
+
+
+@SPEC.invariant
+def not_run_is_true(s: State) -> Expr:
+    """A job that was refused as not run is never started."""
+    return z3.Not(z3.And(s["told"] == TOLD_NOT_RUN, s["started"]))
+
+
+@SPEC.goal
+def accepted_and_started(s: State) -> Expr:
+    """A job was accepted and then started by an owner that read the feed."""
+    return z3.And(s["told"] == TOLD_ACCEPTED, s["started"], s["feed_read"])
--- a/formal/bounded.py
+++ b/formal/bounded.py
@@ -61,7 +61,6 @@
     UNREACHED = "unreached"
     INDUCTIVE = "inductive"
     NOT_INDUCTIVE = "not inductive"
-    UNDECIDED = "undecided"
 
 
 @attrs.frozen
--- a/formal/config.py
+++ b/formal/config.py
@@ -32,7 +32,7 @@
     *("asking", "promise_asked", "promise_version", "promise_p", "promise_q"),
     *("push_version", "push_p", "push_q"),
 )
-BOOLS = ("loaded", "late", "pushed", "changes_first_part")
+BOOLS = ("loaded", "late", "pushed")
 
 SPEC = Spec(
     "config",
@@ -58,7 +58,10 @@
 
 @SPEC.initial
 def initial(s: State) -> Expr:
-    """Both instances have applied the first version and know it to be current."""
+    """Both instances have applied the first version and know it to be current.
+
+    A push of that version to instance a may be under way.
+    """
     parts = [s["version"] == FIRST_VERSION]
     parts += [s[f"told_at_{n}"] == NOT_TOLD for n in range(2, LAST_VERSION + 1)]
     parts += [s[n] == 0 for n in ("p", "q", "changes_p", "changes_q")]
@@ -67,7 +70,9 @@
         parts += [s["applied_p", i] == 0, s["applied_q", i] == 0]
         parts += [s["fresh_until", i] == FRESH_MS, s["loaded", i]]
         parts += [s[n, i] == IDLE for n in ("reading", "write", "asking")]
-        parts += [z3.Not(s["late", i]), z3.Not(s["pushed", i])]
+        parts += [z3.Not(s["late", i])]
+    parts += [s["push_version", "a"] == FIRST_VERSION, z3.Not(s["pushed", "b"])]
+    parts += [s["push_p", "a"] == 0, s["push_q", "a"] == 0]
     return z3.And(*parts)
 
 
@@ -140,18 +145,17 @@
     return s["reading", i] == ANSWERED, changes
 
 
-@SPEC.action(("a", "p"), ("a", "q"), ("b", "p"), ("b", "q"))
-def change_sent(s: State, _m: str, i: str, part: str) -> Step:
-    """An operator changes one part of the document as this instance has it."""
+@SPEC.action(*EACH)
+def change_sent(s: State, _m: str, i: str) -> Step:
+    """An operator at a changes part p, or one at b changes part q."""
     ready = z3.And(s["write", i] == IDLE, s["applied", i] > 0)
     # Bounds the number of versions.
     ready = z3.And(ready, s["version"] < LAST_VERSION)
     return ready, updates(
         (("write", i), SENT),
         (("write_version", i), s["applied", i] + 1),
-        (("write_p", i), s["applied_p", i] + (1 if part == "p" else 0)),
-        (("write_q", i), s["applied_q", i] + (1 if part == "q" else 0)),
-        (("changes_first_part", i), z3.BoolVal(part == "p")),
+        (("write_p", i), s["applied_p", i] + int(i == "a")),
+        (("write_q", i), s["applied_q", i] + int(i == "b")),
     )
 
 
@@ -163,15 +167,14 @@
         accepted = s["version"] < LAST_VERSION
     in_time = s["write", i] == SENT
     outcome = z3.If(accepted, APPLIED, REJECTED)
-    is_p = s["changes_first_part", i]
+    counter = "changes_p" if i == "a" else "changes_q"
     return z3.Or(in_time, s["late", i]), updates(
         (("write", i), z3.If(in_time, outcome, s["write", i])),
         (("late", i), z3.And(in_time, s["late", i])),
         ("version", s["version"] + z3.If(accepted, 1, 0)),
         ("p", z3.If(accepted, s["write_p", i], s["p"])),
         ("q", z3.If(accepted, s["write_q", i], s["q"])),
-        ("changes_p", s["changes_p"] + z3.If(z3.And(accepted, is_p), 1, 0)),
-        ("changes_q", s["changes_q"] + z3.If(z3.And(accepted, z3.Not(is_p)), 1, 0)),
+        (counter, s[counter] + z3.If(accepted, 1, 0)),
     )
 
 
@@ -309,7 +312,13 @@
 
 @SPEC.goal
 def change_in_force(s: State) -> Expr:
-    """Both instances serve under a changed document after 8 s."""
+    """Both instances serve under a change that an operator was told of."""
     applied = [s["applied", i] == FIRST_VERSION + 1 for i in INSTANCES]
-    told = z3.And(s["told_at_2"] >= 0, s[NOW] > s["told_at_2"] + IN_FORCE_MS)
+    told = s["told_at_2"] != NOT_TOLD
     return z3.And(*applied, told, serves(s, "a"), serves(s, "b"))
+
+
+@SPEC.goal
+def confirmed_again(s: State) -> Expr:
+    """An instance serves after 8 s on the strength of a read or a promise."""
+    return z3.And(s[NOW] > IN_FORCE_MS, serves(s, "a"))
--- a/formal/grants.py
+++ b/formal/grants.py
@@ -38,8 +38,10 @@
 NO_CAS = SPEC.mutation("grant written without compare-and-set", "usable_in_limit")
 NO_EPOCH = SPEC.mutation("grant written without an epoch check", "usable_in_limit")
 GIVEN_FIRST = SPEC.mutation("grant given back before use dropped", "usable_in_limit")
-USE_IGNORED = SPEC.mutation("grant in use given back", "team_limit")
-GIVEN_UNKNOWN = SPEC.mutation("grant given back before reconciliation", "team_limit")
+USE_IGNORED = SPEC.mutation("grant in use given back", "shard_in_grant")
+GIVEN_UNKNOWN = SPEC.mutation(
+    "grant given back before reconciliation", "shard_in_grant"
+)
 TAKEN_BACK = SPEC.mutation("lost give-back taken as not done", "usable_in_limit")
 OLD_READ = SPEC.mutation("older grant row adopted", "usable_in_limit")
 START_UNKNOWN = SPEC.mutation("start before use is known", "team_limit")
@@ -47,15 +49,28 @@
 
 @SPEC.initial
 def initial(s: State) -> Expr:
-    """Shard s holds the whole limit and uses any part of it."""
-    parts = [s["version"] == 1, s["used", "s"] >= 0, s["used", "s"] <= LIMIT]
-    parts.append(s["used", "r"] == 0)
+    """Shard s holds the whole limit, and may have asked to give a unit back."""
+    parts = [s["version"] == 1, s["used", "s"] >= 0, s["used", "r"] == 0]
+    asked = z3.And(
+        s["write", "s"] == SENT,
+        s["giving", "s"],
+        s["usable", "s"] == LIMIT - 1,
+        s["write_own", "s"] == LIMIT - 1,
+        s["write_other", "s"] == 0,
+        s["write_check", "s"] == 1,
+        s["write_epoch", "s"] == 1,
+    )
+    idle = z3.And(
+        s["write", "s"] == IDLE, z3.Not(s["giving", "s"]), s["usable", "s"] == LIMIT
+    )
+    parts += [z3.Or(asked, idle), s["used", "s"] <= s["usable", "s"]]
+    parts += [s["write", "r"] == IDLE, z3.Not(s["giving", "r"]), s["usable", "r"] == 0]
     for k, grant in (("s", LIMIT), ("r", 0)):
-        parts += [s[n, k] == grant for n in ("grant", "usable")]
+        parts.append(s["grant", k] == grant)
         parts += [s["known_other", k] == LIMIT - grant, s["known", k] == 1]
-        parts += [s["epoch", k] == 1, s["starting", k] == 0, s["write", k] == IDLE]
+        parts += [s["epoch", k] == 1, s["starting", k] == 0]
         parts += [s["reconciled", k]]
-        parts += [z3.Not(s[n, k]) for n in ("reading", "late_sent", "giving")]
+        parts += [z3.Not(s[n, k]) for n in ("reading", "late_sent")]
     return z3.And(*parts)
 
 
@@ -254,6 +269,12 @@
     return s["usable", "s"] + s["usable", "r"] <= LIMIT
 
 
+@SPEC.invariant
+def shard_in_grant(s: State) -> Expr:
+    """No shard runs or is about to run more than its grant in the table."""
+    return z3.And(*(s["used", k] + s["starting", k] <= s["grant", k] for k in SHARDS))
+
+
 @SPEC.goal
 def moved_and_used(s: State) -> Expr:
     """A grant moved to the other shard and both shards run a task."""
--- a/formal/ownership.py
+++ b/formal/ownership.py
@@ -53,24 +53,45 @@
 
 @SPEC.initial
 def initial(s: State) -> Expr:
-    """The shard is released, or instance a has held it for any part of a lease."""
+    """The shard is released, or instance a holds it and may have asked to renew.
+
+    Each instance may have read the row.
+    """
+
+    def seen(i: str) -> Expr:
+        return z3.And(
+            s["seen_version", i] == s["row_version"],
+            s["seen_owner", i] == s["row_owner"],
+            s["seen_epoch", i] == s["row_epoch"],
+            s["since", i] == s["clock", i],
+        )
+
     quiet = [
         z3.And(
-            s["seen_version", i] == -1,
-            s["write", i] == IDLE,
+            z3.Or(s["seen_version", i] == -1, seen(i)),
             s["reading", i] == IDLE,
             z3.Not(s["late", i]),
         )
         for i in OWNER_NUMBER
     ]
+    idle = s["write", "a"] == IDLE
+    renewing = z3.And(
+        s["write", "a"] == SENT,
+        s["write_kind", "a"] == RENEW,
+        s["write_check", "a"] == s["row_version"],
+        s["write_epoch", "a"] == s["row_epoch"],
+        s["write_id", "a"] == 1,
+        s["asked", "a"] == s["clock", "a"],
+    )
     held = z3.And(
+        z3.Or(idle, renewing),
         s["row_owner"] == OWNER_NUMBER["a"],
         s["epoch", "a"] == 1,
         s["version", "a"] == 1,
         s["until", "a"] == OWNERSHIP_LEASE_MS,
     )
     free = z3.And(
-        s["row_owner"] == RELEASED, s["epoch", "a"] == 0, s["until", "a"] == 0
+        idle, s["row_owner"] == RELEASED, s["epoch", "a"] == 0, s["until", "a"] == 0
     )
     return z3.And(
         *quiet,
@@ -78,7 +99,8 @@
         s["row_epoch"] == 1,
         s["row_version"] == 1,
         s["row_id"] == 0,
-        s["next_id"] == 1,
+        s["next_id"] == 2,
+        s["write", "b"] == IDLE,
         s["row_at"] == 0,
         s["epoch", "b"] == 0,
         s["until", "b"] == 0,
