Measure the scheduler for the two deployments

Change: bench/measure.py drives the schedulers of three zones with a manual clock and seeded work, against fifo with first_fit and against no preemption. The packing bound takes work as divisible, so it is an upper bound for any placement.

--- /dev/null
+++ b/bench/driver.py
@@ -0,0 +1,206 @@
+"""Drives the schedulers of a cell with a manual clock.
+
+It stands for what surrounds the decisions and no more: tasks end after their run
+time, and stopped tasks end a little later. It models no network and no process.
+"""
+
+from __future__ import annotations
+
+import heapq
+import time
+from itertools import count
+from random import Random
+
+import attrs
+
+from bench.cells import ZONES, Deployment, Work, WorkSource
+from marjoramgrade.clock import ManualClock
+from marjoramgrade.decisions.actions import Ending, StartTask, StopMode, StopTask
+from marjoramgrade.decisions.scheduler import Scheduler
+from marjoramgrade.decisions.tasks import QueuedTask
+from marjoramgrade.model import Kind, TaskId
+from marjoramgrade.resources import NOTHING, Resources
+from marjoramgrade.settings import Policies
+
+TICK_MS = 50
+BUDGET = 1_000
+# One stop in this many ignores the checkpoint and ends only with the hard stop.
+DEAF_TASKS = 20
+STOP_MS = 300
+
+
+@attrs.define(eq=False)
+class Run:
+    """A task on a worker."""
+
+    task: TaskId
+    zone: int
+    started_ms: int
+    resources: Resources
+    ending: Ending = Ending.DONE
+    is_over: bool = False
+
+
+@attrs.define
+class Cell:
+    """The schedulers of all zones and the tasks that run under them.
+
+    Attributes:
+        waits_ms: Waiting times of started entries, urgent ones apart.
+        urgent_waits_ms: Waiting times of started urgent entries.
+        done: Resources times seconds of tasks that ended by themselves.
+        cpu_s: Processor time that the schedulers took.
+        starts: Number of tasks started.
+    """
+
+    deployment: Deployment
+    policies: Policies
+    randomness: Random
+    clock: ManualClock = attrs.field(factory=ManualClock)
+    schedulers: list[Scheduler] = attrs.field(init=False)
+    waits_ms: list[int] = attrs.field(factory=list)
+    urgent_waits_ms: list[int] = attrs.field(factory=list)
+    done: Resources = NOTHING
+    cpu_s: float = 0.0
+    starts: int = 0
+    zones_out: set[int] = attrs.field(factory=set)
+    work_by_job: dict[str, Work] = attrs.field(factory=dict)
+    waiting_by_zone: list[dict[str, QueuedTask]] = attrs.field(init=False)
+    _started_jobs: set[str] = attrs.field(factory=set)
+    _runs: dict[TaskId, Run] = attrs.field(factory=dict)
+    _events: list[tuple[int, int, Run]] = attrs.field(factory=list)
+    _number: count[int] = attrs.field(factory=count)
+
+    def __attrs_post_init__(self) -> None:
+        policies_by_kind = dict.fromkeys(Kind, self.policies)
+        self.schedulers = []
+        self.waiting_by_zone = [{} for _ in range(ZONES)]
+        for zone in range(ZONES):
+            scheduler = Scheduler.from_config(policies_by_kind)
+            scheduler.set_teams(self.deployment.teams)
+            for node in self.deployment.nodes_of(zone):
+                scheduler.worker_added(node)
+            self.schedulers.append(scheduler)
+
+    def submit(self, work: Work, zone: int) -> None:
+        """Queue work in a zone."""
+        self.work_by_job[work.entry.task.job_id] = work
+        self._submit_entry(work.entry, zone)
+
+    def tick(self) -> None:
+        """Advance by one tick: ends first, then one step of each scheduler."""
+        self.clock.advance(TICK_MS)
+        now_ms = self.clock.now_ms()
+        while self._events and self._events[0][0] <= now_ms:
+            self._end(heapq.heappop(self._events)[2], now_ms)
+        for zone, scheduler in enumerate(self.schedulers):
+            began = time.process_time()
+            decisions = scheduler.step(now_ms, BUDGET)
+            self.cpu_s += time.process_time() - began
+            for decision in decisions:
+                if isinstance(decision, StartTask):
+                    self._start(decision, zone, now_ms)
+                else:
+                    self._stop(decision, now_ms)
+
+    def queued_of(self, zone: int, team: str) -> int:
+        """Return the number of queued tasks of a team in a zone."""
+        return self.schedulers[zone].queued_of(team)
+
+    def use_of(self, team: str) -> Resources:
+        """Return what a team uses in all zones."""
+        total = Resources()
+        for scheduler in self.schedulers:
+            total = total + scheduler.shares.use_of(team)
+        return total
+
+    def take_out(self, zone: int) -> None:
+        """Let nothing more start in a zone and move its queue to the others."""
+        now_ms = self.clock.now_ms()
+        self.zones_out.add(zone)
+        scheduler = self.schedulers[zone]
+        for node in self.deployment.nodes_of(zone):
+            scheduler.worker_draining(node.worker_id, now_ms)
+        self.move_queue(zone)
+
+    def move_queue(self, zone: int) -> None:
+        """Submit what waits in a zone to the zones that are in."""
+        others = [z for z in range(ZONES) if z not in self.zones_out]
+        for number, entry in enumerate(list(self.waiting_by_zone[zone].values())):
+            self.schedulers[zone].cancel(entry.task)
+            del self.waiting_by_zone[zone][entry.task.job_id]
+            self._submit_entry(entry, others[number % len(others)])
+
+    def stop_zone(self, zone: int) -> None:
+        """Stop what still runs in a zone, so that it can run elsewhere."""
+        for run in list(self._runs.values()):
+            if run.zone == zone:
+                self.schedulers[zone].stop(run.task, "zone is out", is_requeued=True)
+
+    def bring_back(self, zone: int) -> None:
+        """Let work start in a zone again."""
+        self.zones_out.discard(zone)
+        for node in self.deployment.nodes_of(zone):
+            self.schedulers[zone].worker_added(node)
+
+    def _submit_entry(self, entry: QueuedTask, zone: int) -> None:
+        began = time.process_time()
+        self.schedulers[zone].submit(entry, self.clock.now_ms())
+        self.cpu_s += time.process_time() - began
+        self.waiting_by_zone[zone][entry.task.job_id] = entry
+
+    def _start(self, decision: StartTask, zone: int, now_ms: int) -> None:
+        task = decision.task
+        work = self.work_by_job[task.job_id]
+        entry = self.waiting_by_zone[zone].pop(task.job_id, None)
+        if entry is not None and task.job_id not in self._started_jobs:
+            self._started_jobs.add(task.job_id)
+            waits = self.urgent_waits_ms if entry.is_urgent else self.waits_ms
+            waits.append(now_ms - entry.queued_ms)
+        self.starts += 1
+        run = Run(task, zone, now_ms, decision.resources)
+        self._runs[task] = run
+        self._at(now_ms + work.run_ms, run)
+
+    def _stop(self, decision: StopTask, now_ms: int) -> None:
+        run = self._runs[decision.task]
+        is_deaf = self.randomness.randrange(DEAF_TASKS) == 0
+        if decision.mode is StopMode.CHECKPOINT and is_deaf:
+            return
+        longest_ms = 3_000 if decision.mode is StopMode.CHECKPOINT else STOP_MS
+        stopped = attrs.evolve(run, ending=Ending.STOPPED)
+        run.is_over = True
+        self._runs[decision.task] = stopped
+        self._at(now_ms + self.randomness.randint(50, longest_ms), stopped)
+
+    def _end(self, run: Run, now_ms: int) -> None:
+        if run.is_over:
+            return
+        run.is_over = True
+        del self._runs[run.task]
+        scheduler = self.schedulers[run.zone]
+        began = time.process_time()
+        scheduler.task_ended(run.task, run.ending, now_ms)
+        self.cpu_s += time.process_time() - began
+        if run.ending is Ending.DONE:
+            ran_ms = now_ms - run.started_ms
+            self.done = self.done + run.resources.scaled(ran_ms, 1_000)
+        entry = scheduler.find_queued(run.task)
+        if entry is not None:
+            self.waiting_by_zone[run.zone][run.task.job_id] = entry
+            if run.zone in self.zones_out:
+                self.move_queue(run.zone)
+
+    def _at(self, due_ms: int, run: Run) -> None:
+        heapq.heappush(self._events, (due_ms, next(self._number), run))
+
+
+def keep_backlog(cell: Cell, source: WorkSource, tasks: int) -> None:
+    """Fill the queue of each team in each zone that is in up to some tasks."""
+    now_ms = cell.clock.now_ms()
+    for zone in range(ZONES):
+        if zone in cell.zones_out:
+            continue
+        for team in cell.deployment.teams:
+            while cell.queued_of(zone, team.name) < tasks:
+                cell.submit(source.draw(team.name, now_ms), zone)
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,263 @@
+"""Measures the scheduling decisions for the two deployments.
+
+Everything but processor time follows from the seed. Processor time is given as a
+ratio to the baseline of the same run, because the speed of machines varies.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from bench.cells import DEPLOYMENTS, ZONES, Deployment, WorkSource
+from bench.driver import TICK_MS, Cell, keep_backlog
+from marjoramgrade.decisions.shares import fair_shares
+from marjoramgrade.resources import Resources
+from marjoramgrade.settings import Policies
+
+SEED = 20_26
+OURS = Policies()
+FIFO_FIRST_FIT = Policies(queue_order="fifo", placement="first_fit")
+NO_PREEMPTION = Policies(preemption="none")
+POLICIES = {
+    "ours": OURS,
+    "fifo+first_fit": FIFO_FIRST_FIT,
+    "no preemption": NO_PREEMPTION,
+}
+
+# The longest tasks run for 120 s; before that, the start of an empty cell shows.
+WARM_UP_MS = 120_000
+WINDOW_MS = 60_000
+BACKLOG = 40
+STEADY_LOAD = 0.85
+URGENT_EVERY_MS = 1_000
+OUT_MS, STOP_MS, BACK_MS = 140_000, 150_000, 200_000
+
+
+@attrs.frozen
+class Figures:
+    """What one run of one scenario gave; what it does not measure is None."""
+
+    scenario: str
+    deployment: str
+    policies: str
+    wait_median_ms: int | None = None
+    wait_p99_ms: int | None = None
+    wait_worst_ms: int | None = None
+    urgent_worst_ms: int | None = None
+    packing: float | None = None
+    share_distance: float | None = None
+    work_done: float | None = None
+    cpu_us_per_start: float = attrs.field(default=0.0, metadata={"timed": True})
+
+
+def percentile(values: list[int], fraction: float) -> int | None:
+    """Return the value below which a fraction of the values lies."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+def mix_of(deployment: Deployment, team: str) -> Resources:
+    """Return what a team would use in proportion if it ran its mix without end."""
+    total = Resources()
+    for shape in deployment.shapes_by_team[team]:
+        amount = Resources(1000 * shape.cores, 1024 * shape.gib)
+        times = shape.part * shape.members * sum(shape.run_ms)
+        total = total + amount.scaled(times, 1)
+    return total
+
+
+def fluid_shares(deployment: Deployment) -> dict[str, float]:
+    """Return the dominant shares of teams that all want more than they get.
+
+    Work is taken as divisible, so this is an upper bound for any placement.
+    """
+    weights = {team.name: team.share for team in deployment.teams}
+    demand = {name: mix_of(deployment, name) for name in weights}
+    return fair_shares(deployment.total, weights, demand)
+
+
+def new_cell(deployment: Deployment, policies: str) -> tuple[Cell, WorkSource]:
+    """Return a cell and its work, seeded alike for all policies."""
+    cell = Cell(deployment, POLICIES[policies], Random(SEED))
+    return cell, WorkSource(deployment, Random(SEED + 1))
+
+
+def run_steady(deployment: Deployment, policies: str, until_ms: int) -> Figures:
+    """Measure waiting times while work arrives at a part of the capacity."""
+    cell, source = new_cell(deployment, policies)
+    arrivals = Random(SEED + 2)
+    rates = {
+        team: STEADY_LOAD * share / source.mean_load(team)
+        for team, share in fluid_shares(deployment).items()
+    }
+    due_ms = {team: arrivals.expovariate(rate) for team, rate in rates.items()}
+    while cell.clock.now_ms() < until_ms:
+        now_ms = cell.clock.now_ms()
+        for team, rate in rates.items():
+            while due_ms[team] <= now_ms:
+                zone = min(range(ZONES), key=lambda z: _load_of(cell, z))
+                cell.submit(source.draw(team, now_ms), zone)
+                due_ms[team] += arrivals.expovariate(rate)
+        cell.tick()
+        if now_ms < WARM_UP_MS:
+            cell.waits_ms.clear()
+    return Figures(
+        "steady",
+        deployment.name,
+        policies,
+        wait_median_ms=percentile(cell.waits_ms, 0.5),
+        wait_p99_ms=percentile(cell.waits_ms, 0.99),
+        wait_worst_ms=max(cell.waits_ms),
+        cpu_us_per_start=1e6 * cell.cpu_s / cell.starts,
+    )
+
+
+def _load_of(cell: Cell, zone: int) -> tuple[int, float]:
+    scheduler = cell.schedulers[zone]
+    used = Resources()
+    for team in cell.deployment.teams:
+        used = used + scheduler.shares.use_of(team.name)
+    return scheduler.queued_count, used.dominant_share(scheduler.pool.total_capacity)
+
+
+def run_full(deployment: Deployment, policies: str, until_ms: int) -> Figures:
+    """Measure packing, shares and urgent work while every team has a backlog."""
+    cell, source = new_cell(deployment, policies)
+    total = deployment.total
+    fair = fluid_shares(deployment)
+    packed: list[float] = []
+    windows: list[dict[str, float]] = []
+    ticks_per_window = WINDOW_MS // TICK_MS
+    while cell.clock.now_ms() < until_ms:
+        now_ms = cell.clock.now_ms()
+        keep_backlog(cell, source, BACKLOG)
+        if now_ms % URGENT_EVERY_MS == 0:
+            cell.submit(source.draw_urgent(now_ms), (now_ms // URGENT_EVERY_MS) % ZONES)
+        cell.tick()
+        if now_ms < WARM_UP_MS:
+            continue
+        if (now_ms - WARM_UP_MS) % WINDOW_MS == 0:
+            windows.append(dict.fromkeys(fair, 0.0))
+        use_by_team = {team: cell.use_of(team) for team in fair}
+        for team, use in use_by_team.items():
+            windows[-1][team] += use.dominant_share(total) / ticks_per_window
+        packed.append(sum(use_by_team.values(), Resources()).dominant_share(total))
+    distances = [abs(each[team] - fair[team]) for each in windows for team in fair]
+    return Figures(
+        "full",
+        deployment.name,
+        policies,
+        urgent_worst_ms=_urgent_worst(cell),
+        packing=sum(packed) / len(packed),
+        share_distance=max(distances),
+        cpu_us_per_start=1e6 * cell.cpu_s / cell.starts,
+    )
+
+
+def _urgent_worst(cell: Cell) -> int:
+    """Return the longest wait of urgent work, that which still waits included."""
+    now_ms = cell.clock.now_ms()
+    waiting = [
+        now_ms - entry.queued_ms
+        for entries in cell.waiting_by_zone
+        for entry in entries.values()
+        if entry.is_urgent
+    ]
+    return max(cell.urgent_waits_ms + waiting)
+
+
+def run_zone_move(deployment: Deployment, policies: str, until_ms: int) -> Figures:
+    """Measure the work done while a zone is taken out and returns."""
+    cell, source = new_cell(deployment, policies)
+    done_before = Resources()
+    while cell.clock.now_ms() < until_ms:
+        now_ms = cell.clock.now_ms()
+        if now_ms == WARM_UP_MS:
+            done_before = cell.done
+        if now_ms == OUT_MS:
+            cell.take_out(0)
+        elif now_ms == STOP_MS:
+            cell.stop_zone(0)
+        elif now_ms == BACK_MS:
+            cell.bring_back(0)
+        keep_backlog(cell, source, BACKLOG)
+        cell.tick()
+    zone_ms = ZONES * (until_ms - WARM_UP_MS) - (BACK_MS - OUT_MS)
+    # No schedule gets more out of the scarcest resource than its capacity.
+    bound = deployment.total.scaled(zone_ms, ZONES * 1_000)
+    return Figures(
+        "zone move",
+        deployment.name,
+        policies,
+        work_done=(cell.done - done_before).dominant_share(bound),
+        cpu_us_per_start=1e6 * cell.cpu_s / cell.starts,
+    )
+
+
+Scenario = Callable[[Deployment, str, int], Figures]
+SCENARIOS: dict[str, tuple[Scenario, tuple[str, ...]]] = {
+    "steady": (run_steady, ("ours", "fifo+first_fit")),
+    "full": (run_full, ("ours", "fifo+first_fit", "no preemption")),
+    "zone move": (run_zone_move, ("ours", "fifo+first_fit")),
+}
+UNTIL_MS = 240_000
+
+
+def measure(deployments: list[Deployment], scenarios: list[str]) -> list[Figures]:
+    """Run some scenarios for some deployments."""
+    return [
+        run(deployment, policies, UNTIL_MS)
+        for deployment in deployments
+        for run, names in map(SCENARIOS.__getitem__, scenarios)
+        for policies in names
+    ]
+
+
+def _row(figures: Figures, base: Figures) -> dict[str, object]:
+    row = attrs.asdict(figures)
+    cpu_us = row.pop("cpu_us_per_start")
+    row["cpu_ratio"] = round(cpu_us / base.cpu_us_per_start, 2)
+    return {
+        name: round(value, 4) if isinstance(value, float) else value
+        for name, value in row.items()
+        if value is not None
+    }
+
+
+def rows_of(results: list[Figures]) -> list[dict[str, object]]:
+    """Return printable rows; processor time as a ratio to fifo+first_fit."""
+    base_by_key = {
+        (each.scenario, each.deployment): each
+        for each in results
+        if each.policies == "fifo+first_fit"
+    }
+    return [_row(r, base_by_key[(r.scenario, r.deployment)]) for r in results]
+
+
+def main() -> None:
+    """Print the figures as a table, or as JSON with `--json`.
+
+    Further arguments select deployments and scenarios by name.
+    """
+    names = [name for name in sys.argv[1:] if name in DEPLOYMENTS]
+    chosen = [DEPLOYMENTS[name] for name in names or DEPLOYMENTS]
+    scenarios = [name for name in sys.argv[1:] if name in SCENARIOS]
+    rows = rows_of(measure(chosen, scenarios or list(SCENARIOS)))
+    if "--json" in sys.argv:
+        print(json.dumps(rows, indent=1))
+        return
+    for row in rows:
+        head = [str(row.pop(key)) for key in ("scenario", "deployment", "policies")]
+        rest = "  ".join(f"{name}={value}" for name, value in row.items())
+        print(f"{head[0]:10} {head[1]:11} {head[2]:15} {rest}")
+
+
+if __name__ == "__main__":
+    main()
--- a/marjoramgrade/decisions/scheduler.py
+++ b/marjoramgrade/decisions/scheduler.py
@@ -98,6 +98,10 @@
         """Return the number of queued tasks of a team."""
         return sum(queue.length_of(team) for queue in self._state.queues)
 
+    def find_queued(self, task: TaskId) -> QueuedTask | None:
+        """Return the queued entry that a task belongs to, or None."""
+        return self._state.find_queued(task)
+
     def set_teams(self, teams: Iterable[Team]) -> None:
         """Take over the weights and queue bounds of the teams."""
         teams = list(teams)
