Keep room for the tasks of teams below their share

Cause: in a full cell the head of a team below its share rarely fits, and small tasks of teams above their share took the room piece by piece. Change: a single task of a team below the mean level may keep room on one worker, as gangs do; at most a quarter of the workers has such room. These holds yield to urgent work. Urgent work whose victims still write checkpoints starts elsewhere if it can. Urgent work is decided before reserved work, so a task that starts in a round is not stopped in the same round.

--- a/marjoramgrade/decisions/claims.py
+++ b/marjoramgrade/decisions/claims.py
@@ -52,13 +52,21 @@
         """Keep room for a claim."""
         self._claim_by_task[claim.entry.task] = claim
         for worker_id in claim.worker_ids:
-            self._pool.hold(worker_id, claim.entry.resources)
+            self._pool.hold(
+                worker_id,
+                claim.entry.resources,
+                is_yielding=not claim.entry.is_urgent,
+            )
 
     def remove(self, claim: Claim) -> None:
         """Keep no more room for a claim."""
         del self._claim_by_task[claim.entry.task]
         for worker_id in claim.worker_ids:
-            self._pool.unhold(worker_id, claim.entry.resources)
+            self._pool.unhold(
+                worker_id,
+                claim.entry.resources,
+                is_yielding=not claim.entry.is_urgent,
+            )
 
     def find(self, task: TaskId) -> Claim | None:
         """Return the claim that a task belongs to, or None."""
@@ -78,6 +86,6 @@
         """Return the claims that keep room on a worker."""
         return [claim for claim in self if worker_id in claim.worker_ids]
 
-    def has_reservation(self) -> bool:
-        """Return whether room is kept for work that preempts nothing."""
-        return any(not claim.entry.is_urgent for claim in self)
+    def reservations(self) -> list[Claim]:
+        """Return the claims of work that preempts nothing."""
+        return [claim for claim in self if not claim.entry.is_urgent]
--- a/marjoramgrade/decisions/gangs.py
+++ b/marjoramgrade/decisions/gangs.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 
-from marjoramgrade.decisions.free_index import size_of
 from marjoramgrade.decisions.placement import NOBODY, Placement
 from marjoramgrade.decisions.workers import WorkerPool
 from marjoramgrade.resources import Resources
@@ -73,7 +72,7 @@
 ) -> list[str] | None:
     """Choose workers on which room is kept for a gang until it is free.
 
-    Workers that have most available come first, because they need the fewest
+    Workers that lack least for a member come first, because they need the fewest
     running tasks to end. What services use is not expected to become free.
 
     Args:
@@ -89,7 +88,10 @@
     """
     chosen: list[str] = []
     racks: set[str] = set()
-    workers = sorted(pool.iter_open(), key=lambda pair: -size_of(pair[1]))
+    workers = sorted(
+        pool.iter_open(),
+        key=lambda pair: (resources - pair[1]).dominant_share(pair[0].capacity),
+    )
     for node, _ in workers:
         if node.worker_id in avoid or (spread_racks and node.rack in racks):
             continue
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -24,6 +24,8 @@
 # checkpoint, and the rest for the stop that follows and for the ticks between.
 URGENT_WAIT_MS = 1_000
 CHECKPOINT_MS = 4_000
+# Reserved room is idle until it suffices, so only a part of the workers has any.
+WORKERS_PER_CLAIM = 4
 PREEMPTED = "preempted for urgent work"
 
 
@@ -47,8 +49,9 @@
         for queue in self.state.queues:
             queue.begin_round(self.now_ms)
         self._escalate_checkpoints()
-        self._start_claims()
+        # Urgent work comes first, so that nothing started here is stopped here.
         for priority in sorted(Priority, reverse=True):
+            self._start_claims(priority)
             for queue in self.state.queues:
                 self._start_queued(queue, priority)
         return [*self.state.take_stops(), *self._starts]
@@ -61,14 +64,24 @@
             if self.state.running.find(running.task) is running:
                 self.state.tell_stop(running, StopMode.STOP, PREEMPTED)
 
-    def _start_claims(self) -> None:
+    def _start_claims(self, priority: Priority) -> None:
         for claim in self.state.claims:
-            if not claim.is_ready(self.state.pool):
+            if claim.entry.priority is not priority:
+                continue
+            worker_ids = self._room_for_claim(claim)
+            if worker_ids is None:
                 continue
             if not self.state.may_start(claim.entry.team, claim.entry.total):
                 continue
             self.state.claims.remove(claim)
-            self._start(claim.entry, list(claim.worker_ids))
+            self._start(claim.entry, worker_ids)
+
+    def _room_for_claim(self, claim: Claim) -> list[str] | None:
+        """Return where the work of a claim can start now, or None."""
+        if claim.is_ready(self.state.pool):
+            return list(claim.worker_ids)
+        # Room may appear elsewhere while a checkpoint is written.
+        return self._place(claim.entry) if claim.entry.is_urgent else None
 
     def _start_queued(self, queue: TaskQueue, priority: Priority) -> None:
         while len(self._starts) < self.budget:
@@ -104,7 +117,20 @@
                 avoid,
             )
         worker_id = placement.choose(pool, entry.resources, avoid)
-        return None if worker_id is None else [worker_id]
+        if worker_id is not None:
+            return [worker_id]
+        return self._place_over_reservations(entry) if entry.is_urgent else None
+
+    def _place_over_reservations(self, entry: QueuedTask) -> list[str] | None:
+        """Return a worker with room for an urgent task if a reservation ends."""
+        avoid = self.state.health.avoided(self.now_ms)
+        for claim in self.state.claims.reservations():
+            for worker_id in claim.worker_ids:
+                room = self.state.pool.urgent_room_of(worker_id)
+                if worker_id not in avoid and entry.resources.fits(room):
+                    self.state.drop_reservations_on(worker_id, self.now_ms)
+                    return [worker_id]
+        return None
 
     def _start(self, entry: QueuedTask, worker_ids: list[str]) -> None:
         self._starts.extend(self.state.start(entry, worker_ids, self.now_ms))
@@ -116,13 +142,26 @@
             claim = self._preempt_for(entry)
             if claim is not None:
                 return claim
-        # One reservation at a time: two gangs must not each keep half of the shard.
-        if entry.gang_size == 1 or waited_ms < GANG_WAIT_MS:
-            return None
-        if self.state.claims.has_reservation():
+        if not self._may_reserve(entry, waited_ms):
             return None
         return self._reserve_for(entry)
 
+    def _may_reserve(self, entry: QueuedTask, waited_ms: int) -> bool:
+        """Return whether room may be kept for an entry as it becomes free."""
+        reservations = self.state.claims.reservations()
+        if entry.gang_size > 1:
+            # Two gangs must not each keep half of what the other needs.
+            return waited_ms >= GANG_WAIT_MS and not any(
+                claim.entry.gang_size > 1 for claim in reservations
+            )
+        if entry.is_urgent:
+            return False
+        return (
+            len(reservations) < max(1, len(self.state.pool) // WORKERS_PER_CLAIM)
+            and self.state.shares.is_below_mean(entry.team)
+            and all(claim.entry.team != entry.team for claim in reservations)
+        )
+
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
         worker_ids = plan_reservation(
             self.state.pool,
@@ -162,6 +201,8 @@
             return None
         for victim in victims:
             self._checkpoint(victim)
+        for worker_id in worker_ids:
+            state.drop_reservations_on(worker_id, self.now_ms)
         return Claim(entry, tuple(worker_ids), FREEING_ROOM)
 
     def _room_for_member(
--- a/marjoramgrade/decisions/shard_state.py
+++ b/marjoramgrade/decisions/shard_state.py
@@ -166,6 +166,13 @@
             self.claims.remove(claim)
             self.requeue(claim.entry, now_ms, "requeued: its worker went away")
 
+    def drop_reservations_on(self, worker_id: str, now_ms: int) -> None:
+        """Let the reservations that keep room on a worker give way."""
+        for claim in self.claims.of_worker(worker_id):
+            if not claim.entry.is_urgent:
+                self.claims.remove(claim)
+                self.requeue(claim.entry, now_ms, "requeued: urgent work went first")
+
     def _policy_from(self, policies: Policies) -> KindPolicy:
         # Kinds with the same order share a queue, so that shares hold across kinds.
         queue = self._queue_by_order.get(policies.queue_order)
--- a/marjoramgrade/decisions/shares.py
+++ b/marjoramgrade/decisions/shares.py
@@ -105,6 +105,11 @@
         """Return the dominant share of a team divided by its weight."""
         return self._level_by_team.get(team, 0.0)
 
+    def is_below_mean(self, team: str) -> bool:
+        """Return whether a team is below the mean level of all teams."""
+        levels = self._level_by_team.values()
+        return self.level_of(team) * len(levels) < sum(levels)
+
     def next_team(self, teams: Iterable[str]) -> str:
         """Return the team that is furthest below its share.
 
--- a/marjoramgrade/decisions/workers.py
+++ b/marjoramgrade/decisions/workers.py
@@ -39,6 +39,7 @@
     node: WorkerNode
     free: Resources
     held: Resources = NOTHING
+    yielding: Resources = NOTHING
     is_draining: bool = False
     # The amount under which the worker is in the index, or None.
     indexed: Resources | None = None
@@ -81,10 +82,10 @@
             raise OvercommitError(
                 f"{node.worker_id} has more reserved than its new capacity"
             )
-        held = known.held if known else NOTHING
+        room = _Room(node, node.capacity - used)
         if known:
+            room.held, room.yielding = known.held, known.yielding
             self._drop(known)
-        room = _Room(node, node.capacity - used, held)
         self._room_by_id[node.worker_id] = room
         self._total = self._total + node.capacity
         self._refresh(room)
@@ -126,18 +127,33 @@
         room.free = free
         self._refresh(room)
 
-    def hold(self, worker_id: str, amount: Resources) -> None:
-        """Keep an amount from being chosen, whether or not it is free yet."""
+    def hold(
+        self, worker_id: str, amount: Resources, *, is_yielding: bool = False
+    ) -> None:
+        """Keep an amount from being chosen, whether or not it is free yet.
+
+        Args:
+            worker_id: The worker.
+            amount: What is kept.
+            is_yielding: Whether the hold gives way to urgent work.
+        """
         room = self._get(worker_id)
         room.held = room.held + amount
+        if is_yielding:
+            room.yielding = room.yielding + amount
         self._refresh(room)
 
-    def unhold(self, worker_id: str, amount: Resources) -> None:
+    def unhold(
+        self, worker_id: str, amount: Resources, *, is_yielding: bool = False
+    ) -> None:
         """End a hold; a worker that has gone is ignored."""
         room = self._room_by_id.get(worker_id)
-        if room is not None:
-            room.held = room.held - amount
-            self._refresh(room)
+        if room is None:
+            return
+        room.held = room.held - amount
+        if is_yielding:
+            room.yielding = room.yielding - amount
+        self._refresh(room)
 
     def node_of(self, worker_id: str) -> WorkerNode:
         """Return a worker."""
@@ -152,6 +168,11 @@
         room = self._get(worker_id)
         return room.free - room.held
 
+    def urgent_room_of(self, worker_id: str) -> Resources:
+        """Return what is available if the holds that yield to urgent work end."""
+        room = self._get(worker_id)
+        return room.free - room.held + room.yielding
+
     def is_open(self, worker_id: str) -> bool:
         """Return whether a worker is known and takes new work."""
         room = self._room_by_id.get(worker_id)
