Measure the scheduler at planned size and bound the cost of a full round

Cause: with 2,000 workers and 20,000 queued tasks that do not fit, a run of bench/scale.py did not end within 200 s: each head that did not fit planned a reservation over all workers, and searched the index again for a known shape. Change: a round makes at most four plans, a plan for one task compares the 32 workers with the most room, and shapes that need as much as one that did not fit in this round are not tried.

--- /dev/null
+++ b/bench/scale.py
@@ -0,0 +1,253 @@
+"""Measures the scheduler at the size that the design page plans for.
+
+The times are processor times of one run. The plain scan is timed in the same run,
+with the same work, by a second scheduler that differs only in its placement.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+import tracemalloc
+from collections import deque
+from collections.abc import Callable
+from random import Random
+
+import attrs
+
+from marjoramgrade.decisions.actions import Ending, StartTask
+from marjoramgrade.decisions.scheduler import Scheduler
+from marjoramgrade.decisions.tasks import QueuedTask
+from marjoramgrade.decisions.workers import WorkerNode
+from marjoramgrade.model import Kind, Priority, TaskId, Team
+from marjoramgrade.resources import Resources
+from marjoramgrade.settings import Policies
+
+SEED = 7
+WORKERS = 2_000
+TASKS_PER_WORKER = 6.5
+TEAMS = 61
+QUEUED = 20_000
+SHAPES = tuple(
+    Resources(1000 * cores, 1024 * gib, accelerators)
+    for cores, gib, accelerators in (
+        (2, 4, 0),
+        (4, 8, 0),
+        (8, 24, 0),
+        (10, 16, 0),
+        (12, 16, 1),
+        (16, 32, 0),
+    )
+)
+
+
+@attrs.define
+class Load:
+    """One scheduler under load.
+
+    Attributes:
+        scheduler: The scheduler.
+        randomness: Source of the work.
+        running: Started tasks, oldest first.
+    """
+
+    scheduler: Scheduler
+    randomness: Random
+    running: deque[TaskId] = attrs.field(factory=deque)
+    now_ms: int = 0
+    _number: int = 0
+
+    @classmethod
+    def from_size(cls, workers: int, placement: str) -> Load:
+        """Return a scheduler with workers, and with 6.5 tasks on each."""
+        policies = {kind: Policies(placement=placement) for kind in Kind}
+        load = cls(Scheduler.from_config(policies), Random(SEED))
+        load.scheduler.set_teams([Team(f"t-{n}", 1 + n % 5) for n in range(TEAMS)])
+        for number in range(workers):
+            accelerators = 4 if number % 3 == 0 else 0
+            capacity = Resources(64_000, 128 * 1024, accelerators)
+            node = WorkerNode(f"w-{number}", f"r-{number // 8}", capacity)
+            load.scheduler.worker_added(node)
+        load.fill(int(workers * TASKS_PER_WORKER))
+        return load
+
+    def fill(self, tasks: int) -> None:
+        """Start tasks until so many run or no more fit."""
+        while len(self.running) < tasks:
+            for _ in range(min(1_000, tasks - len(self.running))):
+                self.submit()
+            before = len(self.running)
+            self.step(1_000)
+            if len(self.running) == before:
+                return
+
+    def submit(self) -> TaskId:
+        """Queue one task."""
+        self._number += 1
+        is_service = self._number % 5 == 0
+        entry = QueuedTask(
+            TaskId(f"j-{self._number // 10}", self._number % 10),
+            f"t-{self.randomness.randrange(TEAMS)}",
+            Kind.SERVICE if is_service else Kind.BATCH,
+            Priority.NORMAL,
+            self.randomness.choice(SHAPES),
+            self.now_ms,
+        )
+        self.scheduler.submit(entry, self.now_ms)
+        return entry.task
+
+    def step(self, budget: int) -> int:
+        """Take one step and return the number of starts."""
+        self.now_ms += 1
+        decisions = self.scheduler.step(self.now_ms, budget)
+        started = [d.task for d in decisions if isinstance(d, StartTask)]
+        self.running.extend(started)
+        return len(started)
+
+    def end_some(self, tasks: int) -> None:
+        """Let some running tasks end."""
+        for _ in range(tasks):
+            self.running.rotate(-self.randomness.randrange(50))
+            task = self.running.popleft()
+            self.scheduler.task_ended(task, Ending.DONE, self.now_ms)
+
+    def time_decisions(self, count: int) -> list[float]:
+        """Return the seconds of steps that each follow one end and one arrival."""
+        seconds = []
+        for _ in range(count):
+            self.end_some(1)
+            self.submit()
+            began = time.process_time()
+            self.step(1)
+            seconds.append(time.process_time() - began)
+        return seconds
+
+    def time_cycles(self, ticks: int, per_tick: int) -> float:
+        """Return the starts per second of whole cycles: arrival, start and end."""
+        starts = 0
+        began = time.process_time()
+        for _ in range(ticks):
+            self.end_some(per_tick)
+            for _ in range(per_tick):
+                self.submit()
+            starts += self.step(2 * per_tick)
+        return starts / (time.process_time() - began)
+
+
+def p99_of(seconds: list[float]) -> float:
+    """Return the 99th percentile."""
+    return sorted(seconds)[int(0.99 * len(seconds))]
+
+
+def mean_of(seconds: list[float]) -> float:
+    """Return the mean."""
+    return sum(seconds) / len(seconds)
+
+
+def measure_latency(count: int = 2_000) -> dict[str, float]:
+    """Return the latency, its ratio to the plain scan, and its growth."""
+    large = Load.from_size(WORKERS, "best_fit")
+    running = len(large.running)
+    small = Load.from_size(WORKERS // 10, "best_fit")
+    scan = Load.from_size(WORKERS, "first_fit")
+    # In turns, so that a change of the machine's speed meets all three alike.
+    seconds: dict[str, list[float]] = {"large": [], "small": [], "scan": []}
+    for _ in range(10):
+        seconds["large"] += large.time_decisions(count // 10)
+        seconds["small"] += small.time_decisions(count // 10)
+        seconds["scan"] += scan.time_decisions(count // 10)
+    mean = {name: mean_of(values) for name, values in seconds.items()}
+    return {
+        "running_tasks": running,
+        "decision_p99_ms": 1e3 * p99_of(seconds["large"]),
+        "decision_mean_ms": 1e3 * mean["large"],
+        "scan_to_index": mean["scan"] / mean["large"],
+        "growth_200_to_2000": mean["large"] / mean["small"],
+        "starts_per_s": large.time_cycles(ticks=60, per_tick=60),
+    }
+
+
+def measure_full() -> dict[str, float]:
+    """Return the length of a step while nothing fits and every team waits."""
+    load = Load.from_size(WORKERS, "best_fit")
+    for _ in range(QUEUED):
+        load.submit()
+    for _ in range(20):
+        load.step(1_000)
+    seconds = []
+    for _ in range(100):
+        load.end_some(1)
+        began = time.process_time()
+        load.step(1_000)
+        seconds.append(time.process_time() - began)
+    return {
+        "full_running": len(load.running),
+        "full_step_p99_ms": 1e3 * p99_of(seconds),
+    }
+
+
+def measure_cancel() -> dict[str, float]:
+    """Return what cancelling a task costs, relative to placing one."""
+    load = Load.from_size(WORKERS, "best_fit")
+    queued = [load.submit() for _ in range(QUEUED)]
+    chosen = queued[::10]
+    began = time.process_time()
+    for task in chosen:
+        load.scheduler.cancel(task)
+    cancel_s = (time.process_time() - began) / len(chosen)
+    place_s = mean_of(load.time_decisions(1_000))
+    return {"cancel_to_place": cancel_s / place_s}
+
+
+def measure_memory() -> dict[str, float]:
+    """Return the memory of 1,000 queued and running tasks, workers and teams."""
+
+    def kib_of(change: Callable[[], object]) -> float:
+        before = tracemalloc.get_traced_memory()[0]
+        change()
+        return (tracemalloc.get_traced_memory()[0] - before) / 1024
+
+    tracemalloc.start()
+    load = Load.from_size(500, "best_fit")
+    number = len(load.scheduler.pool)
+
+    def add_workers() -> None:
+        for each in range(number, number + 1_000):
+            capacity = Resources(64_000, 128 * 1024)
+            load.scheduler.worker_added(WorkerNode(f"w-{each}", "r", capacity))
+
+    def add_teams() -> None:
+        load.scheduler.set_teams([Team(f"t-{each}") for each in range(1_000 + TEAMS)])
+
+    def queue_tasks() -> None:
+        for _ in range(1_000):
+            load.submit()
+
+    figures = {
+        "kib_per_1000_workers": kib_of(add_workers),
+        "kib_per_1000_teams": kib_of(add_teams),
+        "kib_per_1000_queued": kib_of(queue_tasks),
+        "kib_per_1000_started": kib_of(lambda: load.step(1_000)),
+    }
+    tracemalloc.stop()
+    return figures
+
+
+def measure() -> dict[str, float]:
+    """Return all figures."""
+    return measure_latency() | measure_full() | measure_cancel() | measure_memory()
+
+
+def main() -> None:
+    """Print the figures, as JSON with `--json`."""
+    figures = {name: round(value, 4) for name, value in measure().items()}
+    if "--json" in sys.argv:
+        print(json.dumps(figures, indent=1))
+        return
+    for name, value in figures.items():
+        print(f"{name:22} {value:g}")
+
+
+if __name__ == "__main__":
+    main()
--- a/marjoramgrade/decisions/claims.py
+++ b/marjoramgrade/decisions/claims.py
@@ -44,6 +44,10 @@
     def __init__(self, pool: WorkerPool) -> None:
         self._pool = pool
         self._claim_by_task: dict[TaskId, Claim] = {}
+        # Claims of work that preempts nothing; asked for each head that does not fit.
+        self._reservation_by_task: dict[TaskId, Claim] = {}
+        self._reserved_by_team: Counter[str] = Counter()
+        self._reserved_gangs = 0
 
     def __iter__(self) -> Iterator[Claim]:
         return iter(list(self._claim_by_task.values()))
@@ -51,6 +55,9 @@
     def add(self, claim: Claim) -> None:
         """Keep room for a claim."""
         self._claim_by_task[claim.entry.task] = claim
+        if not claim.entry.is_urgent:
+            self._reservation_by_task[claim.entry.task] = claim
+            self._count(claim, 1)
         for worker_id in claim.worker_ids:
             self._pool.hold(
                 worker_id,
@@ -61,6 +68,9 @@
     def remove(self, claim: Claim) -> None:
         """Keep no more room for a claim."""
         del self._claim_by_task[claim.entry.task]
+        if not claim.entry.is_urgent:
+            del self._reservation_by_task[claim.entry.task]
+            self._count(claim, -1)
         for worker_id in claim.worker_ids:
             self._pool.unhold(
                 worker_id,
@@ -88,4 +98,21 @@
 
     def reservations(self) -> list[Claim]:
         """Return the claims of work that preempts nothing."""
-        return [claim for claim in self if not claim.entry.is_urgent]
+        return list(self._reservation_by_task.values())
+
+    def reserved_count(self) -> int:
+        """Return the number of claims of work that preempts nothing."""
+        return len(self._reservation_by_task)
+
+    def reserved_of(self, team: str) -> int:
+        """Return how many of these claims a team has."""
+        return self._reserved_by_team[team]
+
+    def has_reserved_gang(self) -> bool:
+        """Return whether one of these claims is of a gang."""
+        return self._reserved_gangs > 0
+
+    def _count(self, claim: Claim, change: int) -> None:
+        self._reserved_by_team[claim.entry.team] += change
+        if claim.entry.gang_size > 1:
+            self._reserved_gangs += change
--- a/marjoramgrade/decisions/free_index.py
+++ b/marjoramgrade/decisions/free_index.py
@@ -104,6 +104,12 @@
                     if request.fits(available):
                         yield worker_id
 
+    def iter_roomiest(self) -> Iterator[str]:
+        """Yield all workers, the one with the most room first."""
+        for block in reversed(self._blocks):
+            for _, worker_id, _ in reversed(block.entries):
+                yield worker_id
+
     def _split(self, at: int) -> None:
         entries = self._blocks[at].entries
         half = len(entries) // 2
--- a/marjoramgrade/decisions/gangs.py
+++ b/marjoramgrade/decisions/gangs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import islice
 
 from marjoramgrade.decisions.placement import NOBODY, Placement
 from marjoramgrade.decisions.workers import WorkerPool
@@ -12,6 +13,9 @@
 # once. After this time room is kept for it as it becomes free.
 GANG_WAIT_MS = 10_000
 
+# Bounds the cost of a reservation for one task in a large shard.
+RESERVATION_CANDIDATES = 32
+
 
 def place_gang(
     pool: WorkerPool,
@@ -73,7 +77,8 @@
     """Choose workers on which room is kept for a gang until it is free.
 
     Workers that lack least for a member come first, because they need the fewest
-    running tasks to end. What services use is not expected to become free.
+    running tasks to end. What services use is not expected to become free. For a
+    single task only the workers with the most room are compared.
 
     Args:
         pool: The workers of the shard.
@@ -88,9 +93,13 @@
     """
     chosen: list[str] = []
     racks: set[str] = set()
+    compared = RESERVATION_CANDIDATES if count == 1 else len(pool)
     workers = sorted(
-        pool.iter_open(),
-        key=lambda pair: (resources - pair[1]).dominant_share(pair[0].capacity),
+        islice(pool.iter_roomiest(), compared),
+        key=lambda pair: (
+            (resources - pair[1]).dominant_share(pair[0].capacity),
+            pair[0].worker_id,
+        ),
     )
     for node, _ in workers:
         if node.worker_id in avoid or (spread_racks and node.rack in racks):
--- a/marjoramgrade/decisions/queue_orders.py
+++ b/marjoramgrade/decisions/queue_orders.py
@@ -5,7 +5,7 @@
 import heapq
 from collections import deque
 from collections.abc import Callable, Collection, Mapping
-from typing import Protocol
+from typing import ClassVar, Protocol
 
 import attrs
 
@@ -74,7 +74,14 @@
 
 
 class QueueOrder(Protocol):
-    """Chooses the team whose head is tried next."""
+    """Chooses the team whose head is tried next.
+
+    Attributes:
+        is_stable: Whether the choice stays the same while nothing starts and the
+            chosen team still has a head, so that it need not be made again.
+    """
+
+    is_stable: ClassVar[bool]
 
     @classmethod
     def from_config(cls, shares: ShareBook) -> QueueOrder:
@@ -101,6 +108,8 @@
 class WeightedDrf:
     """Serves the team that is furthest below its weighted dominant share."""
 
+    is_stable: ClassVar[bool] = True
+
     shares: ShareBook
 
     @classmethod
@@ -119,6 +128,8 @@
 class Fifo:
     """Serves the team whose head was queued first; the baseline."""
 
+    is_stable: ClassVar[bool] = False
+
     @classmethod
     def from_config(cls, shares: ShareBook) -> Fifo:
         """Return an order that ignores shares."""
--- a/marjoramgrade/decisions/queues.py
+++ b/marjoramgrade/decisions/queues.py
@@ -48,11 +48,13 @@
         queue_by_team: Teams with at least one lane.
         ready: Teams that this round may still try.
         touched: Teams with parked lanes or blocked in this round.
+        current: The team chosen last, while that choice holds; else empty.
     """
 
     queue_by_team: dict[str, TeamQueue] = attrs.field(factory=dict)
     ready: set[str] = attrs.field(factory=set)
     touched: set[str] = attrs.field(factory=set)
+    current: str = ""
 
 
 def lane_key_of(entry: QueuedTask) -> LaneKey:
@@ -133,6 +135,7 @@
             else:
                 self._dead -= entry.gang_size
         for tier in self._tier_by_priority.values():
+            tier.current = ""
             for team in tier.touched:
                 self._unpark(tier, team)
             tier.touched.clear()
@@ -141,7 +144,7 @@
         """Return the entry to try next at a priority, or None."""
         tier = self._tier_by_priority[priority]
         while tier.ready:
-            team = self._order.pick(tier.queue_by_team, tier.ready)
+            team = self._choose_team(tier)
             entry = self._head_of(tier.queue_by_team[team])
             if entry is not None:
                 return entry
@@ -150,10 +153,17 @@
                 del tier.queue_by_team[team]
         return None
 
+    def _choose_team(self, tier: _Tier) -> str:
+        if self._order.is_stable and tier.current in tier.ready:
+            return tier.current
+        tier.current = self._order.pick(tier.queue_by_team, tier.ready)
+        return tier.current
+
     def take(self, entry: QueuedTask) -> None:
         """Remove the entry that `peek` returned."""
-        queue = self._tier_by_priority[entry.priority].queue_by_team[entry.team]
-        queue.lane_by_key[lane_key_of(entry)].pop()
+        tier = self._tier_by_priority[entry.priority]
+        tier.current = ""
+        tier.queue_by_team[entry.team].lane_by_key[lane_key_of(entry)].pop()
         entries = self._entries_by_job[entry.task.job_id]
         for task in entry.iter_tasks():
             del entries[task.index]
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -19,6 +19,7 @@
 )
 from marjoramgrade.decisions.tasks import QueuedTask, RunningTask
 from marjoramgrade.model import Priority
+from marjoramgrade.resources import Resources
 
 # The bound for urgent work is 6.1 s: 1 s to find room by itself, 4 s for a
 # checkpoint, and the rest for the stop that follows and for the ticks between.
@@ -26,6 +27,8 @@
 CHECKPOINT_MS = 4_000
 # Reserved room is idle until it suffices, so only a part of the workers has any.
 WORKERS_PER_CLAIM = 4
+# A plan looks at many workers, so a round in a full shard makes only a few.
+PLANS_PER_ROUND = 4
 PREEMPTED = "preempted for urgent work"
 
 
@@ -43,6 +46,9 @@
     now_ms: int
     budget: int
     _starts: list[StartTask] = attrs.field(factory=list)
+    # Room only shrinks within a round, so what needs as much does not fit either.
+    _misfits: list[Resources] = attrs.field(factory=list)
+    _plans_left: int = PLANS_PER_ROUND
 
     def run(self) -> list[Decision]:
         """Return the decisions of this round, stops first."""
@@ -91,7 +97,7 @@
             if not self.state.may_start(entry.team, entry.total):
                 queue.park(entry, AT_LIMIT)
                 continue
-            worker_ids = self._place(entry)
+            worker_ids = self._place_new(entry)
             if worker_ids is not None:
                 queue.take(entry)
                 self._start(entry, worker_ids)
@@ -103,6 +109,14 @@
             else:
                 queue.park(entry, NO_ROOM)
 
+    def _place_new(self, entry: QueuedTask) -> list[str] | None:
+        if any(misfit.fits(entry.resources) for misfit in self._misfits):
+            return None
+        worker_ids = self._place(entry)
+        if worker_ids is None and entry.gang_size == 1 and not entry.is_urgent:
+            self._misfits.append(entry.resources)
+        return worker_ids
+
     def _place(self, entry: QueuedTask) -> list[str] | None:
         placement = self.state.policy_by_kind[entry.kind].placement
         avoid = self.state.health.avoided(self.now_ms)
@@ -148,21 +162,22 @@
 
     def _may_reserve(self, entry: QueuedTask, waited_ms: int) -> bool:
         """Return whether room may be kept for an entry as it becomes free."""
-        reservations = self.state.claims.reservations()
+        if not self._plans_left:
+            return False
+        claims = self.state.claims
         if entry.gang_size > 1:
             # Two gangs must not each keep half of what the other needs.
-            return waited_ms >= GANG_WAIT_MS and not any(
-                claim.entry.gang_size > 1 for claim in reservations
-            )
+            return waited_ms >= GANG_WAIT_MS and not claims.has_reserved_gang()
         if entry.is_urgent:
             return False
         return (
-            len(reservations) < max(1, len(self.state.pool) // WORKERS_PER_CLAIM)
+            claims.reserved_count() < max(1, len(self.state.pool) // WORKERS_PER_CLAIM)
+            and not claims.reserved_of(entry.team)
             and self.state.shares.is_below_mean(entry.team)
-            and all(claim.entry.team != entry.team for claim in reservations)
         )
 
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
+        self._plans_left -= 1
         worker_ids = plan_reservation(
             self.state.pool,
             entry.resources,
--- a/marjoramgrade/decisions/workers.py
+++ b/marjoramgrade/decisions/workers.py
@@ -184,6 +184,12 @@
             if not room.is_draining:
                 yield room.node, room.free - room.held
 
+    def iter_roomiest(self) -> Iterator[tuple[WorkerNode, Resources]]:
+        """Yield open workers and what is available, the most room first."""
+        for worker_id in self._index.iter_roomiest():
+            room = self._room_by_id[worker_id]
+            yield room.node, room.free - room.held
+
     def iter_fitting(self, request: Resources) -> Iterator[WorkerNode]:
         """Yield open workers that have room, the one with the least room first."""
         for worker_id in self._index.iter_fitting(request):
