--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -19,11 +19,16 @@
 )
 from marjoramgrade.decisions.tasks import QueuedTask, RunningTask
 from marjoramgrade.model import Priority
+from marjoramgrade.resources import Resources
 
 # The bound for urgent work is 6.1 s: 1 s to find room by itself, 4 s for a
 # checkpoint, and the rest for the stop that follows and for the ticks between.
 URGENT_WAIT_MS = 1_000
 CHECKPOINT_MS = 4_000
+# Reserved room is idle until it suffices, so only a part of the workers has any.
+WORKERS_PER_CLAIM = 4
+# A plan looks at many workers, so a round in a full shard makes only a few.
+PLANS_PER_ROUND = 4
 PREEMPTED = "preempted for urgent work"
 
 
@@ -41,14 +46,18 @@
     now_ms: int
     budget: int
     _starts: list[StartTask] = attrs.field(factory=list)
+    # Room only shrinks within a round, so what needs as much does not fit either.
+    _misfits: list[Resources] = attrs.field(factory=list)
+    _plans_left: int = PLANS_PER_ROUND
 
     def run(self) -> list[Decision]:
         """Return the decisions of this round, stops first."""
         for queue in self.state.queues:
             queue.begin_round(self.now_ms)
         self._escalate_checkpoints()
-        self._start_claims()
+        # Urgent work comes first, so that nothing started here is stopped here.
         for priority in sorted(Priority, reverse=True):
+            self._start_claims(priority)
             for queue in self.state.queues:
                 self._start_queued(queue, priority)
         return [*self.state.take_stops(), *self._starts]
@@ -61,14 +70,24 @@
             if self.state.running.find(running.task) is running:
                 self.state.tell_stop(running, StopMode.STOP, PREEMPTED)
 
-    def _start_claims(self) -> None:
+    def _start_claims(self, priority: Priority) -> None:
         for claim in self.state.claims:
-            if not claim.is_ready(self.state.pool):
+            if claim.entry.priority is not priority:
+                continue
+            worker_ids = self._room_for_claim(claim)
+            if worker_ids is None:
                 continue
             if not self.state.may_start(claim.entry.team, claim.entry.total):
                 continue
             self.state.claims.remove(claim)
-            self._start(claim.entry, list(claim.worker_ids))
+            self._start(claim.entry, worker_ids)
+
+    def _room_for_claim(self, claim: Claim) -> list[str] | None:
+        """Return where the work of a claim can start now, or None."""
+        if claim.is_ready(self.state.pool):
+            return list(claim.worker_ids)
+        # Room may appear elsewhere while a checkpoint is written.
+        return self._place(claim.entry) if claim.entry.is_urgent else None
 
     def _start_queued(self, queue: TaskQueue, priority: Priority) -> None:
         while len(self._starts) < self.budget:
@@ -78,7 +97,7 @@
             if not self.state.may_start(entry.team, entry.total):
                 queue.park(entry, AT_LIMIT)
                 continue
-            worker_ids = self._place(entry)
+            worker_ids = self._place_new(entry)
             if worker_ids is not None:
                 queue.take(entry)
                 self._start(entry, worker_ids)
@@ -90,6 +109,14 @@
             else:
                 queue.park(entry, NO_ROOM)
 
+    def _place_new(self, entry: QueuedTask) -> list[str] | None:
+        if any(misfit.fits(entry.resources) for misfit in self._misfits):
+            return None
+        worker_ids = self._place(entry)
+        if worker_ids is None and entry.gang_size == 1 and not entry.is_urgent:
+            self._misfits.append(entry.resources)
+        return worker_ids
+
     def _place(self, entry: QueuedTask) -> list[str] | None:
         placement = self.state.policy_by_kind[entry.kind].placement
         avoid = self.state.health.avoided(self.now_ms)
@@ -104,7 +131,20 @@
                 avoid,
             )
         worker_id = placement.choose(pool, entry.resources, avoid)
-        return None if worker_id is None else [worker_id]
+        if worker_id is not None:
+            return [worker_id]
+        return self._place_over_reservations(entry) if entry.is_urgent else None
+
+    def _place_over_reservations(self, entry: QueuedTask) -> list[str] | None:
+        """Return a worker with room for an urgent task if a reservation ends."""
+        avoid = self.state.health.avoided(self.now_ms)
+        for claim in self.state.claims.reservations():
+            for worker_id in claim.worker_ids:
+                room = self.state.pool.urgent_room_of(worker_id)
+                if worker_id not in avoid and entry.resources.fits(room):
+                    self.state.drop_reservations_on(worker_id, self.now_ms)
+                    return [worker_id]
+        return None
 
     def _start(self, entry: QueuedTask, worker_ids: list[str]) -> None:
         self._starts.extend(self.state.start(entry, worker_ids, self.now_ms))
@@ -116,14 +156,28 @@
             claim = self._preempt_for(entry)
             if claim is not None:
                 return claim
-        # One reservation at a time: two gangs must not each keep half of the shard.
-        if entry.gang_size == 1 or waited_ms < GANG_WAIT_MS:
-            return None
-        if self.state.claims.has_reservation():
+        if not self._may_reserve(entry, waited_ms):
             return None
         return self._reserve_for(entry)
 
+    def _may_reserve(self, entry: QueuedTask, waited_ms: int) -> bool:
+        """Return whether room may be kept for an entry as it becomes free."""
+        if not self._plans_left:
+            return False
+        claims = self.state.claims
+        if entry.gang_size > 1:
+            # Two gangs must not each keep half of what the other needs.
+            return waited_ms >= GANG_WAIT_MS and not claims.has_reserved_gang()
+        if entry.is_urgent:
+            return False
+        return (
+            claims.reserved_count() < max(1, len(self.state.pool) // WORKERS_PER_CLAIM)
+            and not claims.reserved_of(entry.team)
+            and self.state.shares.is_below_mean(entry.team)
+        )
+
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
+        self._plans_left -= 1
         worker_ids = plan_reservation(
             self.state.pool,
             entry.resources,
@@ -162,6 +216,8 @@
             return None
         for victim in victims:
             self._checkpoint(victim)
+        for worker_id in worker_ids:
+            state.drop_reservations_on(worker_id, self.now_ms)
         return Claim(entry, tuple(worker_ids), FREEING_ROOM)
 
     def _room_for_member(
