--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -290,19 +290,6 @@
         except TableError as error:
             raise LedgerUnavailableError(error.message) from error
 
-    async def _record(self, request: RunRequest) -> None:
-        """Record the id of a request before it may run.
-
-        Raises:
-            LedgerUnavailableError: If the record is not known to be durable. The
-                request has not been sent, so it did not run in either case.
-            DuplicateRequestError: If the id has been recorded before.
-        """
-        try:
-            await self._journal.ask(RecordRequest(request.team, request.request_id))
-        except TableError as error:
-            raise LedgerUnavailableError(error.message) from error
-
     async def _tick_forever(self) -> None:
         next_probe_ms = next_summary_ms = 0
         while True:
@@ -334,7 +321,7 @@
         )
 
     def _probe_due(self, now_ms: int) -> None:
-        for backend_id in list(self._slots.iter_due_probes(now_ms)):
+        for backend_id in self._slots.due_probes(now_ms):
             if backend_id not in self._probing:
                 self._probing.add(backend_id)
                 self.spawn(self._probe(backend_id))
@@ -352,7 +339,6 @@
         except MarjoramgradeError:
             slots.mark_failed(backend_id, self._clock.now_ms())
         else:
-            slots.mark_recovered(backend_id)
             slots.fenced(backend_id, answer.in_use, asked_ms)
             if slots is self._slots:
                 self._dispatch(backend.service)
