Add a TCP relay and processes of their own for single stand-ins

The cell can put a relay before workers and backend servers that drops or stalls connections by source and target, and can run single stand-ins in a process that a test may kill or freeze.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -9,69 +9,27 @@
 import asyncio
 import hashlib
 import json
-import os
 import pathlib
-import signal
-import socket
-import subprocess
-import sys
 import time
 from typing import Any
 
 import attrs
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOST = "127.0.0.1"
+from standins.processes import (
+    HOST,
+    EntryPlan,
+    Process,
+    free_port,
+    iter_backends,
+    iter_workers,
+)
+
 OPERATOR_SECRET = "operator-secret-of-the-stand-in-cell"
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
 
 
-def free_port(host: str = HOST) -> int:
-    """Return a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
-
-
-@attrs.define
-class Process:
-    """A process that this cell started."""
-
-    name: str
-    popen: subprocess.Popen[bytes]
-    log: pathlib.Path
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal if the process is still running."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def end(self) -> None:
-        """Kill the process and wait for its end."""
-        if self.popen.poll() is None:
-            self.popen.send_signal(signal.SIGCONT)
-            self.popen.kill()
-        self.popen.wait()
-
-
-@attrs.frozen
-class EntryPlan:
-    """Where one entry instance listens."""
-
-    instance_id: str
-    zone: str
-    host: str
-    http_port: int
-    peer_port: int
-
-    @property
-    def url(self) -> str:
-        """Base URL for callers."""
-        return f"http://{self.host}:{self.http_port}"
-
-
 @attrs.define
 class Cell:
     """A running cell.
@@ -85,6 +43,10 @@
         worker_cpu_millis: Processors of each worker in thousandths.
         worker_memory_mib: Memory of each worker.
         service: Name of the request service.
+        is_relayed: Whether connections to workers, backend servers and peers go
+            through the relay, so that `cut` can break them.
+        own_process: Ids of workers and backend servers that run in a process of
+            their own, so that a test can kill or freeze them.
     """
 
     folder: pathlib.Path
@@ -95,11 +57,15 @@
     worker_cpu_millis: int = 16_000
     worker_memory_mib: int = 65_536
     service: str = "charity-accounts"
+    is_relayed: bool = False
+    own_process: tuple[str, ...] = ()
     extra_settings: dict[str, Any] = attrs.field(factory=dict)
     process_by_name: dict[str, Process] = attrs.field(factory=dict)
     entry_by_id: dict[str, EntryPlan] = attrs.field(factory=dict)
     instances: list[dict[str, Any]] = attrs.field(factory=list)
     platform_port: int = 0
+    relay_port: int = 0
+    relay_port_by_target: dict[str, int] = attrs.field(factory=dict)
     _client: AsyncHTTPClient = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -164,6 +130,25 @@
             await self.fetch(url, "POST", body=faults)
         return await self.fetch_json(url)
 
+    async def cut(self, *rules: tuple[str, str, str]) -> None:
+        """Put rules of the relay in force: source host, target and mode."""
+        url = f"http://{HOST}:{self.relay_port}/control"
+        await self.fetch(url, "POST", body={"rules": rules})
+
+    async def list_instances(self, **changes: Any) -> None:
+        """Publish the platform's list, with changes to the entries by id."""
+        listed = [
+            {
+                **instance,
+                "port": self.relay_port_by_target.get(
+                    instance["instance_id"], instance["port"]
+                ),
+                **changes.get(instance["instance_id"], {}),
+            }
+            for instance in self.instances
+        ]
+        await self.control_platform(instances=listed)
+
     async def counters(self, kind: str) -> dict[str, dict[str, Any]]:
         """Return the counters of all workers or backend servers by id."""
         ids = [i["instance_id"] for i in self.instances if i["kind"] == kind]
@@ -303,13 +288,15 @@
     async def _start(self) -> None:
         self.platform_port = free_port()
         self._spawn("platform", "standins.platform", HOST, str(self.platform_port))
-        self.instances = list(self._plan_instances())
-        self._spawn_standin("workers", "worker")
-        self._spawn_standin("backends", "backend")
+        self.instances = self._plan_instances()
+        for kind in ("worker", "backend"):
+            self._spawn_standins(kind)
+        if self.is_relayed:
+            self._spawn_relay()
 
         async def is_up() -> bool:
             try:
-                await self.control_platform(instances=self.instances)
+                await self.list_instances()
             except OSError:
                 return False
             return True
@@ -322,46 +309,50 @@
             await self.wait_ready(plan)
 
     def _plan_instances(self) -> list[dict[str, Any]]:
-        plans = []
-        for zone in self.zones:
-            for number in range(self.workers_per_zone):
-                capacity = {
-                    "cpu_millis": self.worker_cpu_millis,
-                    "memory_mib": self.worker_memory_mib,
-                }
-                plan = self._plan_instance(zone, "worker", number, capacity)
-                plans.append({**plan, "rack": f"{zone}-rack-{number // 8 + 1}"})
-            for number in range(self.backends_per_zone):
-                plan = self._plan_instance(zone, "backend", number, {"slots": 8})
-                plans.append({**plan, "service": self.service})
-        return plans
-
-    def _plan_instance(
-        self, zone: str, kind: str, number: int, capacity: dict[str, int]
-    ) -> dict[str, Any]:
-        return {
-            "instance_id": f"{zone}-{kind}-{number + 1}",
-            "kind": kind,
-            "zone": zone,
-            "host": HOST,
-            "port": free_port(),
-            "capacity": capacity,
+        capacity = {
+            "cpu_millis": self.worker_cpu_millis,
+            "memory_mib": self.worker_memory_mib,
         }
+        return [
+            plan
+            for zone in self.zones
+            for plan in (
+                *iter_workers(zone, self.workers_per_zone, capacity),
+                *iter_backends(zone, self.backends_per_zone, self.service),
+            )
+        ]
 
-    def _spawn_standin(self, name: str, kind: str) -> None:
-        path = self.folder / f"{name}.json"
+    def _spawn_standins(self, kind: str) -> None:
+        """Start the workers or backend servers, most of them in one process."""
         documents = [i for i in self.instances if i["kind"] == kind]
-        path.write_text(json.dumps(documents), encoding="utf-8")
-        self._spawn(name, f"standins.{name}", str(path))
+        own = [i for i in documents if i["instance_id"] in self.own_process]
+        shared = [i for i in documents if i not in own]
+        groups = {f"{kind}s": shared, **{i["instance_id"]: [i] for i in own}}
+        for name, group in groups.items():
+            path = self.folder / f"{name}.json"
+            path.write_text(json.dumps(group), encoding="utf-8")
+            self._spawn(name, f"standins.{kind}s", str(path))
+
+    def _spawn_relay(self) -> None:
+        routes = []
+        for instance in self.instances:
+            port = free_port()
+            self.relay_port_by_target[instance["instance_id"]] = port
+            routes.append(
+                {
+                    "target": instance["instance_id"],
+                    "listen_host": HOST,
+                    "listen_port": port,
+                    "host": instance["host"],
+                    "port": instance["port"],
+                }
+            )
+        path = self.folder / "relay.json"
+        path.write_text(json.dumps(routes), encoding="utf-8")
+        self.relay_port = free_port()
+        self._spawn("relay", "standins.relay", str(path), HOST, str(self.relay_port))
 
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
-        log = self.folder / f"{name}.log"
-        with log.open("ab") as output:
-            popen = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
-                cwd=ROOT,
-                stdout=output,
-                stderr=output,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
-            )
-        self.process_by_name[name] = Process(name, popen, log)
+        self.process_by_name[name] = Process.spawn(
+            name, self.folder, module, *arguments
+        )
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,106 @@
+"""Processes and places of a cell, for `standins.cell`."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+
+
+def free_port(host: str = HOST) -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+@attrs.define
+class Process:
+    """A process that this cell started."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    log: pathlib.Path
+
+    @classmethod
+    def spawn(
+        cls, name: str, folder: pathlib.Path, module: str, *arguments: str
+    ) -> Process:
+        """Start a module of this repository; its output goes to a log file."""
+        log = folder / f"{name}.log"
+        with log.open("ab") as output:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        return cls(name, popen, log)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process is still running."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def end(self) -> None:
+        """Kill the process and wait for its end."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+        self.popen.wait()
+
+
+@attrs.frozen
+class EntryPlan:
+    """Where one entry instance listens."""
+
+    instance_id: str
+    zone: str
+    host: str
+    http_port: int
+    peer_port: int
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://{self.host}:{self.http_port}"
+
+
+def iter_workers(
+    zone: str, count: int, capacity: dict[str, int]
+) -> Iterator[dict[str, Any]]:
+    """Yield the entries of a zone's workers on the platform's list."""
+    for number in range(count):
+        plan = _plan_instance(zone, "worker", number, capacity)
+        yield {**plan, "rack": f"{zone}-rack-{number // 8 + 1}"}
+
+
+def iter_backends(zone: str, count: int, service: str) -> Iterator[dict[str, Any]]:
+    """Yield the entries of a zone's backend servers on the platform's list."""
+    for number in range(count):
+        plan = _plan_instance(zone, "backend", number, {"slots": 8})
+        yield {**plan, "service": service}
+
+
+def _plan_instance(
+    zone: str, kind: str, number: int, capacity: dict[str, int]
+) -> dict[str, Any]:
+    return {
+        "instance_id": f"{zone}-{kind}-{number + 1}",
+        "kind": kind,
+        "zone": zone,
+        "host": HOST,
+        "port": free_port(),
+        "capacity": capacity,
+    }
