Decide starts again that waited for a broken worker connection

Cause: while a worker is disconnected its starts wait in an outbox. When it reconnects, its inventory lacks these tasks, so they are queued again, and then the outbox sent the old starts as well: the task ran there and elsewhere at once, over the worker's capacity. Ruled out: the fence and the lease, which both admit these starts rightly.

Change: a new inventory empties the starts that wait for this worker.

The second test still fails: a frozen stand-in records the end of its tasks when it wakes.

--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -289,6 +289,9 @@
         self.worker_ready(worker, now_ms)
         for end in message.ends:
             self.task_ended(worker_id, end, now_ms)
+        # What was decided while there was no connection is decided again; sent
+        # now, it would run beside the task that is queued again below.
+        self._outbox(worker_id).starts.clear()
         reported = {run.task for run in message.running}
         for running in self.scheduler.running.tasks_of_worker(worker_id):
             if running.task not in reported:
--- a/standins/audit.py
+++ b/standins/audit.py
@@ -45,6 +45,20 @@
     ]
 
 
+def closed_at(counters: Mapping[str, Any], ended: float) -> dict[str, Any]:
+    """Return the last counters of a worker whose tasks ended with its process.
+
+    Args:
+        counters: The counters as last read.
+        ended: Wall-clock time of the end in seconds.
+    """
+    intervals = [
+        [task, start, ended if end is None else end]
+        for task, start, end in counters["intervals"]
+    ]
+    return {**counters, "intervals": intervals}
+
+
 def check_requests(
     sent: Iterable[SentRequest], backends: Iterable[Mapping[str, Any]]
 ) -> list[Violation]:
