Record the tasks of a frozen stand-in worker as stopped when it froze

The tasks of a stand-in are timers of its process, so they do not run while the process is frozen; it recorded their end when it woke and lapsed, which showed overlaps that did not happen. Ends before a lapse are recorded as before.

--- a/standins/workers.py
+++ b/standins/workers.py
@@ -26,6 +26,9 @@
     WorkerLease,
 )
 
+# The timers run every 0.1 s; a longer gap shows that the process was frozen.
+FROZEN_S = 1.0
+
 
 @attrs.define
 class RunningTask:
@@ -71,6 +74,7 @@
     intervals: list[list[Any]] = attrs.field(factory=list)
     overcommitted: int = 0
     refused: Counter[str] = attrs.field(factory=Counter)
+    seen_alive: float = attrs.field(factory=time.time)
 
     def start(self, document: dict[str, Any], epoch: int) -> str:
         """Start a task; return the reason of a refusal or an empty string."""
@@ -98,9 +102,14 @@
             self._end(task, "stopped")
 
     def stop_all(self) -> None:
-        """Stop every task without a report, as a lapsed lease demands."""
+        """Stop every task without a report, as a lapsed lease demands.
+
+        Tasks are timers of this process. If it was frozen, they stopped then.
+        """
+        now = time.time()
+        ended = self.seen_alive if now - self.seen_alive > FROZEN_S else now
         for task in list(self.running_by_task.values()):
-            self._close(task)
+            self._close(task, ended)
 
     def inventory(self) -> dict[str, Any]:
         """Return the message that lists running tasks and unacknowledged ends."""
@@ -125,7 +134,7 @@
         if not self.lease.holds(self.clock.now_ms()):
             self.stop_all()
             return
-        self._close(task)
+        self._close(task, time.time())
         result = outcome or ("failed" if self.fail_all else "done")
         end = {"task": task.task, "attempt": task.attempt, "outcome": result}
         self.ends.append([task.task, result])
@@ -133,13 +142,13 @@
         if self.session is not None:
             self.session.send({"type": "ends", "ends": [end]})
 
-    def _close(self, task: RunningTask) -> None:
+    def _close(self, task: RunningTask, ended: float) -> None:
         if task.timer is not None:
             task.timer.cancel()
         del self.running_by_task[task.task]
         for interval in reversed(self.intervals):
             if interval[0] == task.task and interval[2] is None:
-                interval[2] = time.time()
+                interval[2] = ended
                 break
 
     def _count_overcommit(self) -> None:
@@ -245,6 +254,7 @@
     while True:
         await asyncio.sleep(0.1)
         worker.check_lease()
+        worker.seen_alive = time.time()
         elapsed_ms += 100
         if elapsed_ms >= HEARTBEAT_INTERVAL_MS and worker.session is not None:
             elapsed_ms = 0
