Close a worker's connection when its lease has lapsed

Cause: a worker counts its lease from the heartbeat it sent, the owner from the grant plus a margin of 0.5 s. Heartbeats that a stalled connection delivers in between extend the lease in the owner's view after the worker has stopped its tasks, and the owner counts them as running for ever. Ruled out: a report of the lapse on the open connection, since a start under way on it could run beside its own repetition.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -182,6 +182,18 @@
         document: dict[str, Any] = json.loads((await self.fetch(url, **options)).body)
         return document
 
+    async def submit(self, job_id: str, spec: dict[str, Any], secret: str) -> None:
+        """Submit a job.
+
+        Raises:
+            RuntimeError: If it was not accepted.
+        """
+        url = f"{self.running_entries()[0].url}/v1/jobs"
+        document = {"job_id": job_id, "spec": spec}
+        answer = await self.fetch(url, "POST", body=document, secret=secret)
+        if answer.code != 201:
+            raise RuntimeError(f"POST {url}: {answer.code} {answer.body!r}")
+
     async def seed(self, teams: dict[str, dict[str, Any]]) -> dict[str, str]:
         """Declare zones, teams, the service and one key a team; return secrets."""
         url = next(iter(self.entry_by_id.values())).url
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -102,14 +102,20 @@
             self._end(task, "stopped")
 
     def stop_all(self) -> None:
-        """Stop every task without a report, as a lapsed lease demands.
+        """Stop every task as a lapsed lease demands, and close the connection.
 
+        The owner may not have seen the lapse: a delayed heartbeat extends the
+        lease there. The inventory on the next connection shows what stopped, and
+        starts that are still under way on the old connection are ignored.
         Tasks are timers of this process. If it was frozen, they stopped then.
         """
         now = time.time()
         ended = self.seen_alive if now - self.seen_alive > FROZEN_S else now
         for task in list(self.running_by_task.values()):
             self._close(task, ended)
+        session, self.session = self.session, None
+        if session is not None:
+            session.close(4002, "lease lapsed")
 
     def inventory(self) -> dict[str, Any]:
         """Return the message that lists running tasks and unacknowledged ends."""
--- a/tests/test_faults_workers.py
+++ b/tests/test_faults_workers.py
@@ -7,10 +7,10 @@
 
 from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
 from marjoramgrade.decisions.ownership import DRIFT_MARGIN_MS
-from standins.audit import Counters, closed_at
+from standins.audit import Counters, check_workers, closed_at
 from standins.cell import Cell
 from standins.load import Load, Outcome
-from standins.scenario import run_load
+from standins.scenario import TEAM, run_load
 
 ONE_ZONE = {"zones": ("leeds",), "entries_per_zone": 2, "is_relayed": True}
 TASKS = {"requests": 100, "jobs": 50, "run_ms": 300}
@@ -55,3 +55,32 @@
 
     shape = {**ONE_ZONE, "own_process": (killed, frozen)}
     _assert_jobs_done(asyncio.run(run_load(tmp_path, disturb, shape=shape, **TASKS)))
+
+
+def test_a_lease_that_lapses_only_at_the_worker(tmp_path: pathlib.Path) -> None:
+    """Guards against tasks that the owner believes to run after they stopped."""
+
+    async def run() -> None:
+        shape = {"zones": ("leeds",), "workers_per_zone": 2, "is_relayed": True}
+        async with Cell(tmp_path, **shape) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            spec = {"team": TEAM, "kind": "service", "tasks": 4}
+            spec["resources"] = {"cpu_millis": 8_000}
+            await cell.submit("watch", spec, secret)
+
+            async def has_all_running() -> bool:
+                workers = await cell.counters("worker")
+                return sum(len(found["running"]) for found in workers.values()) == 4
+
+            async def has_stopped() -> bool:
+                return not (await cell.control("leeds-worker-1"))["running"]
+
+            await cell.wait_until(has_all_running)
+            await cell.cut(("", "leeds-worker-1", "stall"))
+            await cell.wait_until(has_stopped)
+            await cell.cut()
+            await cell.wait_until(has_all_running, timeout_s=5.0)
+            assert check_workers(await cell.counters("worker")) == []
+
+    asyncio.run(run())
