--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -16,6 +16,7 @@
 from marjoramgrade.decisions.slots import SlotPool
 from marjoramgrade.errors import (
     AnswerTimeoutError,
+    BackendFailedError,
     DeadlineExceededError,
     LedgerUnavailableError,
     MarjoramgradeError,
@@ -265,6 +266,9 @@
             if not isinstance(error, AnswerTimeoutError):
                 slots.mark_failed(backend_id, now_ms)
             _refuse(waiting, error)
+        except BackendFailedError as error:
+            slots.release_failed(backend_id, self._clock.now_ms())
+            _refuse(waiting, error)
         except MarjoramgradeError as error:
             slots.release(backend_id)
             if isinstance(error, NoBackendError):
