Queue a job again when its move to another zone did not happen

Cause: while a zone is out, a job is taken off its shard's queue before the row is moved. If no other shard could take it, or the table refused the write, the job stayed with the shard but off its queue, and nothing started it when the zone came back. A move whose outcome stayed unknown was given up, so the job could have run in either shard.

Change: after a move that did not happen the open tasks are queued again; a move with an unknown outcome is written again until it is known; a row that names another shard removes the job here.

--- a/marjoramgrade/controllers/jobwriter.py
+++ b/marjoramgrade/controllers/jobwriter.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
 
 from marjoramgrade.actor import Actor
 from marjoramgrade.controllers.shardtasks import ShardTasks
-from marjoramgrade.errors import CheckFailedError, MarjoramgradeError
+from marjoramgrade.errors import (
+    CheckFailedError,
+    MarjoramgradeError,
+    TableError,
+    WriteOutcomeUnknownError,
+)
 from marjoramgrade.messages import ChooseShard, JobsChanged, StoredJob, WriteJob
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.store import Store
 
+RESOLVE_INTERVAL_MS = 500
+
 
 class JobWriter:
     """Writes outcomes and moves of the jobs of one shard.
@@ -75,18 +83,41 @@
             moved = attrs.evolve(
                 stored.job, shard=shard, reason=f"moved from {self._shard}: zone out"
             )
-            written = await self._journal.ask(WriteJob(moved, stored.version))
+            written = await self._write_move(WriteJob(moved, stored.version))
         except CheckFailedError:
-            await self._reload(job_id)
+            await self._reload_moved(state, job_id)
             return
         except MarjoramgradeError:
             self._metrics.retried("move_table_error")
             return
-        finally:
-            state.move_ended(job_id)
         state.job_moved(written)
         self._jobs().tell(JobsChanged((written,)))
 
+    async def _write_move(self, write: WriteJob) -> StoredJob:
+        """Write until the outcome is known; until then the job may not start."""
+        while True:
+            try:
+                written: StoredJob = await self._journal.ask(write)
+                return written
+            except WriteOutcomeUnknownError:
+                self._metrics.retried("move_outcome_unknown")
+                await asyncio.sleep(RESOLVE_INTERVAL_MS / 1000)
+
+    async def _reload_moved(self, state: ShardTasks, job_id: str) -> None:
+        """Find out where a job is whose row has changed during its move."""
+        while True:
+            try:
+                stored = await self._store.read_job(job_id)
+            except TableError:
+                self._metrics.retried("job_read_failed")
+                await asyncio.sleep(RESOLVE_INTERVAL_MS / 1000)
+                continue
+            if stored is not None and stored.job.shard != self._shard:
+                state.job_moved(stored)
+            if stored is not None:
+                self._jobs().tell(JobsChanged((stored,)))
+            return
+
     async def _reload(self, job_id: str) -> None:
         """Take over a row that another writer has changed."""
         self._metrics.retried("job_conflict")
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -300,7 +300,13 @@
             return
         state.drain(now_ms)
         for stored in state.movable_jobs():
-            self.spawn(self._writer.move(state, stored))
+            self.spawn(self._move_job(state, stored))
+
+    async def _move_job(self, state: ShardTasks, stored: StoredJob) -> None:
+        try:
+            await self._writer.move(state, stored)
+        finally:
+            state.move_ended(stored.job.job_id, self._clock.now_ms())
 
     def _keep_roster(self, state: ShardTasks) -> None:
         wanted = state.wanted_roster(self._worker_by_id)
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -163,7 +163,11 @@
         """Take over a newer version of a job row."""
         job = stored.job
         known = self.job_by_id.get(job.job_id)
-        if job.shard != self.shard or (known and known.version >= stored.version):
+        if known and known.version >= stored.version:
+            return
+        if job.shard != self.shard:
+            if known:
+                self.job_moved(stored)
             return
         if job.state is not JobState.OPEN:
             self._forget(job)
@@ -256,12 +260,19 @@
             movable.append(stored)
         return movable
 
-    def move_ended(self, job_id: str) -> None:
-        """Note that an attempt to move a job is over."""
+    def move_ended(self, job_id: str, now_ms: int) -> None:
+        """Note that an attempt to move a job is over; queue it if it stays."""
         self._moving.discard(job_id)
+        stored = self.job_by_id.get(job_id)
+        if stored is None or stored.job.cancelled:
+            return
+        for entry in queued_tasks_from(stored.job, now_ms):
+            if not any(self.outcomes.is_final(task) for task in entry.iter_tasks()):
+                self._submit(entry, now_ms)
 
     def job_moved(self, stored: StoredJob) -> None:
         """Drop a job that another shard now owns."""
+        self.scheduler.cancel_job(stored.job.job_id)
         self._forget(stored.job)
 
     # Workers
--- /dev/null
+++ b/tests/test_faults_zones.py
@@ -0,0 +1,76 @@
+"""Zones that are taken out and brought back."""
+
+import asyncio
+import pathlib
+import time
+
+from standins.audit import Counters
+from standins.cell import Cell
+from standins.load import Load, Outcome
+from standins.scenario import TEAM, run_load
+
+# A change of the configuration is in force everywhere after this time.
+CONFIG_BOUND_S = 8.0
+
+
+async def _set_zone(cell: Cell, zone: str, state: str) -> float:
+    """Change a zone and return the time of the answer."""
+    url = cell.running_entries()[-1].url
+    answer = await cell.fetch(f"{url}/v1/zones/{zone}", "PUT", body={"state": state})
+    assert answer.code == 200
+    return time.time()
+
+
+def _latest_start(workers: Counters, zone: str) -> float:
+    return max(
+        start
+        for worker_id, counters in workers.items()
+        if worker_id.startswith(zone)
+        for _, start, _ in counters["intervals"]
+    )
+
+
+def test_no_start_in_a_zone_that_was_taken_out(tmp_path: pathlib.Path) -> None:
+    """Guards against starts in a zone after the change must be in force."""
+
+    async def take_out(cell: Cell, load: Load) -> None:
+        await asyncio.sleep(1.5)
+        taken_out = await _set_zone(cell, "leeds", "out")
+        await asyncio.sleep(CONFIG_BOUND_S + 1.0)
+        workers = await cell.counters("worker")
+        assert _latest_start(workers, "leeds") < taken_out + CONFIG_BOUND_S
+        assert _latest_start(workers, "manchester") > taken_out + CONFIG_BOUND_S
+        await _set_zone(cell, "leeds", "in")
+
+    load = asyncio.run(run_load(tmp_path, take_out, spread_ms=10_500, run_ms=100))
+    assert {request.outcome for request in load.sent_requests} == {Outcome.DONE}
+    assert {job.outcome for job in load.sent_jobs} == {Outcome.DONE}
+
+
+def test_jobs_go_on_when_the_only_zone_returns(tmp_path: pathlib.Path) -> None:
+    """Guards against queued jobs that nothing starts after a move that failed."""
+
+    async def run() -> None:
+        async with Cell(tmp_path, zones=("leeds",), workers_per_zone=1) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            spec = {"team": TEAM, "kind": "batch", "tasks": 40, "run_ms": 700}
+            await cell.submit("pack-1", spec, secret)
+
+            async def is_idle() -> bool:
+                counters = await cell.control("leeds-worker-1")
+                return bool(counters["ends"]) and not counters["running"]
+
+            async def is_done() -> bool:
+                url = f"{cell.running_entries()[0].url}/v1/jobs/pack-1"
+                return bool((await cell.fetch_json(url))["state"] == "done")
+
+            await _set_zone(cell, "leeds", "out")
+            await cell.wait_until(is_idle)
+            # Moves are tried every second; there is no other zone.
+            await asyncio.sleep(1.5)
+            assert not await is_done()
+            await _set_zone(cell, "leeds", "in")
+            await cell.wait_until(is_done, timeout_s=10.0)
+
+    asyncio.run(run())
