End a watch without a traceback

The future is now shielded and its exception looked at. The new test fails without either half of the change.

--- a/marjoramgrade/transport.py
+++ b/marjoramgrade/transport.py
@@ -190,7 +190,7 @@
     ) -> HTTPResponse | None:
         """Return the answer, or None if the window ended first."""
         try:
-            return await http.fetch(request, raise_error=False)
+            return await _shield(http.fetch(request, raise_error=False))
         except Exception as error:
             if isinstance(error, HTTPTimeoutError) and str(error) == _SENT_TIMEOUT:
                 return None
@@ -230,6 +230,16 @@
             self._chunks.get_nowait()
 
 
+async def _shield(answer: asyncio.Future[HTTPResponse]) -> HTTPResponse:
+    """Wait for an answer so that giving up leaves no message behind.
+
+    Tornado logs an error if its future is cancelled before the connection ends,
+    and asyncio logs one if nobody looks at the exception of a future.
+    """
+    answer.add_done_callback(lambda done: done.cancelled() or done.exception())
+    return await asyncio.shield(answer)
+
+
 def _transport_error(method: str, error: Exception) -> MarjoramgradeError:
     reason = str(error) or type(error).__name__
     refused = isinstance(error, ConnectionRefusedError | socket.gaierror)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,9 +1,11 @@
 import asyncio
+import gc
 import json
 import pathlib
 
 import pytest
 from click.testing import Result
+from tornado.web import RequestHandler
 from typer.testing import CliRunner
 
 from marjoramgrade import errors
@@ -213,6 +215,28 @@
     assert "watch_reset" in result.stderr
 
 
+def test_a_watch_that_ends_leaves_no_traceback(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a traceback on the screen of whoever ends a watch."""
+    change = {"version": 5, "kind": "job", "name": "j1", "document": JOB}
+
+    async def stay_open(handler: RequestHandler) -> None:
+        closed = asyncio.Event()
+        handler.on_connection_close = closed.set  # type: ignore[method-assign]
+        handler.write(json.dumps(change) + "\n")
+        await handler.flush()
+        await closed.wait()
+        handler._finished = True
+
+    result, _ = call("watch", "--after", "1", "--count", "1", answers=[stay_open])
+    assert result.exit_code == 0
+    # Exceptions that nobody looked at are logged when they are collected.
+    gc.collect()
+    loggers = {record.name for record in caplog.records}
+    assert not loggers & {"tornado.application", "asyncio"}
+
+
 def test_a_granted_secret_is_shown_once_and_read_from_a_file(
     tmp_path: pathlib.Path,
 ) -> None:
