--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -172,7 +172,15 @@
 def test_the_client_and_the_entry_instance_agree(tmp_path: pathlib.Path) -> None:
     """Guards against a client and a server that drift apart."""
 
-    async def configure(client: Client) -> str:
+    async def configure(cell: Cell, client: Client) -> str:
+        async def is_admitted() -> bool:
+            try:
+                await client.put(ZONES, model.Zone("spare"), None)
+            except errors.StaleAuthorityError:
+                return False
+            return True
+
+        await cell.wait_until(is_admitted)
         for zone in ("leeds", "manchester"):
             await client.put(ZONES, model.Zone(zone), 0)
         await client.put(SERVICES, model.Service("charity-accounts"), 0)
@@ -191,7 +199,7 @@
         first, second = cell.running_entries()
         operator = Client.from_url(first.url, OPERATOR_SECRET)
         async with operator, Client.from_url(second.url) as stranger:
-            secret = await configure(operator)
+            secret = await configure(cell, operator)
             await cell.wait_for_shards()
             assert len(await operator.list_workers()) == 8
             with pytest.raises(errors.UnauthenticatedError):
