--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -118,10 +118,7 @@
 
     @handles(GetJob)
     async def _get(self, message: GetJob) -> Any:
-        stored = self._job_by_id.get(message.job_id)
-        if stored is not None:
-            return stored
-        return self.spawn(self._read(message.job_id))
+        return self.spawn(self._read_newest(message.job_id))
 
     @handles(ListJobs)
     async def _list(self, message: ListJobs) -> tuple[StoredJob, ...]:
@@ -206,6 +203,19 @@
         self._apply((stored,))
         return stored
 
+    async def _read_newest(self, job_id: str) -> StoredJob:
+        """Read the row, so that no caller sees an older state than another did.
+
+        While the table is unreachable the copy of this instance must do.
+        """
+        try:
+            return await self._read(job_id)
+        except TableRefusedError:
+            known = self._job_by_id.get(job_id)
+            if known is None:
+                raise
+            return known
+
     async def _read_quietly(self, job_id: str) -> None:
         try:
             await self._read(job_id)
