Let teams above their share give way while room is kept

A team above its share still took small pieces of room on workers where nothing was kept. Change: while room is kept for a team below its share, a team more than 1 % of the shard above the mean level of the waiting teams starts nothing. Since room is then found sooner, an eighth of the workers may have room kept instead of a quarter.

--- a/marjoramgrade/decisions/queues.py
+++ b/marjoramgrade/decisions/queues.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Iterator
 from itertools import count
 
 import attrs
@@ -88,6 +89,10 @@
         """Return the number of tasks of a team that wait."""
         return self._length_by_team.get(team, 0)
 
+    def iter_teams(self) -> Iterator[str]:
+        """Yield the teams with queued tasks."""
+        yield from self._length_by_team
+
     def set_bound(self, team: str, bound: int) -> None:
         """Set how many tasks of a team may wait."""
         self._bound_by_team[team] = bound
@@ -186,6 +191,14 @@
         if not queue.heads or len(queue.parked) >= LANES_PER_ROUND:
             tier.ready.discard(entry.team)
 
+    def block(self, entry: QueuedTask, reason: str) -> None:
+        """Try nothing more of the team of the entry that `peek` returned."""
+        tier = self._tier_by_priority[entry.priority]
+        lane = tier.queue_by_team[entry.team].lane_by_key[lane_key_of(entry)]
+        lane.reason = reason
+        tier.touched.add(entry.team)
+        tier.ready.discard(entry.team)
+
     def set_blocked(self, team: str, reason: str) -> None:
         """Block a team, or unblock it with an empty reason."""
         if reason:
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -11,6 +11,7 @@
 from marjoramgrade.decisions.queues import TaskQueue
 from marjoramgrade.decisions.running import Stopping
 from marjoramgrade.decisions.shard_state import (
+    ABOVE_SHARE,
     AT_LIMIT,
     FREEING_ROOM,
     KEEPING_ROOM,
@@ -26,7 +27,10 @@
 URGENT_WAIT_MS = 1_000
 CHECKPOINT_MS = 4_000
 # Reserved room is idle until it suffices, so only a part of the workers has any.
-WORKERS_PER_CLAIM = 4
+WORKERS_PER_CLAIM = 8
+# A team this far above its share, as a part of the shard, starts nothing while room
+# is kept for a team below its share. Less would leave room idle for single tasks.
+SHARE_SLACK = 0.01
 # A plan looks at many workers, so a round in a full shard makes only a few.
 PLANS_PER_ROUND = 4
 PREEMPTED = "preempted for urgent work"
@@ -49,12 +53,16 @@
     # Room only shrinks within a round, so what needs as much does not fit either.
     _misfits: list[Resources] = attrs.field(factory=list)
     _plans_left: int = PLANS_PER_ROUND
+    _mean_level: float = 0.0
 
     def run(self) -> list[Decision]:
         """Return the decisions of this round, stops first."""
         for queue in self.state.queues:
             queue.begin_round(self.now_ms)
         self._escalate_checkpoints()
+        waiting = {team for queue in self.state.queues for team in queue.iter_teams()}
+        waiting.update(c.entry.team for c in self.state.claims.reservations())
+        self._mean_level = self.state.shares.mean_level(waiting)
         # Urgent work comes first, so that nothing started here is stopped here.
         for priority in sorted(Priority, reverse=True):
             self._start_claims(priority)
@@ -97,6 +105,9 @@
             if not self.state.may_start(entry.team, entry.total):
                 queue.park(entry, AT_LIMIT)
                 continue
+            if not entry.is_urgent and self._must_give_way(entry.team):
+                queue.block(entry, ABOVE_SHARE)
+                continue
             worker_ids = self._place_new(entry)
             if worker_ids is not None:
                 queue.take(entry)
@@ -109,6 +120,13 @@
             else:
                 queue.park(entry, NO_ROOM)
 
+    def _must_give_way(self, team: str) -> bool:
+        """Return whether room that becomes free is for teams below their share."""
+        if not self.state.claims.reserved_count():
+            return False
+        excess = self.state.shares.excess_of(team, self._mean_level)
+        return excess > SHARE_SLACK
+
     def _place_new(self, entry: QueuedTask) -> list[str] | None:
         if any(misfit.fits(entry.resources) for misfit in self._misfits):
             return None
@@ -173,7 +191,7 @@
         return (
             claims.reserved_count() < max(1, len(self.state.pool) // WORKERS_PER_CLAIM)
             and not claims.reserved_of(entry.team)
-            and self.state.shares.is_below_mean(entry.team)
+            and self.state.shares.excess_of(entry.team, self._mean_level) < 0
         )
 
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
--- a/marjoramgrade/decisions/shard_state.py
+++ b/marjoramgrade/decisions/shard_state.py
@@ -24,6 +24,7 @@
 
 AT_LIMIT = "waiting: team at its upper limit"
 NO_ROOM = "waiting: no worker has room"
+ABOVE_SHARE = "waiting: team is above its share, others go first"
 FREEING_ROOM = "waiting: running work is stopped to make room"
 KEEPING_ROOM = "waiting: room is kept as it becomes free"
 IN_QUEUE = "waiting: other work goes first"
--- a/marjoramgrade/decisions/shares.py
+++ b/marjoramgrade/decisions/shares.py
@@ -105,10 +105,19 @@
         """Return the dominant share of a team divided by its weight."""
         return self._level_by_team.get(team, 0.0)
 
-    def is_below_mean(self, team: str) -> bool:
-        """Return whether a team is below the mean level of all teams."""
-        levels = self._level_by_team.values()
-        return self.level_of(team) * len(levels) < sum(levels)
+    def mean_level(self, teams: Iterable[str]) -> float:
+        """Return the level at which some teams would have equal weighted shares."""
+        share = weight = 0.0
+        for team in teams:
+            team_weight = self._weight_by_team.get(team, 1)
+            weight += team_weight
+            share += self.level_of(team) * team_weight
+        return share / weight if weight else 0.0
+
+    def excess_of(self, team: str, level: float) -> float:
+        """Return the dominant share that a team has above a level."""
+        weight = self._weight_by_team.get(team, 1)
+        return weight * (self.level_of(team) - level)
 
     def next_team(self, teams: Iterable[str]) -> str:
         """Return the team that is furthest below its share.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -121,3 +121,36 @@
         scheduler.submit(queued("j-b", index, "b"), 0)
     names = list(started(scheduler.step(0, 10)))
     assert sum(name.startswith("j-a") for name in names) == 6
+
+
+def test_a_large_task_below_its_share_starts_despite_small_ones() -> None:
+    """Guards against a team whose large tasks never find their room in one piece."""
+    scheduler = scheduler_of(node("w-0", cores=4))
+    for index in range(100):
+        scheduler.submit(queued("small", index, "a"), 0)
+    scheduler.step(0, 10)
+    scheduler.submit(queued("large", team="b", cores=4), 0)
+    scheduler.step(1, 10)
+    for index in range(4):
+        assert scheduler.reason_of(TaskId("large", 0)).startswith("waiting: room is")
+        scheduler.task_ended(TaskId("small", index), Ending.DONE, 2 + index)
+        names = started(scheduler.step(2 + index, 10))
+    assert names == {"large/0": "w-0"}
+
+
+def test_a_team_above_its_share_gives_way_while_room_is_kept() -> None:
+    """Guards against room on other workers that small tasks go on taking."""
+    scheduler = scheduler_of(node("w-0", cores=2), node("w-1", cores=2))
+    for index in range(100):
+        scheduler.submit(queued("small", index, "a"), 0)
+    placed = started(scheduler.step(0, 10))
+    scheduler.submit(queued("large", team="b", cores=2), 0)
+    scheduler.step(1, 10)
+    for name in placed:
+        scheduler.task_ended(TaskId.parse(name), Ending.DONE, 2)
+        if names := started(scheduler.step(2, 10)):
+            assert "large/0" in names
+            return
+        reason = scheduler.reason_of(TaskId("small", 99))
+        assert reason == "waiting: team is above its share, others go first"
+    raise AssertionError("the large task did not start")
