Keep room for large tasks that have waited 5 s

The tasks that waited need a quarter of a worker's memory; their team was at its share, so no room was kept for them. Change: a single task may keep room after 5 s even if its team is not below its share; teams above their share still give way first.

--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,5 @@
 	$(BIN)/python scripts/demo.py
 
 measure: setup
-	$(BIN)/python -m bench.measure
+	$(BIN)/python -m bench.measure $(ARGS)
+	$(BIN)/python -m bench.scale $(ARGS)
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -26,6 +26,9 @@
 # checkpoint, and the rest for the stop that follows and for the ticks between.
 URGENT_WAIT_MS = 1_000
 CHECKPOINT_MS = 4_000
+# A task that needs much room may keep it after this time even if its team is at its
+# share, because small tasks would take the room piece by piece.
+TASK_WAIT_MS = 5_000
 # Reserved room is idle until it suffices, so only a part of the workers has any.
 WORKERS_PER_CLAIM = 8
 # A team this far above its share, as a part of the shard, starts nothing while room
@@ -188,11 +191,12 @@
             return waited_ms >= GANG_WAIT_MS and not claims.has_reserved_gang()
         if entry.is_urgent:
             return False
-        return (
-            claims.reserved_count() < max(1, len(self.state.pool) // WORKERS_PER_CLAIM)
-            and not claims.reserved_of(entry.team)
-            and self.state.shares.excess_of(entry.team, self._mean_level) < 0
-        )
+        if claims.reserved_count() >= max(1, len(self.state.pool) // WORKERS_PER_CLAIM):
+            return False
+        if claims.reserved_of(entry.team):
+            return False
+        excess = self.state.shares.excess_of(entry.team, self._mean_level)
+        return excess < 0 or waited_ms >= TASK_WAIT_MS
 
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
         self._plans_left -= 1
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -2,6 +2,7 @@
 
 from marjoramgrade.decisions.actions import Ending
 from marjoramgrade.decisions.queues import DuplicateTaskError
+from marjoramgrade.decisions.rounds import TASK_WAIT_MS
 from marjoramgrade.decisions.scheduler import Scheduler
 from marjoramgrade.decisions.tasks import RunningTask
 from marjoramgrade.model import Kind, TaskId, Team
@@ -138,6 +139,19 @@
     assert names == {"large/0": "w-0"}
 
 
+def test_a_large_task_of_a_team_at_its_share_keeps_room_after_a_while() -> None:
+    """Guards against a large task that waits without bound in a busy shard."""
+    scheduler = scheduler_of(node("w-0", cores=2))
+    scheduler.submit(queued("small", 0, "a"), 0)
+    scheduler.submit(queued("small", 1, "a"), 0)
+    scheduler.step(0, 10)
+    scheduler.submit(queued("large", team="a", cores=2), 0)
+    scheduler.step(TASK_WAIT_MS - 1, 10)
+    assert scheduler.reason_of(TaskId("large", 0)) == "waiting: no worker has room"
+    scheduler.step(TASK_WAIT_MS, 10)
+    assert scheduler.reason_of(TaskId("large", 0)).startswith("waiting: room is kept")
+
+
 def test_a_team_above_its_share_gives_way_while_room_is_kept() -> None:
     """Guards against room on other workers that small tasks go on taking."""
     scheduler = scheduler_of(node("w-0", cores=2), node("w-1", cores=2))
