Let gangs pass reservations of single tasks and keep the mean level current

The gang also lost its room to the reservations of small tasks. Sets made the order of sums depend on the process. Change: the mean level is worked out again after a start; the reservations of single tasks give way to a gang; sums run over lists.

--- a/marjoramgrade/decisions/gangs.py
+++ b/marjoramgrade/decisions/gangs.py
@@ -104,7 +104,9 @@
     for node, _ in workers:
         if node.worker_id in avoid or (spread_racks and node.rack in racks):
             continue
-        held = pool.free_of(node.worker_id) - pool.available_of(node.worker_id)
+        # The holds of single tasks give way to a gang.
+        kept = pool.yielded_room_of if count > 1 else pool.available_of
+        held = pool.free_of(node.worker_id) - kept(node.worker_id)
         room = node.capacity - services_on(node.worker_id) - held
         fitting = members_that_fit(resources, room)
         if spread_racks and fitting:
--- a/marjoramgrade/decisions/preemption.py
+++ b/marjoramgrade/decisions/preemption.py
@@ -102,7 +102,7 @@
                 continue
             room = room_by_worker.get(worker_id)
             if room is None:
-                room = pool.urgent_room_of(worker_id) + running.ending_on(worker_id)
+                room = pool.yielded_room_of(worker_id) + running.ending_on(worker_id)
             room = room_by_worker[worker_id] = room + task.resources
             victims = victims_by_worker.setdefault(worker_id, [])
             victims.append(task)
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -56,16 +56,18 @@
     # Room only shrinks within a round, so what needs as much does not fit either.
     _misfits: list[Resources] = attrs.field(factory=list)
     _plans_left: int = PLANS_PER_ROUND
-    _mean_level: float = 0.0
+    _waiting_teams: tuple[str, ...] = ()
+    # Mean level of the waiting teams, or None after a start has changed it.
+    _mean_level: float | None = None
 
     def run(self) -> list[Decision]:
         """Return the decisions of this round, stops first."""
         for queue in self.state.queues:
             queue.begin_round(self.now_ms)
         self._escalate_checkpoints()
-        waiting = {team for queue in self.state.queues for team in queue.iter_teams()}
-        waiting.update(c.entry.team for c in self.state.claims.reservations())
-        self._mean_level = self.state.shares.mean_level(waiting)
+        waiting = [team for queue in self.state.queues for team in queue.iter_teams()]
+        waiting += [claim.entry.team for claim in self.state.claims.reservations()]
+        self._waiting_teams = tuple(dict.fromkeys(waiting))
         # Urgent work comes first, so that nothing started here is stopped here.
         for priority in sorted(Priority, reverse=True):
             self._start_claims(priority)
@@ -127,8 +129,13 @@
         """Return whether room that becomes free is for teams below their share."""
         if not self.state.claims.reserved_count():
             return False
-        excess = self.state.shares.excess_of(team, self._mean_level)
-        return excess > SHARE_SLACK
+        return self._excess_of(team) > SHARE_SLACK
+
+    def _excess_of(self, team: str) -> float:
+        """Return how far a team is above the mean level of the waiting teams."""
+        if self._mean_level is None:
+            self._mean_level = self.state.shares.mean_level(self._waiting_teams)
+        return self.state.shares.excess_of(team, self._mean_level)
 
     def _place_new(self, entry: QueuedTask) -> list[str] | None:
         if any(misfit.fits(entry.resources) for misfit in self._misfits):
@@ -161,13 +168,14 @@
         avoid = self.state.health.avoided(self.now_ms)
         for claim in self.state.claims.reservations():
             for worker_id in claim.worker_ids:
-                room = self.state.pool.urgent_room_of(worker_id)
+                room = self.state.pool.yielded_room_of(worker_id)
                 if worker_id not in avoid and entry.resources.fits(room):
                     self.state.drop_reservations_on(worker_id, self.now_ms)
                     return [worker_id]
         return None
 
     def _start(self, entry: QueuedTask, worker_ids: list[str]) -> None:
+        self._mean_level = None
         self._starts.extend(self.state.start(entry, worker_ids, self.now_ms))
 
     def _claim_for(self, entry: QueuedTask) -> Claim | None:
@@ -195,8 +203,7 @@
             return False
         if claims.reserved_of(entry.team):
             return False
-        excess = self.state.shares.excess_of(entry.team, self._mean_level)
-        return excess < 0 or waited_ms >= TASK_WAIT_MS
+        return self._excess_of(entry.team) < 0 or waited_ms >= TASK_WAIT_MS
 
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
         self._plans_left -= 1
@@ -210,6 +217,9 @@
         )
         if worker_ids is None:
             return None
+        if entry.gang_size > 1:
+            for worker_id in dict.fromkeys(worker_ids):
+                self.state.drop_reservations_on(worker_id, self.now_ms)
         return Claim(entry, tuple(worker_ids), KEEPING_ROOM)
 
     def _preempt_for(self, entry: QueuedTask) -> Claim | None:
--- a/marjoramgrade/decisions/shares.py
+++ b/marjoramgrade/decisions/shares.py
@@ -30,7 +30,8 @@
         demand_by_team: What each team would use if it were alone.
     """
     wanted = {t: d.dominant_share(total) for t, d in demand_by_team.items()}
-    active = {team for team, share in wanted.items() if share > 0}
+    # Lists, not sets: the order of a sum must not vary between processes.
+    active = [team for team, share in wanted.items() if share > 0]
     weights = {team: weight_by_team.get(team, 1) for team in active}
     # For each resource, the fraction of it that goes with a unit of dominant share.
     slopes = {
@@ -51,12 +52,12 @@
             shares[team] += weights[team] * growth
         left = [room - rate * growth for room, rate in zip(left, rates, strict=True)]
         used_up = [i for i, room in enumerate(left) if room < 1e-9]
-        active = {
+        active = [
             team
             for team in active
             if wanted[team] - shares[team] > 1e-9
             and not any(slopes[team][i] for i in used_up)
-        }
+        ]
     return shares
 
 
--- a/marjoramgrade/decisions/workers.py
+++ b/marjoramgrade/decisions/workers.py
@@ -135,7 +135,7 @@
         Args:
             worker_id: The worker.
             amount: What is kept.
-            is_yielding: Whether the hold gives way to urgent work.
+            is_yielding: Whether the hold gives way to urgent work and gangs.
         """
         room = self._get(worker_id)
         room.held = room.held + amount
@@ -168,8 +168,8 @@
         room = self._get(worker_id)
         return room.free - room.held
 
-    def urgent_room_of(self, worker_id: str) -> Resources:
-        """Return what is available if the holds that yield to urgent work end."""
+    def yielded_room_of(self, worker_id: str) -> Resources:
+        """Return what is available once the holds that give way have ended."""
         room = self._get(worker_id)
         return room.free - room.held + room.yielding
 
