--- a/marjoramgrade/decisions/shares.py
+++ b/marjoramgrade/decisions/shares.py
@@ -30,7 +30,8 @@
         demand_by_team: What each team would use if it were alone.
     """
     wanted = {t: d.dominant_share(total) for t, d in demand_by_team.items()}
-    active = {team for team, share in wanted.items() if share > 0}
+    # Lists, not sets: the order of a sum must not vary between processes.
+    active = [team for team, share in wanted.items() if share > 0]
     weights = {team: weight_by_team.get(team, 1) for team in active}
     # For each resource, the fraction of it that goes with a unit of dominant share.
     slopes = {
@@ -51,12 +52,12 @@
             shares[team] += weights[team] * growth
         left = [room - rate * growth for room, rate in zip(left, rates, strict=True)]
         used_up = [i for i, room in enumerate(left) if room < 1e-9]
-        active = {
+        active = [
             team
             for team in active
             if wanted[team] - shares[team] > 1e-9
             and not any(slopes[team][i] for i in used_up)
-        }
+        ]
     return shares
 
 
@@ -105,10 +106,19 @@
         """Return the dominant share of a team divided by its weight."""
         return self._level_by_team.get(team, 0.0)
 
-    def is_below_mean(self, team: str) -> bool:
-        """Return whether a team is below the mean level of all teams."""
-        levels = self._level_by_team.values()
-        return self.level_of(team) * len(levels) < sum(levels)
+    def mean_level(self, teams: Iterable[str]) -> float:
+        """Return the level at which some teams would have equal weighted shares."""
+        share = weight = 0.0
+        for team in teams:
+            team_weight = self._weight_by_team.get(team, 1)
+            weight += team_weight
+            share += self.level_of(team) * team_weight
+        return share / weight if weight else 0.0
+
+    def excess_of(self, team: str, level: float) -> float:
+        """Return the dominant share that a team has above a level."""
+        weight = self._weight_by_team.get(team, 1)
+        return weight * (self.level_of(team) - level)
 
     def next_team(self, teams: Iterable[str]) -> str:
         """Return the team that is furthest below its share.
