--- /dev/null
+++ b/tests/test_faults_backends.py
@@ -0,0 +1,87 @@
+"""Failures of backend servers and shutdowns of entry instances."""
+
+import asyncio
+import pathlib
+import signal
+
+from standins.audit import check_requests
+from standins.cell import Cell
+from standins.load import Load, Outcome
+from standins.scenario import TEAM, run_load
+
+# A change of the platform's list and of the configuration is in force after this.
+BOUND_S = 8.0
+KILLED = "leeds-backend-1"
+
+
+def test_a_backend_server_killed_in_mid_request(tmp_path: pathlib.Path) -> None:
+    """Guards against a second run of what may have run on the dead server."""
+
+    async def run() -> None:
+        async with Cell(tmp_path, own_process=(KILLED,)) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            size = {"requests": 200, "jobs": 0, "spread_ms": 2_000, "work_ms": 200}
+            load = Load(cell, TEAM, secret, **size)
+            running = asyncio.create_task(load.run())
+
+            async def is_busy() -> bool:
+                return bool((await cell.control(KILLED))["active"])
+
+            await cell.wait_until(is_busy)
+            last = await cell.control(KILLED)
+            cell.process_by_name[KILLED].end()
+            cell.instances = [i for i in cell.instances if i["instance_id"] != KILLED]
+            await running
+            backends = {**await cell.counters("backend"), KILLED: last}
+            assert check_requests(load.sent_requests, backends.values()) == []
+            by_kind = {
+                is_idempotent: {
+                    request.outcome
+                    for request in load.sent_requests
+                    if request.idempotent is is_idempotent
+                }
+                for is_idempotent in (True, False)
+            }
+            assert by_kind[True] == {Outcome.DONE}
+            assert by_kind[False] <= {Outcome.DONE, Outcome.UNKNOWN}
+
+    asyncio.run(run())
+
+
+def test_a_leaving_backend_server_gets_no_new_work(tmp_path: pathlib.Path) -> None:
+    """Guards against requests to a server that is about to be taken away."""
+
+    async def leave(cell: Cell, load: Load) -> None:
+        await asyncio.sleep(1.0)
+        await cell.list_instances(**{"leeds-backend-1": {"leaving": True}})
+        await asyncio.sleep(BOUND_S)
+        before = (await cell.control("leeds-backend-1"))["runs"]
+        await asyncio.sleep(2.0)
+        assert (await cell.control("leeds-backend-1"))["runs"] == before
+
+    size = {"requests": 500, "jobs": 5, "spread_ms": 11_500}
+    load = asyncio.run(run_load(tmp_path, leave, **size))
+    assert {request.outcome for request in load.sent_requests} == {Outcome.DONE}
+
+
+def test_shutdown_cuts_off_no_request(tmp_path: pathlib.Path) -> None:
+    """Guards against requests that a graceful shutdown drops or leaves unknown."""
+
+    async def shut_down(cell: Cell, load: Load) -> None:
+        await asyncio.sleep(1.5)
+        owner = await cell.owner_of("leeds.0")
+        process = cell.process_by_name[owner.instance_id]
+        process.send(signal.SIGTERM)
+        load.disturbed_urls.add(owner.url)
+
+        async def has_ended() -> bool:
+            return process.popen.poll() is not None
+
+        await cell.wait_until(has_ended)
+        assert process.popen.returncode == 0
+
+    shape = {"zones": ("leeds",), "entries_per_zone": 2}
+    load = asyncio.run(run_load(tmp_path, shut_down, shape=shape, work_ms=100))
+    assert {request.outcome for request in load.sent_requests} == {Outcome.DONE}
+    assert {job.outcome for job in load.sent_jobs} == {Outcome.DONE}
