Wait for the owner's refusal of a request at its deadline

Cause: the instance that forwards a request stopped waiting 5 ms after the deadline that it sent along, but the owner refuses what still waits at its next tick, up to 50 ms later. The caller was told `outcome_unknown` for requests that the owner knew as not run. Ruled out: slow event loops, since it happened in an idle cell.

Change: the forwarding side waits 200 ms longer, within the 250 ms that the deadline filter allows for this.

--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -63,6 +63,9 @@
 )
 # Time kept back from the deadline for the reply's way to the caller.
 REPLY_RESERVE_MS = 5
+# An owner refuses a waiting request at its first tick (50 ms) after the deadline.
+# Its "not run" has to arrive before the deadline filter gives up after 250 ms.
+REFUSAL_GRACE_MS = 200
 
 
 @attrs.define
@@ -225,7 +228,7 @@
                 request
             )
         else:
-            timeout_ms = request.remaining_ms + REPLY_RESERVE_MS
+            timeout_ms = request.remaining_ms + REFUSAL_GRACE_MS
             reply = await self._call(summary.owner, request, timeout_ms)
         return reply
 
