Hand over requests and peers before an entry instance exits

Cause: a shutdown waited for its own callers only. Requests that peers had forwarded were in the middle of their record or on their way when the shard was given up or the connection closed: the first kind was refused after its id was recorded, so that the retry met `duplicate_request`; the second kind became `outcome_unknown`. Ruled out: callers' connections, none of which broke.

Change: before the shards are given up the dispatcher refuses what waits and finishes what it sent; afterwards peers are answered until they know of another owner.

--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -31,6 +31,7 @@
 from marjoramgrade.messages import (
     ConfigConfirmed,
     DispatchSummary,
+    DrainRequests,
     FenceBackend,
     InstancesChanged,
     OwnershipChanged,
@@ -116,6 +117,8 @@
         self._routes = tuple(routes)
         self._slots = SlotPool()
         self._running_by_team: Counter[str] = Counter()
+        self._sending: set[asyncio.Task[None]] = set()
+        self._is_draining = False
         self._backend_by_id: dict[str, Instance] = {}
         self._queue_by_service: dict[str, RequestQueue[_Waiting]] = {}
         self._epoch = 0
@@ -163,7 +166,7 @@
 
     @handles(RunRequest)
     async def _run(self, message: RunRequest) -> Any:
-        if not self._is_owner():
+        if self._is_draining or not self._is_owner():
             raise NotOwnerError(f"{self._instance_id} does not own {self._shard}")
         queue = self._queue_by_service.setdefault(message.service, RequestQueue())
         if len(queue) >= self._max_queued:
@@ -174,6 +177,18 @@
         self._dispatch(message.service)
         return reply
 
+    @handles(DrainRequests)
+    async def _drain(self, message: DrainRequests) -> Any:
+        self._is_draining = True
+        for queue in self._queue_by_service.values():
+            for waiting in queue.pop_if(lambda item: True):
+                _refuse(waiting, NotOwnerError("the shard is being given up"))
+        return self.spawn(self._wait_for_sent())
+
+    async def _wait_for_sent(self) -> None:
+        while self._sending:
+            await asyncio.wait(self._sending)
+
     def _make_grants(self, epoch: int) -> GrantKeeper:
         grants = GrantKeeper(
             f"{self._shard}:requests", epoch, self._store, self._clock, self._metrics
@@ -210,7 +225,9 @@
             backend_id = self._slots.acquire(service)
             assert backend_id is not None
             self._running_by_team[waiting.request.team] += 1
-            self.spawn(self._send(waiting, backend_id))
+            sending = self.spawn(self._send(waiting, backend_id))
+            self._sending.add(sending)
+            sending.add_done_callback(self._sending.discard)
 
     def _may_run(self, team: str) -> bool:
         return self._grants.may_use(team, ONE_SLOT, self._use_of(team))
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -26,7 +26,7 @@
 from marjoramgrade.controllers.journal import JournalController
 from marjoramgrade.controllers.members import MembersController
 from marjoramgrade.controllers.ownership import OwnershipController
-from marjoramgrade.controllers.routes import RoutesController
+from marjoramgrade.controllers.routes import SEND_INTERVAL_MS, RoutesController
 from marjoramgrade.controllers.shard import ShardController
 from marjoramgrade.controllers.watch import WatchController
 from marjoramgrade.decisions.placement import PLACEMENTS
@@ -35,7 +35,7 @@
 from marjoramgrade.decisions.retries import RETRIES
 from marjoramgrade.filters import access, requests, route  # noqa: F401  registers
 from marjoramgrade.filters.chain import FILTERS, Chain, Environment
-from marjoramgrade.messages import Member, ReleaseShards
+from marjoramgrade.messages import DrainRequests, GetSummaries, Member, ReleaseShards
 from marjoramgrade.model import Instance
 from marjoramgrade.settings import EntrySettings
 from marjoramgrade.settingsfile import KnownNames, read_entry_settings
@@ -78,6 +78,8 @@
         self._metrics = metrics.from_config(settings.statsd_host, settings.statsd_port)
         self._state: FrontState | None = None
         self._ownership: OwnershipController | None = None
+        self._routes: RoutesController | None = None
+        self._dispatchers: tuple[Actor, ...] = ()
 
     @classmethod
     def from_config(cls, settings: EntrySettings) -> EntryInstance:
@@ -103,7 +105,22 @@
         until_ms = self._clock.now_ms() + self._settings.shutdown_ms
         while self._state.in_flight and self._clock.now_ms() < until_ms:
             await asyncio.sleep(SHUTDOWN_POLL_MS / 1000)
+        await asyncio.gather(*(d.ask(DrainRequests()) for d in self._dispatchers))
         await self._ownership.ask(ReleaseShards())
+        await self._wait_for_new_owners()
+
+    async def _wait_for_new_owners(self) -> None:
+        """Answer peers until they know that this instance owns nothing.
+
+        A request that arrives on a connection as it closes would have an unknown
+        outcome; until then it is refused as not run.
+        """
+        assert self._routes is not None
+        own_id = self._settings.instance_id
+        while own_id in (await self._routes.ask(GetSummaries())).owners():
+            await asyncio.sleep(SHUTDOWN_POLL_MS / 1000)
+        # Other peers hear of the new owner with its next summary.
+        await asyncio.sleep(SEND_INTERVAL_MS / 1000)
 
     async def _start(self) -> None:
         settings, clock, counters = self._settings, self._clock, self._metrics
@@ -152,6 +169,8 @@
                 routes,
                 lambda: jobs_holder[0],
             )
+        self._routes = routes
+        self._dispatchers = tuple(dispatchers.values())
         by_shard = (*dispatchers.values(), *schedulers.values())
         self._ownership = OwnershipController(
             settings.instance_id,
--- a/marjoramgrade/messages.py
+++ b/marjoramgrade/messages.py
@@ -263,6 +263,15 @@
     until_ms: int
 
 
+@attrs.frozen
+class DrainRequests(Message[None]):
+    """Ends the requests of a shard before it is given up.
+
+    The reply comes when the requests that were sent have ended; those that wait
+    for a slot are refused and did not run.
+    """
+
+
 @attrs.frozen
 class ReleaseShards(Message[None]):
     """Gives up every owned shard so that another instance can take it at once."""
@@ -597,6 +606,11 @@
     tasks: tuple[TaskSummary, ...]
     instances: tuple[InstanceSummary, ...]
 
+    def owners(self) -> set[str]:
+        """Return the instances that are known to own shards."""
+        by_dispatch = {summary.owner for summary in self.dispatch}
+        return by_dispatch | {summary.owner for summary in self.tasks}
+
 
 @attrs.frozen
 class GetSummaries(Message[Summaries]):
--- a/tests/test_faults_backends.py
+++ b/tests/test_faults_backends.py
@@ -1,8 +1,10 @@
 """Failures of backend servers and shutdowns of entry instances."""
 
 import asyncio
+import json
 import pathlib
 import signal
+from collections import Counter
 
 from standins.audit import check_requests
 from standins.cell import Cell
@@ -82,6 +84,36 @@
         assert process.popen.returncode == 0
 
     shape = {"zones": ("leeds",), "entries_per_zone": 2}
-    load = asyncio.run(run_load(tmp_path, shut_down, shape=shape, work_ms=100))
+    size = {"requests": 400, "spread_ms": 4_000, "work_ms": 20}
+    load = asyncio.run(run_load(tmp_path, shut_down, shape=shape, **size))
     assert {request.outcome for request in load.sent_requests} == {Outcome.DONE}
     assert {job.outcome for job in load.sent_jobs} == {Outcome.DONE}
+
+
+def test_requests_that_waited_until_the_deadline(tmp_path: pathlib.Path) -> None:
+    """Guards against an unknown outcome of what the owner knows as not run."""
+
+    async def run() -> None:
+        shape = {"zones": ("leeds",), "entries_per_zone": 2}
+        async with Cell(tmp_path, **shape) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            owner = await cell.owner_of("leeds.0")
+            (other,) = [plan for plan in cell.running_entries() if plan != owner]
+
+            async def send(number: int) -> str:
+                answer = await cell.fetch(
+                    f"{other.url}/v1/run/{cell.service}",
+                    "POST",
+                    body={"work_ms": 3_000},
+                    secret=secret,
+                    headers={"Request-Id": f"r-{number}", "Deadline-Ms": "1000"},
+                )
+                return str(json.loads(answer.body)["error"]["ran"])
+
+            told = Counter(await asyncio.gather(*map(send, range(40))))
+            backends = await cell.counters("backend")
+            ran = sum(len(found["runs"]) for found in backends.values())
+            assert told == {"unknown": ran, "no": 40 - ran}
+
+    asyncio.run(run())
