Measure what an entry instance costs and how it grows

The stand-in cell gives each instance a port of its own: with 100 workers, two of them drew the same port in one of three trial runs and the stand-in workers ended.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that are run by hand, not by the tests."""
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,263 @@
+"""Measures what an entry instance costs, and how that grows with its load.
+
+Run `python -m bench.capacity [--json]`. Each series changes one amount and
+leaves the others alone; a straight line through its readings gives the slope.
+A run takes under three minutes and starts at most ten processes at a time.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from bench.rig import LIMITED_TEAM, LONG_RUN_MS, Reading, Rig
+from marjoramgrade.registry import Registry
+from standins.cell import HOST
+
+ZONE = "leeds"
+FAR_ZONE = "skipton"
+WORKERS = 100
+TASKS_PER_LONG_JOB = 100
+TASKS_PER_SHORT_JOB = 10
+SHORT_RUN_MS = 200
+PEER_ZONES = tuple(f"zone{number}" for number in range(1, 8))
+
+Report = Callable[[list[Reading]], None]
+Series = Callable[[Rig], Awaitable[list[Reading]]]
+OWNER_SERIES: Registry[Series] = Registry("series of an owner")
+# Each series starts from the state that the last one left. Memory that a series
+# used for a moment is reused by later ones, which hides their growth, so the
+# series that keep state come first.
+OWNER_ORDER = (
+    "workers",
+    "teams",
+    "running",
+    "jobs",
+    "starts",
+    "requests",
+    "listed",
+    "limited",
+)
+
+
+@attrs.frozen
+class Slope:
+    """A straight line through the readings of a series."""
+
+    series: str
+    figure: str
+    base: float
+    slope: float
+
+
+def fit(readings: list[Reading]) -> list[Slope]:
+    """Return the least-squares line of every figure of one series."""
+    names = sorted({name for reading in readings for name in reading.figures})
+    amounts = [reading.amount for reading in readings]
+    mean_amount = sum(amounts) / len(amounts)
+    spread = sum((amount - mean_amount) ** 2 for amount in amounts)
+    lines = []
+    for name in names:
+        values = [reading.figures.get(name, 0.0) for reading in readings]
+        mean = sum(values) / len(values)
+        slope = (
+            sum(
+                (amount - mean_amount) * (value - mean)
+                for amount, value in zip(amounts, values, strict=True)
+            )
+            / spread
+        )
+        base = mean - slope * mean_amount
+        lines.append(Slope(readings[0].series, name, base, slope))
+    return lines
+
+
+@OWNER_SERIES.register("workers")
+async def measure_workers(rig: Rig) -> list[Reading]:
+    """Vary the workers of the owner's shard."""
+    readings = []
+    backends = [i for i in rig.cell.instances if i["kind"] == "backend"]
+    workers = [i for i in rig.cell.instances if i["kind"] == "worker"]
+    for count in (0, 50, WORKERS):
+        await rig.list_instances([*backends, *workers[:count]])
+        readings.append(await rig.measure("workers", count))
+    return readings
+
+
+@OWNER_SERIES.register("listed")
+async def measure_listed(rig: Rig) -> list[Reading]:
+    """Vary the instances that the platform lists for other shards."""
+    readings = [rig.repeat_rest("listed")]
+    listed = rig.listed
+    for count in (1_000, 2_000):
+        far = [_make_far_worker(number) for number in range(count)]
+        await rig.list_instances([*listed, *far])
+        readings.append(await rig.measure("listed", count))
+    await rig.list_instances(listed)
+    return readings
+
+
+@OWNER_SERIES.register("teams")
+async def measure_teams(rig: Rig) -> list[Reading]:
+    """Vary the teams, each with a limit and one key."""
+    readings = []
+    declared = 0
+    for count in (5, 30, 61):
+        await rig.declare_teams(declared, count)
+        declared = count
+        readings.append(await rig.measure("teams", count))
+    return readings
+
+
+@OWNER_SERIES.register("starts")
+async def measure_starts(rig: Rig) -> list[Reading]:
+    """Vary the task starts a second; a job has ten tasks."""
+
+    async def submit() -> None:
+        await rig.submit_one(TASKS_PER_SHORT_JOB, SHORT_RUN_MS)
+
+    readings = [rig.repeat_rest("starts")]
+    for rate in (30, 60, 120):
+        per_second = rate / TASKS_PER_SHORT_JOB
+        readings.append(await rig.measure("starts", rate, submit, per_second))
+    return readings
+
+
+@OWNER_SERIES.register("requests")
+async def measure_requests(rig: Rig) -> list[Reading]:
+    """Vary the requests a second that the instance takes and dispatches."""
+    readings = [rig.repeat_rest("requests")]
+    for rate in (50, 100):
+        readings.append(await rig.measure("requests", rate, rig.request_one, rate))
+    return readings
+
+
+@OWNER_SERIES.register("running")
+async def measure_running(rig: Rig) -> list[Reading]:
+    """Vary the long tasks that run in the owner's shard."""
+    readings = []
+    running = 0
+    for count in (0, 1_000, 2_000):
+        jobs = (count - running) // TASKS_PER_LONG_JOB
+        await rig.submit(jobs, TASKS_PER_LONG_JOB, LONG_RUN_MS)
+        running = count
+        await rig.wait_for_running(count)
+        readings.append(await rig.measure("running", count))
+    return readings
+
+
+@OWNER_SERIES.register("jobs")
+async def measure_jobs(rig: Rig) -> list[Reading]:
+    """Vary the jobs that the instance knows; those added have ended."""
+    readings = [rig.repeat_rest("jobs")]
+    known = 0
+    for count in (1_000, 2_000):
+        await rig.submit(count - known, 1, 1)
+        known = count
+        readings.append(await rig.measure("jobs", count))
+    return readings
+
+
+@OWNER_SERIES.register("limited")
+async def measure_limited(rig: Rig) -> list[Reading]:
+    """Count the starts of a team with a limit that has 1,000 tasks waiting."""
+    running = await rig.count_running()
+    rest = rig.repeat_rest("limited")
+    await rig.submit(10, TASKS_PER_LONG_JOB, LONG_RUN_MS, LIMITED_TEAM)
+    started = time.monotonic()
+    reading = await rig.measure("limited", 1, settle_s=0)
+    seconds = time.monotonic() - started
+    started_tasks = await rig.count_running() - running
+    figures = {**reading.figures, "starts_s": started_tasks / seconds}
+    return [rest, attrs.evolve(reading, figures=figures)]
+
+
+async def measure_owner(folder: pathlib.Path, report: Report) -> None:
+    """Run the series that need one entry instance."""
+    rig = await Rig.start(
+        folder, zones=(ZONE,), workers_per_zone=WORKERS, backends_per_zone=2
+    )
+    try:
+        await rig.list_instances([])
+        await rig.start_entry(ZONE)
+        await rig.declare_zones()
+        for name in OWNER_ORDER:
+            report(await OWNER_SERIES.get(name)(rig))
+    finally:
+        rig.stop()
+
+
+async def measure_peers(folder: pathlib.Path, report: Report) -> None:
+    """Vary the other entry instances, one in each zone, each owning a shard."""
+    rig = await Rig.start(
+        folder, zones=PEER_ZONES, workers_per_zone=1, backends_per_zone=1
+    )
+    readings = []
+    try:
+        for number, zone in enumerate(PEER_ZONES):
+            await rig.start_entry(zone)
+            if number == 0:
+                await rig.declare_zones()
+            if number in (1, 3, 6):
+                readings.append(await rig.measure("peers", number))
+    finally:
+        rig.stop()
+    report(readings)
+
+
+def _make_far_worker(number: int) -> dict[str, Any]:
+    return {
+        "instance_id": f"{FAR_ZONE}-worker-{number + 1}",
+        "kind": "worker",
+        "zone": FAR_ZONE,
+        "host": HOST,
+        "port": 9,
+        "capacity": {"cpu_millis": 16_000, "memory_mib": 65_536},
+        "rack": f"{FAR_ZONE}-rack-{number // 8 + 1}",
+    }
+
+
+def _print_series(readings: list[Reading]) -> None:
+    amounts = [f"{reading.amount:>10g}" for reading in readings]
+    print(f"\n{readings[0].series:<34}", *amounts, f"{'slope':>12}")
+    for line in fit(readings):
+        values = [reading.figures.get(line.figure, 0.0) for reading in readings]
+        shown = [f"{value:>10.2f}" for value in values]
+        print(f"  {line.figure:<32}", *shown, f"{line.slope:>12.5f}", flush=True)
+
+
+def _print_json(readings: list[Reading]) -> None:
+    document = {
+        "series": readings[0].series,
+        "readings": [attrs.asdict(reading) for reading in readings],
+        "slopes": [attrs.asdict(line) for line in fit(readings)],
+    }
+    print(json.dumps(document), flush=True)
+
+
+def main() -> None:
+    """Measure everything and print it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--json", action="store_true", help="print a line of JSON for each series"
+    )
+    report = _print_json if parser.parse_args().json else _print_series
+    started = time.monotonic()
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        asyncio.run(measure_owner(folder / "owner", report))
+        asyncio.run(measure_peers(folder / "peers", report))
+    print(f"measured in {time.monotonic() - started:.0f} s", file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -85,6 +85,9 @@
         worker_cpu_millis: Processors of each worker in thousandths.
         worker_memory_mib: Memory of each worker.
         service: Name of the request service.
+        instance_host: IP number of the workers and backend servers. A large cell
+            needs one of its own, because outgoing connections of other processes
+            take ports of the common one.
     """
 
     folder: pathlib.Path
@@ -95,11 +98,13 @@
     worker_cpu_millis: int = 16_000
     worker_memory_mib: int = 65_536
     service: str = "charity-accounts"
+    instance_host: str = HOST
     extra_settings: dict[str, Any] = attrs.field(factory=dict)
     process_by_name: dict[str, Process] = attrs.field(factory=dict)
     entry_by_id: dict[str, EntryPlan] = attrs.field(factory=dict)
     instances: list[dict[str, Any]] = attrs.field(factory=list)
     platform_port: int = 0
+    _instance_ports: set[int] = attrs.field(factory=set)
     _client: AsyncHTTPClient = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -343,11 +348,18 @@
             "instance_id": f"{zone}-{kind}-{number + 1}",
             "kind": kind,
             "zone": zone,
-            "host": HOST,
-            "port": free_port(),
+            "host": self.instance_host,
+            "port": self._plan_instance_port(),
             "capacity": capacity,
         }
 
+    def _plan_instance_port(self) -> int:
+        """Return a free port that no other instance of the cell was given."""
+        while (port := free_port(self.instance_host)) in self._instance_ports:
+            continue
+        self._instance_ports.add(port)
+        return port
+
     def _spawn_standin(self, name: str, kind: str) -> None:
         path = self.folder / f"{name}.json"
         documents = [i for i in self.instances if i["kind"] == kind]
