--- a/standins/processes.py
+++ b/standins/processes.py
@@ -24,6 +24,25 @@
         return int(probe.getsockname()[1])
 
 
+@attrs.define
+class PortPicker:
+    """Picks free ports and never the same one twice.
+
+    Attributes:
+        host: IP number that the ports are free on.
+    """
+
+    host: str = HOST
+    _picked: set[int] = attrs.field(factory=set)
+
+    def pick(self) -> int:
+        """Return a free port."""
+        while (port := free_port(self.host)) in self._picked:
+            continue
+        self._picked.add(port)
+        return port
+
+
 @attrs.define
 class Process:
     """A process that this cell started."""
@@ -78,29 +97,31 @@
 
 
 def iter_workers(
-    zone: str, count: int, capacity: dict[str, int]
+    zone: str, count: int, capacity: dict[str, int], ports: PortPicker
 ) -> Iterator[dict[str, Any]]:
     """Yield the entries of a zone's workers on the platform's list."""
     for number in range(count):
-        plan = _plan_instance(zone, "worker", number, capacity)
+        plan = _plan_instance(zone, "worker", number, capacity, ports)
         yield {**plan, "rack": f"{zone}-rack-{number // 8 + 1}"}
 
 
-def iter_backends(zone: str, count: int, service: str) -> Iterator[dict[str, Any]]:
+def iter_backends(
+    zone: str, count: int, service: str, ports: PortPicker
+) -> Iterator[dict[str, Any]]:
     """Yield the entries of a zone's backend servers on the platform's list."""
     for number in range(count):
-        plan = _plan_instance(zone, "backend", number, {"slots": 8})
+        plan = _plan_instance(zone, "backend", number, {"slots": 8}, ports)
         yield {**plan, "service": service}
 
 
 def _plan_instance(
-    zone: str, kind: str, number: int, capacity: dict[str, int]
+    zone: str, kind: str, number: int, capacity: dict[str, int], ports: PortPicker
 ) -> dict[str, Any]:
     return {
         "instance_id": f"{zone}-{kind}-{number + 1}",
         "kind": kind,
         "zone": zone,
-        "host": HOST,
-        "port": free_port(),
+        "host": ports.host,
+        "port": ports.pick(),
         "capacity": capacity,
     }
