--- a/tests/test_scheduler_machine.py
+++ b/tests/test_scheduler_machine.py
@@ -29,6 +29,7 @@
         self.placed: dict[TaskId, tuple[str, Resources]] = {}
         self.dropped: set[TaskId] = set()
         self.gang_by_job: dict[str, set[int]] = {}
+        self.told_to_stop: set[TaskId] = set()
 
     @initialize()
     def fill_the_shard(self) -> None:
@@ -101,6 +102,7 @@
         for decision in self.scheduler.step(self.now_ms, budget):
             if isinstance(decision, StopTask):
                 assert self.placed[decision.task][0] == decision.worker_id
+                self.told_to_stop.add(decision.task)
                 continue
             assert isinstance(decision, StartTask)
             assert decision.task in self.owed
@@ -116,7 +118,19 @@
     def end_task(self, choice: int, ending: Ending) -> None:
         if not self.placed or ending is Ending.LOST:
             return
-        task = sorted(self.placed)[choice % len(self.placed)]
+        self.end(sorted(self.placed)[choice % len(self.placed)], ending)
+
+    @rule(ends=st.integers(0, 6))
+    def let_claims_start(self, ends: int) -> None:
+        """Let work wait long enough to claim room, and free some of it."""
+        self.step(12_000, 9)
+        for task in sorted(self.told_to_stop):
+            self.end(task, Ending.STOPPED)
+        for task in sorted(self.placed)[:ends]:
+            self.end(task, Ending.DONE)
+        self.step(0, 9)
+
+    def end(self, task: TaskId, ending: Ending) -> None:
         failed = self.scheduler.task_ended(task, ending, self.now_ms)
         is_final = ending is Ending.DONE or task in self.dropped
         self.leave(task, is_final)
@@ -136,6 +150,7 @@
 
     def leave(self, task: TaskId, is_final: bool) -> None:
         del self.placed[task]
+        self.told_to_stop.discard(task)
         if is_final:
             self.owed.discard(task)
             self.dropped.discard(task)
@@ -162,6 +177,6 @@
 
 
 SchedulerMachine.TestCase.settings = settings(
-    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+    max_examples=200, stateful_step_count=30, deadline=None, derandomize=True
 )
 TestSchedulerMachine = SchedulerMachine.TestCase
