Start nothing of a blocked team in room kept for it

Cause: a team that was blocked, or had reached its limit, after its work had claimed room could still start that work, and a claim at the limit kept room idle. A task found running on a worker while it claimed room here could start a second time. Change: such claims are dropped and their work goes back to the queue. The memory of running tasks is measured from the empty queue, as it was negative before. Result: two new tests, which fail without the change.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -224,12 +224,17 @@
         for _ in range(1_000):
             load.submit()
 
+    def run_tasks() -> None:
+        queue_tasks()
+        load.step(2_000)
+
     figures = {
         "kib_per_1000_workers": kib_of(add_workers),
         "kib_per_1000_teams": kib_of(add_teams),
         "kib_per_1000_queued": kib_of(queue_tasks),
-        "kib_per_1000_started": kib_of(lambda: load.step(1_000)),
     }
+    load.step(2_000)
+    figures["kib_per_1000_running"] = kib_of(run_tasks)
     tracemalloc.stop()
     return figures
 
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -91,6 +91,7 @@
             if worker_ids is None:
                 continue
             if not self.state.may_start(claim.entry.team, claim.entry.total):
+                self.state.drop_claim(claim, self.now_ms, AT_LIMIT)
                 continue
             self.state.claims.remove(claim)
             self._start(claim.entry, worker_ids)
--- a/marjoramgrade/decisions/scheduler.py
+++ b/marjoramgrade/decisions/scheduler.py
@@ -114,6 +114,8 @@
         """Start nothing more of a team; an empty reason ends this."""
         for queue in self._state.queues:
             queue.set_blocked(team, reason)
+        if reason:
+            self._state.drop_claims_of(team, reason)
 
     def submit(self, entry: QueuedTask, now_ms: int) -> None:
         """Queue a task or a gang.
@@ -214,6 +216,9 @@
         if self._state.running.find(running.task) is not None:
             raise DuplicateTaskError(f"{running.task} runs already")
         self.pool.reserve(running.worker_id, running.resources)
+        claim = self._state.claims.find(running.task)
+        if claim is not None:
+            self._state.drop_claim(claim, claim.entry.not_before_ms, "")
         entry = self._state.find_queued(running.task)
         if entry is not None:
             self._state.queue_of(entry).cancel(running.task)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -113,6 +113,21 @@
     assert scheduler.running_count == 1
 
 
+def test_a_reported_task_that_claims_room_is_not_started_again() -> None:
+    """Guards against two copies of a task that waits for room when it is found."""
+    scheduler = scheduler_of(node("w-0", cores=1))
+    scheduler.submit(queued("a"), 0)
+    scheduler.step(0, 10)
+    entry = queued("urgent", team="b", urgent=True)
+    scheduler.submit(entry, 0)
+    scheduler.step(1_000, 10)
+    scheduler.worker_added(node("w-1", cores=1))
+    scheduler.adopt(RunningTask.from_queued(entry, entry.task, "w-1", 900))
+    scheduler.task_ended(TaskId("a", 0), Ending.DONE, 1_100)
+    assert scheduler.step(1_100, 10) == []
+    assert scheduler.queued_count == 0
+
+
 def test_teams_get_room_by_their_weights() -> None:
     """Guards against shares that ignore the configured weights."""
     scheduler = scheduler_of(node("w-0", cores=8))
@@ -168,3 +183,21 @@
         reason = scheduler.reason_of(TaskId("small", 99))
         assert reason == "waiting: team is above its share, others go first"
     raise AssertionError("the large task did not start")
+
+
+def test_a_blocked_team_starts_nothing_in_room_that_was_kept_for_it() -> None:
+    """Guards against a start above a limit through a claim made before."""
+    scheduler = scheduler_of(node("w-0", cores=1))
+    scheduler.submit(queued("a", team="a"), 0)
+    scheduler.step(0, 10)
+    scheduler.submit(queued("urgent", team="b", urgent=True), 0)
+    scheduler.submit(queued("c", team="c", at_ms=1), 1)
+    assert stopped(scheduler.step(1_000, 10)) == {"a/0": "checkpoint"}
+    scheduler.set_blocked_team("b")
+    scheduler.task_ended(TaskId("a", 0), Ending.DONE, 1_100)
+    assert started(scheduler.step(1_100, 10)) == {"c/0": "w-0"}
+    waiting = scheduler.reason_of(TaskId("urgent", 0))
+    assert waiting == "waiting: team at its upper limit"
+    scheduler.set_blocked_team("b", "")
+    scheduler.task_ended(TaskId("c", 0), Ending.DONE, 1_200)
+    assert started(scheduler.step(1_200, 10)) == {"urgent/0": "w-0"}
