--- a/standins/load.py
+++ b/standins/load.py
@@ -98,6 +98,7 @@
         run_ms: Run time of a task.
         disturbed_urls: Entry instances that may leave a caller without answer,
             because the test kills, freezes or cuts them.
+        workers: Counters of the workers after the run.
     """
 
     cell: Cell
@@ -113,6 +114,7 @@
     disturbed_urls: set[str] = attrs.field(factory=set)
     sent_requests: list[SentRequest] = attrs.field(factory=list)
     sent_jobs: list[SentJob] = attrs.field(factory=list)
+    workers: dict[str, dict[str, Any]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Send everything and return when each request and job is classified."""
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -44,6 +44,7 @@
         load = Load(cell, TEAM, secrets[TEAM], **size)
         _, ended_workers = await asyncio.gather(load.run(), disturb(cell, load))
         await load.wait_for_jobs()
+        load.workers = await cell.counters("worker")
         print(load.tally(), count_codes([*load.sent_requests, *load.sent_jobs]))
         violations = await audit(load, ended_workers)
         if violations:
--- a/tests/test_faults_workers.py
+++ b/tests/test_faults_workers.py
@@ -84,3 +84,22 @@
             assert check_workers(await cell.counters("worker")) == []
 
     asyncio.run(run())
+
+
+def test_a_worker_that_fails_everything(tmp_path: pathlib.Path) -> None:
+    """Guards against a broken worker that attracts work because it is never full."""
+
+    async def fail(cell: Cell, load: Load) -> None:
+        await cell.control("leeds-worker-1", fail_all=True)
+
+    shape = {"zones": ("leeds",), "entries_per_zone": 2}
+    # While every job is new, a failure may be the job's fault: a few batches of 16
+    # tasks go by. The bound of 1 % needs enough starts to show the time after.
+    size = {"requests": 100, "jobs": 50, "tasks_per_job": 100, "run_ms": 50}
+    load = asyncio.run(run_load(tmp_path, fail, shape=shape, **size))
+    _assert_jobs_done(load)
+    starts = sum(len(found["intervals"]) for found in load.workers.values())
+    broken = load.workers["leeds-worker-1"]["intervals"]
+    tenth_failure = sorted(end for _, _, end in broken)[9]
+    later = [start for _, start, _ in broken if start > tenth_failure]
+    assert len(later) < starts / 100
