--- a/standins/cell.py
+++ b/standins/cell.py
@@ -131,7 +131,7 @@
     async def publish_instances(self, *dropped: str) -> None:
         """Give the platform the list of instances, without some that have ended."""
         self.instances = [i for i in self.instances if i["instance_id"] not in dropped]
-        await self.control_platform(instances=self.instances)
+        await self.list_instances()
 
     def plan_entry(self, zone: str, name: str) -> EntryPlan:
         """Return a free place for an entry instance."""
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -74,6 +74,7 @@
     intervals: list[list[Any]] = attrs.field(factory=list)
     overcommitted: int = 0
     refused: Counter[str] = attrs.field(factory=Counter)
+    hellos: int = 0
     seen_alive: float = attrs.field(factory=time.time)
 
     def start(self, document: dict[str, Any], epoch: int) -> str:
@@ -205,6 +206,7 @@
             self.worker.refused["stale_epoch"] += 1
             self.close(4009, "stale epoch")
             return
+        self.worker.hellos += 1
         previous, self.worker.session = self.worker.session, self
         if previous is not None and previous is not self:
             previous.close(4001, "replaced")
@@ -246,6 +248,7 @@
                 "running": sorted(self.worker.running_by_task),
                 "overcommitted": self.worker.overcommitted,
                 "refused": self.worker.refused,
+                "hellos": self.worker.hellos,
             }
         )
 
--- a/tests/test_faults_platform.py
+++ b/tests/test_faults_platform.py
@@ -50,8 +50,7 @@
         killed = await cell.owner_of("leeds.0")
         load.disturbed_urls.add(killed.url)
         await cell.control_platform(down=True)
-        cell.process_by_name[killed.instance_id].end()
-        cell.start_entry(cell.plan_entry("leeds", "leeds-entry-2"))
+        await cell.replace_entry(killed.instance_id, "leeds-entry-2")
         await asyncio.sleep(4.0)
         await cell.control_platform(down=False)
 
--- a/tests/test_faults_workers.py
+++ b/tests/test_faults_workers.py
@@ -33,7 +33,9 @@
             await cell.cut()
             await asyncio.sleep(0.6)
 
-    _assert_jobs_done(asyncio.run(run_load(tmp_path, cut, shape=ONE_ZONE, **TASKS)))
+    load = asyncio.run(run_load(tmp_path, cut, shape=ONE_ZONE, **TASKS))
+    _assert_jobs_done(load)
+    assert load.workers["leeds-worker-1"]["hellos"] > 1
 
 
 def test_workers_that_are_killed_frozen_and_cut(tmp_path: pathlib.Path) -> None:
