--- a/tests/test_faults_backends.py
+++ b/tests/test_faults_backends.py
@@ -6,7 +6,7 @@
 import signal
 from collections import Counter
 
-from standins.audit import check_requests
+from standins.audit import check_requests, check_slots
 from standins.cell import Cell
 from standins.load import Load, Outcome
 from standins.scenario import TEAM, run_load
@@ -23,12 +23,17 @@
         async with Cell(tmp_path, own_process=(KILLED,)) as cell:
             secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
             await cell.wait_for_shards()
-            size = {"requests": 200, "jobs": 0, "spread_ms": 2_000, "work_ms": 200}
+            size = {"requests": 200, "jobs": 0, "spread_ms": 2_000, "work_ms": 300}
             load = Load(cell, TEAM, secret, **size)
             running = asyncio.create_task(load.run())
 
+            seen: set[str] = set()
+
             async def is_busy() -> bool:
-                return bool((await cell.control(KILLED))["active"])
+                """Return whether a non-idempotent request has just started."""
+                fresh = set((await cell.control(KILLED))["runs"]) - seen
+                seen.update(fresh)
+                return any(int(name.rpartition("-")[2]) % 2 for name in fresh)
 
             await cell.wait_until(is_busy)
             last = await cell.control(KILLED)
@@ -115,5 +120,6 @@
             backends = await cell.counters("backend")
             ran = sum(len(found["runs"]) for found in backends.values())
             assert told == {"unknown": ran, "no": 40 - ran}
+            assert check_slots(backends) == []
 
     asyncio.run(run())
--- a/tests/test_faults_platform.py
+++ b/tests/test_faults_platform.py
@@ -38,7 +38,7 @@
         await cell.control_platform(lose_answers=0)
 
     load = asyncio.run(run_load(tmp_path, lose_answers, jobs=50))
-    assert_work_went_on(load)
+    assert {request.outcome for request in load.sent_requests} == {Outcome.DONE}
     assert {job.outcome for job in load.sent_jobs} == {Outcome.DONE}
 
 
--- a/tests/test_faults_workers.py
+++ b/tests/test_faults_workers.py
@@ -105,3 +105,34 @@
     tenth_failure = sorted(end for _, _, end in broken)[9]
     later = [start for _, start, _ in broken if start > tenth_failure]
     assert len(later) < starts / 100
+
+
+def test_an_owner_killed_while_a_worker_is_cut(tmp_path: pathlib.Path) -> None:
+    """Guards against a new owner that starts again what a silent worker runs."""
+
+    async def run() -> None:
+        async with Cell(tmp_path, **{**ONE_ZONE, "workers_per_zone": 2}) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            spec = {"team": TEAM, "kind": "service", "tasks": 4}
+            spec["resources"] = {"cpu_millis": 4_000}
+            await cell.submit("watch", spec, secret)
+
+            async def has_all_running() -> bool:
+                workers = await cell.counters("worker")
+                return sum(len(found["running"]) for found in workers.values()) == 4
+
+            async def has_stopped() -> bool:
+                return not (await cell.control(cut))["running"]
+
+            await cell.wait_until(has_all_running)
+            workers = await cell.counters("worker")
+            cut = next(name for name, found in workers.items() if found["running"])
+            await cell.cut(("", cut, "drop"))
+            owner = await cell.owner_of("leeds.0")
+            cell.process_by_name[owner.instance_id].end()
+            await cell.wait_until(has_stopped)
+            await cell.wait_until(has_all_running)
+            assert check_workers(await cell.counters("worker")) == []
+
+    asyncio.run(run())
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -43,9 +43,9 @@
         await asyncio.sleep(LEASE_LAPSED_S)
         process.send(signal.SIGCONT)
 
-    assert_work_went_on(
-        asyncio.run(run_load(tmp_path, freeze, shape=ONE_ZONE, spread_ms=8_000))
-    )
+    # Tasks still wait when the owner freezes, so that it could start them on waking.
+    size = {"spread_ms": 8_000, "run_ms": 1_000}
+    assert_work_went_on(asyncio.run(run_load(tmp_path, freeze, shape=ONE_ZONE, **size)))
 
 
 def test_load_while_an_owner_is_cut_from_the_platform(tmp_path: pathlib.Path) -> None:
