--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decision code against the targets of the design page."""
+"""Measurements against the targets of the design page."""
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -11,6 +11,7 @@
 from marjoramgrade.decisions.queues import TaskQueue
 from marjoramgrade.decisions.running import Stopping
 from marjoramgrade.decisions.shard_state import (
+    ABOVE_SHARE,
     AT_LIMIT,
     FREEING_ROOM,
     KEEPING_ROOM,
@@ -25,8 +26,14 @@
 # checkpoint, and the rest for the stop that follows and for the ticks between.
 URGENT_WAIT_MS = 1_000
 CHECKPOINT_MS = 4_000
+# A task that needs much room may keep it after this time even if its team is at its
+# share, because small tasks would take the room piece by piece.
+TASK_WAIT_MS = 5_000
 # Reserved room is idle until it suffices, so only a part of the workers has any.
-WORKERS_PER_CLAIM = 4
+WORKERS_PER_CLAIM = 8
+# A team this far above its share, as a part of the shard, starts nothing while room
+# is kept for a team below its share. Less would leave room idle for single tasks.
+SHARE_SLACK = 0.01
 # A plan looks at many workers, so a round in a full shard makes only a few.
 PLANS_PER_ROUND = 4
 PREEMPTED = "preempted for urgent work"
@@ -49,12 +56,18 @@
     # Room only shrinks within a round, so what needs as much does not fit either.
     _misfits: list[Resources] = attrs.field(factory=list)
     _plans_left: int = PLANS_PER_ROUND
+    _waiting_teams: tuple[str, ...] = ()
+    # Mean level of the waiting teams, or None after a start has changed it.
+    _mean_level: float | None = None
 
     def run(self) -> list[Decision]:
         """Return the decisions of this round, stops first."""
         for queue in self.state.queues:
             queue.begin_round(self.now_ms)
         self._escalate_checkpoints()
+        waiting = [team for queue in self.state.queues for team in queue.iter_teams()]
+        waiting += [claim.entry.team for claim in self.state.claims.reservations()]
+        self._waiting_teams = tuple(dict.fromkeys(waiting))
         # Urgent work comes first, so that nothing started here is stopped here.
         for priority in sorted(Priority, reverse=True):
             self._start_claims(priority)
@@ -97,6 +110,9 @@
             if not self.state.may_start(entry.team, entry.total):
                 queue.park(entry, AT_LIMIT)
                 continue
+            if not entry.is_urgent and self._must_give_way(entry.team):
+                queue.block(entry, ABOVE_SHARE)
+                continue
             worker_ids = self._place_new(entry)
             if worker_ids is not None:
                 queue.take(entry)
@@ -109,6 +125,18 @@
             else:
                 queue.park(entry, NO_ROOM)
 
+    def _must_give_way(self, team: str) -> bool:
+        """Return whether room that becomes free is for teams below their share."""
+        if not self.state.claims.reserved_count():
+            return False
+        return self._excess_of(team) > SHARE_SLACK
+
+    def _excess_of(self, team: str) -> float:
+        """Return how far a team is above the mean level of the waiting teams."""
+        if self._mean_level is None:
+            self._mean_level = self.state.shares.mean_level(self._waiting_teams)
+        return self.state.shares.excess_of(team, self._mean_level)
+
     def _place_new(self, entry: QueuedTask) -> list[str] | None:
         if any(misfit.fits(entry.resources) for misfit in self._misfits):
             return None
@@ -140,13 +168,14 @@
         avoid = self.state.health.avoided(self.now_ms)
         for claim in self.state.claims.reservations():
             for worker_id in claim.worker_ids:
-                room = self.state.pool.urgent_room_of(worker_id)
+                room = self.state.pool.yielded_room_of(worker_id)
                 if worker_id not in avoid and entry.resources.fits(room):
                     self.state.drop_reservations_on(worker_id, self.now_ms)
                     return [worker_id]
         return None
 
     def _start(self, entry: QueuedTask, worker_ids: list[str]) -> None:
+        self._mean_level = None
         self._starts.extend(self.state.start(entry, worker_ids, self.now_ms))
 
     def _claim_for(self, entry: QueuedTask) -> Claim | None:
@@ -170,11 +199,11 @@
             return waited_ms >= GANG_WAIT_MS and not claims.has_reserved_gang()
         if entry.is_urgent:
             return False
-        return (
-            claims.reserved_count() < max(1, len(self.state.pool) // WORKERS_PER_CLAIM)
-            and not claims.reserved_of(entry.team)
-            and self.state.shares.is_below_mean(entry.team)
-        )
+        if claims.reserved_count() >= max(1, len(self.state.pool) // WORKERS_PER_CLAIM):
+            return False
+        if claims.reserved_of(entry.team):
+            return False
+        return self._excess_of(entry.team) < 0 or waited_ms >= TASK_WAIT_MS
 
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
         self._plans_left -= 1
@@ -188,6 +217,9 @@
         )
         if worker_ids is None:
             return None
+        if entry.gang_size > 1:
+            for worker_id in dict.fromkeys(worker_ids):
+                self.state.drop_reservations_on(worker_id, self.now_ms)
         return Claim(entry, tuple(worker_ids), KEEPING_ROOM)
 
     def _preempt_for(self, entry: QueuedTask) -> Claim | None:
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -19,6 +19,7 @@
 from standins.processes import (
     HOST,
     EntryPlan,
+    PortPicker,
     Process,
     free_port,
     iter_backends,
@@ -47,6 +48,9 @@
             through the relay, so that `cut` can break them.
         own_process: Ids of workers and backend servers that run in a process of
             their own, so that a test can kill or freeze them.
+        instance_host: IP number of the workers and backend servers. A large cell
+            needs one of its own, because outgoing connections of other processes
+            take ports of the common one.
     """
 
     folder: pathlib.Path
@@ -59,6 +63,7 @@
     service: str = "charity-accounts"
     is_relayed: bool = False
     own_process: tuple[str, ...] = ()
+    instance_host: str = HOST
     extra_settings: dict[str, Any] = attrs.field(factory=dict)
     process_by_name: dict[str, Process] = attrs.field(factory=dict)
     entry_by_id: dict[str, EntryPlan] = attrs.field(factory=dict)
@@ -354,12 +359,13 @@
             "cpu_millis": self.worker_cpu_millis,
             "memory_mib": self.worker_memory_mib,
         }
+        ports = PortPicker(self.instance_host)
         return [
             plan
             for zone in self.zones
             for plan in (
-                *iter_workers(zone, self.workers_per_zone, capacity),
-                *iter_backends(zone, self.backends_per_zone, self.service),
+                *iter_workers(zone, self.workers_per_zone, capacity, ports),
+                *iter_backends(zone, self.backends_per_zone, self.service, ports),
             )
         ]
 
