--- a/tests/test_faults_workers.py
+++ b/tests/test_faults_workers.py
@@ -33,7 +33,9 @@
             await cell.cut()
             await asyncio.sleep(0.6)
 
-    _assert_jobs_done(asyncio.run(run_load(tmp_path, cut, shape=ONE_ZONE, **TASKS)))
+    load = asyncio.run(run_load(tmp_path, cut, shape=ONE_ZONE, **TASKS))
+    _assert_jobs_done(load)
+    assert load.workers["leeds-worker-1"]["hellos"] > 1
 
 
 def test_workers_that_are_killed_frozen_and_cut(tmp_path: pathlib.Path) -> None:
@@ -84,3 +86,53 @@
             assert check_workers(await cell.counters("worker")) == []
 
     asyncio.run(run())
+
+
+def test_a_worker_that_fails_everything(tmp_path: pathlib.Path) -> None:
+    """Guards against a broken worker that attracts work because it is never full."""
+
+    async def fail(cell: Cell, load: Load) -> None:
+        await cell.control("leeds-worker-1", fail_all=True)
+
+    shape = {"zones": ("leeds",), "entries_per_zone": 2}
+    # While every job is new, a failure may be the job's fault: a few batches of 16
+    # tasks go by. The bound of 1 % needs enough starts to show the time after.
+    size = {"requests": 100, "jobs": 50, "tasks_per_job": 100, "run_ms": 50}
+    load = asyncio.run(run_load(tmp_path, fail, shape=shape, **size))
+    _assert_jobs_done(load)
+    starts = sum(len(found["intervals"]) for found in load.workers.values())
+    broken = load.workers["leeds-worker-1"]["intervals"]
+    tenth_failure = sorted(end for _, _, end in broken)[9]
+    later = [start for _, start, _ in broken if start > tenth_failure]
+    assert len(later) < starts / 100
+
+
+def test_an_owner_killed_while_a_worker_is_cut(tmp_path: pathlib.Path) -> None:
+    """Guards against a new owner that starts again what a silent worker runs."""
+
+    async def run() -> None:
+        async with Cell(tmp_path, **{**ONE_ZONE, "workers_per_zone": 2}) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            spec = {"team": TEAM, "kind": "service", "tasks": 4}
+            spec["resources"] = {"cpu_millis": 4_000}
+            await cell.submit("watch", spec, secret)
+
+            async def has_all_running() -> bool:
+                workers = await cell.counters("worker")
+                return sum(len(found["running"]) for found in workers.values()) == 4
+
+            async def has_stopped() -> bool:
+                return not (await cell.control(cut))["running"]
+
+            await cell.wait_until(has_all_running)
+            workers = await cell.counters("worker")
+            cut = next(name for name, found in workers.items() if found["running"])
+            await cell.cut(("", cut, "drop"))
+            owner = await cell.owner_of("leeds.0")
+            cell.process_by_name[owner.instance_id].end()
+            await cell.wait_until(has_stopped)
+            await cell.wait_until(has_all_running)
+            assert check_workers(await cell.counters("worker")) == []
+
+    asyncio.run(run())
