Ask for grant in growing steps while a team waits

Cause: a refusal was remembered as the need of one task, so one transaction each 200 ms gave a team one more task in a shard, however many waited. Change: a team that is refused at each refresh asks for twice as much as before, up to 64 times one refusal; what is not used returns after 2 s as before. The new test of the steps fails on the former code.

--- a/marjoramgrade/controllers/grantkeeper.py
+++ b/marjoramgrade/controllers/grantkeeper.py
@@ -30,15 +30,34 @@
 WANT_INTERVAL_MS = 200
 # Unused grant returns to the pool after this time, where other shards find it.
 IDLE_MS = 2_000
+# A team that is refused at each refresh asks for twice as much as before, up to
+# this many times one refusal. Asking for one task a transaction starts 5 tasks/s;
+# what is taken too much returns after IDLE_MS.
+MAX_STEP = 64
 
 
 @attrs.define
 class _Demand:
-    """What a team lacked, and since when it has had more than it used."""
+    """What a team lacked, and since when it has had more than it used.
+
+    Attributes:
+        wanted: The largest amount that was refused since the last refresh.
+        step: How many such amounts the next refresh asks for.
+        idle_since_ms: Since when the team has had more than it used.
+    """
 
     wanted: Resources = NOTHING
+    step: int = 1
     idle_since_ms: int | None = None
 
+    def take_wanted(self) -> Resources:
+        """Return what to ask for now; the next refusal asks for more."""
+        asked = self.wanted.scaled(self.step, 1)
+        is_refused = self.wanted != NOTHING
+        self.step = min(2 * self.step, MAX_STEP) if is_refused else 1
+        self.wanted = NOTHING
+        return asked
+
 
 class GrantKeeper:
     """The grants of one holder under one epoch.
@@ -158,7 +177,7 @@
         name = team.name
         row = self._book.row(name)
         demand = self._demand_by_team.setdefault(name, _Demand())
-        wanted, demand.wanted = demand.wanted, NOTHING
+        wanted = demand.take_wanted()
         if row is None:
             return GrantsRow(name, team.limit) if team.limit != NOTHING else None
         if self._book.is_pending(name):
--- a/tests/test_grantkeeper.py
+++ b/tests/test_grantkeeper.py
@@ -32,12 +32,18 @@
 class Holder:
     """One holder that uses as much as it may."""
 
-    def __init__(self, name: str, table: MemoryTable, epoch: int = 1) -> None:
+    def __init__(
+        self,
+        name: str,
+        table: MemoryTable,
+        epoch: int = 1,
+        limit: Resources = LIMIT,
+    ) -> None:
         self.clock = ManualClock()
         self.keeper = GrantKeeper(
             name, epoch, Store(table), self.clock, MemoryMetrics()
         )
-        self.keeper.set_config(Config(1, {"acme": Team("acme", limit=LIMIT)}))
+        self.keeper.set_config(Config(1, {"acme": Team("acme", limit=limit)}))
         self.in_use = NOTHING
 
     def start_up_to(self, count: int) -> None:
@@ -67,6 +73,39 @@
     assert first.in_use + second.in_use == LIMIT
 
 
+def test_a_long_queue_gets_grant_in_growing_steps() -> None:
+    """Guards against a team that starts one task for each table transaction."""
+
+    async def run() -> int:
+        limit = Resources(cpu_millis=1_000)
+        holder = Holder("a.0", MemoryTable(), limit=limit)
+        for _ in range(12):
+            holder.start_up_to(1_000)
+            await holder.refresh()
+        return holder.in_use.cpu_millis
+
+    assert asyncio.run(run()) >= 250
+
+
+def test_grant_that_was_taken_too_much_returns() -> None:
+    """Guards against growing steps that keep grant from other shards."""
+
+    async def run() -> Resources:
+        table = MemoryTable()
+        first, second = Holder("a.0", table), Holder("b.0", table)
+        for _ in range(12):
+            first.start_up_to(6 - first.in_use.cpu_millis)
+            await first.refresh()
+        for _ in range(12):
+            await first.refresh()
+            second.start_up_to(10)
+            await second.refresh()
+        assert first.in_use == Resources(cpu_millis=6)
+        return second.in_use
+
+    assert asyncio.run(run()) == Resources(cpu_millis=4)
+
+
 def test_unused_grant_moves_to_the_holder_that_needs_it() -> None:
     """Guards against grant that stays where no work is left."""
 
