--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that are run by hand, not by the tests."""
+"""Measurements against the targets of the design page."""
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,7 +22,7 @@
 
 from bench.rig import LIMITED_TEAM, LONG_RUN_MS, Reading, Rig
 from marjoramgrade.registry import Registry
-from standins.cell import HOST
+from standins.processes import HOST
 
 ZONE = "leeds"
 FAR_ZONE = "skipton"
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -15,7 +15,8 @@
 
 from bench.probes import Connection, bytes_by_kind, connections, memory, processor_ms
 from bench.relay import Relay
-from standins.cell import HOST, Cell
+from standins.cell import Cell
+from standins.processes import HOST
 
 SETTLE_S = 2.0
 WINDOW_S = 4.0
--- a/marjoramgrade/decisions/gangs.py
+++ b/marjoramgrade/decisions/gangs.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import islice
 
-from marjoramgrade.decisions.free_index import size_of
 from marjoramgrade.decisions.placement import NOBODY, Placement
 from marjoramgrade.decisions.workers import WorkerPool
 from marjoramgrade.resources import Resources
@@ -13,6 +13,9 @@
 # once. After this time room is kept for it as it becomes free.
 GANG_WAIT_MS = 10_000
 
+# Bounds the cost of a reservation for one task in a large shard.
+RESERVATION_CANDIDATES = 32
+
 
 def place_gang(
     pool: WorkerPool,
@@ -73,8 +76,9 @@
 ) -> list[str] | None:
     """Choose workers on which room is kept for a gang until it is free.
 
-    Workers that have most available come first, because they need the fewest
-    running tasks to end. What services use is not expected to become free.
+    Workers that lack least for a member come first, because they need the fewest
+    running tasks to end. What services use is not expected to become free. For a
+    single task only the workers with the most room are compared.
 
     Args:
         pool: The workers of the shard.
@@ -89,11 +93,20 @@
     """
     chosen: list[str] = []
     racks: set[str] = set()
-    workers = sorted(pool.iter_open(), key=lambda pair: -size_of(pair[1]))
+    compared = RESERVATION_CANDIDATES if count == 1 else len(pool)
+    workers = sorted(
+        islice(pool.iter_roomiest(), compared),
+        key=lambda pair: (
+            (resources - pair[1]).dominant_share(pair[0].capacity),
+            pair[0].worker_id,
+        ),
+    )
     for node, _ in workers:
         if node.worker_id in avoid or (spread_racks and node.rack in racks):
             continue
-        held = pool.free_of(node.worker_id) - pool.available_of(node.worker_id)
+        # The holds of single tasks give way to a gang.
+        kept = pool.yielded_room_of if count > 1 else pool.available_of
+        held = pool.free_of(node.worker_id) - kept(node.worker_id)
         room = node.capacity - services_on(node.worker_id) - held
         fitting = members_that_fit(resources, room)
         if spread_racks and fitting:
--- a/marjoramgrade/decisions/rounds.py
+++ b/marjoramgrade/decisions/rounds.py
@@ -11,6 +11,7 @@
 from marjoramgrade.decisions.queues import TaskQueue
 from marjoramgrade.decisions.running import Stopping
 from marjoramgrade.decisions.shard_state import (
+    ABOVE_SHARE,
     AT_LIMIT,
     FREEING_ROOM,
     KEEPING_ROOM,
@@ -19,11 +20,22 @@
 )
 from marjoramgrade.decisions.tasks import QueuedTask, RunningTask
 from marjoramgrade.model import Priority
+from marjoramgrade.resources import Resources
 
 # The bound for urgent work is 6.1 s: 1 s to find room by itself, 4 s for a
 # checkpoint, and the rest for the stop that follows and for the ticks between.
 URGENT_WAIT_MS = 1_000
 CHECKPOINT_MS = 4_000
+# A task that needs much room may keep it after this time even if its team is at its
+# share, because small tasks would take the room piece by piece.
+TASK_WAIT_MS = 5_000
+# Reserved room is idle until it suffices, so only a part of the workers has any.
+WORKERS_PER_CLAIM = 8
+# A team this far above its share, as a part of the shard, starts nothing while room
+# is kept for a team below its share. Less would leave room idle for single tasks.
+SHARE_SLACK = 0.01
+# A plan looks at many workers, so a round in a full shard makes only a few.
+PLANS_PER_ROUND = 4
 PREEMPTED = "preempted for urgent work"
 
 
@@ -41,14 +53,24 @@
     now_ms: int
     budget: int
     _starts: list[StartTask] = attrs.field(factory=list)
+    # Room only shrinks within a round, so what needs as much does not fit either.
+    _misfits: list[Resources] = attrs.field(factory=list)
+    _plans_left: int = PLANS_PER_ROUND
+    _waiting_teams: tuple[str, ...] = ()
+    # Mean level of the waiting teams, or None after a start has changed it.
+    _mean_level: float | None = None
 
     def run(self) -> list[Decision]:
         """Return the decisions of this round, stops first."""
         for queue in self.state.queues:
             queue.begin_round(self.now_ms)
         self._escalate_checkpoints()
-        self._start_claims()
+        waiting = [team for queue in self.state.queues for team in queue.iter_teams()]
+        waiting += [claim.entry.team for claim in self.state.claims.reservations()]
+        self._waiting_teams = tuple(dict.fromkeys(waiting))
+        # Urgent work comes first, so that nothing started here is stopped here.
         for priority in sorted(Priority, reverse=True):
+            self._start_claims(priority)
             for queue in self.state.queues:
                 self._start_queued(queue, priority)
         return [*self.state.take_stops(), *self._starts]
@@ -61,14 +83,24 @@
             if self.state.running.find(running.task) is running:
                 self.state.tell_stop(running, StopMode.STOP, PREEMPTED)
 
-    def _start_claims(self) -> None:
+    def _start_claims(self, priority: Priority) -> None:
         for claim in self.state.claims:
-            if not claim.is_ready(self.state.pool):
+            if claim.entry.priority is not priority:
+                continue
+            worker_ids = self._room_for_claim(claim)
+            if worker_ids is None:
                 continue
             if not self.state.may_start(claim.entry.team, claim.entry.total):
                 continue
             self.state.claims.remove(claim)
-            self._start(claim.entry, list(claim.worker_ids))
+            self._start(claim.entry, worker_ids)
+
+    def _room_for_claim(self, claim: Claim) -> list[str] | None:
+        """Return where the work of a claim can start now, or None."""
+        if claim.is_ready(self.state.pool):
+            return list(claim.worker_ids)
+        # Room may appear elsewhere while a checkpoint is written.
+        return self._place(claim.entry) if claim.entry.is_urgent else None
 
     def _start_queued(self, queue: TaskQueue, priority: Priority) -> None:
         while len(self._starts) < self.budget:
@@ -78,7 +110,10 @@
             if not self.state.may_start(entry.team, entry.total):
                 queue.park(entry, AT_LIMIT)
                 continue
-            worker_ids = self._place(entry)
+            if not entry.is_urgent and self._must_give_way(entry.team):
+                queue.block(entry, ABOVE_SHARE)
+                continue
+            worker_ids = self._place_new(entry)
             if worker_ids is not None:
                 queue.take(entry)
                 self._start(entry, worker_ids)
@@ -90,6 +125,26 @@
             else:
                 queue.park(entry, NO_ROOM)
 
+    def _must_give_way(self, team: str) -> bool:
+        """Return whether room that becomes free is for teams below their share."""
+        if not self.state.claims.reserved_count():
+            return False
+        return self._excess_of(team) > SHARE_SLACK
+
+    def _excess_of(self, team: str) -> float:
+        """Return how far a team is above the mean level of the waiting teams."""
+        if self._mean_level is None:
+            self._mean_level = self.state.shares.mean_level(self._waiting_teams)
+        return self.state.shares.excess_of(team, self._mean_level)
+
+    def _place_new(self, entry: QueuedTask) -> list[str] | None:
+        if any(misfit.fits(entry.resources) for misfit in self._misfits):
+            return None
+        worker_ids = self._place(entry)
+        if worker_ids is None and entry.gang_size == 1 and not entry.is_urgent:
+            self._misfits.append(entry.resources)
+        return worker_ids
+
     def _place(self, entry: QueuedTask) -> list[str] | None:
         placement = self.state.policy_by_kind[entry.kind].placement
         avoid = self.state.health.avoided(self.now_ms)
@@ -104,9 +159,23 @@
                 avoid,
             )
         worker_id = placement.choose(pool, entry.resources, avoid)
-        return None if worker_id is None else [worker_id]
+        if worker_id is not None:
+            return [worker_id]
+        return self._place_over_reservations(entry) if entry.is_urgent else None
+
+    def _place_over_reservations(self, entry: QueuedTask) -> list[str] | None:
+        """Return a worker with room for an urgent task if a reservation ends."""
+        avoid = self.state.health.avoided(self.now_ms)
+        for claim in self.state.claims.reservations():
+            for worker_id in claim.worker_ids:
+                room = self.state.pool.yielded_room_of(worker_id)
+                if worker_id not in avoid and entry.resources.fits(room):
+                    self.state.drop_reservations_on(worker_id, self.now_ms)
+                    return [worker_id]
+        return None
 
     def _start(self, entry: QueuedTask, worker_ids: list[str]) -> None:
+        self._mean_level = None
         self._starts.extend(self.state.start(entry, worker_ids, self.now_ms))
 
     def _claim_for(self, entry: QueuedTask) -> Claim | None:
@@ -116,14 +185,28 @@
             claim = self._preempt_for(entry)
             if claim is not None:
                 return claim
-        # One reservation at a time: two gangs must not each keep half of the shard.
-        if entry.gang_size == 1 or waited_ms < GANG_WAIT_MS:
-            return None
-        if self.state.claims.has_reservation():
+        if not self._may_reserve(entry, waited_ms):
             return None
         return self._reserve_for(entry)
 
+    def _may_reserve(self, entry: QueuedTask, waited_ms: int) -> bool:
+        """Return whether room may be kept for an entry as it becomes free."""
+        if not self._plans_left:
+            return False
+        claims = self.state.claims
+        if entry.gang_size > 1:
+            # Two gangs must not each keep half of what the other needs.
+            return waited_ms >= GANG_WAIT_MS and not claims.has_reserved_gang()
+        if entry.is_urgent:
+            return False
+        if claims.reserved_count() >= max(1, len(self.state.pool) // WORKERS_PER_CLAIM):
+            return False
+        if claims.reserved_of(entry.team):
+            return False
+        return self._excess_of(entry.team) < 0 or waited_ms >= TASK_WAIT_MS
+
     def _reserve_for(self, entry: QueuedTask) -> Claim | None:
+        self._plans_left -= 1
         worker_ids = plan_reservation(
             self.state.pool,
             entry.resources,
@@ -134,6 +217,9 @@
         )
         if worker_ids is None:
             return None
+        if entry.gang_size > 1:
+            for worker_id in dict.fromkeys(worker_ids):
+                self.state.drop_reservations_on(worker_id, self.now_ms)
         return Claim(entry, tuple(worker_ids), KEEPING_ROOM)
 
     def _preempt_for(self, entry: QueuedTask) -> Claim | None:
@@ -162,6 +248,8 @@
             return None
         for victim in victims:
             self._checkpoint(victim)
+        for worker_id in worker_ids:
+            state.drop_reservations_on(worker_id, self.now_ms)
         return Claim(entry, tuple(worker_ids), FREEING_ROOM)
 
     def _room_for_member(
