Send stops while nothing may start, and list the tasks of ended jobs

Cause: stops were taken from the scheduler only by the round that decides starts, which does not run while the zone is out, the configuration is stale or a takeover is under way. Tasks of a zone that was taken out therefore never stopped, so their jobs never moved; cancelled tasks ran on likewise. Besides, the owner drops a job that has ended, so its task list was empty, and a task whose end was not written yet was listed as queued without a reason.

Change: every tick takes the stops that are due. An ended job is listed from its row, and an outcome that is not durable yet is shown as such.

--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -194,6 +194,9 @@
     async def _find_tasks(self, job_id: str) -> tuple[TaskStatus, ...]:
         known = self._job_by_id.get(job_id)
         stored = known if known is not None else await self._read(job_id)
+        if stored.job.state is not JobState.OPEN:
+            # The owner of the shard keeps only open jobs.
+            return TaskStatus.from_ended(stored.job)
         return await self._routes.ask(GetTasks(stored.job.shard, job_id))
 
     async def _read(self, job_id: str) -> StoredJob:
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -263,6 +263,7 @@
                         is_reconciled=state.reconciliation.is_complete(now_ms),
                     )
                 )
+            state.stop_tasks()
             self._send_batches(state)
             self._write_outcomes(state)
             if now_ms >= next_summary_ms:
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -198,7 +198,10 @@
 
     def _status_of(self, task: TaskId, outcome: str) -> TaskStatus:
         if outcome != Outcome.OPEN.value:
-            return TaskStatus(task, Outcome(outcome).name.lower(), "ended")
+            return TaskStatus.from_outcome(task, Outcome(outcome), "ended")
+        noted = self.outcomes.outcome_of(task)
+        if noted is not None:
+            return TaskStatus.from_outcome(task, noted, "ended: not recorded yet")
         reason = self.scheduler.reason_of(task)
         worker_id = self._worker_of(task)
         state = "running" if worker_id else "queued"
@@ -363,6 +366,11 @@
             else:
                 outbox.stops.append(decision.task)
 
+    def stop_tasks(self) -> None:
+        """Send the stops that are due; a stop needs no authority to start."""
+        for stop in self.scheduler.take_stops():
+            self._outbox(stop.worker_id).stops.append(stop.task)
+
     def task_ended(self, worker_id: str, end: TaskEnd, now_ms: int) -> None:
         """Take note of an end that a worker reports, perhaps again."""
         stored = self.job_by_id.get(end.task.job_id)
--- a/marjoramgrade/decisions/outcomes.py
+++ b/marjoramgrade/decisions/outcomes.py
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         self._waiting_by_job: dict[str, JobOutcomes] = {}
         self._writing: set[str] = set()
-        self._final: set[TaskId] = set()
+        self._final_by_task: dict[TaskId, Outcome] = {}
 
     def note(self, task: TaskId, outcome: Outcome, worker_id: str = "") -> bool:
         """Note the final outcome of a task.
@@ -50,15 +50,19 @@
         waiting = self._waiting_by_job.setdefault(task.job_id, JobOutcomes())
         if worker_id:
             waiting.worker_by_task[task] = worker_id
-        if task in self._final:
+        if task in self._final_by_task:
             return False
-        self._final.add(task)
+        self._final_by_task[task] = outcome
         waiting.outcome_by_index[task.index] = outcome
         return True
 
     def is_final(self, task: TaskId) -> bool:
         """Return whether an outcome of the task is noted and not yet forgotten."""
-        return task in self._final
+        return task in self._final_by_task
+
+    def outcome_of(self, task: TaskId) -> Outcome | None:
+        """Return the outcome that is noted and not yet forgotten, or None."""
+        return self._final_by_task.get(task)
 
     def jobs_to_write(self) -> list[str]:
         """Return the jobs with outcomes that no write carries yet."""
@@ -87,4 +91,4 @@
     def forget_job(self, job: Job) -> None:
         """Drop what is kept about a job that has ended or moved away."""
         for index in range(job.spec.tasks):
-            self._final.discard(TaskId(job.job_id, index))
+            self._final_by_task.pop(TaskId(job.job_id, index), None)
--- a/marjoramgrade/decisions/scheduler.py
+++ b/marjoramgrade/decisions/scheduler.py
@@ -266,6 +266,10 @@
         """
         return Round(self._state, now_ms, budget).run()
 
+    def take_stops(self) -> list[StopTask]:
+        """Return the stops that are due, also while nothing may start."""
+        return self._state.take_stops()
+
     def reason_of(self, task: TaskId) -> str:
         """Return, for operators, why a task is where it is; empty if unknown."""
         state = self._state
--- a/marjoramgrade/messages.py
+++ b/marjoramgrade/messages.py
@@ -10,7 +10,7 @@
 from marjoramgrade.actor import Message
 from marjoramgrade.decisions.ownership import ShardRow
 from marjoramgrade.decisions.promises import PromiseReply, PromiseRequest
-from marjoramgrade.model import Config, Instance, Job, JobSpec, Key, TaskId
+from marjoramgrade.model import Config, Instance, Job, JobSpec, Key, Outcome, TaskId
 from marjoramgrade.resources import NOTHING, Resources
 
 # Configuration
@@ -352,6 +352,19 @@
     reason: str
     worker_id: str = ""
 
+    @classmethod
+    def from_outcome(cls, task: TaskId, outcome: Outcome, reason: str) -> TaskStatus:
+        """Return the state of a task that has ended."""
+        return cls(task, outcome.name.lower(), reason)
+
+    @classmethod
+    def from_ended(cls, job: Job) -> tuple[TaskStatus, ...]:
+        """Return the states of all tasks of a job that has ended."""
+        return tuple(
+            cls.from_outcome(TaskId(job.job_id, index), Outcome(outcome), "ended")
+            for index, outcome in enumerate(job.outcomes)
+        )
+
 
 @attrs.frozen
 class GetTasks(Message[tuple[TaskStatus, ...]]):
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,44 @@
+import asyncio
+
+from marjoramgrade.actor import Actor, ActorGroup
+from marjoramgrade.controllers.jobs import JobsController
+from marjoramgrade.decisions.outcomes import OutcomeBook
+from marjoramgrade.messages import GetTasks, TaskStatus, WriteJob
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.model import Job, JobSpec, Kind, Outcome, TaskId
+from marjoramgrade.store import Store
+from marjoramgrade.table import ABSENT, MemoryTable
+
+SPEC = JobSpec("acme", Kind.BATCH, tasks=2)
+ENDED = Job("pack", SPEC, "leeds.0", outcomes="df", reason="failed")
+
+
+def test_the_tasks_of_an_ended_job_are_still_listed() -> None:
+    """Guards against an empty list once the owner has dropped the job."""
+
+    async def run() -> tuple[TaskStatus, ...]:
+        store = Store(MemoryTable())
+        await store.commit_records([WriteJob(ENDED, ABSENT)], [])
+        other = Actor()
+        controller = JobsController(
+            store, other, lambda _: "", other, other, MemoryMetrics(), ()
+        )
+        async with ActorGroup() as actors:
+            await actors.add(controller)
+            tasks = controller.ask(GetTasks("", "pack"))
+            return await asyncio.wait_for(tasks, 5.0)
+
+    assert [(task.state, task.reason) for task in asyncio.run(run())] == [
+        ("done", "ended"),
+        ("failed", "ended"),
+    ]
+
+
+def test_an_outcome_is_known_before_it_is_durable() -> None:
+    """Guards against an ended task that is listed as queued without a reason."""
+    book, task = OutcomeBook(), TaskId("pack", 0)
+    book.note(task, Outcome.DONE)
+    book.take("pack")
+    assert book.outcome_of(task) is Outcome.DONE
+    book.forget_job(ENDED)
+    assert book.outcome_of(task) is None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -74,6 +74,16 @@
     assert scheduler.queued_count == scheduler.running_count == 0
 
 
+def test_stops_are_due_while_nothing_may_start() -> None:
+    """Guards against tasks that run on in a zone that was taken out."""
+    scheduler = scheduler_of(node("w"))
+    scheduler.submit(queued("j"), 0)
+    scheduler.step(0, 10)
+    scheduler.stop(TaskId("j", 0), "zone taken out", is_requeued=True)
+    assert stopped(list(scheduler.take_stops())) == {"j/0": "stop"}
+    assert scheduler.take_stops() == []
+
+
 def test_a_task_that_ended_before_its_stop_was_sent_is_not_stopped() -> None:
     """Guards against a stop that reaches a later run of the same task."""
     scheduler = scheduler_of(node("w-0"))
