Double a team's grant while its tasks wait

Cause: a shard asked for the amount of one waiting task at each refresh, so a team far below its limit started at most five tasks a second in a shard.

Change: a refused start asks for at least as much as is in use, so the grant doubles with each refresh until it covers the demand. Unused grant returns after 2 s as before.

--- a/marjoramgrade/controllers/grantkeeper.py
+++ b/marjoramgrade/controllers/grantkeeper.py
@@ -82,7 +82,12 @@
         if amount.fits(self._book.headroom(team)):
             return True
         demand = self._demand_by_team.setdefault(team, _Demand())
-        demand.wanted = combine(max, demand.wanted, amount)
+        # One task at a time would allow one start for each refresh. Asking for as
+        # much as is in use doubles the grant until it covers the demand.
+        growth = combine(
+            lambda need, use: max(need, use) if need else 0, amount, in_use
+        )
+        demand.wanted = combine(max, demand.wanted, growth)
         return False
 
     def excess(self, team: str, in_use: Resources) -> Resources:
--- a/tests/test_grantkeeper.py
+++ b/tests/test_grantkeeper.py
@@ -87,6 +87,20 @@
     assert asyncio.run(run()) == LIMIT
 
 
+def test_grant_grows_faster_than_by_one_task_a_refresh() -> None:
+    """Guards against a team below its limit that starts one task a refresh."""
+
+    async def run() -> Resources:
+        holder = Holder("a.0", MemoryTable())
+        for _ in range(7):
+            holder.start_up_to(10)
+            await holder.refresh()
+        holder.start_up_to(10)
+        return holder.in_use
+
+    assert asyncio.run(run()) == LIMIT
+
+
 def test_a_holder_goes_on_after_a_transaction_that_was_lost() -> None:
     """Guards against a pending write that blocks a team for ever."""
 
