--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	@echo "make test: all checks passed"
 
 demo: setup
-	$(BIN)/python scripts/demo.py
+	$(BIN)/python -m scripts.demo
 
 measure: setup
 	$(BIN)/python -m bench.measure
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that people start by hand."""
