Answer a deletion with the version of the configuration

Cause: the ETag of a deletion was the version of the deleted resource, which is zero. The command withdraw-key and the client wait for that version, so they said at once that a withdrawn key is refused everywhere.

Change: a deletion answers the version of the configuration that holds it, as the client documents.

Measured: the new test fails without the change.

--- a/marjoramgrade/adapters/httpresources.py
+++ b/marjoramgrade/adapters/httpresources.py
@@ -271,8 +271,12 @@
     def show_changed(call: HttpCall, config: Config) -> HttpAnswer:
         name = call.arguments[0]
         found = kind.find(config).get(name)
-        document = kind.serialize(found) if found is not None else {"name": name}
-        version = resource_version(config, kind.kind, name)
+        if found is None:
+            # The version to wait for until the deletion is in force everywhere.
+            document, version = {"name": name}, config.version
+        else:
+            document = kind.serialize(found)
+            version = resource_version(config, kind.kind, name)
         return _json({**document, "version": config.version}, version=version)
 
     def parse_get(call: HttpCall) -> messages.GetConfig:
