--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
 
 import marjoramgrade
 from marjoramgrade import cli, errors
+from marjoramgrade.adapters.httperrors import status_of
 from marjoramgrade.commands.session import ExitCode, exit_code_of
 from marjoramgrade.settings import EntrySettings, Policies
 
@@ -95,3 +96,21 @@
 def test_the_glossary_holds_the_words_of_the_product() -> None:
     """Guards against pages whose words newcomers cannot look up."""
     assert set(WORDS.split(", ")) <= set(first_cells("glossary.md"))
+
+
+def test_every_error_code_is_listed_with_its_status_and_whether_it_ran() -> None:
+    """Guards against a client that is built from a page that is wrong."""
+    load_all_modules()
+    page = (DOCS / "protocols.md").read_text()
+    listed = {
+        (int(status), code, ran or "no")
+        for status, cells in re.findall(r"^\| (\d{3}) \| (.*) \|$", page, re.M)
+        for code, ran in re.findall(r"`(\w+)`(?: \((\w+)\))?", cells)
+    }
+    known = {
+        (status_of(kind.__new__(kind)), kind.code, kind.ran.value)
+        for kind in errors.iter_error_types()
+        if kind.__module__.startswith("marjoramgrade.")
+        and kind.code not in ("server_unreachable", "watch_reset")
+    }
+    assert listed == known
