Make an owner's job writes fail after the next takeover

Cause, found by the specification: an owner that is paused past its lease can have an end on its way to the table while the new owner reads the rows, so the new owner starts the task again after its recorded end. A takeover now writes an epoch row in the same transaction, and every job write of an owner checks the version of that row. Ruled out: checking the ownership row, which changes with every renewal.

From the same review: an instance makes no promise before it has read the table, and one that finds its id registered keeps the promises of its earlier life; a stand-in worker checks its lease before it takes a grant.

--- a/marjoramgrade/controllers/authority.py
+++ b/marjoramgrade/controllers/authority.py
@@ -9,8 +9,10 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
 from marjoramgrade.decisions.newcomers import may_change_config, may_take_shard
+from marjoramgrade.decisions.ownership import DRIFT_MARGIN_MS
 from marjoramgrade.decisions.promises import (
     PROMISE_INTERVAL_MS,
+    PROMISE_MS,
     PromiseBook,
     PromiseReply,
     ReceivedPromises,
@@ -28,6 +30,7 @@
     EndWrite,
     MayTakeShard,
     Member,
+    MemberReplaced,
     MembersChanged,
     OwnershipAttested,
     ShardDropped,
@@ -55,6 +58,7 @@
         self._clock = clock
         self._metrics = metrics
         self._book = PromiseBook(own.instance_id, own.zone)
+        self._book.given.has_read_table = False
         self._member_by_id: dict[str, Member] = {}
         self._acknowledged_by: set[str] = set()
         self._held_shards: set[str] = set()
@@ -87,6 +91,7 @@
     @handles(TableContact)
     async def _table_contact(self, message: TableContact) -> None:
         given = self._book.given
+        given.has_read_table |= message.is_reached
         if given.is_table_reached == message.is_reached:
             return
         given.is_table_reached = message.is_reached
@@ -94,6 +99,12 @@
         if not message.is_reached:
             self._round_due.set()
 
+    @handles(MemberReplaced)
+    async def _member_replaced(self, message: MemberReplaced) -> None:
+        """Keep the promises that an earlier life of this instance may have made."""
+        until_ms = self._clock.now_ms() + PROMISE_MS + DRIFT_MARGIN_MS
+        self._book.given.until_ms = max(self._book.given.until_ms, until_ms)
+
     @handles(ShardHeld)
     async def _shard_held(self, message: ShardHeld) -> None:
         self._held_shards.add(message.shard)
--- a/marjoramgrade/controllers/jobwriter.py
+++ b/marjoramgrade/controllers/jobwriter.py
@@ -58,7 +58,9 @@
         try:
             written = stored
             if merged != stored.job:
-                written = await self._journal.ask(WriteJob(merged, stored.version))
+                written = await self._journal.ask(
+                    WriteJob(merged, stored.version, state.fence)
+                )
         except CheckFailedError:
             state.outcomes.failed(job_id, outcomes)
             await self._reload(job_id)
@@ -83,7 +85,9 @@
             moved = attrs.evolve(
                 stored.job, shard=shard, reason=f"moved from {self._shard}: zone out"
             )
-            written = await self._write_move(WriteJob(moved, stored.version))
+            written = await self._write_move(
+                WriteJob(moved, stored.version, state.fence)
+            )
         except CheckFailedError:
             await self._reload_moved(state, job_id)
             return
--- a/marjoramgrade/controllers/journal.py
+++ b/marjoramgrade/controllers/journal.py
@@ -14,7 +14,13 @@
     MarjoramgradeError,
 )
 from marjoramgrade.messages import RecordRequest, StoredJob, WriteJob
-from marjoramgrade.store import JOBS_PREFIX, RequestRecord, Store, failed_keys
+from marjoramgrade.store import (
+    JOBS_PREFIX,
+    RequestRecord,
+    Store,
+    failed_keys,
+    fence_key,
+)
 
 # The first record of a transaction waits this long for others.
 COLLECT_MS = 20
@@ -34,6 +40,13 @@
             return JOBS_PREFIX + self.record.job.job_id
         return self.record.key
 
+    def has_failed(self, failed: frozenset[str]) -> bool:
+        """Return whether a check of this record is among the failed ones."""
+        if self.key in failed:
+            return True
+        fence = self.record.fence if isinstance(self.record, WriteJob) else None
+        return fence is not None and fence_key(fence) in failed
+
     def succeed(self, version: int) -> None:
         if self.done.done():
             return
@@ -142,7 +155,7 @@
     """Refuse the records whose checks failed and return the others."""
     remaining = []
     for pending in batch:
-        if pending.key not in failed and failed:
+        if failed and not pending.has_failed(failed):
             remaining.append(pending)
         elif isinstance(pending.record, RequestRecord):
             pending.fail(
--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -21,6 +21,7 @@
     EndWrite,
     InstancesChanged,
     Member,
+    MemberReplaced,
     MembersChanged,
     PeerCall,
     PeerTell,
@@ -109,7 +110,8 @@
         while True:
             try:
                 if not self._is_registered:
-                    await self._store.write_member(self._own)
+                    if await self._store.write_member(self._own):
+                        self._authority.tell(MemberReplaced())
                     self._is_registered = True
                 await self._apply(await self._store.read_members())
                 await self._remove_ended()
--- a/marjoramgrade/controllers/ownership.py
+++ b/marjoramgrade/controllers/ownership.py
@@ -49,6 +49,7 @@
     version: int = 0
     watch: TakeoverWatch = attrs.field(factory=TakeoverWatch)
     lease: HeldLease | None = None
+    fence_version: int = 0
     unsettled_writes: list[str] = attrs.field(factory=list)
 
 
@@ -152,7 +153,7 @@
         asked_ms = self._clock.now_ms()
         row = state.row.taken_by(self._instance_id, self._guardians)
         try:
-            state.version = await self._store.write_shard(row, state.version)
+            state.version = await self._store.take_shard(row, state.version)
         except CheckFailedError:
             self._metrics.retried("takeover_lost_race")
             self._settle_writes(state)
@@ -163,6 +164,7 @@
         self._settle_writes(state)
         self._authority.tell(ShardHeld(row.shard, row.guardians, is_proposed=False))
         state.row = row
+        state.fence_version = state.version
         state.lease = HeldLease(row.epoch)
         state.lease.confirm(asked_ms)
         state_change("shard_taken", shard=row.shard, epoch=row.epoch)
@@ -227,6 +229,7 @@
                 self._metrics.retried("release_table_error")
 
     def _publish(self, shard: str, lease: HeldLease) -> None:
-        message = OwnershipChanged(shard, lease.epoch, lease.until_ms)
+        fence_version = self._state_by_shard[shard].fence_version
+        message = OwnershipChanged(shard, lease.epoch, lease.until_ms, fence_version)
         for subscriber in self._subscribers:
             subscriber.tell(message)
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -21,6 +21,7 @@
     InstancesChanged,
     JobsChanged,
     OwnershipChanged,
+    ShardFence,
     StoredJob,
     TaskStatus,
     TaskSummary,
@@ -105,6 +106,7 @@
         self._writer = JobWriter(shard, store, journal, routes, jobs, metrics)
         self._epoch = 0
         self._until_ms = 0
+        self._fence = ShardFence(shard, 0)
         self._config = Config()
         self._fresh_until_ms = 0
         self._worker_by_id: dict[str, Instance] = {}
@@ -131,6 +133,7 @@
             self.spawn(self._close_links())
         elif message.epoch != self._epoch:
             self._epoch = message.epoch
+            self._fence = ShardFence(self._shard, message.fence_version)
             self._state = None
             self.spawn(self._load(message.epoch))
 
@@ -156,7 +159,7 @@
         if message.epoch != self._epoch or not self._is_owner():
             return
         self._state = ShardTasks.from_rows(
-            self._shard,
+            self._fence,
             self._policies_by_kind,
             GrantKeeper(
                 self._shard, message.epoch, self._store, self._clock, self._metrics
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -19,6 +19,7 @@
 from marjoramgrade.decisions.workers import WorkerNode
 from marjoramgrade.errors import MarjoramgradeError
 from marjoramgrade.messages import (
+    ShardFence,
     StoredJob,
     TaskEnd,
     TaskRun,
@@ -74,6 +75,7 @@
 
     Attributes:
         shard: Name of the shard.
+        fence: Makes writes to the table fail after the next takeover.
         scheduler: Decides what starts and stops.
         grants: What each team may use here under its upper limit.
         reconciliation: Which workers of the previous owner are accounted for.
@@ -84,6 +86,7 @@
     """
 
     shard: str
+    fence: ShardFence
     scheduler: Scheduler
     grants: GrantKeeper
     reconciliation: Reconciliation
@@ -100,7 +103,7 @@
     @classmethod
     def from_rows(
         cls,
-        shard: str,
+        fence: ShardFence,
         policies_by_kind: Mapping[Kind, Policies],
         grants: GrantKeeper,
         roster: StoredRoster,
@@ -120,7 +123,8 @@
             for kind, policies in policies_by_kind.items()
         }
         tasks = cls(
-            shard,
+            fence.shard,
+            fence,
             scheduler,
             grants,
             reconciliation,
--- a/marjoramgrade/decisions/promises.py
+++ b/marjoramgrade/decisions/promises.py
@@ -26,6 +26,7 @@
     TABLE_REACHED = "table_reached"
     WRITE_IN_FLIGHT = "write_in_flight"
     UNLISTED_MEMBER = "unlisted_member"
+    NOT_READ = "not_read"
 
 
 @attrs.frozen
@@ -75,11 +76,14 @@
     Attributes:
         is_admitted: Whether this instance may itself change the configuration.
         is_table_reached: Whether the last access to the table was answered.
+        has_read_table: Whether this process has read the configuration; before
+            that it may be older than one that an earlier life of it accepted.
         until_ms: End of the last promise given.
     """
 
     is_admitted: bool = False
     is_table_reached: bool = True
+    has_read_table: bool = True
     until_ms: int = 0
     _writes_in_flight: set[str] = attrs.field(factory=set)
     _zone_by_newcomer: dict[str, str] = attrs.field(factory=dict)
@@ -101,6 +105,8 @@
         refusal = None
         if self.is_table_reached:
             refusal = Refusal.TABLE_REACHED
+        elif not self.has_read_table:
+            refusal = Refusal.NOT_READ
         elif self._writes_in_flight:
             refusal = Refusal.WRITE_IN_FLIGHT
         elif not self.newcomers(request.scope) <= request.members:
--- a/marjoramgrade/messages.py
+++ b/marjoramgrade/messages.py
@@ -207,6 +207,11 @@
     row: ShardRow
 
 
+@attrs.frozen
+class MemberReplaced(Message[None]):
+    """An earlier life of this instance was registered under the same id."""
+
+
 @attrs.frozen
 class ShardHeld(Message[None]):
     """Tells whose promises can extend the ownership of a shard.
@@ -256,11 +261,13 @@
         shard: Name of the shard.
         epoch: Epoch under which it is owned.
         until_ms: End of the authority on this instance's clock; zero if lost.
+        fence_version: Version of the shard's epoch row at the takeover.
     """
 
     shard: str
     epoch: int
     until_ms: int
+    fence_version: int = 0
 
 
 @attrs.frozen
@@ -331,6 +338,19 @@
     job_id: str
 
 
+@attrs.frozen
+class ShardFence:
+    """Lets a write take effect only until the next takeover of a shard.
+
+    Attributes:
+        shard: Name of the shard.
+        version: Version of the shard's epoch row at the writer's takeover.
+    """
+
+    shard: str
+    version: int
+
+
 @attrs.frozen
 class WriteJob(Message[StoredJob]):
     """Asks the journal to write a job row.
@@ -338,10 +358,12 @@
     Attributes:
         job: The new content.
         expected_version: Version that the row must have; zero for a new row.
+        fence: The shard that the writer must still own, if it writes as owner.
     """
 
     job: Job
     expected_version: int
+    fence: ShardFence | None = None
 
 
 @attrs.frozen
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -21,12 +21,13 @@
     InvalidInputError,
     ProtocolError,
 )
-from marjoramgrade.messages import Member, StoredJob, WriteJob
+from marjoramgrade.messages import Member, ShardFence, StoredJob, WriteJob
 from marjoramgrade.model import Config
 from marjoramgrade.resources import Resources
 from marjoramgrade.table import ABSENT, Row, Table, Transaction, Value
 
 CONFIG_KEY = "config"
+EPOCHS_PREFIX = "epochs/"
 GRANTS_PREFIX = "grants/"
 JOBS_PREFIX = "jobs/"
 MEMBERS_PREFIX = "members/"
@@ -147,16 +148,28 @@
 
     async def write_shard(self, row: ShardRow, expected_version: int) -> int:
         """Write an ownership row and return its new version."""
-        document = {
-            "owner": row.owner,
-            "epoch": row.epoch,
-            "renewal": row.renewal,
-            "guardians": list(row.guardians),
-        }
         return await self._commit_row(
-            SHARDS_PREFIX + row.shard, document, expected_version
+            SHARDS_PREFIX + row.shard, _serialize_shard(row), expected_version
         )
 
+    async def take_shard(self, row: ShardRow, expected_version: int) -> int:
+        """Write an ownership row and the shard's epoch row in one transaction.
+
+        Only takeovers write the epoch row, so a transaction that checks it
+        fails once the shard has another owner.
+
+        Returns:
+            The new version of both rows.
+        """
+        key, epoch_key = SHARDS_PREFIX + row.shard, EPOCHS_PREFIX + row.shard
+        epoch_row = await self._table.read(epoch_key)
+        epoch_version = ABSENT if epoch_row is None else epoch_row.version
+        transaction = Transaction(
+            {key: expected_version, epoch_key: epoch_version},
+            {key: _serialize_shard(row), epoch_key: {"epoch": row.epoch}},
+        )
+        return await self._table.commit_resolved(transaction)
+
     async def read_roster(self, shard: str) -> StoredRoster:
         """Return the workers that may run tasks of a shard."""
         row = await self._table.read(ROSTERS_PREFIX + shard)
@@ -173,8 +186,12 @@
             ROSTERS_PREFIX + shard, document, expected_version
         )
 
-    async def write_member(self, member: Member) -> None:
-        """Register an entry instance."""
+    async def write_member(self, member: Member) -> bool:
+        """Register an entry instance.
+
+        Returns:
+            Whether its id was registered before.
+        """
         document = attrs.asdict(
             member, filter=lambda field, _: field.name != "row_version"
         )
@@ -182,6 +199,7 @@
         row = await self._table.read(key)
         version = ABSENT if row is None else row.version
         await self._commit_row(key, document, version)
+        return row is not None
 
     async def delete_member(self, instance_id: str) -> None:
         """Remove an entry instance from the register."""
@@ -251,6 +269,8 @@
         for write in jobs:
             key = JOBS_PREFIX + write.job.job_id
             checks[key] = write.expected_version
+            if write.fence is not None:
+                checks[fence_key(write.fence)] = write.fence.version
             writes[key] = serialize_job(write.job)
         for record in requests:
             checks[record.key] = ABSENT
@@ -264,6 +284,20 @@
         return await self._table.commit_resolved(transaction)
 
 
+def _serialize_shard(row: ShardRow) -> Value:
+    return {
+        "owner": row.owner,
+        "epoch": row.epoch,
+        "renewal": row.renewal,
+        "guardians": list(row.guardians),
+    }
+
+
+def fence_key(fence: ShardFence) -> str:
+    """Return the key of the row that a fence checks."""
+    return EPOCHS_PREFIX + fence.shard
+
+
 def failed_keys(
     error: CheckFailedError,
     jobs: Sequence[WriteJob],
@@ -273,6 +307,8 @@
     expected = {
         JOBS_PREFIX + write.job.job_id: write.expected_version for write in jobs
     }
+    fences = [write.fence for write in jobs if write.fence is not None]
+    expected.update({fence_key(fence): fence.version for fence in fences})
     expected.update({record.key: ABSENT for record in requests})
     return frozenset(
         key
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -186,6 +186,8 @@
         elif not self.worker.fence.admit(body["epoch"]):
             self.worker.refused["stale_epoch"] += 1
         elif body["type"] == "grant":
+            # A grant must not revive tasks whose lease has lapsed before it came.
+            self.worker.check_lease()
             self.worker.lease.granted(body["seq"], body["lease_ms"])
         elif body["type"] == "start":
             self._start(body)
