Read the configuration row only after the known version

Cause: every entry instance read the whole configuration row once a second, 23 KB with 61 teams, though it changes about once a minute. Change: Store asks for the row after the version that it knows. A table that answers from an older state than that is read whole, so that its older version still shows and confirms nothing.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import pathlib
 import time
@@ -111,16 +110,16 @@
         for number in range(first, after):
             name = f"team-{number}"
             team = {"share": 1} if name == TEAM else {"share": 1, "limit": limit}
-            await self._put(f"{url}/v1/teams/{name}", team)
-            key = await self._put(f"{url}/v1/keys/{name}-key", {"team": name})
+            await self.cell.put(f"{url}/v1/teams/{name}", team)
+            key = await self.cell.put(f"{url}/v1/keys/{name}-key", {"team": name})
             self.secret_by_team[name] = key["secret"]
 
     async def declare_zones(self) -> None:
         """Declare every zone and the request service."""
         url = self._url()
         for zone in self.cell.zones:
-            await self._put(f"{url}/v1/zones/{zone}", {"state": "in"})
-        await self._put(f"{url}/v1/services/{self.cell.service}", {})
+            await self.cell.put(f"{url}/v1/zones/{zone}", {"state": "in"})
+        await self.cell.put(f"{url}/v1/services/{self.cell.service}", {})
 
     async def submit(
         self, count: int, tasks: int, run_ms: int, team: str = TEAM
@@ -232,13 +231,6 @@
         name = next(iter(self.cell.entry_by_id))
         return name, self.cell.process_by_name[name].popen.pid
 
-    async def _put(self, url: str, document: dict[str, Any]) -> dict[str, Any]:
-        answer = await self.cell.fetch(url, "PUT", body=document)
-        if answer.code != 200:
-            raise RuntimeError(f"PUT {url}: {answer.code} {answer.body!r}")
-        body: dict[str, Any] = json.loads(answer.body)
-        return body
-
     async def _sample(self) -> _Sample:
         _, pid = self._first()
         control = await self.cell.fetch_json(f"{self.cell.platform_url}/control")
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -43,6 +43,9 @@
     row_version: int
 
 
+NO_CONFIG = StoredConfig(Config(), ABSENT)
+
+
 @attrs.frozen
 class StoredShard:
     """The ownership row of a shard and its version."""
@@ -112,13 +115,29 @@
 
     def __init__(self, table: Table) -> None:
         self._table = table
+        self._known_config = NO_CONFIG
 
     async def read_config(self) -> StoredConfig:
-        """Return the configuration, empty with version zero if there is none."""
-        row = await self._table.read(CONFIG_KEY)
-        if row is None or row.value is None:
-            return StoredConfig(Config(), ABSENT)
-        return StoredConfig(parse_config(dict(row.value)), row.version)
+        """Return the configuration, empty with version zero if there is none.
+
+        The row has 22 KB with 61 teams and rarely changes, so only a version
+        after the known one is asked for.
+        """
+        known = self._known_config
+        page = await self._table.changes(CONFIG_KEY, known.row_version)
+        if page.version < known.row_version:
+            # The table answered from an older state, where nothing after the
+            # known version can be seen.
+            page = await self._table.changes(CONFIG_KEY)
+            known = NO_CONFIG
+        for row in page.rows:
+            if row.key != CONFIG_KEY:
+                continue
+            known = NO_CONFIG
+            if row.value is not None:
+                known = StoredConfig(parse_config(dict(row.value)), row.version)
+        self._known_config = known
+        return known
 
     async def write_config(self, config: Config, expected_version: int) -> int:
         """Write the configuration and return its new version.
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -226,12 +226,12 @@
         """Declare zones, teams, the service and one key a team; return secrets."""
         url = next(iter(self.entry_by_id.values())).url
         for zone in self.zones:
-            await self._put(f"{url}/v1/zones/{zone}", {"state": "in"})
-        await self._put(f"{url}/v1/services/{self.service}", {})
+            await self.put(f"{url}/v1/zones/{zone}", {"state": "in"})
+        await self.put(f"{url}/v1/services/{self.service}", {})
         secrets = {}
         for name, team in teams.items():
-            await self._put(f"{url}/v1/teams/{name}", team)
-            granted = await self._put(f"{url}/v1/keys/{name}-key", {"team": name})
+            await self.put(f"{url}/v1/teams/{name}", team)
+            granted = await self.put(f"{url}/v1/keys/{name}-key", {"team": name})
             secrets[name] = granted["secret"]
         await self.wait_for_config()
         return secrets
@@ -318,7 +318,8 @@
 
         await self.wait_until(is_ready)
 
-    async def _put(self, url: str, document: dict[str, Any]) -> dict[str, Any]:
+    async def put(self, url: str, document: dict[str, Any]) -> dict[str, Any]:
+        """Declare a resource and return the answer."""
         response = await self.fetch(url, "PUT", body=document)
         until = time.monotonic() + START_TIMEOUT_S
         # An instance that has just started is not admitted as a member yet.
