Repeat an unchanged summary only before it lapses

Cause: three summaries of each instance went to every peer twice a second, whether they had changed or not: 1.8 KB/s for each peer at rest, 38 KB/s with 21 peers, against 12 KB/s for everything. Change: a summary that has not changed is repeated at half of its lifetime of 3 s; a changed one still goes out at the next round of 500 ms, and a new member makes all be sent again.

--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -50,6 +50,9 @@
 # A summary that is older than this no longer attracts work.
 SUMMARY_LIFETIME_MS = 3_000
 SEND_INTERVAL_MS = 500
+# A summary that has not changed is repeated at half its lifetime, so that one
+# delay does not let it lapse.
+REPEAT_INTERVAL_MS = 1_500
 READ_TIMEOUT_MS = 2_000
 # Failures after which another shard may answer. A backend server that ran the
 # request and failed has answered.
@@ -100,6 +103,7 @@
         self._dispatch_by_shard: dict[str, _Seen] = {}
         self._tasks_by_shard: dict[str, _Seen] = {}
         self._summary_by_instance: dict[str, InstanceSummary] = {}
+        self._sent_by_subject: dict[tuple[type, str], _Seen] = {}
         self._config = Config()
         self._budget = RetryBudget()
         self._random = random.Random(instance_id)
@@ -138,6 +142,8 @@
     @handles(MembersChanged)
     async def _members_changed(self, message: MembersChanged) -> None:
         """Keep one summary for each member; version zero until it was heard."""
+        # A new member knows no summary yet.
+        self._sent_by_subject.clear()
         self._summary_by_instance = {
             member.instance_id: self._summary_by_instance.get(
                 member.instance_id, InstanceSummary(member.instance_id, member.zone, 0)
@@ -271,17 +277,25 @@
     async def _send_summaries(self) -> None:
         while True:
             await asyncio.sleep(SEND_INTERVAL_MS / 1000)
-            self._send_own_summary()
+            own = InstanceSummary(self._instance_id, self._zone, self._config.version)
+            self._summary_by_instance[self._instance_id] = own
+            self._send_if_due(self._instance_id, own)
             for seen_by_shard in (self._dispatch_by_shard, self._tasks_by_shard):
                 for summary in self._current(seen_by_shard):
-                    if summary.owner == self._instance_id and self._peers is not None:
-                        self._peers.tell(TellPeers(summary))
-
-    def _send_own_summary(self) -> None:
-        own = InstanceSummary(self._instance_id, self._zone, self._config.version)
-        self._summary_by_instance[self._instance_id] = own
+                    if summary.owner == self._instance_id:
+                        self._send_if_due(summary.shard, summary)
+
+    def _send_if_due(self, subject: str, summary: Message[None]) -> None:
+        """Send a summary to all peers if it changed or has to be repeated."""
+        now_ms = self._clock.now_ms()
+        key = (type(summary), subject)
+        sent = self._sent_by_subject.get(key)
+        is_known = sent is not None and sent.summary == summary
+        if sent and is_known and now_ms < sent.seen_ms + REPEAT_INTERVAL_MS:
+            return
+        self._sent_by_subject[key] = _Seen(summary, now_ms)
         if self._peers is not None:
-            self._peers.tell(TellPeers(own))
+            self._peers.tell(TellPeers(summary))
 
 
 def _keep(
