Show changes in watches in order of version, so that resuming is exact

Cause: jobs and configuration are read by two loops, and each change was shown when it was read. A change with a lower version that was read late between a disconnect and the resumption was lost. An instance that was behind could also show changes again to a watch that came from another.

Change: each source tells the commit number up to which it has been read. The controller holds a change back until both sources have reached its version and shows all changes in that order; a subscription shows nothing up to the version that it starts after. Alternatives: a position for each source in the watch protocol, which every client would have to keep, and a separate resume version on each line, which repeats changes. A watch that ends while the controller has stopped logs no error any more.

--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import uuid
 from collections.abc import Mapping, Sequence
 from typing import Any
@@ -170,7 +171,9 @@
         except (StreamClosedError, ShuttingDownError):
             return
         finally:
-            self.state.watch.tell(Unsubscribe(subscription))
+            # The controller stops before the last watch has noticed the shutdown.
+            with contextlib.suppress(ShuttingDownError):
+                self.state.watch.tell(Unsubscribe(subscription))
 
     def _parse_after(self) -> int | None:
         text = self.get_query_argument("after", "")
--- a/marjoramgrade/controllers/config.py
+++ b/marjoramgrade/controllers/config.py
@@ -79,6 +79,7 @@
         self._versions = ConfigStore()
         self._freshness = FreshnessLease()
         self._row_version = 0
+        self._read_version = 0
         self._reading: asyncio.Task[None] | None = None
 
     async def on_start(self) -> None:
@@ -139,6 +140,7 @@
         if is_newer:
             self._row_version = stored.row_version
             state_change("config_in_force", version=stored.config.version)
+        self._read_version = max(self._read_version, stored.read_version)
         self._freshness.confirm(asked_ms)
         self._publish()
 
@@ -149,7 +151,10 @@
 
     def _confirmed(self) -> ConfigConfirmed:
         return ConfigConfirmed(
-            self._versions.current, self._freshness.until_ms, self._row_version
+            self._versions.current,
+            self._freshness.until_ms,
+            self._row_version,
+            self._read_version,
         )
 
     async def _commit_key(self, message: GrantKey) -> KeyGranted:
@@ -197,7 +202,8 @@
             except CheckFailedError:
                 self._metrics.retried("config_conflict")
                 continue
-            self._adopt(StoredConfig(changed, row_version), asked_ms)
+            # The write checked that nothing else changed the row since it was read.
+            self._adopt(StoredConfig(changed, row_version, row_version), asked_ms)
             self._peers.tell(TellPeers(ConfigPushed(changed.version)))
             return changed
         raise ConflictError(
--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -233,18 +233,24 @@
                 self._metrics.retried("jobs_table_error")
             else:
                 self._read_version = page.version
-                self._apply(page.jobs)
+                self._apply(page.jobs, page.version)
             await asyncio.sleep(READ_INTERVAL_MS / 1000)
 
-    def _apply(self, jobs: Sequence[StoredJob]) -> None:
-        """Keep the newest version of each job and tell the subscribers."""
+    def _apply(self, jobs: Sequence[StoredJob], read_version: int = 0) -> None:
+        """Keep the newest version of each job and tell the subscribers.
+
+        Args:
+            jobs: Jobs that were read or written.
+            read_version: Commit number up to which the change feed is read now,
+                told even without jobs; zero if this is no page of it.
+        """
         newer = tuple(stored for stored in jobs if self._is_newer(stored))
-        if not newer:
+        if not newer and not read_version:
             return
         for stored in newer:
             self._job_by_id[stored.job.job_id] = stored
         for subscriber in self._subscribers:
-            subscriber.tell(JobsChanged(newer))
+            subscriber.tell(JobsChanged(newer, read_version))
 
     def _is_newer(self, stored: StoredJob) -> bool:
         known = self._job_by_id.get(stored.job.job_id)
--- a/marjoramgrade/messages.py
+++ b/marjoramgrade/messages.py
@@ -24,11 +24,13 @@
         config: The configuration.
         fresh_until_ms: End of that knowledge on this instance's clock.
         row_version: Commit number of the table's row.
+        read_version: Every change up to this commit number is in `config`.
     """
 
     config: Config
     fresh_until_ms: int
     row_version: int = 0
+    read_version: int = 0
 
 
 @attrs.frozen
@@ -319,9 +321,15 @@
 
 @attrs.frozen
 class JobsChanged(Message[None]):
-    """Jobs whose rows changed, in order of version."""
+    """Jobs whose rows changed, in order of version.
+
+    Attributes:
+        jobs: The jobs.
+        read_version: Every change up to this commit number has been told.
+    """
 
     jobs: tuple[StoredJob, ...]
+    read_version: int = 0
 
 
 @attrs.frozen
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -37,10 +37,17 @@
 
 @attrs.frozen
 class StoredConfig:
-    """The configuration and the version of its row."""
+    """The configuration and the version of its row.
+
+    Attributes:
+        config: The configuration.
+        row_version: Commit number of the row.
+        read_version: Commit number up to which this is the newest configuration.
+    """
 
     config: Config
     row_version: int
+    read_version: int
 
 
 @attrs.frozen
@@ -115,10 +122,12 @@
 
     async def read_config(self) -> StoredConfig:
         """Return the configuration, empty with version zero if there is none."""
-        row = await self._table.read(CONFIG_KEY)
-        if row is None or row.value is None:
-            return StoredConfig(Config(), ABSENT)
-        return StoredConfig(parse_config(dict(row.value)), row.version)
+        page = await self._table.changes(CONFIG_KEY)
+        for row in page.rows:
+            if row.key == CONFIG_KEY and row.value is not None:
+                config = parse_config(dict(row.value))
+                return StoredConfig(config, row.version, page.version)
+        return StoredConfig(Config(), ABSENT, page.version)
 
     async def write_config(self, config: Config, expected_version: int) -> int:
         """Write the configuration and return its new version.
--- a/marjoramgrade/watching.py
+++ b/marjoramgrade/watching.py
@@ -133,8 +133,7 @@
 
     One version can bring several changes, and a connection may break between
     them. A watch therefore resumes just before its last version and drops the
-    changes that it has seen. Changes of one kind arrive in order of version;
-    the server merges the kinds, so their versions may interleave.
+    changes that it has seen. The server sends all changes in order of version.
     """
 
     after: int
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,67 @@
+import asyncio
+
+from marjoramgrade.actor import ActorGroup
+from marjoramgrade.controllers.watch import Subscribe, WatchController
+from marjoramgrade.messages import ConfigConfirmed, JobsChanged, StoredJob
+from marjoramgrade.model import Config, Job, JobSpec, Kind
+
+SPEC = JobSpec("acme", Kind.BATCH)
+
+
+def jobs(read_version: int, *versions: int) -> JobsChanged:
+    stored = [StoredJob(Job.from_spec(f"j{v}", SPEC, "z.0"), v) for v in versions]
+    return JobsChanged(tuple(stored), read_version)
+
+
+def config(read_version: int, row_version: int) -> ConfigConfirmed:
+    return ConfigConfirmed(Config(row_version), 0, row_version, read_version)
+
+
+async def seen(watch: WatchController, after: int | None) -> list[tuple[str, int]]:
+    """Return what a watch after a version shows at once."""
+    subscription = await watch.ask(Subscribe(after))
+    subscription.close()
+    events = await subscription.next_events()
+    return [(event.kind, event.version) for event in events]
+
+
+def test_a_resumed_watch_gets_a_late_change_with_a_lower_version() -> None:
+    """Guards against a change that is read late and lost by a watch that resumes."""
+
+    async def run() -> None:
+        watch = WatchController()
+        async with ActorGroup() as actors:
+            await actors.add(watch)
+            for message in (config(1, 1), jobs(1), jobs(9, 7, 9)):
+                watch.tell(message)
+            before = await seen(watch, 0)
+            assert before == [("config", 1)]
+            watch.tell(config(10, 8))
+            assert await seen(watch, before[-1][1]) == [
+                ("job", 7),
+                ("config", 8),
+                ("job", 9),
+            ]
+            # Without a start version, the watch begins where nothing comes late.
+            assert await seen(watch, None) == [("reset", 9)]
+
+    asyncio.run(run())
+
+
+def test_a_watch_gets_nothing_that_it_saw_from_another_instance() -> None:
+    """Guards against a change that is shown again by an instance that is behind."""
+
+    async def run() -> None:
+        watch = WatchController()
+        async with ActorGroup() as actors:
+            await actors.add(watch)
+            for message in (config(1, 1), jobs(1)):
+                watch.tell(message)
+            subscription = await watch.ask(Subscribe(5))
+            for message in (jobs(6, 4, 6), config(6, 1)):
+                watch.tell(message)
+            await watch.ask(Subscribe(0))
+            subscription.close()
+            assert [e.version for e in await subscription.next_events()] == [6]
+
+    asyncio.run(run())
