End the demo's watch with the instance that serves it

Cause: the watch was closed before the entry instances ended, and a chunk that arrived on the closed connection made tornado log a traceback.

Change: the entry instances are asked to end first.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -290,7 +290,6 @@
     cell = Cell(folder, zones=zones, workers_per_zone=3, service=service)
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(cell)
-        stack.push_async_callback(_shut_down, cell, started_s)
         show(started_s, f"{len(cell.process_by_name)} processes run in {zones}")
         teams = {team.name: serialize_team(team) for team in deployment.teams}
         secrets = await cell.seed(teams)
@@ -303,6 +302,8 @@
         board = JobBoard(operator, lambda line: show(started_s, line))
         actors = await stack.enter_async_context(ActorGroup())
         await actors.add(board)
+        # First of all, so that the watch ends with the instance that serves it.
+        stack.push_async_callback(_shut_down, cell, started_s)
         yield Demo(deployment, cell, operator, secrets, board, started_s)
 
 
