Test that a service leaves a zone that was taken out

Cause: only a unit test covered stops while nothing may start.

Change: a process test takes out the zone of a service and waits for its task in another zone.

--- a/tests/test_faults_zones.py
+++ b/tests/test_faults_zones.py
@@ -74,3 +74,33 @@
             await cell.wait_until(is_done, timeout_s=10.0)
 
     asyncio.run(run())
+
+
+def test_a_service_leaves_a_zone_that_was_taken_out(tmp_path: pathlib.Path) -> None:
+    """Guards against stops that are not sent because nothing may start there."""
+
+    async def run() -> None:
+        async with Cell(tmp_path) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            await cell.submit("watch-1", {"team": TEAM, "kind": "service"}, secret)
+            url = f"{cell.running_entries()[0].url}/v1/jobs/watch-1"
+            before = (await cell.fetch_json(url))["shard"]
+
+            async def zones_in_use() -> set[str]:
+                workers = await cell.counters("worker")
+                return {w.partition("-")[0] for w in workers if workers[w]["running"]}
+
+            async def is_started() -> bool:
+                return bool(await zones_in_use())
+
+            async def is_moved() -> bool:
+                zones = await zones_in_use()
+                shard = (await cell.fetch_json(url))["shard"]
+                return shard != before and zones == {shard.partition(".")[0]}
+
+            await cell.wait_until(is_started)
+            await _set_zone(cell, before.partition(".")[0], "out")
+            await cell.wait_until(is_moved, timeout_s=15.0)
+
+    asyncio.run(run())
