--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -38,13 +38,20 @@
 
 @attrs.frozen
 class StoredConfig:
-    """The configuration and the version of its row."""
+    """The configuration and the version of its row.
+
+    Attributes:
+        config: The configuration.
+        row_version: Commit number of the row.
+        read_version: Commit number up to which this is the newest configuration.
+    """
 
     config: Config
     row_version: int
+    read_version: int
 
 
-NO_CONFIG = StoredConfig(Config(), ABSENT)
+NO_CONFIG = StoredConfig(Config(), ABSENT, ABSENT)
 
 
 @attrs.frozen
@@ -136,9 +143,11 @@
                 continue
             known = NO_CONFIG
             if row.value is not None:
-                known = StoredConfig(parse_config(dict(row.value)), row.version)
+                known = StoredConfig(
+                    parse_config(dict(row.value)), row.version, page.version
+                )
         self._known_config = known
-        return known
+        return attrs.evolve(known, read_version=page.version)
 
     async def write_config(self, config: Config, expected_version: int) -> int:
         """Write the configuration and return its new version.
