--- a/standins/cell.py
+++ b/standins/cell.py
@@ -23,6 +23,7 @@
     Process,
     free_port,
     iter_backends,
+    iter_relay_routes,
     iter_workers,
 )
 
@@ -381,19 +382,8 @@
             self._spawn(name, f"standins.{kind}s", str(path))
 
     def _spawn_relay(self) -> None:
-        routes = []
-        for instance in self.instances:
-            port = free_port()
-            self.relay_port_by_target[instance["instance_id"]] = port
-            routes.append(
-                {
-                    "target": instance["instance_id"],
-                    "listen_host": HOST,
-                    "listen_port": port,
-                    "host": instance["host"],
-                    "port": instance["port"],
-                }
-            )
+        routes = list(iter_relay_routes(self.instances))
+        self.relay_port_by_target = {r["target"]: r["listen_port"] for r in routes}
         path = self.folder / "relay.json"
         path.write_text(json.dumps(routes), encoding="utf-8")
         self.relay_port = free_port()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -114,6 +114,18 @@
         yield {**plan, "service": service}
 
 
+def iter_relay_routes(instances: list[dict[str, Any]]) -> Iterator[dict[str, Any]]:
+    """Yield a route of the relay, at a free port, to each worker and server."""
+    for instance in instances:
+        yield {
+            "target": instance["instance_id"],
+            "listen_host": HOST,
+            "listen_port": free_port(),
+            "host": instance["host"],
+            "port": instance["port"],
+        }
+
+
 def _plan_instance(
     zone: str, kind: str, number: int, capacity: dict[str, int], ports: PortPicker
 ) -> dict[str, Any]:
