--- a/tests/test_faults_zones.py
+++ b/tests/test_faults_zones.py
@@ -57,6 +57,9 @@
             spec = {"team": TEAM, "kind": "batch", "tasks": 40, "run_ms": 700}
             await cell.submit("pack-1", spec, secret)
 
+            async def has_started() -> bool:
+                return bool((await cell.control("leeds-worker-1"))["starts"])
+
             async def is_idle() -> bool:
                 counters = await cell.control("leeds-worker-1")
                 return bool(counters["ends"]) and not counters["running"]
@@ -65,6 +68,7 @@
                 url = f"{cell.running_entries()[0].url}/v1/jobs/pack-1"
                 return bool((await cell.fetch_json(url))["state"] == "done")
 
+            await cell.wait_until(has_started)
             await _set_zone(cell, "leeds", "out")
             await cell.wait_until(is_idle)
             # Moves are tried every second; there is no other zone.
