Split outboxes and the choice of excess tasks from the shard's state; fail fast

A loop of an actor that fails now ends the entry instance: before, an instance whose loop had died went on renewing leases that it did not serve. Malformed rows and lists of the platform are typed errors, which the loops survive. Job rows that change while a shard is loading are kept and applied after it; they were dropped. The state of a shard's tasks loses its outboxes to a class of their own.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -79,6 +79,7 @@
         self._background: set[asyncio.Task[Any]] = set()
         self._runner: asyncio.Task[None] | None = None
         self._stopped = False
+        self.on_fatal: Callable[[BaseException], None] = _raise_in_loop
 
     async def start(self) -> None:
         """Start the actor's task."""
@@ -86,6 +87,22 @@
         self._runner = asyncio.create_task(
             self._serve_mailbox(), name=type(self).__name__
         )
+        self._runner.add_done_callback(self._check_fatal)
+
+    def keep_running(self, work: Awaitable[Any]) -> None:
+        """Run a loop beside the mailbox; its failure is fatal to the process.
+
+        An instance that goes on without one of its loops would hold leases
+        that it does not serve.
+        """
+        self.spawn(work).add_done_callback(self._check_fatal)
+
+    def _check_fatal(self, task: asyncio.Task[Any]) -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None and not isinstance(error, ShuttingDownError):
+            self.on_fatal(error)
 
     async def stop(self) -> None:
         """Handle what the mailbox holds, then end the actor's tasks."""
@@ -190,10 +207,28 @@
         target.set_result(source.result())
 
 
+def _raise_in_loop(error: BaseException) -> None:
+    context = {"message": "a loop of an actor has failed", "exception": error}
+    asyncio.get_running_loop().call_exception_handler(context)
+
+
 class ActorGroup(contextlib.AsyncExitStack):
-    """An exit stack that starts actors and stops them in reverse order."""
+    """An exit stack that starts actors and stops them in reverse order.
+
+    Attributes:
+        failed: Set when a loop of one of the actors has failed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.failed = asyncio.Event()
 
     async def add(self, actor: Actor) -> None:
         """Start an actor and stop it when the group closes."""
+        actor.on_fatal = self._fail
         await actor.start()
         self.push_async_callback(actor.stop)
+
+    def _fail(self, error: BaseException) -> None:
+        _raise_in_loop(error)
+        self.failed.set()
--- a/marjoramgrade/adapters/platform.py
+++ b/marjoramgrade/adapters/platform.py
@@ -179,10 +179,15 @@
 
         Raises:
             TableUnavailableError: If the platform gave no answer.
+            ProtocolError: If the answer holds no list.
         """
         changed = await self._client.get_changed("/v1/instances", self._tag)
         if changed is not None:
-            self._instances = tuple(_iter_valid(changed.document["instances"]))
+            try:
+                documents = list(changed.document["instances"])
+            except (KeyError, TypeError) as error:
+                raise ProtocolError(f"invalid instance list: {error}") from error
+            self._instances = tuple(_iter_valid(documents))
             self._tag = changed.tag
         return self._instances
 
--- a/marjoramgrade/controllers/authority.py
+++ b/marjoramgrade/controllers/authority.py
@@ -73,8 +73,8 @@
 
     async def on_start(self) -> None:
         """Begin to ask for promises and for admission."""
-        self.spawn(self._ask_forever())
-        self.spawn(self._seek_admission())
+        self.keep_running(self._ask_forever())
+        self.keep_running(self._seek_admission())
 
     @handles(MembersChanged)
     async def _members_changed(self, message: MembersChanged) -> None:
--- a/marjoramgrade/controllers/config.py
+++ b/marjoramgrade/controllers/config.py
@@ -84,7 +84,7 @@
 
     async def on_start(self) -> None:
         """Begin to read the table at intervals."""
-        self.spawn(self._read_forever())
+        self.keep_running(self._read_forever())
 
     @handles(GetConfig)
     async def _get(self, message: GetConfig) -> ConfigConfirmed:
--- a/marjoramgrade/controllers/instances.py
+++ b/marjoramgrade/controllers/instances.py
@@ -47,7 +47,7 @@
 
     async def on_start(self) -> None:
         """Begin to read the list."""
-        self.spawn(self._read_forever())
+        self.keep_running(self._read_forever())
 
     @handles(GetInstances)
     async def _get(self, message: GetInstances) -> tuple[Instance, ...]:
--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -91,7 +91,7 @@
 
     async def on_start(self) -> None:
         """Begin to follow the change feed."""
-        self.spawn(self._follow())
+        self.keep_running(self._follow())
 
     @handles(ConfigConfirmed)
     async def _config_confirmed(self, message: ConfigConfirmed) -> None:
--- a/marjoramgrade/controllers/jobwriter.py
+++ b/marjoramgrade/controllers/jobwriter.py
@@ -72,7 +72,7 @@
         state.outcomes.written(job_id)
         state.job_written(written)
         for task, worker_id in outcomes.worker_by_task.items():
-            state.acknowledge(worker_id, task)
+            state.outboxes.acknowledge(worker_id, task)
         self._jobs().tell(JobsChanged((written,)))
 
     async def move(self, state: ShardTasks, stored: StoredJob) -> None:
--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -10,6 +10,7 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
 from marjoramgrade.errors import (
+    MarjoramgradeError,
     OwnerUnreachableError,
     StaleAuthorityError,
     TableError,
@@ -75,7 +76,7 @@
 
     async def on_start(self) -> None:
         """Begin to register and to read the register."""
-        self.spawn(self._read_forever())
+        self.keep_running(self._read_forever())
 
     async def on_stop(self) -> None:
         """Leave the register and close the links."""
@@ -115,7 +116,7 @@
                     self._is_registered = True
                 await self._apply(await self._store.read_members())
                 await self._remove_ended()
-            except TableError:
+            except MarjoramgradeError:
                 self._metrics.retried("members_table_error")
             await asyncio.sleep(READ_INTERVAL_MS / 1000)
 
--- a/marjoramgrade/controllers/ownership.py
+++ b/marjoramgrade/controllers/ownership.py
@@ -19,6 +19,7 @@
 )
 from marjoramgrade.errors import (
     CheckFailedError,
+    MarjoramgradeError,
     StaleAuthorityError,
     TableError,
     TableUnavailableError,
@@ -93,7 +94,7 @@
     async def on_start(self) -> None:
         """Begin to watch every shard of the zone."""
         for shard in self._state_by_shard:
-            self.spawn(self._keep(shard))
+            self.keep_running(self._keep(shard))
 
     @handles(MembersChanged)
     async def _members_changed(self, message: MembersChanged) -> None:
@@ -122,7 +123,7 @@
                     await self._watch(state)
                 else:
                     await self._renew(state, state.lease)
-            except TableError:
+            except MarjoramgradeError:
                 self._metrics.retried("ownership_table_error")
             self._expire(state)
             interval_ms = (
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -112,10 +112,11 @@
         self._worker_by_id: dict[str, Instance] = {}
         self._link_by_id: dict[str, Actor] = {}
         self._state: ShardTasks | None = None
+        self._early_jobs: list[StoredJob] = []
 
     async def on_start(self) -> None:
         """Begin to decide at every tick."""
-        self.spawn(self._tick_forever())
+        self.keep_running(self._tick_forever())
 
     async def on_stop(self) -> None:
         """Close the connections to the workers."""
@@ -135,6 +136,7 @@
             self._epoch = message.epoch
             self._fence = ShardFence(self._shard, message.fence_version)
             self._state = None
+            self._early_jobs.clear()
             self.spawn(self._load(message.epoch))
 
     @handles(ConfigConfirmed)
@@ -169,6 +171,9 @@
             self._clock.now_ms(),
         )
         self._state.set_config(self._config)
+        for stored in self._early_jobs:
+            self._state.job_changed(stored, self._clock.now_ms())
+        self._early_jobs.clear()
         state_change("shard_loaded", shard=self._shard, jobs=len(message.jobs))
         await self._sync_workers(self._state)
 
@@ -179,9 +184,12 @@
 
     @handles(JobsChanged)
     async def _jobs_changed(self, message: JobsChanged) -> None:
-        if self._state is not None:
-            for stored in message.jobs:
-                self._state.job_changed(stored, self._clock.now_ms())
+        if self._state is None:
+            # Rows that change while the shard is loading would be missed.
+            self._early_jobs.extend(s for s in message.jobs if self._is_home_of(s))
+            return
+        for stored in message.jobs:
+            self._state.job_changed(stored, self._clock.now_ms())
 
     @handles(GetTasks)
     async def _get_tasks(self, message: GetTasks) -> tuple[TaskStatus, ...]:
@@ -238,6 +246,9 @@
 
     # Acting
 
+    def _is_home_of(self, stored: StoredJob) -> bool:
+        return self._until_ms > 0 and stored.job.shard == self._shard
+
     def _is_owner(self) -> bool:
         return self._clock.now_ms() < self._until_ms
 
@@ -281,7 +292,8 @@
         """Send what the state decided; the authority is checked just before."""
         if not self._is_owner():
             return
-        for worker_id, batch in state.take_batches(self._epoch):
+        batches = state.outboxes.take(self._epoch, state.sessions)
+        for worker_id, batch in batches.items():
             self._send(worker_id, batch)
 
     def _send(self, worker_id: str, batch: WorkerBatch) -> None:
@@ -303,7 +315,7 @@
             state.zone_returned()
             return
         state.drain(now_ms)
-        for stored in state.movable_jobs():
+        for stored in state.movable_jobs(now_ms):
             self.spawn(self._move_job(state, stored))
 
     async def _move_job(self, state: ShardTasks, stored: StoredJob) -> None:
@@ -360,6 +372,7 @@
                 state.worker_leaving(worker_id, now_ms)
             if worker_id not in self._link_by_id:
                 link = self._make_link(self._shard, self._epoch, worker, self)
+                link.on_fatal = self.on_fatal
                 self._link_by_id[worker_id] = link
                 await link.start()
         for gone in set(self._link_by_id) - set(self._worker_by_id):
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Iterable, Mapping
 
 import attrs
 
 from marjoramgrade.controllers.grantkeeper import GrantKeeper
+from marjoramgrade.controllers.outboxes import Outboxes
 from marjoramgrade.decisions.actions import Ending, StartTask
-from marjoramgrade.decisions.grants import positive_part
+from marjoramgrade.decisions.excess import choose_excess
 from marjoramgrade.decisions.outcomes import OutcomeBook
 from marjoramgrade.decisions.retries import RETRIES, RetryPolicy, TaskAttempts
 from marjoramgrade.decisions.scheduler import Scheduler
 from marjoramgrade.decisions.sessions import WorkerSessions
 from marjoramgrade.decisions.takeover import Reconciliation
-from marjoramgrade.decisions.tasks import QueuedTask, RunningTask, queued_tasks_from
+from marjoramgrade.decisions.tasks import (
+    QueuedTask,
+    queued_tasks_from,
+    running_task_from,
+)
 from marjoramgrade.decisions.workers import WorkerNode
 from marjoramgrade.errors import MarjoramgradeError
 from marjoramgrade.messages import (
@@ -25,7 +29,6 @@
     TaskRun,
     TaskStart,
     TaskStatus,
-    WorkerBatch,
     WorkerConnected,
     WorkerRefused,
 )
@@ -37,7 +40,6 @@
     JobState,
     Kind,
     Outcome,
-    Priority,
     TaskId,
 )
 from marjoramgrade.resources import NOTHING, Resources
@@ -51,7 +53,6 @@
 
 ZONE_OUT = "zone taken out"
 ABOVE_LIMIT = "team above its lowered limit"
-STOP_ORDER = (Kind.BATCH, Kind.GANG, Kind.SERVICE)
 
 ENDING_BY_OUTCOME = {
     "done": Ending.DONE,
@@ -60,15 +61,6 @@
 }
 
 
-@attrs.define
-class _Outbox:
-    """What the next batch to one worker will carry."""
-
-    starts: list[TaskStart] = attrs.field(factory=list)
-    stops: list[TaskId] = attrs.field(factory=list)
-    acks: list[TaskId] = attrs.field(factory=list)
-
-
 @attrs.define
 class ShardTasks:
     """Jobs, tasks and workers of a shard under one epoch.
@@ -83,6 +75,7 @@
         job_by_id: Jobs that are homed in this shard and not ended.
         sessions: Connections and leases of the workers.
         outcomes: Ends on their way to the table.
+        outboxes: Messages on their way to the workers.
     """
 
     shard: str
@@ -94,8 +87,8 @@
     job_by_id: dict[str, StoredJob] = attrs.field(factory=dict)
     sessions: WorkerSessions = attrs.field(factory=WorkerSessions)
     outcomes: OutcomeBook = attrs.field(factory=OutcomeBook)
+    outboxes: Outboxes = attrs.field(factory=Outboxes)
     _retry_by_kind: dict[Kind, RetryPolicy] = attrs.field(factory=dict)
-    _outbox_by_worker: dict[str, _Outbox] = attrs.field(factory=dict)
     _attempt_by_task: dict[TaskId, int] = attrs.field(factory=dict)
     _moving: set[str] = attrs.field(factory=set)
     _drain_since_ms: int | None = None
@@ -151,17 +144,8 @@
         """Stop the newest tasks of teams that are above a lowered limit."""
         for team, in_use in self.use_by_team().items():
             excess = self.grants.excess(team, in_use)
-            if excess != NOTHING:
-                self._stop_newest(team, excess)
-
-    def _stop_newest(self, team: str, excess: Resources) -> None:
-        running = self.scheduler.running
-        for kind, priority in itertools.product(STOP_ORDER, Priority):
-            for task in list(running.iter_newest(team, kind, priority)):
-                if positive_part(excess) == NOTHING:
-                    return
-                self.scheduler.stop(task.task, ABOVE_LIMIT, is_requeued=True)
-                excess = excess - task.resources
+            for task in choose_excess(self.scheduler.running, team, excess):
+                self.scheduler.stop(task, ABOVE_LIMIT, is_requeued=True)
 
     def job_changed(self, stored: StoredJob, now_ms: int) -> None:
         """Take over a newer version of a job row."""
@@ -249,9 +233,11 @@
         """End a drain."""
         self._drain_since_ms = None
 
-    def movable_jobs(self) -> list[StoredJob]:
+    def movable_jobs(self, now_ms: int) -> list[StoredJob]:
         """Return jobs of which nothing runs, and note that they are moving."""
         movable: list[StoredJob] = []
+        if not self.reconciliation.is_complete(now_ms):
+            return movable
         for job_id, stored in self.job_by_id.items():
             if len(self._moving) >= MAX_MOVES_AT_ONCE:
                 break
@@ -260,8 +246,6 @@
                 continue
             if self.outcomes.has_open_writes(job_id):
                 continue
-            if not self.reconciliation.is_complete(self._drain_since_ms or 0):
-                continue
             self._moving.add(job_id)
             self.scheduler.cancel_job(job_id)
             movable.append(stored)
@@ -309,7 +293,7 @@
             self.task_ended(worker_id, end, now_ms)
         # What was decided while there was no connection is decided again; sent
         # now, it would run beside the task that is queued again below.
-        self._outbox(worker_id).starts.clear()
+        self.outboxes.drop_starts(worker_id)
         reported = {run.task for run in message.running}
         for running in self.scheduler.running.tasks_of_worker(worker_id):
             if running.task not in reported:
@@ -349,13 +333,14 @@
         if place == worker_id:
             return
         if stored is None or place or not _is_open(stored.job, run.task):
-            self._outbox(worker_id).stops.append(run.task)
+            self.outboxes.stop(worker_id, run.task)
             return
         self._attempt_by_task[run.task] = run.attempt
         try:
-            self.scheduler.adopt(_running_from(stored.job, run, worker_id, now_ms))
+            adopted = running_task_from(stored.job, run.task, worker_id, now_ms)
+            self.scheduler.adopt(adopted)
         except MarjoramgradeError:
-            self._outbox(worker_id).stops.append(run.task)
+            self.outboxes.stop(worker_id, run.task)
 
     # Tasks
 
@@ -364,23 +349,22 @@
         if not self.reconciliation.is_complete(now_ms):
             return
         for decision in self.scheduler.step(now_ms, START_BUDGET):
-            outbox = self._outbox(decision.worker_id)
             if isinstance(decision, StartTask):
-                outbox.starts.append(self._start_of(decision))
+                self.outboxes.start(decision.worker_id, self._start_of(decision))
             else:
-                outbox.stops.append(decision.task)
+                self.outboxes.stop(decision.worker_id, decision.task)
 
     def stop_tasks(self) -> None:
         """Send the stops that are due; a stop needs no authority to start."""
         for stop in self.scheduler.take_stops():
-            self._outbox(stop.worker_id).stops.append(stop.task)
+            self.outboxes.stop(stop.worker_id, stop.task)
 
     def task_ended(self, worker_id: str, end: TaskEnd, now_ms: int) -> None:
         """Take note of an end that a worker reports, perhaps again."""
         stored = self.job_by_id.get(end.task.job_id)
         if stored is None or not _is_open(stored.job, end.task):
             # The row shows the end already, or the job was moved after its end.
-            self.acknowledge(worker_id, end.task)
+            self.outboxes.acknowledge(worker_id, end.task)
             return
         ending = ENDING_BY_OUTCOME.get(end.outcome, Ending.FAILED)
         if ending is Ending.DONE:
@@ -389,7 +373,7 @@
         elif stored.job.cancelled:
             self.outcomes.note(end.task, Outcome.CANCELLED, worker_id)
         else:
-            self.acknowledge(worker_id, end.task)
+            self.outboxes.acknowledge(worker_id, end.task)
         if self._worker_of(end.task) == worker_id:
             self._end(end.task, ending, now_ms)
 
@@ -399,23 +383,6 @@
             if self._worker_of(task) == message.worker_id:
                 self._end(task, Ending.REFUSED, now_ms)
 
-    def acknowledge(self, worker_id: str, task: TaskId) -> None:
-        """Let a worker forget an end."""
-        self._outbox(worker_id).acks.append(task)
-
-    def take_batches(self, epoch: int) -> list[tuple[str, WorkerBatch]]:
-        """Return what is to be sent, by worker, and empty the outboxes."""
-        batches = []
-        for worker_id in list(self._outbox_by_worker):
-            if not self.sessions.is_connected(worker_id):
-                continue
-            outbox = self._outbox_by_worker.pop(worker_id)
-            batch = WorkerBatch(
-                epoch, tuple(outbox.starts), tuple(outbox.stops), tuple(outbox.acks)
-            )
-            batches.append((worker_id, batch))
-        return batches
-
     def total_resources(self) -> Resources:
         """Return what the workers offer."""
         return self.scheduler.pool.total_capacity
@@ -466,9 +433,6 @@
         self._attempt_by_task[task] = attempt
         return TaskStart(task, attempt, decision.resources, spec.run_ms, spec.payload)
 
-    def _outbox(self, worker_id: str) -> _Outbox:
-        return self._outbox_by_worker.setdefault(worker_id, _Outbox())
-
 
 def _is_exhausted(spec: JobSpec, entry: QueuedTask) -> bool:
     """Return whether failed work is given up; a service runs until cancelled."""
@@ -481,18 +445,3 @@
 def _is_open(job: Job, task: TaskId) -> bool:
     is_known = 0 <= task.index < len(job.outcomes)
     return is_known and job.outcomes[task.index] == Outcome.OPEN.value
-
-
-def _running_from(job: Job, run: TaskRun, worker_id: str, now_ms: int) -> RunningTask:
-    spec = job.spec
-    return RunningTask(
-        run.task,
-        spec.team,
-        spec.kind,
-        spec.priority,
-        spec.resources,
-        worker_id,
-        now_ms,
-        queued_ms=now_ms,
-        spread_racks=spec.spread_racks,
-    )
--- /dev/null
+++ b/marjoramgrade/decisions/excess.py
@@ -0,0 +1,30 @@
+"""Which tasks of a team to stop when its upper limit was lowered."""
+
+from __future__ import annotations
+
+import itertools
+
+from marjoramgrade.decisions.grants import positive_part
+from marjoramgrade.decisions.running import RunningBook
+from marjoramgrade.model import Kind, Priority, TaskId
+from marjoramgrade.resources import NOTHING, Resources
+
+STOP_ORDER = (Kind.BATCH, Kind.GANG, Kind.SERVICE)
+
+
+def choose_excess(running: RunningBook, team: str, excess: Resources) -> list[TaskId]:
+    """Return the newest tasks of a team that free an amount, services last.
+
+    Args:
+        running: The running tasks; those that are stopping already are left out.
+        team: The team.
+        excess: By how much the team is above its limit.
+    """
+    chosen: list[TaskId] = []
+    for kind, priority in itertools.product(STOP_ORDER, Priority):
+        for task in running.iter_newest(team, kind, priority):
+            if positive_part(excess) == NOTHING:
+                return chosen
+            chosen.append(task.task)
+            excess = excess - task.resources
+    return chosen
--- a/marjoramgrade/decisions/tasks.py
+++ b/marjoramgrade/decisions/tasks.py
@@ -141,3 +141,21 @@
         members=members,
         spread_racks=spec.spread_racks,
     )
+
+
+def running_task_from(
+    job: Job, task: TaskId, worker_id: str, now_ms: int
+) -> RunningTask:
+    """Return a task that a worker reports as running; when it started is unknown."""
+    spec = job.spec
+    return RunningTask(
+        task,
+        spec.team,
+        spec.kind,
+        spec.priority,
+        spec.resources,
+        worker_id,
+        now_ms,
+        queued_ms=now_ms,
+        spread_racks=spec.spread_racks,
+    )
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -97,6 +97,15 @@
     async def __aexit__(self, *details: object) -> None:
         await self._stack.aclose()
 
+    async def wait_until(self, stop: asyncio.Event) -> None:
+        """Wait for the request to stop, or for a failure of one of the parts."""
+        waits = [
+            asyncio.ensure_future(event.wait()) for event in (stop, self._stack.failed)
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+
     async def drain(self) -> None:
         """Refuse new requests, let running ones end and hand the shards over."""
         assert self._state is not None and self._ownership is not None
@@ -267,7 +276,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     async with EntryInstance.from_config(settings) as instance:
-        await stop.wait()
+        await instance.wait_until(stop)
         await instance.drain()
     logs.state_change("stopped")
 
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+import contextlib
+from collections.abc import Iterator, Mapping, Sequence
 
 import attrs
 
@@ -165,13 +166,14 @@
         if row is None or row.value is None:
             return StoredShard(ShardRow(shard), ABSENT)
         value = row.value
-        shard_row = ShardRow(
-            shard,
-            value["owner"],
-            value["epoch"],
-            value["renewal"],
-            tuple(value["guardians"]),
-        )
+        with _reading(row):
+            shard_row = ShardRow(
+                shard,
+                value["owner"],
+                value["epoch"],
+                value["renewal"],
+                tuple(value["guardians"]),
+            )
         return StoredShard(shard_row, row.version)
 
     async def write_shard(self, row: ShardRow, expected_version: int) -> int:
@@ -203,7 +205,8 @@
         row = await self._table.read(ROSTERS_PREFIX + shard)
         if row is None or row.value is None:
             return StoredRoster(frozenset(), ABSENT)
-        return StoredRoster(frozenset(row.value["workers"]), row.version)
+        with _reading(row):
+            return StoredRoster(frozenset(row.value["workers"]), row.version)
 
     async def write_roster(
         self, shard: str, worker_ids: frozenset[str], expected_version: int
@@ -239,11 +242,7 @@
     async def read_members(self) -> tuple[Member, ...]:
         """Return the registered entry instances."""
         page = await self._table.changes(MEMBERS_PREFIX)
-        return tuple(
-            Member(**row.value, row_version=row.version)
-            for row in page.rows
-            if row.value is not None
-        )
+        return tuple(_parse_member(row) for row in page.rows if row.value is not None)
 
     async def changed_jobs(self, after: int) -> JobsPage:
         """Return the jobs whose rows changed after a version."""
@@ -312,6 +311,21 @@
         return await self._table.commit_resolved(transaction)
 
 
+@contextlib.contextmanager
+def _reading(row: Row) -> Iterator[None]:
+    """Turn the faults of a row's content into a typed error."""
+    try:
+        yield
+    except (InvalidInputError, KeyError, TypeError, ValueError) as error:
+        raise ProtocolError(f"row {row.key} is invalid: {error}") from error
+
+
+def _parse_member(row: Row) -> Member:
+    assert row.value is not None
+    with _reading(row):
+        return Member(**row.value, row_version=row.version)
+
+
 def _serialize_shard(row: ShardRow) -> Value:
     return {
         "owner": row.owner,
@@ -362,8 +376,8 @@
 
 def _parse_grants(row: Row) -> StoredGrants:
     assert row.value is not None
-    try:
-        value = row.value
+    value = row.value
+    with _reading(row):
         grants = GrantsRow(
             row.key.removeprefix(GRANTS_PREFIX),
             parse_resources(value["limit"]),
@@ -372,8 +386,6 @@
             dict(value["epochs"]),
         )
         return StoredGrants(grants, row.version, int(value["config_version"]))
-    except (InvalidInputError, KeyError, TypeError, ValueError) as error:
-        raise ProtocolError(f"row {row.key} is invalid: {error}") from error
 
 
 def _parse_amounts(value: Mapping[str, object]) -> dict[str, Resources]:
@@ -382,7 +394,5 @@
 
 def _parse_stored_job(row: Row) -> StoredJob:
     assert row.value is not None
-    try:
+    with _reading(row):
         return StoredJob(parse_job(dict(row.value)), row.version)
-    except InvalidInputError as error:
-        raise ProtocolError(f"row {row.key} is invalid: {error.message}") from error
--- a/tests/test_actor.py
+++ b/tests/test_actor.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.actor import Actor, ActorGroup, Message, handles
 from marjoramgrade.errors import NotFoundError, ShuttingDownError
 
 
@@ -85,3 +85,23 @@
         return quick, late
 
     assert asyncio.run(run()) == (2, "late")
+
+
+class Failing(Actor):
+    async def on_start(self) -> None:
+        self.keep_running(self._loop())
+
+    async def _loop(self) -> None:
+        raise RuntimeError("a fault of the code")
+
+
+def test_a_loop_that_fails_is_reported_to_the_group() -> None:
+    """Guards against an instance that holds leases and serves nothing."""
+
+    async def run() -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        async with ActorGroup() as group:
+            await group.add(Failing())
+            await asyncio.wait_for(group.failed.wait(), 5)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_excess.py
@@ -0,0 +1,27 @@
+from marjoramgrade.decisions.excess import choose_excess
+from marjoramgrade.decisions.running import RunningBook
+from marjoramgrade.decisions.tasks import RunningTask
+from marjoramgrade.model import Kind, Priority, TaskId
+from marjoramgrade.resources import Resources
+
+ONE = Resources(cpu_millis=1000)
+
+
+def _running(job_id: str, kind: Kind, started_ms: int) -> RunningTask:
+    return RunningTask(
+        TaskId(job_id, 0), "acme", kind, Priority.NORMAL, ONE, "w", started_ms
+    )
+
+
+def test_a_lowered_limit_stops_the_newest_batch_tasks_first() -> None:
+    """Guards against a service that is stopped while batch work goes on."""
+    book = RunningBook()
+    for job_id, kind, started_ms in (
+        ("old", Kind.BATCH, 1),
+        ("watch", Kind.SERVICE, 2),
+        ("new", Kind.BATCH, 3),
+    ):
+        book.add(_running(job_id, kind, started_ms))
+    amount = Resources(cpu_millis=1500)
+    assert choose_excess(book, "acme", amount) == [TaskId("new", 0), TaskId("old", 0)]
+    assert choose_excess(book, "acme", Resources()) == []
