--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -12,6 +12,7 @@
 from marjoramgrade.controllers.grantkeeper import GrantKeeper
 from marjoramgrade.controllers.jobwriter import JobWriter
 from marjoramgrade.controllers.shardtasks import ShardTasks
+from marjoramgrade.controllers.zonedrain import ZoneDrain
 from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
 from marjoramgrade.errors import CheckFailedError, MarjoramgradeError, NotOwnerError
 from marjoramgrade.logs import state_change
@@ -112,6 +113,7 @@
         self._worker_by_id: dict[str, Instance] = {}
         self._link_by_id: dict[str, Actor] = {}
         self._state: ShardTasks | None = None
+        self._drain: ZoneDrain | None = None
         self._early_jobs: list[StoredJob] = []
 
     async def on_start(self) -> None:
@@ -170,6 +172,7 @@
             message.jobs,
             self._clock.now_ms(),
         )
+        self._drain = ZoneDrain(self._state)
         self._state.set_config(self._config)
         for stored in self._early_jobs:
             self._state.job_changed(stored, self._clock.now_ms())
@@ -286,7 +289,7 @@
             if now_ms >= next_roster_ms:
                 next_roster_ms = now_ms + ROSTER_INTERVAL_MS
                 self._keep_roster(state)
-                self._move_jobs(state, now_ms)
+                self._move_jobs(now_ms)
 
     def _send_batches(self, state: ShardTasks) -> None:
         """Send what the state decided; the authority is checked just before."""
@@ -297,9 +300,8 @@
             self._send(worker_id, batch)
 
     def _send(self, worker_id: str, batch: WorkerBatch) -> None:
-        link = self._link_by_id.get(worker_id)
-        if link is not None:
-            link.tell(batch)
+        if worker_id in self._link_by_id:
+            self._link_by_id[worker_id].tell(batch)
 
     def _write_outcomes(self, state: ShardTasks) -> None:
         for job_id in state.outcomes.jobs_to_write():
@@ -307,22 +309,25 @@
             if stored is not None:
                 self.spawn(self._writer.write(state, stored))
 
-    def _move_jobs(self, state: ShardTasks, now_ms: int) -> None:
+    def _move_jobs(self, now_ms: int) -> None:
         """While the zone is out, home its jobs in shards of other zones."""
+        drain = self._drain
+        if drain is None:
+            return
         zone = self._shard.rpartition(".")[0]
         is_known = zone in self._config.zones_by_name
         if not is_known or self._config.is_zone_in(zone):
-            state.zone_returned()
+            drain.end()
             return
-        state.drain(now_ms)
-        for stored in state.movable_jobs(now_ms):
-            self.spawn(self._move_job(state, stored))
+        drain.advance(now_ms)
+        for stored in drain.begin_moves(now_ms):
+            self.spawn(self._move_job(drain, stored))
 
-    async def _move_job(self, state: ShardTasks, stored: StoredJob) -> None:
+    async def _move_job(self, drain: ZoneDrain, stored: StoredJob) -> None:
         try:
-            await self._writer.move(state, stored)
+            await self._writer.move(drain.tasks, stored)
         finally:
-            state.move_ended(stored.job.job_id, self._clock.now_ms())
+            drain.move_ended(stored.job.job_id, self._clock.now_ms())
 
     def _keep_roster(self, state: ShardTasks) -> None:
         wanted = state.wanted_roster(self._worker_by_id)
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -47,11 +47,7 @@
 from marjoramgrade.store import StoredRoster
 
 START_BUDGET = 500
-# Batch tasks may end by themselves this long after their zone was taken out.
-DRAIN_MS = 10_000
-MAX_MOVES_AT_ONCE = 100
 
-ZONE_OUT = "zone taken out"
 ABOVE_LIMIT = "team above its lowered limit"
 
 ENDING_BY_OUTCOME = {
@@ -90,8 +86,6 @@
     outboxes: Outboxes = attrs.field(factory=Outboxes)
     _retry_by_kind: dict[Kind, RetryPolicy] = attrs.field(factory=dict)
     _attempt_by_task: dict[TaskId, int] = attrs.field(factory=dict)
-    _moving: set[str] = attrs.field(factory=set)
-    _drain_since_ms: int | None = None
 
     @classmethod
     def from_rows(
@@ -213,54 +207,6 @@
         for index in range(job.spec.tasks):
             self._attempt_by_task.pop(TaskId(job.job_id, index), None)
 
-    # Moving jobs away while the zone is out
-
-    def drain(self, now_ms: int) -> None:
-        """Stop services at once and batch tasks after a grace period."""
-        if self._drain_since_ms is None:
-            self._drain_since_ms = now_ms
-        is_over = now_ms >= self._drain_since_ms + DRAIN_MS
-        for job_id, stored in self.job_by_id.items():
-            if stored.job.spec.kind is Kind.SERVICE or is_over:
-                self._stop_job(job_id, ZONE_OUT)
-
-    def _stop_job(self, job_id: str, reason: str) -> None:
-        for running in self.scheduler.running.tasks_of_job(job_id):
-            if self.scheduler.running.stopping_of(running.task) is None:
-                self.scheduler.stop(running.task, reason, is_requeued=True)
-
-    def zone_returned(self) -> None:
-        """End a drain."""
-        self._drain_since_ms = None
-
-    def movable_jobs(self, now_ms: int) -> list[StoredJob]:
-        """Return jobs of which nothing runs, and note that they are moving."""
-        movable: list[StoredJob] = []
-        if not self.reconciliation.is_complete(now_ms):
-            return movable
-        for job_id, stored in self.job_by_id.items():
-            if len(self._moving) >= MAX_MOVES_AT_ONCE:
-                break
-            is_busy = bool(self.scheduler.running.tasks_of_job(job_id))
-            if is_busy or job_id in self._moving or stored.job.cancelled:
-                continue
-            if self.outcomes.has_open_writes(job_id):
-                continue
-            self._moving.add(job_id)
-            self.scheduler.cancel_job(job_id)
-            movable.append(stored)
-        return movable
-
-    def move_ended(self, job_id: str, now_ms: int) -> None:
-        """Note that an attempt to move a job is over; queue it if it stays."""
-        self._moving.discard(job_id)
-        stored = self.job_by_id.get(job_id)
-        if stored is None or stored.job.cancelled:
-            return
-        for entry in queued_tasks_from(stored.job, now_ms):
-            if not any(self.outcomes.is_final(task) for task in entry.iter_tasks()):
-                self._submit(entry, now_ms)
-
     def job_moved(self, stored: StoredJob) -> None:
         """Drop a job that another shard now owns."""
         self.scheduler.cancel_job(stored.job.job_id)
--- /dev/null
+++ b/marjoramgrade/messages/peers.py
@@ -0,0 +1,82 @@
+"""Messages about instances and between entry instances."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from marjoramgrade.actor import Message
+from marjoramgrade.model import Instance
+
+
+@attrs.frozen
+class InstancesChanged(Message[None]):
+    """The platform's list of instances as last read."""
+
+    instances: tuple[Instance, ...]
+
+
+@attrs.frozen
+class Member:
+    """An entry instance as registered in the table.
+
+    Attributes:
+        instance_id: Its id.
+        zone: Its availability zone.
+        host: IP number.
+        peer_port: TCP port for other entry instances.
+        row_version: Version of its row; a lower one was registered earlier.
+    """
+
+    instance_id: str
+    zone: str
+    host: str
+    peer_port: int
+    row_version: int = 0
+
+
+@attrs.frozen
+class MembersChanged(Message[None]):
+    """The registered entry instances, this one included."""
+
+    members: tuple[Member, ...]
+
+
+@attrs.frozen
+class CallPeer(Message[Any]):
+    """Sends a message to another entry instance and waits for its reply."""
+
+    instance_id: str
+    message: Message[Any]
+    timeout_ms: int
+
+
+@attrs.frozen
+class TellPeers(Message[None]):
+    """Sends a message to every other entry instance."""
+
+    message: Message[Any]
+
+
+@attrs.frozen
+class PeerCall(Message[Any]):
+    """Asks the link to one peer to send a message and wait for the reply."""
+
+    message: Message[Any]
+    timeout_ms: int
+
+
+@attrs.frozen
+class PeerTell(Message[None]):
+    """Asks the link to one peer to send a message, or drop it if it cannot."""
+
+    message: Message[Any]
+
+
+@attrs.frozen
+class Inbound(Message[Any]):
+    """A message that arrived from another entry instance."""
+
+    instance_id: str
+    message: Message[Any]
--- /dev/null
+++ b/marjoramgrade/messages/routing.py
@@ -0,0 +1,84 @@
+"""Messages about the load of shards."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from marjoramgrade.actor import Message
+from marjoramgrade.model import JobSpec
+from marjoramgrade.resources import NOTHING, Resources
+
+
+@attrs.frozen
+class DispatchSummary(Message[None]):
+    """Load of the backend servers of an owned shard."""
+
+    shard: str
+    owner: str
+    epoch: int
+    free_slots_by_service: Mapping[str, int]
+    queued: int
+
+
+@attrs.frozen
+class TaskSummary(Message[None]):
+    """Load of the workers of an owned shard.
+
+    Attributes:
+        shard: Name of the shard.
+        owner: Instance that owns it.
+        epoch: Epoch of the owner.
+        total: What the workers offer.
+        free: What is not reserved.
+        queued: Tasks that wait.
+    """
+
+    shard: str
+    owner: str
+    epoch: int
+    total: Resources = NOTHING
+    free: Resources = NOTHING
+    queued: int = 0
+
+
+@attrs.frozen
+class ChooseShard(Message[str]):
+    """Asks which shard a new job should be homed in."""
+
+    spec: JobSpec
+
+
+@attrs.frozen
+class InstanceSummary(Message[None]):
+    """What an entry instance tells the others about itself."""
+
+    instance_id: str
+    zone: str
+    config_version: int
+
+
+@attrs.frozen
+class Summaries:
+    """What is known of the cell.
+
+    Attributes:
+        dispatch: Load of the backend servers of each shard heard of lately.
+        tasks: Load of the workers of each shard heard of lately.
+        instances: The registered entry instances as last heard of.
+    """
+
+    dispatch: tuple[DispatchSummary, ...]
+    tasks: tuple[TaskSummary, ...]
+    instances: tuple[InstanceSummary, ...]
+
+    def owners(self) -> set[str]:
+        """Return the instances that are known to own shards."""
+        by_dispatch = {summary.owner for summary in self.dispatch}
+        return by_dispatch | {summary.owner for summary in self.tasks}
+
+
+@attrs.frozen
+class GetSummaries(Message[Summaries]):
+    """Asks for the load of every shard."""
