Decide with the membership module which members may be removed

The controller had a second version of that rule, and the module was unused. The load test with a replaced owner passes, which needs the removal (18 s).

--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -9,6 +9,7 @@
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
+from marjoramgrade.decisions.membership import MemberView, removable_members
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OwnerUnreachableError,
@@ -29,7 +30,6 @@
     TellPeers,
 )
 from marjoramgrade.metrics import Metrics
-from marjoramgrade.model import InstanceKind
 from marjoramgrade.store import Store
 
 READ_INTERVAL_MS = 1_000
@@ -71,7 +71,7 @@
         self._member_by_id: dict[str, Member] = {}
         self._link_by_id: dict[str, Actor] = {}
         self._is_registered = False
-        self._listed: frozenset[str] = frozenset()
+        self._view = MemberView()
         self._missing_since_ms: dict[str, int] = {}
 
     async def on_start(self) -> None:
@@ -101,11 +101,7 @@
 
     @handles(InstancesChanged)
     async def _instances_changed(self, message: InstancesChanged) -> None:
-        self._listed = frozenset(
-            instance.instance_id
-            for instance in message.instances
-            if instance.kind is InstanceKind.ENTRY
-        )
+        self._view.take_list(message.instances, self._clock.now_ms())
 
     async def _read_forever(self) -> None:
         while True:
@@ -125,16 +121,21 @@
 
         A list without this instance itself lags too far to be relied on.
         """
-        if self._own.instance_id not in self._listed:
+        if self._view.get(self._own.instance_id) is None:
             return
         now_ms = self._clock.now_ms()
-        missing = set(self._member_by_id) - self._listed
         self._missing_since_ms = {
-            member: self._missing_since_ms.get(member, now_ms) for member in missing
+            member: self._missing_since_ms.get(member, now_ms)
+            for member in self._member_by_id
+            if self._view.get(member) is None
         }
-        for member, since_ms in self._missing_since_ms.items():
-            if now_ms >= since_ms + REMOVE_AFTER_MS:
-                await self._remove(member)
+        lapsed_by_member = {
+            member: now_ms >= since_ms + REMOVE_AFTER_MS
+            for member, since_ms in self._missing_since_ms.items()
+        }
+        removable = removable_members(self._member_by_id, self._view, lapsed_by_member)
+        for member in sorted(removable):
+            await self._remove(member)
 
     async def _remove(self, member: str) -> None:
         write_id = uuid.uuid4().hex
