--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -9,7 +9,9 @@
 import attrs
 
 from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import Clock
 from marjoramgrade.decisions.admission import check_job
+from marjoramgrade.decisions.retention import EndedJobs
 from marjoramgrade.decisions.workers import WorkerNode
 from marjoramgrade.errors import (
     CheckFailedError,
@@ -51,6 +53,7 @@
 
 READ_INTERVAL_MS = 500
 CANCEL_ATTEMPTS = 5
+FORGET_INTERVAL_MS = 10_000
 
 
 class JobsController(Actor):
@@ -64,6 +67,8 @@
         peers: Reaches the other entry instances.
         metrics: Counters.
         own_shards: The shards of the own zone.
+        clock: Monotonic time.
+        retention_ms: Time after which the row of an ended job is deleted.
         subscribers: Actors that are told `JobsChanged`.
     """
 
@@ -76,6 +81,8 @@
         peers: Actor,
         metrics: Metrics,
         own_shards: Iterable[str],
+        clock: Clock,
+        retention_ms: int,
         subscribers: Sequence[Actor],
     ) -> None:
         super().__init__()
@@ -88,6 +95,8 @@
         self._peers = peers
         self._metrics = metrics
         self._own_shards = frozenset(own_shards)
+        self._clock = clock
+        self._ended = EndedJobs(retention_ms)
         self._subscribers = tuple(subscribers)
         self._job_by_id: dict[str, StoredJob] = {}
         self._read_version = 0
@@ -95,6 +104,7 @@
     async def on_start(self) -> None:
         """Begin to follow the change feed."""
         self.keep_running(self._follow())
+        self.keep_running(self._forget_forever())
 
     @handles(ConfigConfirmed)
     async def _config_confirmed(self, message: ConfigConfirmed) -> None:
@@ -252,12 +262,34 @@
         newer = tuple(stored for stored in jobs if self._is_newer(stored))
         if not newer and not read_version:
             return
+        now_ms = self._clock.now_ms()
         for stored in newer:
             self._job_by_id[stored.job.job_id] = stored
+            if stored.job.state is not JobState.OPEN:
+                is_near = stored.job.shard in self._own_shards
+                self._ended.note(stored.job, stored.version, is_near, now_ms)
         for subscriber in self._subscribers:
             subscriber.tell(JobsChanged(newer, read_version))
 
+    async def _forget_forever(self) -> None:
+        """Drop ended jobs from memory, and their rows after the retention."""
+        while True:
+            await asyncio.sleep(FORGET_INTERVAL_MS / 1000)
+            now_ms = self._clock.now_ms()
+            for job_id in self._ended.pop_forgettable(now_ms):
+                self._job_by_id.pop(job_id, None)
+            expired = self._ended.pop_expired(now_ms)
+            if not expired:
+                continue
+            try:
+                await self._store.delete_jobs(expired)
+            except MarjoramgradeError:
+                # Another instance of the zone may have deleted them.
+                self._metrics.retried("retention_table_error")
+
     def _is_newer(self, stored: StoredJob) -> bool:
+        if self._ended.is_forgotten(stored.job, stored.version):
+            return False
         known = self._job_by_id.get(stored.job.job_id)
         return known is None or known.version < stored.version
 
--- /dev/null
+++ b/marjoramgrade/decisions/retention.py
@@ -0,0 +1,72 @@
+"""How long ended jobs are kept in memory and in the table."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+from marjoramgrade.model import Job
+
+# Lists and watches show an ended job for this long; its row is kept longer.
+KEPT_IN_MEMORY_MS = 3_600_000
+MAX_DELETED_AT_ONCE = 100
+
+
+@attrs.frozen
+class _EndedJob:
+    job_id: str
+    version: int
+    ended_ms: int
+
+
+class EndedJobs:
+    """Ended jobs in the order in which this instance learned of their end.
+
+    Args:
+        retention_ms: Time after which the row of an ended job is deleted.
+    """
+
+    def __init__(self, retention_ms: int) -> None:
+        self._retention_ms = retention_ms
+        self._in_memory: deque[_EndedJob] = deque()
+        self._in_table: deque[_EndedJob] = deque()
+        self._forgotten_version = 0
+
+    def note(self, job: Job, version: int, is_near: bool, now_ms: int) -> None:
+        """Take note of an ended job.
+
+        Args:
+            job: The job.
+            version: Version of its row.
+            is_near: Whether instances of this zone delete its row.
+            now_ms: The current time.
+        """
+        ended = _EndedJob(job.job_id, version, now_ms)
+        self._in_memory.append(ended)
+        if is_near:
+            self._in_table.append(ended)
+
+    def is_forgotten(self, job: Job, version: int) -> bool:
+        """Return whether a row that was read again is of a forgotten job."""
+        return version <= self._forgotten_version and not job.is_open
+
+    def pop_forgettable(self, now_ms: int) -> list[str]:
+        """Return the jobs that memory need not keep any longer."""
+        kept_ms = min(KEPT_IN_MEMORY_MS, self._retention_ms)
+        forgotten = []
+        while self._in_memory and now_ms >= self._in_memory[0].ended_ms + kept_ms:
+            ended = self._in_memory.popleft()
+            self._forgotten_version = max(self._forgotten_version, ended.version)
+            forgotten.append(ended.job_id)
+        return forgotten
+
+    def pop_expired(self, now_ms: int) -> dict[str, int]:
+        """Return the versions of rows that may be deleted now, by job."""
+        expired: dict[str, int] = {}
+        while self._in_table and len(expired) < MAX_DELETED_AT_ONCE:
+            if now_ms < self._in_table[0].ended_ms + self._retention_ms:
+                break
+            ended = self._in_table.popleft()
+            expired[ended.job_id] = ended.version
+        return expired
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -208,6 +208,8 @@
             members,
             counters,
             shards,
+            clock,
+            settings.ended_job_retention_ms,
             (watch, *schedulers.values()),
         )
         jobs_holder.append(jobs)
--- a/marjoramgrade/model.py
+++ b/marjoramgrade/model.py
@@ -112,6 +112,11 @@
         """Return a new job whose tasks are all open."""
         return cls(job_id, spec, shard, Outcome.OPEN.value * spec.tasks)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a task has not ended."""
+        return Outcome.OPEN.value in self.outcomes
+
     @property
     def state(self) -> JobState:
         """The state that follows from the outcomes of the tasks."""
--- a/marjoramgrade/settings.py
+++ b/marjoramgrade/settings.py
@@ -51,6 +51,8 @@
             operations that need it are refused.
         max_body_bytes: Largest request body that is taken.
         max_queued_requests: Requests that may wait in one shard.
+        ended_job_retention_ms: Time after which the row of an ended job is deleted;
+            its id may be used again from then on.
         shutdown_ms: Longest time that a shutdown waits for running requests.
         filters: Names of the request filters, in order.
         policies_by_kind: Policies of each kind of work.
@@ -68,6 +70,7 @@
     operator_key_sha256: str = ""
     max_body_bytes: int = 1_048_576
     max_queued_requests: int = 10_000
+    ended_job_retention_ms: int = 86_400_000
     shutdown_ms: int = 30_000
     filters: tuple[str, ...] = DEFAULT_FILTERS
     policies_by_kind: Mapping[Kind, Policies] = attrs.field(factory=_default_policies)
--- a/marjoramgrade/settingsfile.py
+++ b/marjoramgrade/settingsfile.py
@@ -32,6 +32,8 @@
 MAX_SHARDS_PER_ZONE = 100
 MAX_BODY_BYTES = 64 * 1_048_576
 MAX_QUEUED_REQUESTS = 1_000_000
+MIN_RETENTION_MS = 60_000
+MAX_RETENTION_MS = 366 * 24 * 3_600_000
 MAX_SHUTDOWN_MS = 600_000
 
 port = whole_number(1, MAX_PORT)
@@ -48,6 +50,7 @@
     "operator_key_sha256": sha256(optional=True),
     "max_body_bytes": whole_number(0, MAX_BODY_BYTES),
     "max_queued_requests": whole_number(0, MAX_QUEUED_REQUESTS),
+    "ended_job_retention_ms": whole_number(MIN_RETENTION_MS, MAX_RETENTION_MS),
     "shutdown_ms": whole_number(0, MAX_SHUTDOWN_MS),
 }
 
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -259,6 +259,16 @@
             return None
         return _parse_stored_job(row)
 
+    async def delete_jobs(self, version_by_id: Mapping[str, int]) -> None:
+        """Delete job rows in one transaction.
+
+        Raises:
+            CheckFailedError: If one has changed; nothing was deleted.
+            TableError: If the table gave no answer.
+        """
+        checks = {JOBS_PREFIX + job: v for job, v in version_by_id.items()}
+        await self._table.commit(Transaction(checks, dict.fromkeys(checks)))
+
     async def changed_grants(self, after: int) -> GrantsPage:
         """Return the grants rows that changed after a version."""
         page = await self._table.changes(GRANTS_PREFIX, after)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from marjoramgrade.actor import Actor, ActorGroup
+from marjoramgrade.clock import ManualClock
 from marjoramgrade.controllers.jobs import JobsController
 from marjoramgrade.decisions.outcomes import OutcomeBook
 from marjoramgrade.messages import GetTasks, TaskStatus, WriteJob
@@ -21,7 +22,16 @@
         await store.commit_records([WriteJob(ENDED, ABSENT)], [])
         other = Actor()
         controller = JobsController(
-            store, other, lambda _: "", other, other, MemoryMetrics(), (), ()
+            store,
+            other,
+            lambda _: "",
+            other,
+            other,
+            MemoryMetrics(),
+            (),
+            ManualClock(),
+            60_000,
+            (),
         )
         async with ActorGroup() as actors:
             await actors.add(controller)
