Answer oversized bodies with a typed error and count refusals before the chain

Cause: a body over the bound was cut off by the HTTP library without a typed answer, and errors of parsing were answered but not counted. Bodies up to twice the bound are read and refused as oversized_input; larger ones are still cut off. Tests send malformed, oversized and hostile requests over real connections.

--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -26,10 +26,12 @@
 from marjoramgrade.errors import (
     InvalidInputError,
     MarjoramgradeError,
+    OversizedInputError,
     ShuttingDownError,
 )
 from marjoramgrade.filters.chain import Chain
 from marjoramgrade.filters.context import Context
+from marjoramgrade.metrics import Metrics
 
 DEFAULT_DEADLINE_MS = 10_000
 MAX_DEADLINE_MS = 60_000
@@ -48,6 +50,8 @@
         chain: The filter chain.
         watch: Controller of the watches.
         clock: Monotonic time.
+        metrics: Counts refusals before the chain.
+        max_body_bytes: Largest body that is taken.
         is_ready: Whether new requests are taken.
         in_flight: Requests that have not been answered.
     """
@@ -55,10 +59,20 @@
     chain: Chain
     watch: Actor
     clock: Clock
+    metrics: Metrics
+    max_body_bytes: int
     is_ready: bool = True
     in_flight: int = 0
 
 
+@attrs.frozen
+class _Call:
+    """A request and the context in which it passes the chain."""
+
+    call: HttpCall
+    context: Context
+
+
 class FrontHandler(RequestHandler):
     """Base class of the handlers."""
 
@@ -115,9 +129,12 @@
         if operation is None:
             self.send_error(405)
             return
+        call = self._parse_call(arguments)
+        if call is None:
+            return
         self.state.in_flight += 1
         try:
-            await self._answer(operation, arguments)
+            await self._answer(operation, call)
         except MarjoramgradeError as error:
             self.answer_error(error)
         finally:
@@ -125,9 +142,22 @@
 
     get = put = post = delete = _handle
 
-    async def _answer(self, operation: Operation, arguments: Sequence[str]) -> None:
+    def _parse_call(self, arguments: Sequence[str]) -> _Call | None:
+        """Return what the request asks for, or answer why that is unclear."""
+        try:
+            return self._parse(arguments)
+        except MarjoramgradeError as error:
+            self.state.metrics.refused(error)
+            self.answer_error(error)
+            return None
+
+    def _parse(self, arguments: Sequence[str]) -> _Call:
         if not self.state.is_ready:
             raise ShuttingDownError("this instance is shutting down")
+        if len(self.request.body) > self.state.max_body_bytes:
+            raise OversizedInputError(
+                f"the body is larger than {self.state.max_body_bytes} bytes"
+            )
         deadline_ms = self.deadline_ms()
         request_id = self.request.headers.get("Request-Id") or uuid.uuid4().hex
         call = HttpCall(
@@ -137,11 +167,14 @@
             request_id,
             deadline_ms - self.state.clock.now_ms(),
         )
-        message = operation.parse(call)
-        context = Context(message, self.secret(), request_id, deadline_ms)
-        answer = operation.serialize(call, await self.state.chain.handle(context))
+        message = self.operation_by_method[self.request.method or ""].parse(call)
+        return _Call(call, Context(message, self.secret(), request_id, deadline_ms))
+
+    async def _answer(self, operation: Operation, parsed: _Call) -> None:
+        reply = await self.state.chain.handle(parsed.context)
+        answer = operation.serialize(parsed.call, reply)
         self.set_status(answer.status)
-        self.set_header("Request-Id", request_id)
+        self.set_header("Request-Id", parsed.call.request_id)
         for name, value in answer.headers.items():
             self.set_header(name, value)
         self.finish(answer.body)
@@ -228,8 +261,9 @@
     return HTTPServer(
         make_application(state),
         max_header_size=MAX_HEADER_BYTES,
-        max_body_size=max_body_bytes,
-        max_buffer_size=max_body_bytes + MAX_HEADER_BYTES,
+        # A larger body is cut off; up to this size it gets a typed answer.
+        max_body_size=2 * max_body_bytes,
+        max_buffer_size=2 * max_body_bytes + MAX_HEADER_BYTES,
         body_timeout=BODY_TIMEOUT_MS / 1000,
         idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
     )
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -252,7 +252,13 @@
         environment = Environment(
             settings, clock, counters, config, routes, jobs, instances, watch
         )
-        self._state = FrontState(Chain.from_config(environment), watch, clock)
+        self._state = FrontState(
+            Chain.from_config(environment),
+            watch,
+            clock,
+            counters,
+            settings.max_body_bytes,
+        )
         server = make_server(self._state, settings.max_body_bytes)
         server.listen(settings.http_port, address=settings.host)
         self._stack.push_async_callback(server.close_all_connections)
--- /dev/null
+++ b/tests/test_httpfront.py
@@ -0,0 +1,105 @@
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.testing import bind_unused_port
+
+from marjoramgrade.actor import Actor
+from marjoramgrade.adapters.httpfront import FrontState, make_server
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.filters.chain import Chain, Filter, Proceed
+from marjoramgrade.filters.context import Context
+from marjoramgrade.messages import ListJobs
+from marjoramgrade.metrics import MemoryMetrics
+
+MAX_BODY_BYTES = 1_000
+
+
+class EmptyFilter(Filter):
+    @classmethod
+    def from_config(cls, environment: Any) -> "EmptyFilter":
+        return cls()
+
+    async def apply(self, context: Context, proceed: Proceed) -> Any:
+        assert isinstance(context.message, ListJobs)
+        return ()
+
+
+async def _exchange(requests: list[bytes]) -> tuple[list[bytes], MemoryMetrics]:
+    """Send raw requests, each on a connection of its own."""
+    metrics = MemoryMetrics()
+    chain = Chain([EmptyFilter()], metrics)
+    state = FrontState(chain, Actor(), SystemClock(), metrics, MAX_BODY_BYTES)
+    server = make_server(state, MAX_BODY_BYTES)
+    socket, port = bind_unused_port()
+    server.add_socket(socket)
+    answers = []
+    for request in requests:
+        stream = await TCPClient().connect("127.0.0.1", port)
+        try:
+            await stream.write(request)
+            answers.append(await asyncio.wait_for(stream.read_until_close(), 5))
+        except StreamClosedError:
+            answers.append(b"")
+    server.stop()
+    await server.close_all_connections()
+    return answers, metrics
+
+
+def _request(line: str, *headers: str, body: bytes = b"") -> bytes:
+    lines = [f"{line} HTTP/1.1", "Host: a", "Connection: close", *headers]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "code"),
+    [
+        (_request("POST /v1/jobs", body=b"{"), 400, "invalid_input"),
+        (_request("POST /v1/jobs", body=b'{"spec": 1}'), 400, "invalid_input"),
+        (
+            _request("POST /v1/jobs", body=b"[" * 400 + b"]" * 400),
+            413,
+            "oversized_input",
+        ),
+        (_request("POST /v1/jobs", body=b"1" * 1_500), 413, "oversized_input"),
+        (_request("GET /v1/jobs", "Deadline-Ms: soon"), 400, "invalid_input"),
+        (_request("DELETE /v1/zones/a", "If-Match: x"), 400, "invalid_input"),
+        (_request("POST /v1/run/a", "Idempotent: maybe"), 400, "invalid_input"),
+        (_request("PATCH /v1/jobs"), 405, "invalid_input"),
+        (_request("GET /nowhere"), 404, "invalid_input"),
+    ],
+)
+def test_bad_input_gets_a_typed_answer(
+    request_bytes: bytes, status: int, code: str
+) -> None:
+    """Guards against answers that programs cannot read, and a process that ends."""
+    valid = _request("GET /v1/jobs")
+    answers, _ = asyncio.run(_exchange([request_bytes, valid]))
+    head, _, body = answers[0].partition(b"\r\n\r\n")
+    assert int(head.split()[1]) == status
+    assert json.loads(body)["error"]["code"] == code
+    assert answers[1].startswith(b"HTTP/1.1 200")
+
+
+def test_hostile_bytes_end_only_their_connection() -> None:
+    """Guards against a caller that stops the instance for all others."""
+    hostile = [
+        b"\x00\xff" * 100 + b"\r\n\r\n",
+        _request("POST /v1/jobs", "Content-Length: 99999999"),
+        _request("GET /v1/jobs", "A: " + "b" * 20_000),
+        _request("GET /v1/jobs", "Transfer-Encoding: strange"),
+    ]
+    answers, _ = asyncio.run(_exchange([*hostile, _request("GET /v1/jobs")]))
+    assert all(not answer.startswith(b"HTTP/1.1 200") for answer in answers[:3])
+    assert answers[-1].startswith(b"HTTP/1.1 200")
+
+
+def test_refusals_before_the_chain_are_counted() -> None:
+    """Guards against refusals that operators cannot see."""
+    _, metrics = asyncio.run(_exchange([_request("POST /v1/jobs", body=b"{")]))
+    assert metrics.count_by_name["refused.invalid_input"] == 1
