--- /dev/null
+++ b/marjoramgrade/composition.py
@@ -0,0 +1,247 @@
+"""Builds the controllers of an entry instance and wires them to each other."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from marjoramgrade.actor import Actor
+from marjoramgrade.adapters.backend import BackendClient
+from marjoramgrade.adapters.peerlink import PeerLink
+from marjoramgrade.adapters.platform import HttpTable, InstanceList, PlatformClient
+from marjoramgrade.adapters.workerlink import WorkerLink
+from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.authority import AuthorityController
+from marjoramgrade.controllers.config import ConfigController
+from marjoramgrade.controllers.dispatch import DispatchController
+from marjoramgrade.controllers.inbound import InboundController
+from marjoramgrade.controllers.instances import InstancesController
+from marjoramgrade.controllers.jobs import JobsController
+from marjoramgrade.controllers.journal import JournalController
+from marjoramgrade.controllers.members import MembersController
+from marjoramgrade.controllers.ownership import OwnershipController
+from marjoramgrade.controllers.routes import RoutesController
+from marjoramgrade.controllers.shard import ShardController
+from marjoramgrade.controllers.watch import WatchController
+from marjoramgrade.messages import Member
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.model import Instance
+from marjoramgrade.settings import EntrySettings
+from marjoramgrade.store import Store
+
+
+def shard_of(instance: Instance, shards_per_zone: int) -> str:
+    """Return the shard that a worker or backend server belongs to.
+
+    Instances of one rack share a shard, so that gangs can be placed together;
+    without a rack the id decides.
+    """
+    key = instance.rack or instance.instance_id
+    digest = hashlib.sha256(key.encode()).digest()
+    number = int.from_bytes(digest[:4], "big") % shards_per_zone
+    return f"{instance.zone}.{number}"
+
+
+@attrs.frozen
+class Parts:
+    """The controllers of an entry instance."""
+
+    authority: AuthorityController
+    journal: JournalController
+    watch: WatchController
+    routes: RoutesController
+    dispatcher_by_shard: dict[str, Actor]
+    scheduler_by_shard: dict[str, Actor]
+    ownership: OwnershipController
+    members: MembersController
+    jobs: JobsController
+    config: ConfigController
+    instances: InstancesController
+    inbound: InboundController
+
+    def iter_inner(self) -> Iterator[Actor]:
+        """Yield the controllers to start before the instance becomes a member.
+
+        Each is started after those that it tells or asks, so that the reverse
+        order of the stop leaves nobody who tells a stopped one.
+        """
+        yield from (self.authority, self.journal, self.watch, self.routes)
+        yield from self.dispatcher_by_shard.values()
+        yield from self.scheduler_by_shard.values()
+        yield from (self.jobs, self.config, self.instances, self.inbound)
+
+
+@attrs.define
+class Composer:
+    """Builds the parts of one entry instance.
+
+    Attributes:
+        settings: Settings of the instance.
+        clock: Monotonic time.
+        metrics: Counters.
+        platform: Connection to the platform.
+        backends: Reaches the backend servers.
+    """
+
+    settings: EntrySettings
+    clock: Clock
+    metrics: Metrics
+    platform: PlatformClient
+    backends: BackendClient
+    _jobs: list[Actor] = attrs.field(factory=list)
+
+    @property
+    def shards(self) -> list[str]:
+        """The shards of the zone."""
+        count = self.settings.shards_per_zone
+        return [f"{self.settings.zone}.{number}" for number in range(count)]
+
+    def compose(self) -> Parts:
+        """Return the parts, wired and not yet started."""
+        settings, store = self.settings, Store(HttpTable(self.platform))
+        own = Member(
+            settings.instance_id, settings.zone, settings.host, settings.peer_port
+        )
+        authority = AuthorityController(own, self.clock, self.metrics)
+        journal, watch = JournalController(store), WatchController()
+        routes = RoutesController(
+            settings.instance_id, settings.zone, self.clock, self.metrics
+        )
+        dispatchers: dict[str, Actor] = {
+            shard: self._make_dispatcher(shard, store, journal, routes)
+            for shard in self.shards
+        }
+        schedulers: dict[str, Actor] = {
+            shard: self._make_scheduler(shard, store, journal, routes)
+            for shard in self.shards
+        }
+        by_shard = (*dispatchers.values(), *schedulers.values())
+        ownership = self._make_ownership(store, authority, by_shard)
+        members = self._make_members(own, store, authority, (ownership, routes))
+        jobs = self._make_jobs(
+            store, journal, routes, members, (watch, *schedulers.values())
+        )
+        self._jobs.append(jobs)
+        config = ConfigController(
+            store,
+            members,
+            authority,
+            self.clock,
+            self.metrics,
+            (watch, routes, jobs, authority, *by_shard),
+        )
+        instances = InstancesController(
+            InstanceList(self.platform), self.metrics, (jobs, members, *by_shard)
+        )
+        inbound = InboundController(
+            authority, config, jobs, routes, dispatchers, schedulers
+        )
+        routes.connect(members, dispatchers, schedulers)
+        authority.connect(peers=members, config=config, ownership=ownership)
+        return Parts(
+            authority,
+            journal,
+            watch,
+            routes,
+            dispatchers,
+            schedulers,
+            ownership,
+            members,
+            jobs,
+            config,
+            instances,
+            inbound,
+        )
+
+    def _make_dispatcher(
+        self, shard: str, store: Store, journal: Actor, routes: Actor
+    ) -> DispatchController:
+        return DispatchController(
+            shard,
+            self.settings.instance_id,
+            self._membership_of(shard),
+            self.backends,
+            journal,
+            store,
+            self.clock,
+            self.metrics,
+            self.settings.max_queued_requests,
+            (routes,),
+        )
+
+    def _make_scheduler(
+        self, shard: str, store: Store, journal: Actor, routes: Actor
+    ) -> ShardController:
+        return ShardController(
+            shard,
+            self.settings.instance_id,
+            self._membership_of(shard),
+            self.settings.policies_by_kind,
+            store,
+            journal,
+            WorkerLink,
+            self.clock,
+            self.metrics,
+            routes,
+            lambda: self._jobs[0],
+        )
+
+    def _make_ownership(
+        self, store: Store, authority: Actor, subscribers: tuple[Actor, ...]
+    ) -> OwnershipController:
+        return OwnershipController(
+            self.settings.instance_id,
+            self.settings.zone,
+            self.shards,
+            store,
+            authority,
+            self.clock,
+            self.metrics,
+            subscribers,
+        )
+
+    def _make_members(
+        self,
+        own: Member,
+        store: Store,
+        authority: Actor,
+        subscribers: tuple[Actor, ...],
+    ) -> MembersController:
+        settings = self.settings
+        return MembersController(
+            own,
+            store,
+            authority,
+            self.clock,
+            lambda member: PeerLink(settings.instance_id, settings.host, member),
+            self.metrics,
+            (*subscribers, authority),
+        )
+
+    def _make_jobs(
+        self,
+        store: Store,
+        journal: Actor,
+        routes: Actor,
+        members: Actor,
+        subscribers: tuple[Actor, ...],
+    ) -> JobsController:
+        settings = self.settings
+        return JobsController(
+            store,
+            journal,
+            lambda instance: shard_of(instance, settings.shards_per_zone),
+            routes,
+            members,
+            self.metrics,
+            self.shards,
+            self.clock,
+            settings.ended_job_retention_ms,
+            subscribers,
+        )
+
+    def _membership_of(self, shard: str) -> Callable[[Instance], bool]:
+        count = self.settings.shards_per_zone
+        return lambda instance: shard_of(instance, count) == shard
