Wait longer for an honest refusal after the deadline

Cause: beside other work an event loop lags by a few hundred milliseconds, so the owner's refusal of a request that never ran came after the caller's instance had given up at 250 ms, and the outcome was reported as unknown. The instance now waits 1.5 s past the deadline, and 1 s for a peer. Ruled out: lost answers, since the audits found every answered request run once.

--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -66,9 +66,10 @@
 )
 # Time kept back from the deadline for the reply's way to the caller.
 REPLY_RESERVE_MS = 5
-# An owner refuses a waiting request at its first tick (50 ms) after the deadline.
-# Its "not run" has to arrive before the deadline filter gives up after 250 ms.
-REFUSAL_GRACE_MS = 200
+# An owner refuses a waiting request at its first tick (50 ms) after the deadline,
+# and later if its event loop lags. Its "not run" has to arrive before the deadline
+# filter gives up.
+REFUSAL_GRACE_MS = 1_000
 
 
 @attrs.define
--- a/marjoramgrade/filters/requests.py
+++ b/marjoramgrade/filters/requests.py
@@ -19,7 +19,7 @@
 from marjoramgrade.messages import RunRequest
 
 # The owner refuses at the deadline; its "not run" needs this long to come back.
-REPLY_GRACE_MS = 250
+REPLY_GRACE_MS = 1_500
 _REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
 
 
