Drop a wrapper and an unused argument

ShardTasks._submit only called the scheduler, and the resolution of a conflict took a time that it did not use; an adopted renewal extends no lease.

--- a/marjoramgrade/controllers/ownership.py
+++ b/marjoramgrade/controllers/ownership.py
@@ -178,7 +178,7 @@
         try:
             state.version = await self._store.write_shard(row, state.version)
         except CheckFailedError:
-            await self._resolve_conflict(state, lease, asked_ms)
+            await self._resolve_conflict(state, lease)
             return
         state.row = row
         self._authority.tell(ShardHeld(row.shard, row.guardians, is_proposed=False))
@@ -195,9 +195,7 @@
             self._authority.tell(EndWrite(write_id))
         state.unsettled_writes.clear()
 
-    async def _resolve_conflict(
-        self, state: _ShardState, lease: HeldLease, asked_ms: int
-    ) -> None:
+    async def _resolve_conflict(self, state: _ShardState, lease: HeldLease) -> None:
         """Adopt an own renewal whose answer was lost, or accept the loss."""
         stored = await self._store.read_shard(state.row.shard)
         is_own = stored.row.owner == self._instance_id
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -157,7 +157,7 @@
         self.job_by_id[job.job_id] = stored
         if known is None and not job.cancelled:
             for entry in queued_tasks_from(job, now_ms):
-                self._submit(entry, now_ms)
+                self.scheduler.submit(entry, now_ms)
         if job.cancelled and (known is None or not known.job.cancelled):
             self._cancel(job)
 
@@ -189,9 +189,6 @@
         state = "running" if worker_id else "queued"
         return TaskStatus(task, state, reason, worker_id)
 
-    def _submit(self, entry: QueuedTask, now_ms: int) -> None:
-        self.scheduler.submit(entry, now_ms)
-
     def _cancel(self, job: Job) -> None:
         """Cancel the tasks of a job: queued ones end now, running ones later."""
         self.scheduler.cancel_job(job.job_id)
@@ -370,7 +367,9 @@
             for failed in again.iter_tasks():
                 self.outcomes.note(failed, Outcome.FAILED)
             return
-        self._submit(attrs.evolve(again, not_before_ms=now_ms + delay_ms), now_ms)
+        self.scheduler.submit(
+            attrs.evolve(again, not_before_ms=now_ms + delay_ms), now_ms
+        )
 
     def _start_of(self, decision: StartTask) -> TaskStart:
         task = decision.task
