--- a/marjoramgrade/adapters/peercodec.py
+++ b/marjoramgrade/adapters/peercodec.py
@@ -12,9 +12,12 @@
 
 import attrs
 import capnp
+from cattrs import Converter
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 
 from marjoramgrade import errors, messages
 from marjoramgrade.decisions.promises import PromiseReply, PromiseRequest, Refusal
+from marjoramgrade.messages import rows, steps
 from marjoramgrade.model import TaskId
 from marjoramgrade.resources import Resources
 
@@ -86,7 +89,8 @@
         OversizedInputError: If the frame is larger than `MAX_FRAME_BYTES`.
     """
     body_type = type(frame.body)
-    if isinstance(frame.body, errors.MarjoramgradeError):
+    is_error = isinstance(frame.body, errors.MarjoramgradeError)
+    if is_error and body_type not in _codec_by_type:
         body_type = errors.MarjoramgradeError
     codec = _codec_by_type.get(body_type)
     if codec is None:
@@ -326,3 +330,85 @@
 def _serialize_failure(error: errors.MarjoramgradeError) -> dict[str, Any]:
     details = [{"name": name, "value": str(v)} for name, v in error.details.items()]
     return {"code": error.code, "message": error.message, "details": details}
+
+
+def _make_converter() -> Converter:
+    """Return a converter between attrs classes and structs of the same fields."""
+    converter = Converter()
+
+    def unstructure(kind: type) -> Callable[[Any], Any]:
+        return make_dict_unstructure_fn(kind, converter, **_renamed(kind))
+
+    def structure(kind: type) -> Callable[[Any, Any], Any]:
+        return make_dict_structure_fn(kind, converter, **_renamed(kind))
+
+    converter.register_unstructure_hook_factory(attrs.has, unstructure)
+    converter.register_structure_hook_factory(attrs.has, structure)
+    converter.register_unstructure_hook(bytes, bytes)
+    return converter
+
+
+def _renamed(kind: type) -> dict[str, Any]:
+    return {
+        field.name: override(rename=_field_name(field.name))
+        for field in attrs.fields(kind)
+    }
+
+
+def _field_name(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(word.capitalize() for word in rest)
+
+
+_converter = _make_converter()
+
+
+def encode_by_fields(message_type: type, field: str) -> None:
+    """Register a message type whose struct has the fields of the attrs class.
+
+    Args:
+        message_type: The attrs class.
+        field: Name of the member of the frame's union.
+    """
+    attrs.resolve_types(message_type)
+
+    def decode(data: Any) -> Any:
+        return _converter.structure(data.to_dict(verbose=True), message_type)
+
+    encodes(message_type, field, decode)(_converter.unstructure)
+
+
+for _message_type in (
+    rows.CommitRows,
+    rows.RowsCommitted,
+    rows.ReadRows,
+    rows.WatchRows,
+    rows.RowsPage,
+    steps.SubmitStepJob,
+    steps.StepJobAccepted,
+    steps.GetStepJob,
+    steps.CancelStepJob,
+    steps.StepJobShown,
+    steps.CountPending,
+    steps.PendingCount,
+    steps.LeaderBeat,
+    steps.LeaderLeft,
+    steps.AskLeaderAge,
+    steps.LeaderAge,
+    steps.StepAdvice,
+    steps.RequestAdvice,
+):
+    _name = _message_type.__name__
+    encode_by_fields(_message_type, _name[0].lower() + _name[1:])
+
+
+def _parse_rows_differ(data: Any) -> errors.RowCheckFailedError:
+    page = _converter.structure(
+        {"rows": data.to_dict(verbose=True)["rows"], "version": 0}, rows.RowsPage
+    )
+    return errors.RowCheckFailedError("a row has changed", page.rows)
+
+
+@encodes(errors.RowCheckFailedError, "rowsDiffer", _parse_rows_differ)
+def _serialize_rows_differ(error: errors.RowCheckFailedError) -> dict[str, Any]:
+    return {"rows": _converter.unstructure(error.rows)}
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -16,6 +16,10 @@
 from tornado.tcpserver import TCPServer
 
 from marjoramgrade.actor import Actor, handles
+from marjoramgrade.adapters.httppool import (
+    UNACKNOWLEDGED_TIMEOUT_MS,
+    bound_silence,
+)
 from marjoramgrade.adapters.peercodec import (
     MAX_FRAME_BYTES,
     Done,
@@ -79,6 +83,7 @@
         self._stream: IOStream | None = None
         self._connecting: asyncio.Task[IOStream] | None = None
         self._correlation = 0
+        self._frames_read = 0
         self._reply_by_correlation: dict[int, asyncio.Future[Any]] = {}
 
     async def on_stop(self) -> None:
@@ -103,7 +108,7 @@
     async def _exchange(self, call: PeerCall) -> Any:
         stream = await self._connected()
         self._correlation += 1
-        number = self._correlation
+        number, frames_read = self._correlation, self._frames_read
         reply = asyncio.get_running_loop().create_future()
         self._reply_by_correlation[number] = reply
         try:
@@ -113,7 +118,10 @@
             raise OwnerUnreachableError(
                 f"{self._member.instance_id} does not read its connection"
             ) from None
-        except (TimeoutError, StreamClosedError):
+        except (TimeoutError, StreamClosedError) as error:
+            if isinstance(error, TimeoutError) and self._frames_read == frames_read:
+                # Nothing at all came back: the connection may have gone silent.
+                stream.close()
             raise OutcomeUnknownError(
                 f"{self._member.instance_id} did not reply"
             ) from None
@@ -142,7 +150,7 @@
                 ),
                 CONNECT_TIMEOUT_MS / 1000,
             )
-            stream.set_nodelay(True)
+            bound_silence(stream, UNACKNOWLEDGED_TIMEOUT_MS)
             stream.max_write_buffer_size = MAX_UNSENT_BYTES
             write_frame(stream, PeerFrame(0, Hello(self._own_id)))
             self._stream = stream
@@ -155,6 +163,7 @@
         try:
             while True:
                 frame = await read_frame(stream)
+                self._frames_read += 1
                 reply = self._reply_by_correlation.pop(frame.correlation, None)
                 if reply is None or reply.done():
                     continue
--- a/marjoramgrade/clock.py
+++ b/marjoramgrade/clock.py
@@ -11,6 +11,10 @@
         """Return the milliseconds since an arbitrary fixed point."""
         ...
 
+    def unix_ms(self) -> int:
+        """Return the milliseconds since 1970; may jump and differ by instance."""
+        ...
+
 
 class SystemClock:
     """The machine's monotonic clock."""
@@ -19,6 +23,10 @@
         """Return the milliseconds of the machine's monotonic clock."""
         return time.monotonic_ns() // 1_000_000
 
+    def unix_ms(self) -> int:
+        """Return the milliseconds since 1970 by the machine's time of day."""
+        return time.time_ns() // 1_000_000
+
 
 class ManualClock:
     """A clock that moves only when told; for tests and measurements."""
@@ -30,6 +38,10 @@
         """Return the current reading."""
         return self._now_ms
 
+    def unix_ms(self) -> int:
+        """Return the current reading, as if the fixed point were 1970."""
+        return self._now_ms
+
     def advance(self, by_ms: int) -> None:
         """Move the clock forward.
 
--- /dev/null
+++ b/marjoramgrade/controllers/commits.py
@@ -0,0 +1,233 @@
+"""Writes the rows of the leader, many changes in one transaction.
+
+Each transaction checks the row that says who leads, so nothing that a former
+leader sends takes effect, and the version of each row that it writes, so that a
+transaction whose answer was lost can be sent again unchanged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.errors import (
+    MarjoramgradeError,
+    NotOwnerError,
+    RowCheckFailedError,
+    TableUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from marjoramgrade.messages.rows import (
+    ABSENT,
+    CommitRows,
+    RowCheck,
+    RowId,
+    RowsCommitted,
+    RowWrite,
+    StoredRow,
+)
+from marjoramgrade.messages.steps import LeadConfirmed, StepDown, StoreReachable
+
+# The store takes 100 entries in a transaction; each row has a check and a write.
+MAX_ROWS = 48
+# A transaction holds 1 MB; base64 makes a third more of each value.
+MAX_BATCH_BYTES = 600_000
+# Between attempts while the store is unavailable.
+RETRY_MS = 60
+# The store counts as out of reach after failing this long; shorter failures only
+# delay an answer.
+UNREACHABLE_MS = 250
+
+
+@attrs.frozen
+class SaveRows(Message[None]):
+    """Asks that rows be written; answered once they and all before them are."""
+
+    writes: tuple[RowWrite, ...]
+
+
+@attrs.define
+class _Request:
+    writes: tuple[RowWrite, ...]
+    done: asyncio.Future[None]
+
+
+class CommitController(Actor):
+    """Owns the writes of one leadership.
+
+    Args:
+        store: Reads and writes rows.
+        epoch: Number of the leadership.
+        epoch_check: The row that says who leads, as this leader wrote it.
+        versions: Versions of the rows that exist.
+        clock: Monotonic time.
+        subscribers: Told of the store's confirmations and failures.
+    """
+
+    def __init__(
+        self,
+        store: Actor,
+        epoch: int,
+        epoch_check: RowCheck,
+        versions: dict[RowId, int],
+        clock: Clock,
+        subscribers: tuple[Actor, ...],
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._epoch = epoch
+        self._epoch_check = epoch_check
+        self._version_by_row = versions
+        self._clock = clock
+        self._subscribers = subscribers
+        self._queue: list[_Request] = []
+        self._wake = asyncio.Event()
+        self._failing_since_ms = 0
+        self._reachable = True
+
+    async def on_start(self) -> None:
+        """Start to write."""
+        self.keep_running(self._run())
+
+    async def on_stop(self) -> None:
+        """Tell those who wait that nobody writes for them any more."""
+        self._fail_all(NotOwnerError("the leadership has ended"))
+
+    @handles(SaveRows)
+    async def _save(self, message: SaveRows) -> Any:
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        done.add_done_callback(lambda f: f.cancelled() or f.exception())
+        self._queue.append(_Request(message.writes, done))
+        self._wake.set()
+        return done
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                requests = self._next_batch()
+                if not await self._commit(requests):
+                    return
+
+    def _next_batch(self) -> list[_Request]:
+        rows: set[RowId] = set()
+        size = 0
+        batch: list[_Request] = []
+        for request in self._queue:
+            rows.update(write.row for write in request.writes)
+            size += sum(len(write.value) for write in request.writes)
+            if batch and (len(rows) > MAX_ROWS or size > MAX_BATCH_BYTES):
+                break
+            batch.append(request)
+        del self._queue[: len(batch)]
+        return batch
+
+    async def _commit(self, requests: list[_Request]) -> bool:
+        """Write a batch; returns whether the leadership still holds."""
+        write_by_row = {write.row: write for r in requests for write in r.writes}
+        while write_by_row:
+            asked_ms = self._clock.now_ms()
+            try:
+                answer: RowsCommitted = await self._store.ask(
+                    self._transaction(write_by_row)
+                )
+            except RowCheckFailedError as error:
+                if self._lost_lead(error):
+                    self._end(requests)
+                    return False
+                self._reconcile(write_by_row, error)
+                continue
+            except (TableUnavailableError, WriteOutcomeUnknownError):
+                self._failed()
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
+            self._succeeded(write_by_row, answer, asked_ms)
+            break
+        for request in requests:
+            if not request.done.done():
+                request.done.set_result(None)
+        return True
+
+    def _transaction(self, write_by_row: dict[RowId, RowWrite]) -> CommitRows:
+        checks = [
+            RowCheck(row, self._version_by_row.get(row, ABSENT)) for row in write_by_row
+        ]
+        writes = tuple(
+            write
+            for row, write in write_by_row.items()
+            if not (write.remove and self._version_by_row.get(row, ABSENT) == ABSENT)
+        )
+        return CommitRows((self._epoch_check, *checks), writes)
+
+    def _lost_lead(self, error: RowCheckFailedError) -> bool:
+        for row in error.rows:
+            if isinstance(row, StoredRow) and row.row == self._epoch_check.row:
+                return row.version != self._epoch_check.version
+        return False
+
+    def _reconcile(
+        self, write_by_row: dict[RowId, RowWrite], error: RowCheckFailedError
+    ) -> None:
+        """Find out which writes took effect although their answer was lost."""
+        current = {row.row: row for row in error.rows if isinstance(row, StoredRow)}
+        for row, write in list(write_by_row.items()):
+            found = current.get(row)
+            version = ABSENT if found is None or found.deleted else found.version
+            self._version_by_row[row] = version
+            has_effect = (
+                write.remove
+                if version == ABSENT
+                else (
+                    found is not None
+                    and not write.remove
+                    and found.value == write.value
+                )
+            )
+            if has_effect:
+                del write_by_row[row]
+
+    def _succeeded(
+        self,
+        write_by_row: dict[RowId, RowWrite],
+        answer: RowsCommitted,
+        asked_ms: int,
+    ) -> None:
+        for row, write in write_by_row.items():
+            self._version_by_row[row] = ABSENT if write.remove else answer.version
+        self._failing_since_ms = 0
+        self._tell(LeadConfirmed(self._epoch, asked_ms))
+        self._set_reachable(True)
+
+    def _failed(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._failing_since_ms = self._failing_since_ms or now_ms
+        if now_ms - self._failing_since_ms >= UNREACHABLE_MS:
+            self._set_reachable(False)
+
+    def _set_reachable(self, reachable: bool) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        logs.state_change("store_reachable" if reachable else "store_unreachable")
+        self._tell(StoreReachable(reachable))
+
+    def _end(self, requests: list[_Request]) -> None:
+        self._queue = [*requests, *self._queue]
+        self._fail_all(NotOwnerError("another instance leads"))
+        self._tell(StepDown(self._epoch, "another instance leads"))
+
+    def _fail_all(self, error: MarjoramgradeError) -> None:
+        for request in self._queue:
+            if not request.done.done():
+                request.done.set_exception(error)
+        self._queue.clear()
+
+    def _tell(self, message: Message[None]) -> None:
+        for subscriber in self._subscribers:
+            subscriber.tell(message)
--- /dev/null
+++ b/marjoramgrade/controllers/desk.py
@@ -0,0 +1,190 @@
+"""Hands the requests of callers to the instance that leads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.decisions.stepprogress import JobRecord
+from marjoramgrade.errors import (
+    InvalidInputError,
+    JobNotFoundError,
+    MarjoramgradeError,
+    NoLeaderError,
+    NotOwnerError,
+    OutcomeUnknownError,
+    OverloadedError,
+    OwnerUnreachableError,
+    QueueNotFoundError,
+    ShuttingDownError,
+    TableError,
+    TableRefusedError,
+)
+from marjoramgrade.messages import CallPeer
+from marjoramgrade.messages.rows import ReadRows, RowsPage
+from marjoramgrade.messages.steps import (
+    CancelStepJob,
+    CountPending,
+    GetStepJob,
+    LeaderBeat,
+    LeaderKnown,
+    StepJobShown,
+    SubmitStepJob,
+)
+from marjoramgrade.stepjobs import StepJob, StepJobState
+from marjoramgrade.steprows import (
+    JOBS_TABLE,
+    LEADER_PART,
+    PROGRESS_TABLE,
+    parse_row,
+)
+
+# Between attempts while another instance takes the lead.
+RETRY_MS = 60
+# One attempt at the leader; commits usually take 20 ms, on a slow store 1 s.
+ATTEMPT_MS = 1_500
+# A job that nobody can take is refused once no leader has been known for this long;
+# a takeover usually ends within it.
+NO_LEADER_MS = 1_500
+# Left of the caller's time for the way back.
+ANSWER_MARGIN_MS = 60
+
+Forwarded = SubmitStepJob | GetStepJob | CancelStepJob | CountPending
+
+
+@attrs.frozen
+class Forward(Message[Any]):
+    """A request of a caller and its deadline on this instance's clock."""
+
+    request: Forwarded
+    deadline_ms: int
+
+
+class DeskController(Actor):
+    """Forwards requests and repeats those that are safe to repeat.
+
+    All of them are: a job that is handed in again is the same job.
+
+    Args:
+        instance_id: Id of this instance.
+        scheduler: Answers while this instance leads.
+        peers: Reaches the other instances.
+        store: Reads rows when no leader answers.
+        clock: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        scheduler: Actor,
+        peers: Actor,
+        store: Actor,
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self._instance_id = instance_id
+        self._scheduler = scheduler
+        self._peers = peers
+        self._store = store
+        self._clock = clock
+        self._leader_id = ""
+        self._served_ms = clock.now_ms()
+
+    @handles(LeaderKnown)
+    async def _leader_known(self, message: LeaderKnown) -> None:
+        self._leader_id = message.leader_id
+
+    @handles(Forward)
+    async def _forward(self, message: Forward) -> Any:
+        return self.spawn(self.forward(message.request, message.deadline_ms))
+
+    @handles(LeaderBeat)
+    async def _beat(self, message: LeaderBeat) -> None:
+        self._served_ms = self._clock.now_ms()
+
+    async def forward(self, message: Forwarded, deadline_ms: int) -> Any:
+        """Return the leader's answer.
+
+        Args:
+            message: The request.
+            deadline_ms: The caller's deadline on this instance's clock.
+
+        Raises:
+            RefusedError: If nothing was taken.
+            OutcomeUnknownError: If it is not known whether it was.
+        """
+        was_sent = False
+        failure: MarjoramgradeError = NoLeaderError("no instance leads")
+        while self._clock.now_ms() + ANSWER_MARGIN_MS < deadline_ms:
+            left_ms = deadline_ms - self._clock.now_ms() - ANSWER_MARGIN_MS
+            try:
+                answer = await self._attempt(message, min(left_ms, ATTEMPT_MS))
+                self._served_ms = self._clock.now_ms()
+                return answer
+            except (NotOwnerError, OwnerUnreachableError, NoLeaderError) as error:
+                failure = error
+            except OutcomeUnknownError as error:
+                was_sent, failure = True, error
+            except (JobNotFoundError, QueueNotFoundError):
+                self._served_ms = self._clock.now_ms()
+                raise
+            except (OverloadedError, TableRefusedError, InvalidInputError):
+                if not was_sent:
+                    raise
+            if isinstance(message, GetStepJob):
+                return await self._read_state(message)
+            unserved_ms = self._clock.now_ms() - self._served_ms
+            if not was_sent and unserved_ms > NO_LEADER_MS:
+                break
+            await asyncio.sleep(RETRY_MS / 1000)
+        if was_sent:
+            raise OutcomeUnknownError("the leader did not answer in time")
+        logs.state_change("request_refused", code=failure.code, leader=self._leader_id)
+        raise NoLeaderError(f"no instance could take it: {failure.message}")
+
+    async def _attempt(self, message: Forwarded, timeout_ms: int) -> Any:
+        leader_id = self._leader_id
+        if not leader_id:
+            raise NoLeaderError("no instance leads")
+        if leader_id != self._instance_id:
+            return await self._peers.ask(CallPeer(leader_id, message, timeout_ms))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await self._scheduler.ask(message)
+        except TimeoutError:
+            raise OutcomeUnknownError("no answer in time") from None
+        except ShuttingDownError:
+            raise OutcomeUnknownError("the instance stops") from None
+
+    async def _read_state(self, message: GetStepJob) -> StepJobShown:
+        """Return the state of a job as the store has it.
+
+        Raises:
+            JobNotFoundError: If the store has no such job.
+            NoLeaderError: If the store does not answer either.
+        """
+        try:
+            job = await self._read_row(JOBS_TABLE, message.job_id, StepJob)
+            record = await self._read_row(PROGRESS_TABLE, message.job_id, JobRecord)
+        except TableError as error:
+            raise NoLeaderError(
+                f"neither leader nor store answers: {error.message}"
+            ) from None
+        if job is None:
+            raise JobNotFoundError(f"no job has the id {message.job_id}")
+        state = record.state if record is not None else StepJobState.QUEUED
+        return StepJobShown(state, job.team)
+
+    async def _read_row(self, table: str, key: str, kind: type[Any]) -> Any:
+        page: RowsPage = await self._store.ask(
+            ReadRows(table, LEADER_PART, key, limit=1)
+        )
+        for row in page.rows:
+            if row.row.key == key:
+                return parse_row(row.value, kind)
+        return None
--- /dev/null
+++ b/marjoramgrade/controllers/leadership.py
@@ -0,0 +1,352 @@
+"""Who leads: follows the leader, replaces one that is gone, renews its own lead.
+
+Fences make a takeover safe at any time: the old leader's writes fail on the row
+that says who leads, and its orders are refused by the workers. What is weighed
+here is only how soon a leader counts as gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+import attrs
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.errors import (
+    InvalidInputError,
+    MarjoramgradeError,
+    RowCheckFailedError,
+    TableError,
+    WriteOutcomeUnknownError,
+)
+from marjoramgrade.messages import CallPeer, Member, MembersChanged, TellPeers
+from marjoramgrade.messages.rows import (
+    ABSENT,
+    CommitRows,
+    ReadRows,
+    RowCheck,
+    RowsPage,
+    RowWrite,
+    StoredRow,
+)
+from marjoramgrade.messages.steps import (
+    AskLeaderAge,
+    LeadConfirmed,
+    LeaderAge,
+    LeaderBeat,
+    LeaderKnown,
+    LeaderLeft,
+    StepDown,
+    TakeLead,
+)
+from marjoramgrade.steprows import (
+    EPOCH_ROW,
+    LEADER_PART,
+    LEADERSHIP_TABLE,
+    RENEWAL_ROW,
+    LeaderRow,
+    parse_row,
+    serialize_row,
+)
+
+LOOP_MS = 100
+# The leader tells everybody that it leads at this interval.
+BEAT_MS = 250
+# It writes to the store at least this often, so that others can tell a leader
+# that is gone from one that they cannot hear.
+RENEWAL_MS = 600
+# After this silence the store is asked whether the leader still writes; two beats
+# may be lost or late.
+SILENCE_MS = 700
+# A leader whose row stands still for this long while nobody hears it is gone.
+STALE_MS = 1_300
+# The same, once its process is known to refuse connections or to have left.
+STALE_REFUSED_MS = 750
+# A leader that most instances have not heard for this long is replaced even if it
+# still writes: it cannot serve them.
+UNHEARD_MS = 2_500
+ASK_TIMEOUT_MS = 300
+# Candidates wait a little in turn, so that the first one usually is the only one.
+RANK_DELAY_MS = 60
+
+
+@attrs.define
+class _Observed:
+    """What the store says of the leadership."""
+
+    row: LeaderRow = LeaderRow(0, "")
+    row_version: int = ABSENT
+    renewal_version: int = ABSENT
+    changed_ms: int = 0
+
+
+class LeadershipController(Actor):
+    """Decides when this instance takes the lead.
+
+    Args:
+        instance_id: Id of this instance.
+        store: Reads and writes rows.
+        peers: Reaches the other instances.
+        scheduler: Leads when this instance does.
+        clock: Monotonic time.
+        subscribers: Told which instance leads.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        store: Actor,
+        peers: Actor,
+        scheduler: Actor,
+        clock: Clock,
+        subscribers: tuple[Actor, ...],
+    ) -> None:
+        super().__init__()
+        self._instance_id = instance_id
+        self._store = store
+        self._peers = peers
+        self._scheduler = scheduler
+        self._clock = clock
+        self._subscribers = subscribers
+        self._members: tuple[Member, ...] = ()
+        self._observed = _Observed()
+        self._leader = LeaderRow(0, "")
+        self._heard_ms = clock.now_ms()
+        self._own_epoch = 0
+        self._renewed_ms = 0
+        self._beat_ms = 0
+        self._leaving = False
+
+    async def on_start(self) -> None:
+        """Start to follow or to lead."""
+        self.keep_running(self._run())
+
+    # What others tell
+
+    @handles(MembersChanged)
+    async def _members_changed(self, message: MembersChanged) -> None:
+        self._members = message.members
+
+    @handles(LeaderBeat)
+    async def _beat(self, message: LeaderBeat) -> None:
+        if message.epoch < self._leader.epoch:
+            return
+        if message.leader_id != self._leader.leader_id or not self._heard_ms:
+            logs.state_change(
+                "leader_heard", leader=message.leader_id, epoch=message.epoch
+            )
+        self._heard_ms = self._clock.now_ms()
+        self._follow(LeaderRow(message.epoch, message.leader_id))
+        self._tell(message)
+
+    @handles(LeaderLeft)
+    async def _leader_left(self, message: LeaderLeft) -> None:
+        if message.epoch >= self._leader.epoch:
+            self._heard_ms = 0
+
+    @handles(AskLeaderAge)
+    async def _leader_age(self, message: AskLeaderAge) -> LeaderAge:
+        return LeaderAge(self._leader.epoch, self._clock.now_ms() - self._heard_ms)
+
+    @handles(StepDown)
+    async def _step_down(self, message: StepDown) -> None:
+        if message.epoch == self._own_epoch:
+            self._lose(message.reason)
+
+    async def leave(self) -> None:
+        """Give the lead up, so that another instance takes it at once."""
+        self._leaving = True
+        epoch = self._own_epoch
+        if not epoch:
+            return
+        self._lose("the instance stops")
+        row = serialize_row(LeaderRow(epoch, ""))
+        try:
+            await self._store.ask(
+                CommitRows(
+                    (RowCheck(EPOCH_ROW, self._observed.row_version),),
+                    (RowWrite(EPOCH_ROW, row),),
+                )
+            )
+        except MarjoramgradeError as error:
+            # The successor notices the silence instead.
+            logs.state_change("lead_release_failed", code=error.code)
+        self._peers.tell(TellPeers(LeaderLeft(epoch)))
+
+    # Following and leading
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(LOOP_MS / 1000)
+            if self._leaving:
+                continue
+            if self._own_epoch:
+                await self._lead()
+            elif self._clock.now_ms() - self._heard_ms >= SILENCE_MS:
+                await self._consider()
+
+    async def _lead(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._beat_ms >= BEAT_MS:
+            self._beat_ms = now_ms
+            beat = LeaderBeat(self._own_epoch, self._instance_id)
+            self._peers.tell(TellPeers(beat))
+            self._tell(beat)
+        if now_ms - self._renewed_ms >= RENEWAL_MS:
+            self._renewed_ms = now_ms
+            self.spawn(self._renew(self._own_epoch))
+
+    async def _renew(self, epoch: int) -> None:
+        check = RowCheck(EPOCH_ROW, self._observed.row_version)
+        asked_ms = self._clock.now_ms()
+        write = RowWrite(RENEWAL_ROW, str(asked_ms).encode())
+        try:
+            await self._store.ask(CommitRows((check,), (write,)))
+        except RowCheckFailedError:
+            self._lose("another instance leads")
+            self._scheduler.tell(StepDown(epoch, "another instance leads"))
+            return
+        except TableError:
+            return
+        self._scheduler.tell(LeadConfirmed(epoch, asked_ms))
+
+    async def _consider(self) -> None:
+        """Take the lead if the leader is gone."""
+        if not await self._observe():
+            return
+        now_ms = self._clock.now_ms()
+        row = self._observed.row
+        if row.epoch > self._leader.epoch or row.leader_id != self._leader.leader_id:
+            self._follow(row)
+        is_own = row.leader_id == self._instance_id
+        if row.leader_id and not is_own:
+            unchanged_ms = now_ms - self._observed.changed_ms
+            limit_ms = STALE_MS if self._heard_ms else STALE_REFUSED_MS
+            if unchanged_ms < limit_ms and not await self._is_unheard():
+                return
+        await asyncio.sleep(self._rank() * RANK_DELAY_MS / 1000)
+        if self._clock.now_ms() - self._heard_ms >= SILENCE_MS:
+            await self._take()
+
+    async def _observe(self) -> bool:
+        """Read the rows of the leadership; returns whether the store answered."""
+        try:
+            page: RowsPage = await self._store.ask(
+                ReadRows(LEADERSHIP_TABLE, LEADER_PART)
+            )
+        except TableError:
+            # While nothing can be seen, the time does not count as standstill.
+            self._observed.changed_ms = self._clock.now_ms()
+            return False
+        found = {row.row: row for row in page.rows}
+        self._note_epoch(found.get(EPOCH_ROW))
+        renewal = found.get(RENEWAL_ROW)
+        version = renewal.version if renewal is not None else ABSENT
+        if version != self._observed.renewal_version:
+            self._observed.renewal_version = version
+            self._observed.changed_ms = self._clock.now_ms()
+        return True
+
+    def _note_epoch(self, row: StoredRow | None) -> None:
+        if row is None or row.version == self._observed.row_version:
+            return
+        self._observed.row_version = row.version
+        self._observed.changed_ms = self._clock.now_ms()
+        try:
+            self._observed.row = parse_row(row.value, LeaderRow)
+        except InvalidInputError as error:
+            logs.state_change("row_unreadable", row="epoch", reason=error.message)
+
+    async def _is_unheard(self) -> bool:
+        """Whether most instances have not heard the leader for long."""
+        if self._clock.now_ms() - self._heard_ms < UNHEARD_MS:
+            return False
+        others = [
+            member.instance_id
+            for member in self._members
+            if member.instance_id not in (self._instance_id, self._leader.leader_id)
+        ]
+        ages = await asyncio.gather(*(self._ask_age(other) for other in others))
+        unheard = 1 + sum(
+            1
+            for answer in ages
+            if answer is not None
+            and answer.epoch <= self._leader.epoch
+            and answer.age_ms >= UNHEARD_MS
+        )
+        return 2 * unheard > len(self._members)
+
+    async def _ask_age(self, instance_id: str) -> LeaderAge | None:
+        try:
+            answer = await self._peers.ask(
+                CallPeer(instance_id, AskLeaderAge(), ASK_TIMEOUT_MS)
+            )
+        except MarjoramgradeError:
+            return None
+        return answer if isinstance(answer, LeaderAge) else None
+
+    def _rank(self) -> int:
+        """Return how many instances try before this one."""
+
+        def score(instance_id: str) -> bytes:
+            text = f"{self._observed.row.epoch}:{instance_id}"
+            return hashlib.sha256(text.encode()).digest()
+
+        own = score(self._instance_id)
+        return sum(
+            1
+            for member in self._members
+            if member.instance_id != self._leader.leader_id
+            and score(member.instance_id) < own
+        )
+
+    async def _take(self) -> None:
+        epoch = self._observed.row.epoch + 1
+        row = serialize_row(LeaderRow(epoch, self._instance_id))
+        transaction = CommitRows(
+            (RowCheck(EPOCH_ROW, self._observed.row_version),),
+            (RowWrite(EPOCH_ROW, row),),
+        )
+        try:
+            answer = await self._store.ask(transaction)
+        except WriteOutcomeUnknownError:
+            # The next look at the rows tells whether it took effect.
+            return
+        except TableError as error:
+            logs.state_change("lead_not_taken", epoch=epoch, code=error.code)
+            return
+        self._observed.row = LeaderRow(epoch, self._instance_id)
+        self._observed.row_version = answer.version
+        self._own_epoch = epoch
+        self._renewed_ms = self._clock.now_ms()
+        self._beat_ms = 0
+        self._follow(self._observed.row)
+        await self._lead()
+        await self._scheduler.ask(TakeLead(epoch, answer.version))
+
+    def _follow(self, row: LeaderRow) -> None:
+        if row == self._leader:
+            return
+        if self._own_epoch and row.epoch > self._own_epoch:
+            epoch = self._own_epoch
+            self._lose("another instance leads")
+            self._scheduler.tell(StepDown(epoch, "another instance leads"))
+        self._leader = row
+        self._tell(LeaderKnown(row.leader_id, row.epoch))
+
+    def _lose(self, reason: str) -> None:
+        logs.state_change("lead_lost", epoch=self._own_epoch, reason=reason)
+        epoch, self._own_epoch = self._own_epoch, 0
+        self._heard_ms = self._clock.now_ms()
+        if self._leader.leader_id == self._instance_id:
+            self._leader = LeaderRow(epoch, "")
+            self._tell(LeaderKnown("", epoch))
+        if reason == "the instance stops":
+            self._scheduler.tell(StepDown(epoch, reason))
+
+    def _tell(self, message: Message[None]) -> None:
+        for subscriber in self._subscribers:
+            subscriber.tell(message)
--- /dev/null
+++ b/marjoramgrade/controllers/peers.py
@@ -0,0 +1,157 @@
+"""Finds the other instances through the store and reaches them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.errors import (
+    InvalidInputError,
+    OwnerUnreachableError,
+    RowCheckFailedError,
+    TableError,
+)
+from marjoramgrade.messages import (
+    CallPeer,
+    Member,
+    MembersChanged,
+    PeerCall,
+    PeerTell,
+    TellPeers,
+)
+from marjoramgrade.messages.rows import (
+    ABSENT,
+    CommitRows,
+    ReadRows,
+    RowCheck,
+    RowId,
+    RowsPage,
+    RowWrite,
+)
+from marjoramgrade.steprows import (
+    MEMBERS_TABLE,
+    MemberRow,
+    parse_row,
+    serialize_row,
+)
+
+# Between looks at the list of instances; soon after the start they follow faster,
+# because all instances start at about the same time.
+REFRESH_MS = 4_000
+FIRST_REFRESH_MS = 400
+FIRST_REFRESHES = 8
+
+
+class PeersController(Actor):
+    """Owns the list of instances and the links to them.
+
+    Args:
+        own: This instance.
+        store: Reads and writes rows.
+        make_link: Makes the link to another instance.
+    """
+
+    def __init__(
+        self, own: Member, store: Actor, make_link: Callable[[Member], Actor]
+    ) -> None:
+        super().__init__()
+        self._own = own
+        self._store = store
+        self._make_link = make_link
+        self._member_by_id: dict[str, Member] = {own.instance_id: own}
+        self._link_by_id: dict[str, Actor] = {}
+        self._subscribers: tuple[Actor, ...] = ()
+        self._own_version = ABSENT
+        self._registered = False
+
+    def connect(self, subscribers: tuple[Actor, ...]) -> None:
+        """Set the controllers that are told of the members."""
+        self._subscribers = subscribers
+
+    async def on_start(self) -> None:
+        """Start to look for other instances."""
+        self.keep_running(self._run())
+
+    async def on_stop(self) -> None:
+        """Close the links."""
+        await asyncio.gather(*(link.stop() for link in self._link_by_id.values()))
+
+    @handles(CallPeer)
+    async def _call(self, message: CallPeer) -> Any:
+        link = self._link_by_id.get(message.instance_id)
+        if link is None:
+            raise OwnerUnreachableError(f"{message.instance_id} is not known")
+        return self.spawn(link.ask(PeerCall(message.message, message.timeout_ms)))
+
+    @handles(TellPeers)
+    async def _tell(self, message: TellPeers) -> None:
+        for link in self._link_by_id.values():
+            link.tell(PeerTell(message.message))
+
+    async def _run(self) -> None:
+        looks = 0
+        while True:
+            try:
+                if not self._registered:
+                    await self._register()
+                await self._refresh()
+                looks += 1
+            except TableError as error:
+                logs.state_change("members_unread", code=error.code)
+            pause_ms = FIRST_REFRESH_MS if looks < FIRST_REFRESHES else REFRESH_MS
+            await asyncio.sleep(pause_ms / 1000)
+
+    async def _register(self) -> None:
+        own = self._own
+        row = RowId(MEMBERS_TABLE, "", own.instance_id)
+        value = serialize_row(
+            MemberRow(own.instance_id, own.zone, own.host, own.peer_port)
+        )
+        try:
+            await self._store.ask(
+                CommitRows((RowCheck(row, self._own_version),), (RowWrite(row, value),))
+            )
+        except RowCheckFailedError as error:
+            # An earlier life of this instance has registered.
+            for found in error.rows:
+                self._own_version = getattr(found, "version", ABSENT)
+            return
+        self._registered = True
+
+    async def _refresh(self) -> None:
+        page: RowsPage = await self._store.ask(ReadRows(MEMBERS_TABLE, ""))
+        found: dict[str, Member] = {self._own.instance_id: self._own}
+        for row in page.rows:
+            try:
+                member = parse_row(row.value, MemberRow)
+            except InvalidInputError as error:
+                logs.state_change(
+                    "row_unreadable", row=row.row.key, reason=error.message
+                )
+                continue
+            if member.instance_id != self._own.instance_id:
+                found[member.instance_id] = Member(
+                    member.instance_id, member.zone, member.host, member.peer_port
+                )
+        if found != self._member_by_id:
+            await self._change(found)
+
+    async def _change(self, found: dict[str, Member]) -> None:
+        for instance_id, member in self._member_by_id.items():
+            if found.get(instance_id) != member and instance_id in self._link_by_id:
+                self.spawn(self._link_by_id.pop(instance_id).stop())
+        for instance_id, member in found.items():
+            if instance_id == self._own.instance_id:
+                continue
+            if instance_id not in self._link_by_id:
+                link = self._make_link(member)
+                link.on_fatal = self.on_fatal
+                await link.start()
+                self._link_by_id[instance_id] = link
+        self._member_by_id = found
+        logs.state_change("members_changed", members=",".join(sorted(found)))
+        for subscriber in self._subscribers:
+            subscriber.tell(MembersChanged(tuple(found.values())))
--- /dev/null
+++ b/marjoramgrade/controllers/readiness.py
@@ -0,0 +1,65 @@
+"""Decides whether the balancer should send new connections here."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.messages.steps import ConfigurationChanged, LeaderBeat, LeaderKnown
+
+POLL_MS = 200
+# An instance that has not heard a leader for this long sends its callers to others;
+# takeovers end sooner.
+UNHEARD_MS = 2_500
+
+
+class ReadySign(Protocol):
+    """What the balancer looks at."""
+
+    is_ready: bool
+
+
+class ReadinessController(Actor):
+    """Owns the sign that the balancer looks at.
+
+    Args:
+        sign: The sign.
+        clock: Monotonic time.
+    """
+
+    def __init__(self, sign: ReadySign, clock: Clock) -> None:
+        super().__init__()
+        self._sign = sign
+        self._clock = clock
+        self._has_config = False
+        self._leader_id = ""
+        self._heard_ms = clock.now_ms()
+
+    async def on_start(self) -> None:
+        """Start to look."""
+        self.keep_running(self._run())
+
+    @handles(ConfigurationChanged)
+    async def _config_changed(self, message: ConfigurationChanged) -> None:
+        self._has_config = True
+
+    @handles(LeaderKnown)
+    async def _leader_known(self, message: LeaderKnown) -> None:
+        self._leader_id = message.leader_id
+        self._heard_ms = self._clock.now_ms()
+
+    @handles(LeaderBeat)
+    async def _beat(self, message: LeaderBeat) -> None:
+        self._heard_ms = self._clock.now_ms()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_MS / 1000)
+            unheard_ms = self._clock.now_ms() - self._heard_ms
+            ready = self._has_config and unheard_ms < UNHEARD_MS
+            if ready != self._sign.is_ready:
+                self._sign.is_ready = ready
+                logs.state_change("ready" if ready else "not_ready", unheard=unheard_ms)
--- /dev/null
+++ b/marjoramgrade/controllers/stepinbound.py
@@ -0,0 +1,57 @@
+"""Hands messages of other instances to the controllers that answer them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.errors import ProtocolError
+from marjoramgrade.messages import Inbound
+from marjoramgrade.messages.rows import CommitRows, ReadRows, WatchRows
+from marjoramgrade.messages.steps import (
+    AskLeaderAge,
+    CancelStepJob,
+    CountPending,
+    GetStepJob,
+    LeaderBeat,
+    LeaderLeft,
+    RequestAdvice,
+    SubmitStepJob,
+)
+
+
+class StepInboundController(Actor):
+    """Knows which controller answers which message.
+
+    Args:
+        leadership: Follows the leader.
+        scheduler: Leads.
+        advisor: Asks the placement advisor.
+        store: The direct connection to the store, so that a relayed call is not
+            relayed again.
+    """
+
+    def __init__(
+        self, leadership: Actor, scheduler: Actor, advisor: Actor, store: Actor
+    ) -> None:
+        super().__init__()
+        self._controller_by_type: dict[type[Any], Actor] = {
+            LeaderBeat: leadership,
+            LeaderLeft: leadership,
+            AskLeaderAge: leadership,
+            SubmitStepJob: scheduler,
+            GetStepJob: scheduler,
+            CancelStepJob: scheduler,
+            CountPending: scheduler,
+            RequestAdvice: advisor,
+            CommitRows: store,
+            ReadRows: store,
+            WatchRows: store,
+        }
+
+    @handles(Inbound)
+    async def _inbound(self, message: Inbound) -> Any:
+        controller = self._controller_by_type.get(type(message.message))
+        if controller is None:
+            raise ProtocolError(f"nothing answers {type(message.message).__name__}")
+        return self.spawn(controller.ask(message.message))
--- /dev/null
+++ b/marjoramgrade/controllers/takeover.py
@@ -0,0 +1,103 @@
+"""Reads what earlier leaders have left in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+
+import attrs
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor
+from marjoramgrade.decisions.stepprogress import JobRecord
+from marjoramgrade.errors import InvalidInputError, TableUnavailableError
+from marjoramgrade.messages.rows import ReadRows, RowId, StoredRow
+from marjoramgrade.stepconfig import Queue
+from marjoramgrade.stepjobs import StepJob, StepWorker
+from marjoramgrade.steprows import (
+    JOBS_TABLE,
+    LEADER_PART,
+    LEADERSHIP_TABLE,
+    PROGRESS_TABLE,
+    ROSTER_ROW,
+    RosterRow,
+    parse_row,
+)
+
+# Between attempts while the store does not answer.
+RETRY_MS = 100
+
+
+@attrs.frozen
+class Inheritance:
+    """Jobs, workers and row versions that an earlier leader has left.
+
+    Attributes:
+        jobs: Each job and its progress.
+        roster: Workers that may have runs.
+        version_by_row: Versions of all rows that were read.
+    """
+
+    jobs: tuple[tuple[StepJob, JobRecord], ...]
+    roster: tuple[StepWorker, ...]
+    version_by_row: Mapping[RowId, int]
+
+    @staticmethod
+    def queue_for(job: StepJob) -> Queue:
+        """Return a stand-in for the queue of a job that is no longer configured.
+
+        No worker belongs to its pool, so that nothing of the job starts.
+        """
+        return Queue(job.queue, "", "", "")
+
+
+async def read_inheritance(store: Actor) -> Inheritance:
+    """Read the rows of the leadership, trying again until the store answers."""
+    while True:
+        try:
+            return await _read(store)
+        except TableUnavailableError as error:
+            logs.state_change("takeover_waits", reason=error.message)
+            await asyncio.sleep(RETRY_MS / 1000)
+
+
+async def _read(store: Actor) -> Inheritance:
+    leadership, jobs, progress = await asyncio.gather(
+        _read_all(store, LEADERSHIP_TABLE),
+        _read_all(store, JOBS_TABLE),
+        _read_all(store, PROGRESS_TABLE),
+    )
+    versions = {row.row: row.version for row in (*leadership, *jobs, *progress)}
+    record_by_id = {}
+    for row in progress:
+        record_by_id[row.row.key] = parse_row(row.value, JobRecord)
+    inherited = []
+    for row in jobs:
+        try:
+            job = parse_row(row.value, StepJob)
+        except InvalidInputError as error:
+            logs.state_change("row_unreadable", row=row.row.key, reason=error.message)
+            continue
+        inherited.append((job, record_by_id.get(row.row.key, JobRecord())))
+    roster: tuple[StepWorker, ...] = ()
+    for row in leadership:
+        if row.row == ROSTER_ROW:
+            roster = parse_row(row.value, RosterRow).workers
+    return Inheritance(tuple(inherited), roster, versions)
+
+
+async def _read_all(store: Actor, table: str) -> list[StoredRow]:
+    return [row async for row in _iter_rows(store, table)]
+
+
+async def _iter_rows(store: Actor, table: str) -> AsyncIterator[StoredRow]:
+    first = ""
+    while True:
+        page = await store.ask(ReadRows(table, LEADER_PART, first))
+        for row in page.rows:
+            # A further page begins with the last row of the one before.
+            if row.row.key != first:
+                yield row
+        if not page.more or not page.rows:
+            return
+        first = page.rows[-1].row.key
--- /dev/null
+++ b/marjoramgrade/controllers/workerlink.py
@@ -0,0 +1,276 @@
+"""The leader's connection to one worker: orders, leases and listings."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.workerport import WorkerPort
+from marjoramgrade.decisions.workerlease import WorkerLease
+from marjoramgrade.errors import (
+    InvalidInputError,
+    WorkerError,
+    WorkerRefusedError,
+    WorkerReplacedError,
+    WorkerSilentError,
+    WorkerUnreachableError,
+)
+from marjoramgrade.messages.steps import (
+    LinkAcknowledge,
+    LinkGrant,
+    LinkPace,
+    LinkStart,
+    LinkStop,
+    LinkSync,
+    StartAnswered,
+    StartOutcome,
+    WorkerListed,
+    WorkerSilent,
+)
+from marjoramgrade.stepjobs import StepWorker, WorkerListing
+
+# A listing waits this long for an end; then it reports progress.
+LISTING_WAIT_MS = 1_000
+# While ends wait to be stored, or have just come, the worker is asked again after
+# this time; it would answer at once each time.
+UNSTORED_PAUSE_MS = 120
+# After a call that brought no answer.
+RETRY_PAUSE_MS = 150
+# A worker counts as silent after this many calls in a row without an answer.
+FAILURES_TO_SILENT = 2
+
+
+class WorkerLink(Actor):
+    """Owns the calls to one life of a worker.
+
+    Args:
+        worker: The worker.
+        port: Its client.
+        scheduler: Told what the worker says.
+        clock: Monotonic time.
+        hold_ms: Length of the leases that are granted.
+        fence: The first fence.
+        expired_ms: Our time after which leases of earlier leaders have run out.
+    """
+
+    def __init__(
+        self,
+        worker: StepWorker,
+        port: WorkerPort,
+        scheduler: Actor,
+        clock: Clock,
+        hold_ms: int,
+        fence: int,
+        expired_ms: int,
+    ) -> None:
+        super().__init__()
+        self._worker_id = worker.worker_id
+        self._port = port
+        self._scheduler = scheduler
+        self._clock = clock
+        self._hold_ms = hold_ms
+        self._fence = fence
+        self._lease = WorkerLease(unheard_until_ms=expired_ms)
+        self._acknowledged = 0
+        self._born_unix_ms = 0
+        self._last_end = 0
+        self._failures = 0
+        self._grant_until_ms = 0
+        self._reported_expiry = False
+        self._changed = asyncio.Event()
+
+    async def on_start(self) -> None:
+        """Start to list the worker's runs."""
+        self.keep_running(self._keep_listing())
+
+    async def on_stop(self) -> None:
+        """Close the connections."""
+        self._port.close()
+
+    @handles(LinkGrant)
+    async def _grant(self, message: LinkGrant) -> None:
+        self._grant_until_ms = message.until_ms
+
+    @handles(LinkAcknowledge)
+    async def _acknowledge(self, message: LinkAcknowledge) -> None:
+        if message.number > self._acknowledged:
+            self._acknowledged = message.number
+            self._changed.set()
+
+    @handles(LinkSync)
+    async def _sync(self, message: LinkSync) -> None:
+        self._fence = max(self._fence, message.fence)
+        self.spawn(self._list_now())
+
+    @handles(LinkStart)
+    async def _start(self, message: LinkStart) -> None:
+        self.spawn(self._send_start(message))
+
+    @handles(LinkStop)
+    async def _stop_run(self, message: LinkStop) -> None:
+        self.spawn(self._send_stop(message))
+
+    @handles(LinkPace)
+    async def _pace_run(self, message: LinkPace) -> None:
+        self.spawn(self._send_pace(message))
+
+    # Orders
+
+    async def _send_start(self, message: LinkStart) -> None:
+        outcome, reason = await self._try_start(message)
+        self._scheduler.tell(
+            StartAnswered(
+                self._worker_id,
+                message.order.task,
+                message.order.run,
+                outcome,
+                reason,
+            )
+        )
+
+    async def _try_start(self, message: LinkStart) -> tuple[StartOutcome, str]:
+        if not self._may_grant():
+            return StartOutcome.REFUSED, "no_authority"
+        if not self._lease.heard_ms:
+            return StartOutcome.REFUSED, "not_heard"
+        try:
+            clock_ms = await self._port.start(
+                message.order, message.fence, self._next_expiry()
+            )
+        except WorkerRefusedError as error:
+            return StartOutcome.REFUSED, error.reason
+        except (WorkerUnreachableError, WorkerReplacedError) as error:
+            return StartOutcome.REFUSED, error.code
+        except WorkerSilentError as error:
+            logs.state_change(
+                "start_unanswered",
+                job=message.order.task.job_id,
+                worker=self._worker_id,
+                reason=error.message,
+            )
+            return StartOutcome.UNKNOWN, error.code
+        self._lease.heard(clock_ms, self._clock.now_ms())
+        return StartOutcome.STARTED, ""
+
+    async def _send_stop(self, message: LinkStop) -> None:
+        try:
+            await self._port.stop(message.task, message.run, message.fence)
+        except WorkerError as error:
+            # The supervisor sends it again until the end is listed.
+            self._log_failure("stop_failed", message.task.job_id, error)
+
+    async def _send_pace(self, message: LinkPace) -> None:
+        try:
+            await self._port.pace(
+                message.task, message.run, message.percent, message.fence
+            )
+        except WorkerError as error:
+            self._log_failure("pace_failed", message.task.job_id, error)
+
+    def _log_failure(self, event: str, job_id: str, error: WorkerError) -> None:
+        logs.state_change(
+            event,
+            job=job_id,
+            worker=self._worker_id,
+            code=error.code,
+            reason=error.message,
+        )
+
+    # Leases and listings
+
+    def _may_grant(self) -> bool:
+        return self._clock.now_ms() < self._grant_until_ms
+
+    def _next_expiry(self) -> int:
+        """Return when the lease is to end, on the worker's clock; 0 to keep it.
+
+        While the worker does not answer, its lease is not extended: an order that
+        is carried out late must not keep runs alive that count as lost.
+        """
+        if not self._lease.heard_ms or self._failures or not self._may_grant():
+            return self._lease.granted_clock_ms
+        now_ms = self._clock.now_ms()
+        expiry = self._lease.earliest_clock_ms(now_ms) + self._hold_ms
+        self._lease.granted_clock_ms = max(self._lease.granted_clock_ms, expiry)
+        return self._lease.granted_clock_ms
+
+    async def _keep_listing(self) -> None:
+        while True:
+            wait_ms = LISTING_WAIT_MS if self._is_settled() else 0
+            if not await self._list(wait_ms):
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+            elif not self._is_settled():
+                await self._wait_for_acknowledgement()
+
+    def _is_settled(self) -> bool:
+        return bool(self._lease.heard_ms) and self._acknowledged >= self._last_end
+
+    async def _wait_for_acknowledgement(self) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(UNSTORED_PAUSE_MS / 1000):
+                while not self._is_settled():
+                    await self._changed.wait()
+                    self._changed.clear()
+        except TimeoutError:
+            return
+
+    async def _list_now(self) -> None:
+        fence = self._fence
+        while fence == self._fence and not await self._list(0):
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+
+    async def _list(self, wait_ms: int) -> bool:
+        """List the runs once; returns whether the worker answered."""
+        fence, asked_ms = self._fence, self._clock.now_ms()
+        try:
+            listing = await self._port.renew(
+                fence, self._next_expiry(), self._acknowledged, wait_ms
+            )
+        except WorkerRefusedError as error:
+            if error.reason == "fence" and fence < self._fence:
+                return True
+            return self._failed(error)
+        except (WorkerError, InvalidInputError) as error:
+            return self._failed(error)
+        self._heard(listing)
+        self._scheduler.tell(WorkerListed(self._worker_id, listing, fence, asked_ms))
+        return True
+
+    def _heard(self, listing: WorkerListing) -> None:
+        if listing.born_unix_ms > self._born_unix_ms:
+            self._born_unix_ms = listing.born_unix_ms
+            self._acknowledged = self._last_end = 0
+            self._lease = WorkerLease()
+        elif listing.born_unix_ms < self._born_unix_ms:
+            return
+        self._lease.heard(listing.clock_ms, self._clock.now_ms())
+        for end in listing.ended:
+            self._last_end = max(self._last_end, end.number)
+        if self._failures >= FAILURES_TO_SILENT:
+            logs.state_change("worker_answers", worker=self._worker_id)
+        self._failures = 0
+        self._reported_expiry = False
+
+    def _failed(self, error: WorkerError | InvalidInputError) -> bool:
+        self._failures += 1
+        if self._failures == FAILURES_TO_SILENT:
+            logs.state_change(
+                "worker_silent",
+                worker=self._worker_id,
+                code=error.code,
+                reason=error.message,
+            )
+        if self._failures >= FAILURES_TO_SILENT and not self._reported_expiry:
+            expired = self._lease.has_expired(self._clock.now_ms())
+            self._reported_expiry = expired
+            if expired:
+                logs.state_change("worker_expired", worker=self._worker_id)
+            self._scheduler.tell(WorkerSilent(self._worker_id, expired))
+        return False
+
+
+ConnectWorker = Callable[[StepWorker], WorkerPort]
--- /dev/null
+++ b/marjoramgrade/decisions/steporder.py
@@ -0,0 +1,74 @@
+"""In which order the steps that wait for workers get room."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from marjoramgrade.decisions.stepprogress import StepProgress
+from marjoramgrade.registry import Registry
+
+# Worth of a core-second by the priority of the queue, most urgent first: short
+# urgent jobs earn about five times as much for each core-second as long reports.
+WORTH_BY_PRIORITY = (5.0, 2.0, 1.0)
+# What is left of the worth of a job that is late, and of one that is hopeless.
+LATE_SHARE = 0.2
+HOPELESS_SHARE = 0.01
+# Up to this multiple of its latency objective a job is late, then hopeless.
+LATE_MULTIPLE = 3
+# Work beyond a team's weight waits behind all other work of its priority.
+BEYOND_WEIGHT_SHARE = 0.05
+
+
+@attrs.frozen
+class Waiting:
+    """A step that waits, and what its order depends on.
+
+    Attributes:
+        step: The step.
+        objective_ms: When its job should be complete, on our clock.
+        remaining_ms: Estimate of the longest chain of work that is left.
+    """
+
+    step: StepProgress
+    objective_ms: float
+    remaining_ms: float
+
+
+StepOrder = Callable[[list[Waiting], int], list[Waiting]]
+STEP_ORDERS: Registry[StepOrder] = Registry("step order")
+
+
+@STEP_ORDERS.register("worth")
+def by_worth(waiting: list[Waiting], now_ms: int) -> list[Waiting]:
+    """Order by the worth that can still be earned, then by the slack that is left."""
+
+    def key(entry: Waiting) -> tuple[float, float]:
+        finish_ms = now_ms + entry.remaining_ms
+        return (-_worth(entry, now_ms), entry.objective_ms - finish_ms)
+
+    return sorted(waiting, key=key)
+
+
+@STEP_ORDERS.register("fifo")
+def by_arrival(waiting: list[Waiting], now_ms: int) -> list[Waiting]:
+    """Order by arrival; the baseline that other orders are compared with."""
+    return sorted(waiting, key=lambda entry: entry.step.job.accepted_ms)
+
+
+def _worth(entry: Waiting, now_ms: int) -> float:
+    job = entry.step.job
+    priority = min(job.queue.priority, len(WORTH_BY_PRIORITY) - 1)
+    worth = WORTH_BY_PRIORITY[priority]
+    if job.beyond_weight:
+        worth *= BEYOND_WEIGHT_SHARE
+    if entry.step.step.long_running:
+        return worth
+    finish_ms = now_ms + entry.remaining_ms
+    if finish_ms <= entry.objective_ms:
+        return worth
+    allowed_ms = entry.objective_ms - job.accepted_ms
+    if finish_ms <= job.accepted_ms + LATE_MULTIPLE * allowed_ms:
+        return worth * LATE_SHARE
+    return worth * HOPELESS_SHARE
--- /dev/null
+++ b/marjoramgrade/decisions/stepplacement.py
@@ -0,0 +1,71 @@
+"""Which worker a task of a step goes to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from marjoramgrade.decisions.stepfleet import WorkerState
+from marjoramgrade.decisions.stepprogress import StepProgress
+from marjoramgrade.registry import Registry
+
+StepPlacement = Callable[[StepProgress, WorkerState], tuple[float, ...]]
+STEP_PLACEMENTS: Registry[StepPlacement] = Registry("step placement")
+
+
+@STEP_PLACEMENTS.register("batch")
+def pack(step: StepProgress, worker: WorkerState) -> tuple[float, ...]:
+    """Prefer the fullest worker where the task displaces no spare work."""
+    need = step.step.resources.cpu_millis
+    left = worker.free_cpu - need
+    return (_is_far(step, worker), 1.0 if left < 0 else 0.0, abs(left))
+
+
+@STEP_PLACEMENTS.register("spare")
+def fill(step: StepProgress, worker: WorkerState) -> tuple[float, ...]:
+    """Prefer workers without latency-bound tasks, then those with most free time.
+
+    Spare work slows the tail of latency-bound tasks beside it.
+    """
+    return (_is_far(step, worker), float(count_latency_bound(worker)), -worker.free_cpu)
+
+
+@STEP_PLACEMENTS.register("latency")
+def spread(step: StepProgress, worker: WorkerState) -> tuple[float, ...]:
+    """Prefer workers with few other latency-bound tasks and little spare work."""
+    capacity = worker.worker.capacity.cpu_millis or 1
+    bound = count_latency_bound(worker)
+    return (
+        _is_far(step, worker),
+        float(bound),
+        worker.spare_used.cpu_millis / capacity,
+        -worker.free_cpu,
+    )
+
+
+def placement_of(step: StepProgress) -> StepPlacement:
+    """Return the placement for a step's kind of work."""
+    if step.step.uses_spare:
+        return STEP_PLACEMENTS.get("spare")
+    if step.step.latency_target_ms:
+        return STEP_PLACEMENTS.get("latency")
+    return STEP_PLACEMENTS.get("batch")
+
+
+def count_latency_bound(worker: WorkerState) -> int:
+    """Return how many runs of a worker have a latency target."""
+    return sum(
+        1 for run in worker.run_by_task.values() if run.step.step.latency_target_ms
+    )
+
+
+def choose_worker(
+    step: StepProgress, candidates: Iterable[WorkerState]
+) -> WorkerState | None:
+    """Return the best of the workers that may take one task, or None."""
+    place = placement_of(step)
+    return min(candidates, key=lambda worker: place(step, worker), default=None)
+
+
+def _is_far(step: StepProgress, worker: WorkerState) -> float:
+    wanted = step.step.data_rack or step.rack_in_use
+    return 0.0 if not wanted or wanted == worker.worker.rack else 1.0
--- /dev/null
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -0,0 +1,249 @@
+"""Gives the tasks whose turn has come to workers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from marjoramgrade.decisions.stepfleet import WorkerState
+from marjoramgrade.decisions.steporder import STEP_ORDERS, StepOrder, Waiting
+from marjoramgrade.decisions.steporders import AskAdvice
+from marjoramgrade.decisions.stepplacement import choose_worker
+from marjoramgrade.decisions.stepprogress import JobProgress, StepProgress
+from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.resources import NOTHING, Resources
+from marjoramgrade.stepconfig import AdvicePolicy
+
+# Workers that one call for advice names at most; each costs time.
+MAX_ADVISED = 30
+# Calls for advice that may wait, in milliseconds of the advisor's time for each
+# instance that can ask: longer queues would outlast the tickets that they bring.
+ADVICE_BACKLOG_MS = 1_200
+
+
+@attrs.define
+class Planner:
+    """Plans the starts of one leader.
+
+    Attributes:
+        state: Jobs and workers.
+        order: In which order steps get room.
+        advisors: Instances that can ask the placement advisor.
+        pending_advice_ms: Time that the calls on their way take together.
+    """
+
+    state: StepState
+    order: StepOrder = STEP_ORDERS.get("worth")
+    advisors: int = 1
+    pending_advice_ms: float = 0.0
+
+    def plan(self, now_ms: int, unix_ms: int) -> None:
+        """Order every start that is possible now."""
+        waiting, unknown_by_team = self._collect(now_ms, unix_ms)
+        for entry in self.order(waiting, now_ms):
+            step = entry.step
+            unknown = unknown_by_team.get(step.job.job.team, NOTHING)
+            if step.step.gang:
+                self._place_gang(step, unknown, now_ms)
+            else:
+                self._place_tasks(step, unknown, now_ms)
+            if step.has_waiting:
+                self._ask_advice(step, now_ms)
+
+    def eligible(self, step: StepProgress, now_ms: int) -> list[WorkerState]:
+        """Return the workers that may run a step, whatever room they have."""
+        job = step.job
+        label = step.step.required_label
+        return [
+            worker
+            for worker in self.state.worker_by_id.values()
+            if worker.worker.pool == job.queue.pool
+            and worker.accepts_work(now_ms)
+            and worker.worker.zone not in self.state.evacuated_zones
+            and (not label or label in worker.worker.labels)
+        ]
+
+    def permitted(self, step: StepProgress, now_ms: int) -> list[WorkerState]:
+        """Return the eligible workers for which no ticket is missing."""
+        workers = self.eligible(step, now_ms)
+        if step.job.queue.advice is None:
+            return workers
+        book = step.tickets
+        return [
+            worker
+            for worker in workers
+            if book.ticket_for(
+                worker.worker.worker_id, worker.worker.born_unix_ms, now_ms
+            )
+        ]
+
+    def candidates(
+        self, step: StepProgress, index: int, permitted: list[WorkerState], now_ms: int
+    ) -> list[WorkerState]:
+        """Return the permitted workers with room for a task.
+
+        Workers on which the task did badly are left out as long as there are others.
+        """
+        need, most = step.step.resources, step.step.max_per_worker
+        taken = {run.worker_id for run in step.runs_by_index.get(index, ())}
+        fitting = [
+            worker
+            for worker in permitted
+            if worker.has_room(need, uses_spare=step.step.uses_spare)
+            and worker.worker.worker_id not in taken
+            and (not most or step.count_on(worker.worker.worker_id) < most)
+            and worker.suspicion.allows(now_ms, len(worker.run_by_task))
+        ]
+        bad = step.bad_workers_by_index.get(index, set())
+        return [w for w in fitting if w.worker.worker_id not in bad] or fitting
+
+    def place_one(
+        self, step: StepProgress, index: int, permitted: list[WorkerState], now_ms: int
+    ) -> bool:
+        """Order the start of one task if a worker has room."""
+        fitting = self.candidates(step, index, permitted, now_ms)
+        worker = choose_worker(step, fitting)
+        if worker is None:
+            return False
+        run = self.state.next_run(step, index)
+        self.state.place(step, index, worker, run, now_ms)
+        return True
+
+    def has_team_room(
+        self, step: StepProgress, unknown: Resources, tasks: int = 1
+    ) -> bool:
+        """Whether the team's limit leaves room for more tasks of a step."""
+        need = step.step.resources.scaled(tasks, 1) + unknown
+        return self.state.usage.has_room(
+            step.job.job.team, need, self.state.config.team_by_name
+        )
+
+    def _collect(
+        self, now_ms: int, unix_ms: int
+    ) -> tuple[list[Waiting], dict[str, Resources]]:
+        waiting = []
+        unknown_by_team: dict[str, Resources] = {}
+        for progress in self.state.open_by_id.values():
+            if not progress.stored or progress.state.is_final:
+                continue
+            for step in self._iter_waiting(progress, now_ms, unix_ms):
+                if progress.restored and self.state.unsettled:
+                    # Runs of it may be present where nobody has looked yet.
+                    team = progress.job.team
+                    count = sum(1 for _ in step.iter_waiting())
+                    amount = step.step.resources.scaled(count, 1)
+                    known = unknown_by_team.get(team, NOTHING)
+                    unknown_by_team[team] = known + amount
+                    continue
+                waiting.append(self._describe(step, now_ms, unix_ms))
+        return waiting, unknown_by_team
+
+    @staticmethod
+    def _iter_waiting(
+        progress: JobProgress, now_ms: int, unix_ms: int
+    ) -> Iterator[StepProgress]:
+        for step in progress.iter_due_steps(now_ms, unix_ms):
+            if step.has_waiting:
+                yield step
+
+    def _describe(self, step: StepProgress, now_ms: int, unix_ms: int) -> Waiting:
+        progress = step.job
+        queue = progress.queue
+        average_ms = self.state.durations.of(queue.name, step.step.estimate_ms)
+        whole = max(progress.chain_length(i) for i in range(len(progress.job.steps)))
+        due_unix_ms = progress.due_unix_ms(step.occurrence)
+        began_ms = progress.accepted_ms
+        if due_unix_ms:
+            began_ms = max(began_ms, now_ms - (unix_ms - due_unix_ms))
+        objective_ms = (
+            began_ms + queue.stretch * whole * average_ms + queue.objective_ms
+        )
+        remaining_ms = progress.chain_length(step.index) * average_ms
+        return Waiting(step, objective_ms, remaining_ms)
+
+    def _place_tasks(self, step: StepProgress, unknown: Resources, now_ms: int) -> None:
+        permitted = self.permitted(step, now_ms)
+        if not permitted:
+            return
+        for index in list(step.iter_waiting()):
+            if not self.has_team_room(step, unknown):
+                return
+            if not self.place_one(step, index, permitted, now_ms):
+                return
+
+    def _place_gang(self, step: StepProgress, unknown: Resources, now_ms: int) -> None:
+        """Start all tasks of a gang at once, or none."""
+        if step.runs_by_index or not self.has_team_room(step, unknown, step.step.count):
+            return
+        permitted = self.permitted(step, now_ms)
+        chosen = self._reserve_gang(step, permitted, now_ms)
+        if chosen is None:
+            return
+        run = self.state.next_run(step, 0)
+        for index, worker in enumerate(chosen):
+            self.state.place(step, index, worker, run, now_ms)
+
+    def _reserve_gang(
+        self, step: StepProgress, permitted: list[WorkerState], now_ms: int
+    ) -> list[WorkerState] | None:
+        """Return a worker for each task of a gang, or None if they do not fit."""
+        need, spare = step.step.resources, step.step.uses_spare
+        most = step.step.max_per_worker or step.step.count
+        rooms: list[WorkerState] = []
+        for worker in permitted:
+            if worker.suspicion.probing:
+                continue
+            copy = attrs.evolve(worker)
+            while len(rooms) < step.step.count:
+                taken = sum(1 for room in rooms if room is worker)
+                if taken >= most or not copy.has_room(need, uses_spare=spare):
+                    break
+                if spare:
+                    copy.spare_used = copy.spare_used + need
+                else:
+                    copy.used = copy.used + need
+                rooms.append(worker)
+        if len(rooms) < step.step.count:
+            return None
+        if step.step.same_rack:
+            rooms = self._prefer_one_rack(rooms, step.step.count)
+        return rooms[: step.step.count]
+
+    @staticmethod
+    def _prefer_one_rack(rooms: list[WorkerState], count: int) -> list[WorkerState]:
+        by_rack: dict[str, list[WorkerState]] = {}
+        for worker in rooms:
+            by_rack.setdefault(worker.worker.rack, []).append(worker)
+        whole = [found for found in by_rack.values() if len(found) >= count]
+        return min(whole, key=len) if whole else rooms
+
+    def _ask_advice(self, step: StepProgress, now_ms: int) -> None:
+        advice = step.job.queue.advice
+        book = step.tickets
+        if advice is None or book.is_pending or now_ms < book.retry_ms:
+            return
+        need, spare = step.step.resources, step.step.uses_spare
+        without = [
+            worker
+            for worker in self.eligible(step, now_ms)
+            if not book.ticket_for(
+                worker.worker.worker_id, worker.worker.born_unix_ms, now_ms
+            )
+            and worker.has_room(need, uses_spare=spare)
+        ]
+        without.sort(key=lambda worker: -worker.free_cpu)
+        asked = book.worth_asking(w.worker.worker_id for w in without)[:MAX_ADVISED]
+        if asked:
+            self._send_ask(step, asked, advice)
+
+    def _send_ask(
+        self, step: StepProgress, asked: list[str], advice: AdvicePolicy
+    ) -> None:
+        decide_ms = advice.base_ms + advice.per_worker_ms * len(asked)
+        if self.pending_advice_ms + decide_ms > self.advisors * ADVICE_BACKLOG_MS:
+            return
+        self.pending_advice_ms += decide_ms
+        step.tickets.is_pending = True
+        job_id, occurrence, index = step.key
+        self.state.act(AskAdvice(job_id, occurrence, index, tuple(asked), decide_ms))
--- /dev/null
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -0,0 +1,387 @@
+"""How far a job of steps has come: its tasks, runs, failures and checkpoints."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator, Mapping
+
+import attrs
+
+from marjoramgrade.decisions.tickets import TicketBook
+from marjoramgrade.stepconfig import Queue
+from marjoramgrade.stepjobs import Step, StepJob, StepJobState, TaskRef
+
+
+class TaskPhase(enum.IntEnum):
+    """The state of one task."""
+
+    WAITING = 0
+    PLACED = 1
+    DONE = 2
+
+
+class RunPhase(enum.Enum):
+    """The state of one run of a task."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a task on a worker.
+
+    Attributes:
+        task: The task.
+        number: Number of the run.
+        worker_id: Where it runs.
+        step: The step that it belongs to.
+        phase: Its state.
+        ordered_ms: When its start was ordered.
+        running_since_ms: When the worker confirmed the start.
+        percent: Its progress, 0 to 100.
+        progressed_ms: When `percent` last changed.
+        checkpoint: Its newest checkpoint, or empty.
+        figure: See `RunReport.figure`.
+        share: Percent of its speed that it was paced to.
+        above_target_ms: Since when its latency is above its target; 0 if it is not.
+        below_full_ms: Since when a long-running task is not at work; 0 if it is.
+        stop_reason: Why it is being stopped, or empty.
+    """
+
+    task: TaskRef
+    number: int
+    worker_id: str
+    step: StepProgress
+    phase: RunPhase
+    ordered_ms: int
+    running_since_ms: int = 0
+    percent: int = 0
+    progressed_ms: int = 0
+    checkpoint: str = ""
+    figure: int = 0
+    share: int = 100
+    above_target_ms: int = 0
+    below_full_ms: int = 0
+    stop_reason: str = ""
+
+    def predicted_total_ms(self) -> float | None:
+        """Return the duration that the progress so far points to.
+
+        Returns:
+            Milliseconds, or None if the progress is too small to tell.
+        """
+        if self.percent < 5 or self.phase is RunPhase.STARTING:
+            return None
+        return (self.progressed_ms - self.running_since_ms) * 100 / self.percent
+
+
+@attrs.define(eq=False)
+class StepProgress:
+    """One step of one occurrence of a job.
+
+    Attributes:
+        job: The job.
+        occurrence: Which occurrence.
+        index: Which step.
+        step: The step as handed in.
+        phases: Phase of each task.
+        runs_by_index: Runs that are present, by task.
+        failed_runs_by_index: Numbers of the runs that failed, by task; a gang counts
+            under its first task.
+        checkpoint_by_index: Newest checkpoint by task; a gang's under its first task.
+        bad_workers_by_index: Workers on which the task did badly.
+        last_run_by_index: Highest run number by task.
+        tickets: Advice on where it may run.
+        ready_ms: When its turn came, or None.
+        done_count: Number of tasks that are done.
+        rack_in_use: Rack of its runs if they should share one, or empty.
+    """
+
+    job: JobProgress
+    occurrence: int
+    index: int
+    step: Step
+    phases: list[TaskPhase]
+    runs_by_index: dict[int, list[Run]] = attrs.field(factory=dict)
+    failed_runs_by_index: dict[int, set[int]] = attrs.field(factory=dict)
+    checkpoint_by_index: dict[int, str] = attrs.field(factory=dict)
+    bad_workers_by_index: dict[int, set[str]] = attrs.field(factory=dict)
+    last_run_by_index: dict[int, int] = attrs.field(factory=dict)
+    tickets: TicketBook = attrs.field(factory=TicketBook)
+    ready_ms: int | None = None
+    done_count: int = 0
+    rack_in_use: str = ""
+
+    @classmethod
+    def from_step(
+        cls, job: JobProgress, occurrence: int, index: int, step: Step
+    ) -> StepProgress:
+        """Return a step of which nothing has run."""
+        return cls(job, occurrence, index, step, [TaskPhase.WAITING] * step.count)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done; a long-running step never is."""
+        return self.done_count == self.step.count
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Job, occurrence and index."""
+        return (self.job.job.job_id, self.occurrence, self.index)
+
+    def task(self, index: int) -> TaskRef:
+        """Return one of its tasks."""
+        return TaskRef(self.job.job.job_id, self.occurrence, self.index, index)
+
+    def iter_waiting(self) -> Iterator[int]:
+        """Yield the indexes of the tasks that wait for a worker."""
+        for index, phase in enumerate(self.phases):
+            if phase is TaskPhase.WAITING:
+                yield index
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a task waits for a worker."""
+        return TaskPhase.WAITING in self.phases
+
+    def iter_runs(self) -> Iterator[Run]:
+        """Yield the runs that are present."""
+        for runs in self.runs_by_index.values():
+            yield from runs
+
+    def count_on(self, worker_id: str) -> int:
+        """Return how many runs of the step a worker has."""
+        return sum(1 for run in self.iter_runs() if run.worker_id == worker_id)
+
+    def shared_index(self, index: int) -> int:
+        """Return the task under which failures and checkpoints are kept."""
+        return 0 if self.step.gang else index
+
+    def checkpoint_of(self, index: int) -> str:
+        """Return the newest checkpoint that a run of the task may resume from."""
+        return self.checkpoint_by_index.get(self.shared_index(index), "")
+
+    def keep_checkpoint(self, index: int, checkpoint: str) -> None:
+        """Remember a checkpoint unless it is empty."""
+        if checkpoint and self.step.checkpoints:
+            self.checkpoint_by_index[self.shared_index(index)] = checkpoint
+
+    def failures_of(self, index: int) -> int:
+        """Return how many runs of a task, or of its gang, have failed."""
+        return len(self.failed_runs_by_index.get(self.shared_index(index), ()))
+
+    def record_failure(self, index: int, run: int) -> None:
+        """Count a failed run once, however often it is reported."""
+        self.failed_runs_by_index.setdefault(self.shared_index(index), set()).add(run)
+
+    def mark_done(self, index: int) -> None:
+        """Note that a task, or the whole gang of it, is done."""
+        indexes = range(self.step.count) if self.step.gang else (index,)
+        for done in indexes:
+            if self.phases[done] is not TaskPhase.DONE:
+                self.phases[done] = TaskPhase.DONE
+                self.done_count += 1
+
+    def add_run(self, run: Run) -> None:
+        """Note a run; its task is placed."""
+        index = run.task.index
+        self.runs_by_index.setdefault(index, []).append(run)
+        self.last_run_by_index[index] = max(
+            run.number, self.last_run_by_index.get(index, 0)
+        )
+        if self.phases[index] is TaskPhase.WAITING:
+            self.phases[index] = TaskPhase.PLACED
+
+    def drop_run(self, run: Run) -> None:
+        """Forget a run; its task waits again unless it is done or has a copy."""
+        index = run.task.index
+        runs = self.runs_by_index.get(index, [])
+        if run in runs:
+            runs.remove(run)
+        if not runs:
+            self.runs_by_index.pop(index, None)
+            if self.phases[index] is TaskPhase.PLACED:
+                self.phases[index] = TaskPhase.WAITING
+
+
+@attrs.frozen
+class StepRecord:
+    """The lasting part of a step's progress.
+
+    Attributes:
+        done: `1` for each task that is done, `0` for each other one.
+        failed_runs: Numbers of failed runs by task.
+        checkpoints: Newest checkpoint by task.
+    """
+
+    done: str
+    failed_runs: Mapping[str, list[int]] = attrs.field(factory=dict)
+    checkpoints: Mapping[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class JobRecord:
+    """The lasting part of a job's progress.
+
+    Attributes:
+        state: Its state as last stored; `queued` and `running` say the same.
+        ended_unix_ms: When it reached a final state, or 0.
+        step_by_name: The steps of which something has ended, by
+            `occurrence.index`.
+        occurrences_done: Occurrences below this number are done entirely.
+    """
+
+    state: StepJobState = StepJobState.QUEUED
+    ended_unix_ms: int = 0
+    step_by_name: Mapping[str, StepRecord] = attrs.field(factory=dict)
+    occurrences_done: int = 0
+
+
+@attrs.define(eq=False)
+class JobProgress:
+    """A job and how far it has come.
+
+    Attributes:
+        job: The job as handed in.
+        queue: Its queue.
+        accepted_ms: When it was taken, on this instance's clock.
+        stored: Whether the store holds it; nothing starts before.
+        restored: Whether it was read from the store by a new leader, so that runs
+            of it may be present on workers that have not answered yet.
+        state: Its state.
+        steps_by_occurrence: Steps of the occurrences that have become due.
+        started: Whether a task of it has ever started.
+        beyond_weight: Whether its team had used up its weight when it came.
+        occurrences_done: Occurrences below this number are done entirely.
+        ended_unix_ms: When it reached a final state, or 0.
+        shown_state: The state that the store holds; callers see this one.
+    """
+
+    job: StepJob
+    queue: Queue
+    accepted_ms: int
+    stored: bool = False
+    restored: bool = False
+    state: StepJobState = StepJobState.QUEUED
+    steps_by_occurrence: dict[int, list[StepProgress]] = attrs.field(factory=dict)
+    started: bool = False
+    beyond_weight: bool = False
+    occurrences_done: int = 0
+    ended_unix_ms: int = 0
+    shown_state: StepJobState = StepJobState.QUEUED
+
+    def open_occurrence(self, occurrence: int) -> list[StepProgress]:
+        """Return the steps of an occurrence, made on first use."""
+        steps = self.steps_by_occurrence.get(occurrence)
+        if steps is None:
+            steps = [
+                StepProgress.from_step(self, occurrence, index, step)
+                for index, step in enumerate(self.job.steps)
+            ]
+            self.steps_by_occurrence[occurrence] = steps
+        return steps
+
+    def step_of(self, task: TaskRef) -> StepProgress | None:
+        """Return the step that a task belongs to, or None if there is none."""
+        if not 0 <= task.occurrence < self.job.occurrences:
+            return None
+        if task.occurrence < self.occurrences_done:
+            return None
+        if not 0 <= task.step < len(self.job.steps):
+            return None
+        step = self.open_occurrence(task.occurrence)[task.step]
+        return step if 0 <= task.index < step.step.count else None
+
+    def iter_steps(self) -> Iterator[StepProgress]:
+        """Yield the steps of all occurrences that are open."""
+        for steps in self.steps_by_occurrence.values():
+            yield from steps
+
+    def iter_due_steps(self, now_ms: int, unix_ms: int) -> Iterator[StepProgress]:
+        """Yield the steps whose turn has come and that are not done."""
+        if self.state.is_final:
+            return
+        self._open_due(unix_ms)
+        for occurrence, steps in self.steps_by_occurrence.items():
+            if unix_ms < self.due_unix_ms(occurrence):
+                continue
+            for step in steps:
+                if step.is_done:
+                    continue
+                if all(steps[earlier].is_done for earlier in step.step.after):
+                    if step.ready_ms is None:
+                        step.ready_ms = now_ms
+                    yield step
+
+    def due_unix_ms(self, occurrence: int) -> int:
+        """Return when an occurrence may start; 0 if at once."""
+        schedule = self.job.schedule
+        return schedule.due_unix_ms(occurrence) if schedule.times else 0
+
+    def _open_due(self, unix_ms: int) -> None:
+        for occurrence in range(self.occurrences_done, self.job.occurrences):
+            if unix_ms < self.due_unix_ms(occurrence):
+                return
+            self.open_occurrence(occurrence)
+
+    def chain_length(self, index: int) -> int:
+        """Return the number of steps in the longest chain that a step begins."""
+        length = 1
+        for later in range(index + 1, len(self.job.steps)):
+            if index in self.job.steps[later].after:
+                length = max(length, 1 + self.chain_length(later))
+        return length
+
+    def close_done_occurrences(self) -> None:
+        """Forget the steps of leading occurrences that are done entirely."""
+        while self.occurrences_done < self.job.occurrences:
+            steps = self.steps_by_occurrence.get(self.occurrences_done)
+            if steps is None or not all(step.is_done for step in steps):
+                return
+            if any(step.runs_by_index for step in steps):
+                return
+            if self.job.occurrences > 1:
+                del self.steps_by_occurrence[self.occurrences_done]
+            self.occurrences_done += 1
+
+    @property
+    def all_done(self) -> bool:
+        """Whether every task of every occurrence is done."""
+        for occurrence in range(self.occurrences_done, self.job.occurrences):
+            steps = self.steps_by_occurrence.get(occurrence)
+            if steps is None or not all(step.is_done for step in steps):
+                return False
+        return True
+
+    def record(self) -> JobRecord:
+        """Return the lasting part."""
+        touched = {}
+        for step in self.iter_steps():
+            if not (step.done_count or step.failed_runs_by_index):
+                continue
+            touched[f"{step.occurrence}.{step.index}"] = StepRecord(
+                "".join("1" if p is TaskPhase.DONE else "0" for p in step.phases),
+                {str(i): sorted(r) for i, r in step.failed_runs_by_index.items()},
+                {str(i): text for i, text in step.checkpoint_by_index.items()},
+            )
+        return JobRecord(self.state, self.ended_unix_ms, touched, self.occurrences_done)
+
+    def restore(self, record: JobRecord) -> None:
+        """Take over the lasting part that an earlier leader has stored."""
+        self.stored = self.restored = True
+        self.state = self.shown_state = record.state
+        self.ended_unix_ms = record.ended_unix_ms
+        self.occurrences_done = record.occurrences_done
+        self.started = bool(record.step_by_name or record.occurrences_done)
+        for name, stored in record.step_by_name.items():
+            occurrence, index = (int(part) for part in name.split("."))
+            step = self.open_occurrence(occurrence)[index]
+            for task_index, mark in enumerate(stored.done):
+                if mark == "1":
+                    step.mark_done(task_index)
+            for task_index_text, runs in stored.failed_runs.items():
+                step.failed_runs_by_index[int(task_index_text)] = set(runs)
+            for task_index_text, checkpoint in stored.checkpoints.items():
+                step.checkpoint_by_index[int(task_index_text)] = checkpoint
--- /dev/null
+++ b/marjoramgrade/decisions/teamusage.py
@@ -0,0 +1,67 @@
+"""What each team has running, against its upper limit."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from marjoramgrade.resources import NOTHING, Resources
+from marjoramgrade.stepconfig import TeamPolicy
+
+# Jobs of a team that count towards its weight are counted over this time.
+WEIGHT_WINDOW_MS = 1_000
+
+
+@attrs.define
+class TeamUsage:
+    """What teams have running, and how fast their jobs come.
+
+    Attributes:
+        used_by_team: What runs, or may run, by team.
+    """
+
+    used_by_team: dict[str, Resources] = attrs.field(factory=dict)
+    _allowance_by_team: dict[str, tuple[float, int]] = attrs.field(factory=dict)
+
+    def add(self, team: str, amount: Resources) -> None:
+        """Count a run."""
+        self.used_by_team[team] = self.used_by_team.get(team, NOTHING) + amount
+
+    def remove(self, team: str, amount: Resources) -> None:
+        """Stop counting a run."""
+        self.used_by_team[team] = self.used_by_team.get(team, NOTHING) - amount
+
+    def has_room(
+        self, team: str, amount: Resources, policies: Mapping[str, TeamPolicy]
+    ) -> bool:
+        """Whether a team stays within its limit with this much more."""
+        policy = policies.get(team)
+        if policy is None:
+            return True
+        total = self.used_by_team.get(team, NOTHING) + amount
+        return all(
+            limit == 0 or used <= limit
+            for used, limit in (
+                (total.cpu_millis, policy.limit.cpu_millis),
+                (total.memory_mib, policy.limit.memory_mib),
+                (total.accelerators, policy.limit.accelerators),
+            )
+        )
+
+    def is_beyond_weight(self, policy: TeamPolicy | None, now_ms: int) -> bool:
+        """Count a job that came; returns whether it exceeds the team's weight.
+
+        A bucket holds as many jobs as the weight gives in a second.
+        """
+        if policy is None:
+            return False
+        burst = max(policy.weight * WEIGHT_WINDOW_MS / 1_000, 1.0)
+        level, since_ms = self._allowance_by_team.get(policy.name, (burst, now_ms))
+        level = min(burst, level + policy.weight * (now_ms - since_ms) / 1_000)
+        exceeds = level < 1.0
+        self._allowance_by_team[policy.name] = (
+            level if exceeds else level - 1.0,
+            now_ms,
+        )
+        return exceeds
--- /dev/null
+++ b/marjoramgrade/decisions/tickets.py
@@ -0,0 +1,86 @@
+"""Advice on which workers may run a step, and the tickets that permit it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+# A ticket is used only while it stays valid for the way to the worker.
+TICKET_MARGIN_MS = 150
+# Before another call after one that failed; the advisor serves one call at a time.
+ADVICE_RETRY_MS = 300
+
+
+@attrs.frozen
+class Ticket:
+    """Permission to run a step on one life of a worker until a time."""
+
+    text: str
+    born_unix_ms: int
+    valid_until_ms: int
+
+
+@attrs.define
+class TicketBook:
+    """What the advisor has said of one step.
+
+    Attributes:
+        ticket_by_worker: The newest ticket of each worker that may run the step.
+        asked_workers: Workers that the advisor has judged.
+        is_pending: Whether a call is on its way.
+        retry_ms: Earliest time of the next call.
+    """
+
+    ticket_by_worker: dict[str, Ticket] = attrs.field(factory=dict)
+    asked_workers: set[str] = attrs.field(factory=set)
+    is_pending: bool = False
+    retry_ms: int = 0
+
+    def ticket_for(
+        self, worker_id: str, born_unix_ms: int, now_ms: int
+    ) -> Ticket | None:
+        """Return a ticket that is still valid, or None."""
+        ticket = self.ticket_by_worker.get(worker_id)
+        if ticket is None or ticket.born_unix_ms != born_unix_ms:
+            return None
+        return ticket if now_ms + TICKET_MARGIN_MS < ticket.valid_until_ms else None
+
+    def has_valid(self, now_ms: int) -> bool:
+        """Whether any ticket is still valid."""
+        return any(
+            now_ms + TICKET_MARGIN_MS < ticket.valid_until_ms
+            for ticket in self.ticket_by_worker.values()
+        )
+
+    def worth_asking(self, worker_ids: Iterable[str]) -> list[str]:
+        """Return the workers to name in the next call.
+
+        The judgement of a worker does not change, so those that were rejected are
+        not named again.
+        """
+        return [
+            worker_id
+            for worker_id in worker_ids
+            if worker_id not in self.asked_workers or worker_id in self.ticket_by_worker
+        ]
+
+    def record(
+        self, asked: Iterable[str], ticket_by_worker: Mapping[str, Ticket]
+    ) -> None:
+        """Take over the answer to a call."""
+        self.is_pending = False
+        self.asked_workers.update(asked)
+        for worker_id in asked:
+            self.ticket_by_worker.pop(worker_id, None)
+        self.ticket_by_worker.update(ticket_by_worker)
+
+    def failed(self, now_ms: int) -> None:
+        """Note that a call brought no answer."""
+        self.is_pending = False
+        self.retry_ms = now_ms + ADVICE_RETRY_MS
+
+    def reject(self, worker_id: str) -> None:
+        """Forget a ticket that its worker refused; the advisor is asked again."""
+        self.ticket_by_worker.pop(worker_id, None)
+        self.asked_workers.discard(worker_id)
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -286,6 +286,91 @@
         return error
 
 
+class RowCheckFailedError(TableError):
+    """A version check of a transaction over rows failed; nothing was written.
+
+    Args:
+        message: What was wrong.
+        rows: The checked rows as they are now.
+    """
+
+    code = "row_check_failed"
+
+    def __init__(self, message: str, rows: tuple[object, ...] = ()) -> None:
+        super().__init__(message)
+        self.rows = rows
+
+
+class HistoryLostError(TableError):
+    """The store no longer has the changes after a version; read it whole."""
+
+    code = "history_lost"
+
+
+class QueueNotFoundError(NotFoundError):
+    """No queue has this host and path."""
+
+    code = "queue_not_found"
+
+
+class JobNotFoundError(NotFoundError):
+    """No job has this id, or it was dropped after its retention time."""
+
+    code = "job_not_found"
+
+
+class NoLeaderError(RefusedError):
+    """No instance schedules jobs at the moment; nothing was taken."""
+
+    code = "no_leader"
+
+
+class WorkerError(MarjoramgradeError):
+    """Base class of failures of an order to a worker."""
+
+    code = "worker_error"
+
+
+class WorkerSilentError(WorkerError):
+    """A worker gave no answer; the order may be carried out later."""
+
+    code = "worker_silent"
+    ran = Ran.UNKNOWN
+
+
+class WorkerUnreachableError(WorkerError):
+    """No connection to a worker could be made; nothing was sent."""
+
+    code = "worker_unreachable"
+
+
+class WorkerRefusedError(WorkerError):
+    """A worker refused an order and did nothing.
+
+    Args:
+        message: What was wrong.
+        reason: The worker's word for it, such as `fence`, `room` or `ticket`.
+    """
+
+    code = "worker_refused"
+
+    def __init__(self, message: str, reason: str = "") -> None:
+        super().__init__(message, reason=reason)
+        self.reason = reason
+
+
+class WorkerReplacedError(WorkerError):
+    """Another life of the worker answers at its address."""
+
+    code = "worker_replaced"
+
+
+class AdvisorError(MarjoramgradeError):
+    """The placement advisor gave no advice."""
+
+    code = "advisor_error"
+
+
 def iter_error_types(
     base: type[MarjoramgradeError] = MarjoramgradeError,
 ) -> list[type[MarjoramgradeError]]:
--- a/marjoramgrade/filters/context.py
+++ b/marjoramgrade/filters/context.py
@@ -7,6 +7,7 @@
 import attrs
 
 from marjoramgrade.actor import Message
+from marjoramgrade.stepconfig import Queue
 
 
 @attrs.frozen
@@ -37,6 +38,8 @@
         request_id: Id that the caller chose, or empty.
         deadline_ms: The caller's deadline on this instance's clock.
         principal: Who sent it; set by the `authenticate` filter.
+        queue: The queue that it is for; set by the `find_queue` filter.
+        config_version: Configuration that the filters have gone by.
     """
 
     message: Message[Any]
@@ -44,3 +47,5 @@
     request_id: str
     deadline_ms: int
     principal: Principal = ANONYMOUS
+    queue: Queue | None = None
+    config_version: int = 0
--- /dev/null
+++ b/marjoramgrade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product; decides nothing."""
--- /dev/null
+++ b/marjoramgrade/platform/advice.py
@@ -0,0 +1,60 @@
+"""The platform's advice on which runners may run a step."""
+
+from __future__ import annotations
+
+import msgspec
+
+from marjoramgrade.adapters.httppool import (
+    HttpNoAnswerError,
+    HttpNotSentError,
+    HttpPool,
+)
+from marjoramgrade.controllers.advising import AdvisorPort
+from marjoramgrade.errors import AdvisorError
+from marjoramgrade.messages.steps import AdvisedWorker, RequestAdvice, StepAdvice
+
+# The service answers the calls of a machine in turn and takes up to a second each.
+CALL_TIMEOUT_MS = 8_000
+MAX_CONNECTIONS = 16
+
+
+class AdviceClient(AdvisorPort):
+    """Speaks to the advice service.
+
+    Args:
+        address: IP number and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._pool = HttpPool(address, MAX_CONNECTIONS)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.close()
+
+    async def advise(self, request: RequestAdvice) -> StepAdvice:
+        """Return where a step may run; see `AdvisorPort.advise`."""
+        step = f"{request.job_id}.{request.occurrence}.{request.step}"
+        body = msgspec.json.encode({"step": step, "workers": list(request.worker_ids)})
+        try:
+            answer = await self._pool.request(
+                "POST", "/advise", body=body, timeout_ms=CALL_TIMEOUT_MS
+            )
+        except (HttpNotSentError, HttpNoAnswerError) as error:
+            raise AdvisorError(error.message) from None
+        if answer.status != 200:
+            raise AdvisorError(f"the advice service answered {answer.status}")
+        try:
+            document = msgspec.json.decode(answer.body)
+            workers = tuple(
+                AdvisedWorker(str(worker_id), str(ticket))
+                for worker_id, ticket in document["good"]
+            )
+            return StepAdvice(workers, int(document["validMs"]))
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            msgspec.DecodeError,
+        ) as error:
+            raise AdvisorError(f"the advice cannot be read: {error!r}") from None
--- /dev/null
+++ b/marjoramgrade/platform/daemon.py
@@ -0,0 +1,239 @@
+"""The life of an entry instance on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+
+from tornado.httpserver import HTTPServer
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor, ActorGroup
+from marjoramgrade.adapters.peerlink import PeerLink, PeerServer
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.controllers.advising import AdvisingController
+from marjoramgrade.controllers.desk import DeskController
+from marjoramgrade.controllers.directory import DirectoryController, DirectoryFormat
+from marjoramgrade.controllers.leadership import LeadershipController
+from marjoramgrade.controllers.peers import PeersController
+from marjoramgrade.controllers.readiness import ReadinessController
+from marjoramgrade.controllers.stepinbound import StepInboundController
+from marjoramgrade.controllers.stepscheduling import (
+    LeaseTerms,
+    StepSchedulerController,
+)
+from marjoramgrade.controllers.storegate import StoreGate
+from marjoramgrade.errors import SettingsError
+from marjoramgrade.filters.chain import Chain
+from marjoramgrade.filters.queues import (
+    DEFAULT_QUEUE_FILTERS,
+    QUEUE_FILTERS,
+    QueueEnvironment,
+)
+from marjoramgrade.messages import Member
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.platform import configuration
+from marjoramgrade.platform.advice import AdviceClient
+from marjoramgrade.platform.front import ClientFront, ReadyFront
+from marjoramgrade.platform.settings import NodeSettings, read_settings
+from marjoramgrade.platform.store import StoreLink
+from marjoramgrade.platform.workers import RunnerClient, parse_worker
+
+SETTINGS_VARIABLE = "MARJORAMGRADE_NODE_FILE"
+# Leases that are granted: short ones free the tasks of a dead worker soon, long
+# ones outlast a takeover.
+HOLD_MS = 4_000
+# Of the time between SIGTERM and SIGKILL, this much is left for the end itself.
+SHUTDOWN_MARGIN_MS = 1_000
+SHUTDOWN_POLL_MS = 20
+# Connections that clients keep open get this long after the last request.
+LINGER_MS = 700
+
+
+class EntryNode:
+    """One entry instance; an asynchronous context manager that owns its parts.
+
+    Args:
+        settings: What it learned at its start.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+        self._metrics = MemoryMetrics()
+        self._stack = ActorGroup()
+        self._ready = ReadyFront()
+        self._front: ClientFront | None = None
+        self._leadership: LeadershipController | None = None
+        self._servers: list[HTTPServer] = []
+
+    @classmethod
+    def from_config(cls, settings: NodeSettings) -> EntryNode:
+        """Return an instance that is not yet started."""
+        return cls(settings)
+
+    async def __aenter__(self) -> EntryNode:
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self._stack.aclose()
+
+    @property
+    def failed(self) -> asyncio.Event:
+        """Set when a loop of one of the parts has failed."""
+        return self._stack.failed
+
+    async def _start(self) -> None:
+        settings, clock = self._settings, self._clock
+        own = Member(
+            settings.instance_id, settings.zone, settings.host, settings.peer_port
+        )
+        link = StoreLink(settings.store)
+        advisor = AdvisingController(AdviceClient(settings.advice))
+        peers = PeersController(
+            own, link, lambda member: PeerLink(own.instance_id, own.host, member)
+        )
+        gate = StoreGate(own.instance_id, link, peers, clock)
+        terms = LeaseTerms(
+            min(HOLD_MS, settings.longest_lease_ms),
+            settings.longest_lease_ms,
+            settings.status_s * 1_000,
+        )
+        scheduler = StepSchedulerController(
+            own.instance_id,
+            gate,
+            peers,
+            advisor,
+            RunnerClient,
+            terms,
+            clock,
+            self._metrics,
+        )
+        desk = DeskController(own.instance_id, scheduler, peers, gate, clock)
+        readiness = ReadinessController(self._ready, clock)
+        leadership = LeadershipController(
+            own.instance_id, gate, peers, scheduler, clock, (desk, readiness)
+        )
+        directory = DirectoryController(
+            gate,
+            DirectoryFormat(
+                configuration.OPERATOR_TABLE,
+                configuration.WORKER_TABLE,
+                configuration.CONFIG_KEY,
+                configuration.EVACUATION_PREFIX,
+                configuration.parse_config,
+                parse_worker,
+            ),
+            self._metrics,
+            (scheduler, readiness),
+            scheduler,
+        )
+        scheduler.connect(directory, leadership)
+        peers.connect((gate, leadership, scheduler))
+        self._leadership = leadership
+        inbound = StepInboundController(leadership, scheduler, advisor, link)
+        actors: tuple[Actor, ...] = (
+            link,
+            advisor,
+            gate,
+            desk,
+            readiness,
+            scheduler,
+            leadership,
+            inbound,
+            directory,
+            peers,
+        )
+        for actor in actors:
+            await self._stack.add(actor)
+        server = PeerServer(inbound)
+        server.listen(settings.peer_port, settings.host)
+        self._stack.push_async_callback(server.close)
+        self._listen(directory, desk)
+
+    def _listen(self, directory: Actor, desk: Actor) -> None:
+        environment = QueueEnvironment(self._clock, self._metrics, directory, desk)
+        filters = [
+            QUEUE_FILTERS.get(name).from_config(environment)  # type: ignore[arg-type]
+            for name in DEFAULT_QUEUE_FILTERS
+        ]
+        self._front = ClientFront(Chain(filters, self._metrics), self._clock)
+        for server, address in (
+            (self._front.make_server(), self._settings.front),
+            (self._ready.make_server(), self._settings.ready),
+        ):
+            host, _, port = address.rpartition(":")
+            server.listen(int(port), host)
+            self._servers.append(server)
+            self._stack.push_async_callback(server.close_all_connections)
+            self._stack.callback(server.stop)
+
+    async def drain(self) -> None:
+        """Give the lead up and answer what callers still send."""
+        self._ready.leave()
+        front = self._front
+        if front is not None:
+            front.is_leaving = True
+        if self._leadership is not None:
+            await self._leadership.leave()
+        shutdown_ms = int(self._settings.shutdown_s * 1_000) - SHUTDOWN_MARGIN_MS
+        end_ms = self._clock.now_ms() + shutdown_ms
+        idle_since_ms = self._clock.now_ms()
+        while front is not None and self._clock.now_ms() < end_ms:
+            now_ms = self._clock.now_ms()
+            if front.in_flight or front.has_connections:
+                idle_since_ms = now_ms
+            if now_ms - idle_since_ms >= LINGER_MS:
+                return
+            await asyncio.sleep(SHUTDOWN_POLL_MS / 1000)
+
+
+async def _serve(settings: NodeSettings, path: pathlib.Path) -> int:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
+    async with EntryNode.from_config(settings) as node:
+        logs.state_change("started", zone=settings.zone)
+        waits = [asyncio.ensure_future(e.wait()) for e in (stop, node.failed)]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        logs.state_change("stopping", failed=str(node.failed.is_set()))
+        if not node.failed.is_set():
+            await node.drain()
+    return 1 if node.failed.is_set() else 0
+
+
+def _reload(path: pathlib.Path, current: NodeSettings) -> None:
+    """Say what changed in the settings; addresses take effect at the next start."""
+    try:
+        changed = read_settings(path) != current
+    except SettingsError as error:
+        logs.state_change("settings_unreadable", reason=error.message)
+        return
+    logs.state_change("settings_reloaded", changed=str(changed))
+
+
+def main() -> int:
+    """Run the entry instance that the settings file describes."""
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = read_settings(path)
+    except SettingsError as error:
+        sys.stderr.write(f"{error.message}\n")
+        return 2
+    logs.configure(sys.stdout, instance=settings.instance_id)
+    with contextlib.suppress(KeyboardInterrupt):
+        return asyncio.run(_serve(settings, path))
+    return 0
--- /dev/null
+++ b/marjoramgrade/platform/front.py
@@ -0,0 +1,280 @@
+"""The HTTP interface that the platform's clients and its balancer speak."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from marjoramgrade import logs
+from marjoramgrade.clock import Clock
+from marjoramgrade.errors import (
+    ForbiddenError,
+    InvalidInputError,
+    JobNotFoundError,
+    MarjoramgradeError,
+    OutcomeUnknownError,
+    OverloadedError,
+    QueueNotFoundError,
+    RefusedError,
+    UnauthenticatedError,
+)
+from marjoramgrade.filters.chain import Chain
+from marjoramgrade.filters.context import Context
+from marjoramgrade.messages.steps import (
+    PendingCount,
+    QueueRequest,
+    QueueVerb,
+    StepJobShown,
+)
+from marjoramgrade.platform.workers import parse_resources
+from marjoramgrade.stepjobs import Schedule, Step, StepJob
+
+DEFAULT_DEADLINE_MS = 3_000
+MAX_DEADLINE_MS = 60_000
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = 262_144
+IDLE_TIMEOUT_MS = 60_000
+# When a refused caller may come back: takeovers and short outages of the store
+# end within a second.
+RETRY_AFTER_S = 1
+BEARER = "Bearer "
+
+_VERB_BY_METHOD = {
+    "POST": QueueVerb.SUBMIT,
+    "GET": QueueVerb.STATE,
+    "DELETE": QueueVerb.CANCEL,
+}
+# The first type that an error belongs to decides.
+_STATUS_BY_TYPE: tuple[tuple[type[MarjoramgradeError], int], ...] = (
+    (UnauthenticatedError, 401),
+    (ForbiddenError, 403),
+    (QueueNotFoundError, 404),
+    (JobNotFoundError, 410),
+    (InvalidInputError, 400),
+    (OverloadedError, 429),
+    (RefusedError, 503),
+    (OutcomeUnknownError, 504),
+)
+
+
+class CountingServer(HTTPServer):
+    """A server that can tell whether clients are connected."""
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether a client is connected."""
+        return bool(self._connections)
+
+
+@attrs.define
+class ClientFront:
+    """Serves the clients.
+
+    Attributes:
+        chain: The filter chain.
+        clock: Time.
+        is_leaving: Whether the process is about to end.
+        in_flight: Requests that have not been answered.
+    """
+
+    chain: Chain
+    clock: Clock
+    is_leaving: bool = False
+    in_flight: int = 0
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _server: CountingServer | None = None
+
+    def make_server(self) -> HTTPServer:
+        """Return the server, not yet listening."""
+        self._server = CountingServer(
+            self._accept,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
+        )
+        return self._server
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether a client keeps a connection open."""
+        return self._server is not None and self._server.has_connections
+
+    def _accept(self, request: HTTPServerRequest) -> None:
+        task = asyncio.ensure_future(self._serve(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, request: HTTPServerRequest) -> None:
+        self.in_flight += 1
+        began_ms = self.clock.now_ms()
+        try:
+            status, body = await self._answer(request, began_ms)
+            self._write(request, status, body)
+        except StreamClosedError:
+            return
+        finally:
+            self.in_flight -= 1
+
+    async def _answer(
+        self, request: HTTPServerRequest, began_ms: int
+    ) -> tuple[int, bytes]:
+        try:
+            context = self._context(request, began_ms)
+            return 200, serialize_answer(await self.chain.handle(context))
+        except MarjoramgradeError as error:
+            status = status_of(error)
+            logs.state_change(
+                "request_failed",
+                method=request.method or "",
+                path=request.path[-40:],
+                status=status,
+                code=error.code,
+                reason=error.message[:200],
+                took_ms=self.clock.now_ms() - began_ms,
+            )
+            return status, msgspec.json.encode({"error": error.code})
+
+    def _context(self, request: HTTPServerRequest, began_ms: int) -> Context:
+        verb = _VERB_BY_METHOD.get(request.method or "")
+        if verb is None:
+            raise InvalidInputError(f"the method {request.method} has no meaning here")
+        if verb is QueueVerb.STATE and request.path.endswith("/"):
+            verb = QueueVerb.COUNT
+        job = parse_job(request.body) if verb is QueueVerb.SUBMIT else None
+        host = request.host.rpartition(":")[0] or request.host
+        secret = request.headers.get("Authorization", "")
+        return Context(
+            QueueRequest(verb, host.lower(), request.path, job),
+            secret.removeprefix(BEARER) if secret.startswith(BEARER) else "",
+            "",
+            began_ms + _deadline_ms(request.headers),
+        )
+
+    def _write(self, request: HTTPServerRequest, status: int, body: bytes) -> None:
+        connection: Any = request.connection
+        if connection is None:
+            return
+        headers = HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+        )
+        if status in (429, 503):
+            headers["Retry-After"] = str(RETRY_AFTER_S)
+        if self.is_leaving:
+            headers["Connection"] = "close"
+        written = connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, ""), headers, body
+        )
+        written.add_done_callback(lambda done: done.cancelled() or done.exception())
+        connection.finish()
+
+
+def status_of(error: MarjoramgradeError) -> int:
+    """Return the HTTP status for an error; 502 where its outcome is unknown."""
+    for kind, status in _STATUS_BY_TYPE:
+        if isinstance(error, kind):
+            return status
+    return 502
+
+
+def serialize_answer(answer: Any) -> bytes:
+    """Return the body that answers a request."""
+    if isinstance(answer, StepJobShown):
+        return msgspec.json.encode({"state": answer.state.value})
+    if isinstance(answer, PendingCount):
+        return msgspec.json.encode({"pending": answer.count})
+    return b"{}"
+
+
+def _deadline_ms(headers: HTTPHeaders) -> int:
+    text = headers.get("X-Deadline-Ms", "")
+    if not (text.isascii() and text.isdigit() and 0 < len(text) <= 6):
+        return DEFAULT_DEADLINE_MS
+    return min(int(text), MAX_DEADLINE_MS)
+
+
+def parse_job(body: bytes) -> StepJob:
+    """Return a job without its id, queue and team.
+
+    Raises:
+        InvalidInputError: If a field is missing or of another type.
+    """
+    try:
+        document = msgspec.json.decode(body)
+        steps = tuple(_step(entry) for entry in document["steps"])
+        payload = document.get("spec") or ""
+        if not isinstance(payload, str):
+            raise TypeError("spec is not a string")
+        schedule = Schedule(
+            int(document.get("times") or 0),
+            int(document.get("startAtMs") or 0),
+            int(document.get("intervalMs") or 0),
+        )
+        return StepJob("", "", "", payload, steps, schedule)
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        msgspec.DecodeError,
+    ) as error:
+        raise InvalidInputError(f"the job cannot be read: {error!r}") from None
+
+
+def _step(entry: dict[str, Any]) -> Step:
+    return Step(
+        count=int(entry.get("count") or 0),
+        resources=parse_resources(entry),
+        estimate_ms=int(entry.get("estMs") or 0),
+        after=tuple(int(index) for index in entry.get("after") or ()),
+        gang=bool(entry.get("gang")),
+        same_rack=bool(entry.get("sameRack")),
+        required_label=str(entry.get("constraints") or ""),
+        data_rack=str(entry.get("affinity") or ""),
+        max_per_worker=int(entry.get("antiAffinity") or 0),
+        speculative=bool(entry.get("speculative")),
+        long_running=bool(entry.get("daemon")),
+        checkpoints=bool(entry.get("checkpoint")),
+        image=str(entry.get("image") or ""),
+        latency_target_ms=int(entry.get("targetMs") or 0),
+        uses_spare=bool(entry.get("fills")),
+        # mayMiss bounds what the scheduler's own orders make unavailable.
+        max_unavailable=int(entry.get("mayMiss") or 0),
+    )
+
+
+class ReadyFront:
+    """Tells the balancer whether this instance wants new connections.
+
+    Attributes:
+        is_ready: Whether it does, as long as it does not leave.
+    """
+
+    def __init__(self) -> None:
+        self.is_ready = False
+        self._is_leaving = False
+
+    def leave(self) -> None:
+        """Ask for no new connections until the process ends."""
+        self._is_leaving = True
+
+    def make_server(self) -> HTTPServer:
+        """Return the server, not yet listening."""
+        return HTTPServer(self._accept)
+
+    def _accept(self, request: HTTPServerRequest) -> None:
+        connection: Any = request.connection
+        if connection is None:
+            return
+        status = 200 if self.is_ready and not self._is_leaving else 503
+        written = connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, ""),
+            HTTPHeaders({"Content-Length": "0"}),
+        )
+        written.add_done_callback(lambda done: done.cancelled() or done.exception())
+        connection.finish()
