Store placements before starts; keep the advisor's lines short

Cause: a new leader held back all restored work until each worker had answered or 14.5 s had passed, and long calls for advice queued before short ones.

Change: a start leaves once the store has its place, so a successor knows which tasks an unreachable worker may run. Each line of the advisor takes one long call at a time, and this instance's line short ones only. A step is called slow by its own tasks. An instance that restarts takes its own lead up at once.

Ruled out: the store's outage, which the log shows for 4 s only.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -114,7 +114,8 @@
         self._members: tuple[Member, ...] = ()
         self._observed = _Observed()
         self._leader = LeaderRow(0, "")
-        self._heard_ms = clock.now_ms()
+        # An instance that has just started has heard nobody.
+        self._heard_ms = 0
         self._own_epoch = 0
         self._renewed_ms = 0
         self._beat_ms = 0
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -14,6 +15,7 @@
 from marjoramgrade.controllers.commits import CommitController, SaveRows
 from marjoramgrade.controllers.takeover import Inheritance, read_inheritance
 from marjoramgrade.controllers.workerlink import ConnectWorker, WorkerLink
+from marjoramgrade.decisions.advisorlines import AdvisorLines
 from marjoramgrade.decisions.steporders import (
     AskAdvice,
     PaceRun,
@@ -23,7 +25,7 @@
     SyncWorker,
 )
 from marjoramgrade.decisions.stepplanning import Planner
-from marjoramgrade.decisions.stepprogress import JobProgress
+from marjoramgrade.decisions.stepprogress import JobProgress, RunPhase
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.decisions.stepsupervision import Supervisor
 from marjoramgrade.decisions.tickets import Ticket
@@ -85,12 +87,13 @@
 TICK_MS = 200
 # A leader that the store has not confirmed for this long extends no lease, so a
 # successor knows when the runs of workers that it cannot reach have ended.
-GRANT_LIMIT_MS = 8_000
+GRANT_LIMIT_MS = 3_500
 # Jobs that ended are dropped this long after callers may last ask for them.
 RETENTION_MARGIN_MS = 20_000
 PURGE_INTERVAL_MS = 5_000
+REPORT_INTERVAL_MS = 1_000
 # Beyond the time that the advisor is expected to take.
-ADVICE_MARGIN_MS = 2_000
+ADVICE_MARGIN_MS = 1_000
 # How long a job waits for a configuration that its sender already has.
 CONFIG_WAIT_MS = 1_000
 # Jobs that may be open at a time; further ones are refused.
@@ -102,13 +105,11 @@
     """How long leases of workers last.
 
     Attributes:
-        hold_ms: Length of the leases that this leader grants.
-        longest_ms: Length of the longest lease that any leader can have granted.
+        hold_ms: Length of the leases that every leader grants.
         status_ms: How long callers may ask for a job that has ended.
     """
 
     hold_ms: int
-    longest_ms: int
     status_ms: int
 
 
@@ -124,11 +125,12 @@
     supervisor: Supervisor
     link_by_worker: dict[str, WorkerLink] = attrs.field(factory=dict)
     roster: frozenset[str] = frozenset()
+    inherited: frozenset[str] = frozenset()
     reachable: bool = True
     grant_until_ms: int = 0
-    pending_advice_by_instance: dict[str, float] = attrs.field(factory=dict)
     plan_scheduled: bool = False
     purged_ms: int = 0
+    reported_ms: int = 0
 
 
 class StepSchedulerController(Actor):
@@ -195,7 +197,7 @@
     async def _begin_lead(self, message: TakeLead) -> None:
         inheritance = await read_inheritance(self._store)
         state = StepState(message.epoch, self._config, self._evacuated)
-        planner = Planner(state)
+        planner = Planner(state, AdvisorLines(self._instance_id))
         check = RowCheck(EPOCH_ROW, message.row_version)
         versions = dict(inheritance.version_by_row)
         commits = CommitController(
@@ -222,15 +224,14 @@
 
     def _restore(self, lead: _Lead, inheritance: Inheritance) -> None:
         now_ms, unix_ms = self._clock.now_ms(), self._clock.unix_ms()
+        for worker in inheritance.roster:
+            lead.state.add_worker(worker)
+        lead.roster = lead.inherited = frozenset(lead.state.worker_by_id)
         for job, record in inheritance.jobs:
             queue = self._config.queue_by_name.get(job.queue)
             if queue is None:
                 queue = inheritance.queue_for(job)
             lead.state.restore_job(job, queue, record, now_ms, unix_ms)
-        for worker in inheritance.roster:
-            lead.state.add_worker(worker)
-            lead.state.unsettled.add(worker.worker_id)
-        lead.roster = frozenset(lead.state.unsettled)
 
     @handles(StepDown)
     async def _step_down(self, message: StepDown) -> None:
@@ -321,8 +322,6 @@
         for worker_id, state in list(lead.state.worker_by_id.items()):
             if state.listed or state.run_by_task or state.synced:
                 continue
-            if worker_id in lead.state.unsettled:
-                continue
             lead.state.remove_worker(worker_id)
             link = lead.link_by_worker.pop(worker_id, None)
             if link is not None:
@@ -353,8 +352,8 @@
                 strays=len(worker.stray_by_task),
             )
         if message.listing.ended:
-            self._save_changed(lead, (message.worker_id, worker.last_end))
             self._schedule_plan(lead)
+            self._save_changed(lead, (message.worker_id, worker.last_end))
         self._perform(lead)
         if worker.synced and not had_synced:
             self._schedule_plan(lead)
@@ -508,7 +507,7 @@
 
     def _find(self, lead: _Lead, job_id: str) -> JobProgress:
         progress = lead.state.job_by_id.get(job_id)
-        if progress is None or not (progress.stored or progress.restored):
+        if progress is None or not progress.stored:
             raise JobNotFoundError(f"no job has the id {job_id}")
         return progress
 
@@ -523,7 +522,7 @@
         await asyncio.sleep(PLAN_DELAY_MS / 1000)
         lead.plan_scheduled = False
         if self._lead is lead:
-            lead.planner.advisors = 1 + len(self._member_ids)
+            lead.planner.lines.instance_ids = self._member_ids
             lead.planner.plan(self._clock.now_ms(), self._clock.unix_ms())
             self._perform(lead)
 
@@ -538,6 +537,28 @@
             self._schedule_plan(lead)
             self._perform(lead)
             self._purge(lead)
+            self._report(lead)
+
+    def _report(self, lead: _Lead) -> None:
+        """Write a line on the load, so that a late job can be explained."""
+        now_ms = self._clock.now_ms()
+        if now_ms - lead.reported_ms < REPORT_INTERVAL_MS:
+            return
+        lead.reported_ms = now_ms
+        workers = lead.state.worker_by_id.values()
+        usable = [worker for worker in workers if worker.accepts_work(now_ms)]
+        capacity = sum(worker.worker.capacity.cpu_millis for worker in usable)
+        waiting = sorted(lead.planner.waiting_by_reason.items())
+        logs.state_change(
+            "load",
+            open=len(lead.state.open_by_id),
+            waiting=",".join(f"{reason}={count}" for reason, count in waiting),
+            workers=len(usable),
+            cpu_capacity=capacity,
+            cpu_used=sum(worker.used.cpu_millis for worker in usable),
+            cpu_spare_used=sum(worker.spare_used.cpu_millis for worker in usable),
+            advice_ms=lead.planner.lines.total_pending_ms,
+        )
 
     def _purge(self, lead: _Lead) -> None:
         """Drop the jobs that callers may no longer ask for."""
@@ -559,12 +580,16 @@
     # Carrying out
 
     def _perform(self, lead: _Lead) -> None:
-        """Send whatever the state asks for, and store what has changed."""
+        """Store what has changed and send whatever the state asks for."""
         if self._lead is not lead:
             return
+        starts = []
         for action in lead.state.take_actions():
-            self._perform_one(lead, action)
-        self._save_changed(lead, None)
+            if isinstance(action, StartRun):
+                starts.append(action)
+            else:
+                self._perform_one(lead, action)
+        self._save_changed(lead, None, starts)
 
     def _perform_one(self, lead: _Lead, action: StepAction) -> None:
         if isinstance(action, AskAdvice):
@@ -576,9 +601,7 @@
         link = lead.link_by_worker.get(action.worker_id)
         if link is None:
             return
-        if isinstance(action, StartRun):
-            link.tell(LinkStart(action.order, action.fence))
-        elif isinstance(action, StopRun):
+        if isinstance(action, StopRun):
             logs.state_change(
                 "run_stopped",
                 job=action.task.job_id,
@@ -590,6 +613,22 @@
         elif isinstance(action, PaceRun):
             link.tell(LinkPace(action.task, action.run, action.percent, action.fence))
 
+    def _send_starts(self, lead: _Lead, starts: Sequence[StartRun]) -> None:
+        for action in starts:
+            link = lead.link_by_worker.get(action.worker_id)
+            worker = lead.state.worker_by_id.get(action.worker_id)
+            order = action.order
+            if link is None or worker is None or worker.fence != action.fence:
+                # The listing under the new fence has shown that it is not there.
+                continue
+            run = worker.run_by_task.get((order.task, order.run))
+            if run is None:
+                continue
+            if run.phase is RunPhase.STOPPING:
+                lead.state.start_refused(action.worker_id, order.task, order.run)
+                continue
+            link.tell(LinkStart(order, action.fence))
+
     async def _sync_worker(self, lead: _Lead, action: SyncWorker) -> None:
         link = lead.link_by_worker.get(action.worker_id)
         if link is not None:
@@ -598,7 +637,7 @@
         state = lead.state.worker_by_id.get(action.worker_id)
         if state is None:
             return
-        is_inherited = action.worker_id in lead.state.unsettled
+        is_inherited = action.worker_id in lead.inherited
         if action.worker_id not in lead.roster:
             lead.roster = lead.roster | {action.worker_id}
             await self._save_roster(lead)
@@ -614,9 +653,7 @@
             # An earlier leader that is still at work may renew leases for this
             # long, and each of them lasts on the worker's own clock.
             expired_ms = (
-                self._clock.now_ms()
-                + GRANT_LIMIT_MS
-                + self._terms.longest_ms * 11 // 10
+                self._clock.now_ms() + GRANT_LIMIT_MS + self._terms.hold_ms * 11 // 10
             )
         link = WorkerLink(
             worker,
@@ -642,9 +679,21 @@
         with contextlib.suppress(NotOwnerError, ShuttingDownError):
             await lead.commits.ask(SaveRows((write,)))
 
-    def _save_changed(self, lead: _Lead, ends: tuple[str, int] | None) -> None:
+    def _save_changed(
+        self,
+        lead: _Lead,
+        ends: tuple[str, int] | None,
+        starts: Sequence[StartRun] = (),
+    ) -> None:
+        """Store the jobs that changed, then let go what waits for that.
+
+        Args:
+            lead: The lead.
+            ends: A worker, and the number of its last end that this covers.
+            starts: Starts of which the store must know.
+        """
         changed = lead.state.take_changed()
-        if not changed and ends is None:
+        if not changed and ends is None and not starts:
             return
         writes = tuple(
             RowWrite(
@@ -654,7 +703,7 @@
             if progress.stored
         )
         states = [(progress, progress.state) for progress in changed]
-        self.spawn(self._store_changed_jobs(lead, writes, states, ends))
+        self.spawn(self._store_changed_jobs(lead, writes, states, ends, starts))
 
     async def _store_changed_jobs(
         self,
@@ -662,11 +711,26 @@
         writes: tuple[RowWrite, ...],
         states: list[tuple[JobProgress, StepJobState]],
         ends: tuple[str, int] | None,
+        starts: Sequence[StartRun],
     ) -> None:
         try:
             await lead.commits.ask(SaveRows(writes))
         except (NotOwnerError, ShuttingDownError):
             return
+        if self._lead is not lead:
+            return
+        self._show_states(lead, states)
+        if ends is not None:
+            worker_id, number = ends
+            link = lead.link_by_worker.get(worker_id)
+            if link is not None:
+                link.tell(LinkAcknowledge(number))
+        if starts:
+            self._send_starts(lead, starts)
+
+    def _show_states(
+        self, lead: _Lead, states: list[tuple[JobProgress, StepJobState]]
+    ) -> None:
         for progress, state in states:
             if progress.shown_state.is_final or not state.is_final:
                 continue
@@ -678,22 +742,14 @@
                 state=state.value,
                 age_ms=self._clock.now_ms() - progress.accepted_ms,
             )
-        if ends is not None:
-            worker_id, number = ends
-            link = lead.link_by_worker.get(worker_id)
-            if link is not None:
-                link.tell(LinkAcknowledge(number))
 
     def _save(self, lead: _Lead, *writes: RowWrite) -> None:
-        self.spawn(self._store_changed_jobs(lead, writes, [], None))
+        self.spawn(self._store_changed_jobs(lead, writes, [], None, ()))
 
     # Advice
 
     async def _ask_advice(self, lead: _Lead, action: AskAdvice) -> None:
-        load = lead.pending_advice_by_instance
-        instances = (self._instance_id, *self._member_ids)
-        chosen = min(instances, key=lambda name: load.get(name, 0.0))
-        load[chosen] = load.get(chosen, 0.0) + action.decide_ms
+        lines, chosen = lead.planner.lines, action.instance_id
         request = RequestAdvice(
             action.job_id, action.occurrence, action.step, action.worker_ids
         )
@@ -702,16 +758,16 @@
             if chosen == self._instance_id:
                 advice = await self._advisor.ask(request)
             else:
-                timeout_ms = int(load[chosen]) + ADVICE_MARGIN_MS
+                timeout_ms = lines.pending_ms(chosen) + ADVICE_MARGIN_MS
                 advice = await self._peers.ask(CallPeer(chosen, request, timeout_ms))
         except MarjoramgradeError as error:
+            lines.avoid(chosen, self._clock.now_ms())
             logs.state_change(
                 "advice_failed", job=action.job_id, by=chosen, code=error.code
             )
         finally:
-            load[chosen] -= action.decide_ms
+            lines.ended(chosen, action.decide_ms)
         if self._lead is lead:
-            lead.planner.pending_advice_ms -= action.decide_ms
             self._advised(lead, action, advice)
 
     def _advised(
--- a/marjoramgrade/controllers/workerlink.py
+++ b/marjoramgrade/controllers/workerlink.py
@@ -264,8 +264,11 @@
                 code=error.code,
                 reason=error.message,
             )
+        # Another life at the worker's address means that this one has ended.
+        expired = isinstance(error, WorkerReplacedError) or self._lease.has_expired(
+            self._clock.now_ms()
+        )
         if self._failures >= FAILURES_TO_SILENT and not self._reported_expiry:
-            expired = self._lease.has_expired(self._clock.now_ms())
             self._reported_expiry = expired
             if expired:
                 logs.state_change("worker_expired", worker=self._worker_id)
--- /dev/null
+++ b/marjoramgrade/decisions/advisorlines.py
@@ -0,0 +1,81 @@
+"""Which instance asks the placement advisor next.
+
+The advisor serves one call of each instance at a time, so each instance is a line
+of its own. Calls of urgent queues are short and must not wait behind long ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+# Longer calls keep one line free for shorter ones.
+LONG_CALL_MS = 150
+# Time that the calls of one line may take together, so that a call can still be
+# given to whichever step needs it most.
+MAX_LINE_MS = 300
+# An instance that brought no advice is not asked again for this long.
+PAUSE_MS = 4_000
+
+
+@attrs.define
+class AdvisorLines:
+    """The calls on their way, by the instance that makes them.
+
+    Attributes:
+        own_id: This instance, whose line is kept for short calls.
+        instance_ids: The other instances.
+    """
+
+    own_id: str
+    instance_ids: tuple[str, ...] = ()
+    _pending_by_id: dict[str, int] = attrs.field(factory=dict)
+    _avoided_until_by_id: dict[str, int] = attrs.field(factory=dict)
+
+    def choose(self, decide_ms: int, now_ms: int) -> str | None:
+        """Return the instance to make a call, or None if all have enough to do.
+
+        Args:
+            decide_ms: How long the call is expected to take.
+            now_ms: The time.
+        """
+        usable = list(self._iter_usable(decide_ms, now_ms))
+        if not usable:
+            return None
+        chosen = min(usable, key=self.pending_ms)
+        waiting_ms = self.pending_ms(chosen)
+        if waiting_ms and waiting_ms + decide_ms > MAX_LINE_MS:
+            return None
+        return chosen
+
+    def pending_ms(self, instance_id: str) -> int:
+        """Return how long the calls of an instance take together."""
+        return self._pending_by_id.get(instance_id, 0)
+
+    @property
+    def total_pending_ms(self) -> int:
+        """How long all calls take together."""
+        return sum(self._pending_by_id.values())
+
+    def began(self, instance_id: str, decide_ms: int) -> None:
+        """Note a call."""
+        self._pending_by_id[instance_id] = self.pending_ms(instance_id) + decide_ms
+
+    def ended(self, instance_id: str, decide_ms: int) -> None:
+        """Note that a call was answered or given up."""
+        self._pending_by_id[instance_id] -= decide_ms
+
+    def avoid(self, instance_id: str, now_ms: int) -> None:
+        """Make no calls through an instance for a while."""
+        self._avoided_until_by_id[instance_id] = now_ms + PAUSE_MS
+
+    def _iter_usable(self, decide_ms: int, now_ms: int) -> Iterable[str]:
+        others = [
+            instance_id
+            for instance_id in self.instance_ids
+            if now_ms >= self._avoided_until_by_id.get(instance_id, 0)
+        ]
+        yield from others
+        if decide_ms <= LONG_CALL_MS or not others:
+            yield self.own_id
--- a/marjoramgrade/decisions/steporders.py
+++ b/marjoramgrade/decisions/steporders.py
@@ -55,6 +55,7 @@
         occurrence: The occurrence.
         step: Index of the step.
         worker_ids: The workers to judge.
+        instance_id: The instance that makes the call.
         decide_ms: How long the call is expected to take.
     """
 
@@ -62,7 +63,8 @@
     occurrence: int
     step: int
     worker_ids: tuple[str, ...]
-    decide_ms: float
+    instance_id: str
+    decide_ms: int
 
 
 StepAction = StartRun | StopRun | PaceRun | SyncWorker | AskAdvice
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
+import math
+from collections import Counter
 from collections.abc import Iterator
 
 import attrs
 
+from marjoramgrade.decisions.advisorlines import AdvisorLines
 from marjoramgrade.decisions.stepfleet import WorkerState
 from marjoramgrade.decisions.steporder import STEP_ORDERS, StepOrder, Waiting
 from marjoramgrade.decisions.steporders import AskAdvice
 from marjoramgrade.decisions.stepplacement import choose_worker
 from marjoramgrade.decisions.stepprogress import JobProgress, StepProgress
 from marjoramgrade.decisions.stepstate import StepState
-from marjoramgrade.resources import NOTHING, Resources
-from marjoramgrade.stepconfig import AdvicePolicy
 
 # Workers that one call for advice names at most; each costs time.
 MAX_ADVISED = 30
-# Calls for advice that may wait, in milliseconds of the advisor's time for each
-# instance that can ask: longer queues would outlast the tickets that they bring.
-ADVICE_BACKLOG_MS = 1_200
 
 
 @attrs.define
@@ -29,26 +27,28 @@
     Attributes:
         state: Jobs and workers.
         order: In which order steps get room.
-        advisors: Instances that can ask the placement advisor.
-        pending_advice_ms: Time that the calls on their way take together.
+        lines: Calls to the placement advisor.
+        waiting_by_reason: Steps that the last plan left waiting, by queue and reason.
     """
 
     state: StepState
+    lines: AdvisorLines
     order: StepOrder = STEP_ORDERS.get("worth")
-    advisors: int = 1
-    pending_advice_ms: float = 0.0
+    waiting_by_reason: Counter[str] = attrs.field(factory=Counter)
 
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Order every start that is possible now."""
-        waiting, unknown_by_team = self._collect(now_ms, unix_ms)
-        for entry in self.order(waiting, now_ms):
+        self.waiting_by_reason.clear()
+        for entry in self.order(self._collect(now_ms, unix_ms), now_ms):
             step = entry.step
-            unknown = unknown_by_team.get(step.job.job.team, NOTHING)
             if step.step.gang:
-                self._place_gang(step, unknown, now_ms)
+                reason = self._place_gang(step, now_ms)
             else:
-                self._place_tasks(step, unknown, now_ms)
-            if step.has_waiting:
+                reason = self._place_tasks(step, now_ms)
+            if not reason:
+                continue
+            self.waiting_by_reason[f"{step.job.queue.name}:{reason}"] += 1
+            if reason in ("no_permitted_worker", "no_room"):
                 self._ask_advice(step, now_ms)
 
     def eligible(self, step: StepProgress, now_ms: int) -> list[WorkerState]:
@@ -110,34 +110,20 @@
         self.state.place(step, index, worker, run, now_ms)
         return True
 
-    def has_team_room(
-        self, step: StepProgress, unknown: Resources, tasks: int = 1
-    ) -> bool:
+    def has_team_room(self, step: StepProgress, tasks: int = 1) -> bool:
         """Whether the team's limit leaves room for more tasks of a step."""
-        need = step.step.resources.scaled(tasks, 1) + unknown
+        need = step.step.resources.scaled(tasks, 1)
         return self.state.usage.has_room(
             step.job.job.team, need, self.state.config.team_by_name
         )
 
-    def _collect(
-        self, now_ms: int, unix_ms: int
-    ) -> tuple[list[Waiting], dict[str, Resources]]:
-        waiting = []
-        unknown_by_team: dict[str, Resources] = {}
-        for progress in self.state.open_by_id.values():
-            if not progress.stored or progress.state.is_final:
-                continue
-            for step in self._iter_waiting(progress, now_ms, unix_ms):
-                if progress.restored and self.state.unsettled:
-                    # Runs of it may be present where nobody has looked yet.
-                    team = progress.job.team
-                    count = sum(1 for _ in step.iter_waiting())
-                    amount = step.step.resources.scaled(count, 1)
-                    known = unknown_by_team.get(team, NOTHING)
-                    unknown_by_team[team] = known + amount
-                    continue
-                waiting.append(self._describe(step, now_ms, unix_ms))
-        return waiting, unknown_by_team
+    def _collect(self, now_ms: int, unix_ms: int) -> list[Waiting]:
+        return [
+            self._describe(step, now_ms, unix_ms)
+            for progress in self.state.open_by_id.values()
+            if progress.stored and not progress.state.is_final
+            for step in self._iter_waiting(progress, now_ms, unix_ms)
+        ]
 
     @staticmethod
     def _iter_waiting(
@@ -162,27 +148,36 @@
         remaining_ms = progress.chain_length(step.index) * average_ms
         return Waiting(step, objective_ms, remaining_ms)
 
-    def _place_tasks(self, step: StepProgress, unknown: Resources, now_ms: int) -> None:
+    def _place_tasks(self, step: StepProgress, now_ms: int) -> str:
+        """Start as many tasks as possible; returns why others wait, or empty."""
         permitted = self.permitted(step, now_ms)
+        if not self.has_team_room(step):
+            return "team_limit"
         if not permitted:
-            return
+            return "no_permitted_worker"
         for index in list(step.iter_waiting()):
-            if not self.has_team_room(step, unknown):
-                return
+            if not self.has_team_room(step):
+                return "team_limit"
             if not self.place_one(step, index, permitted, now_ms):
-                return
-
-    def _place_gang(self, step: StepProgress, unknown: Resources, now_ms: int) -> None:
-        """Start all tasks of a gang at once, or none."""
-        if step.runs_by_index or not self.has_team_room(step, unknown, step.step.count):
-            return
+                return "no_room"
+        return ""
+
+    def _place_gang(self, step: StepProgress, now_ms: int) -> str:
+        """Start all tasks of a gang at once, or none; returns why it waits."""
+        if step.runs_by_index:
+            return "gang_ends"
+        if not self.has_team_room(step, step.step.count):
+            return "team_limit"
         permitted = self.permitted(step, now_ms)
+        if not permitted:
+            return "no_permitted_worker"
         chosen = self._reserve_gang(step, permitted, now_ms)
         if chosen is None:
-            return
+            return "no_room"
         run = self.state.next_run(step, 0)
         for index, worker in enumerate(chosen):
             self.state.place(step, index, worker, run, now_ms)
+        return ""
 
     def _reserve_gang(
         self, step: StepProgress, permitted: list[WorkerState], now_ms: int
@@ -234,16 +229,15 @@
         ]
         without.sort(key=lambda worker: -worker.free_cpu)
         asked = book.worth_asking(w.worker.worker_id for w in without)[:MAX_ADVISED]
-        if asked:
-            self._send_ask(step, asked, advice)
-
-    def _send_ask(
-        self, step: StepProgress, asked: list[str], advice: AdvicePolicy
-    ) -> None:
-        decide_ms = advice.base_ms + advice.per_worker_ms * len(asked)
-        if self.pending_advice_ms + decide_ms > self.advisors * ADVICE_BACKLOG_MS:
+        if not asked:
+            return
+        decide_ms = math.ceil(advice.base_ms + advice.per_worker_ms * len(asked))
+        instance_id = self.lines.choose(decide_ms, now_ms)
+        if instance_id is None:
             return
-        self.pending_advice_ms += decide_ms
-        step.tickets.is_pending = True
+        self.lines.began(instance_id, decide_ms)
+        book.is_pending = True
         job_id, occurrence, index = step.key
-        self.state.act(AskAdvice(job_id, occurrence, index, tuple(asked), decide_ms))
+        self.state.act(
+            AskAdvice(job_id, occurrence, index, tuple(asked), instance_id, decide_ms)
+        )
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -96,6 +96,7 @@
         tickets: Advice on where it may run.
         ready_ms: When its turn came, or None.
         done_count: Number of tasks that are done.
+        done_durations: How long the runs that were done took, in milliseconds.
         rack_in_use: Rack of its runs if they should share one, or empty.
     """
 
@@ -113,6 +114,7 @@
     ready_ms: int | None = None
     done_count: int = 0
     rack_in_use: str = ""
+    done_durations: list[int] = attrs.field(factory=list)
 
     @classmethod
     def from_step(
@@ -206,6 +208,15 @@
                 self.phases[index] = TaskPhase.WAITING
 
 
+@attrs.frozen
+class PlacedRun:
+    """A run that a worker has or may have."""
+
+    index: int
+    run: int
+    worker_id: str
+
+
 @attrs.frozen
 class StepRecord:
     """The lasting part of a step's progress.
@@ -214,11 +225,13 @@
         done: `1` for each task that is done, `0` for each other one.
         failed_runs: Numbers of failed runs by task.
         checkpoints: Newest checkpoint by task.
+        placed: Runs that workers have or may have.
     """
 
     done: str
     failed_runs: Mapping[str, list[int]] = attrs.field(factory=dict)
     checkpoints: Mapping[str, str] = attrs.field(factory=dict)
+    placed: tuple[PlacedRun, ...] = ()
 
 
 @attrs.frozen
@@ -248,8 +261,6 @@
         queue: Its queue.
         accepted_ms: When it was taken, on this instance's clock.
         stored: Whether the store holds it; nothing starts before.
-        restored: Whether it was read from the store by a new leader, so that runs
-            of it may be present on workers that have not answered yet.
         state: Its state.
         steps_by_occurrence: Steps of the occurrences that have become due.
         started: Whether a task of it has ever started.
@@ -263,7 +274,6 @@
     queue: Queue
     accepted_ms: int
     stored: bool = False
-    restored: bool = False
     state: StepJobState = StepJobState.QUEUED
     steps_by_occurrence: dict[int, list[StepProgress]] = attrs.field(factory=dict)
     started: bool = False
@@ -359,29 +369,40 @@
         """Return the lasting part."""
         touched = {}
         for step in self.iter_steps():
-            if not (step.done_count or step.failed_runs_by_index):
+            if not (step.done_count or step.failed_runs_by_index or step.runs_by_index):
                 continue
             touched[f"{step.occurrence}.{step.index}"] = StepRecord(
                 "".join("1" if p is TaskPhase.DONE else "0" for p in step.phases),
                 {str(i): sorted(r) for i, r in step.failed_runs_by_index.items()},
                 {str(i): text for i, text in step.checkpoint_by_index.items()},
+                tuple(
+                    PlacedRun(run.task.index, run.number, run.worker_id)
+                    for run in step.iter_runs()
+                ),
             )
         return JobRecord(self.state, self.ended_unix_ms, touched, self.occurrences_done)
 
-    def restore(self, record: JobRecord) -> None:
-        """Take over the lasting part that an earlier leader has stored."""
-        self.stored = self.restored = True
+    def restore(self, record: JobRecord) -> list[tuple[StepProgress, PlacedRun]]:
+        """Take over the lasting part that an earlier leader has stored.
+
+        Returns:
+            The runs that workers have or may have.
+        """
+        self.stored = True
         self.state = self.shown_state = record.state
         self.ended_unix_ms = record.ended_unix_ms
         self.occurrences_done = record.occurrences_done
         self.started = bool(record.step_by_name or record.occurrences_done)
+        placed: list[tuple[StepProgress, PlacedRun]] = []
         for name, stored in record.step_by_name.items():
             occurrence, index = (int(part) for part in name.split("."))
             step = self.open_occurrence(occurrence)[index]
             for task_index, mark in enumerate(stored.done):
                 if mark == "1":
                     step.mark_done(task_index)
-            for task_index_text, runs in stored.failed_runs.items():
-                step.failed_runs_by_index[int(task_index_text)] = set(runs)
-            for task_index_text, checkpoint in stored.checkpoints.items():
-                step.checkpoint_by_index[int(task_index_text)] = checkpoint
+            for task_text, runs in stored.failed_runs.items():
+                step.failed_runs_by_index[int(task_text)] = set(runs)
+            for task_text, checkpoint in stored.checkpoints.items():
+                step.checkpoint_by_index[int(task_text)] = checkpoint
+            placed.extend((step, run) for run in stored.placed)
+        return placed
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -60,7 +60,6 @@
         worker_by_id: All workers that are known.
         usage: What teams have running.
         durations: How long tasks take, by queue.
-        unsettled: Workers that may have runs that this leader does not know.
     """
 
     epoch: int
@@ -71,7 +70,6 @@
     worker_by_id: dict[str, WorkerState] = attrs.field(factory=dict)
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     durations: Durations = attrs.field(factory=Durations)
-    unsettled: set[str] = attrs.field(factory=set)
     _actions: list[StepAction] = attrs.field(factory=list)
     _changed: dict[str, JobProgress] = attrs.field(factory=dict)
 
@@ -108,10 +106,21 @@
     def restore_job(
         self, job: StepJob, queue: Queue, record: JobRecord, now_ms: int, unix_ms: int
     ) -> JobProgress:
-        """Take a job over from an earlier leader."""
+        """Take a job over from an earlier leader.
+
+        The workers of its runs must have been added before.
+        """
         age_ms = max(unix_ms - job.accepted_unix_ms, 0)
         progress = JobProgress(job, queue, now_ms - age_ms)
-        progress.restore(record)
+        for step, placed in progress.restore(record):
+            worker = self.worker_by_id.get(placed.worker_id)
+            if worker is not None:
+                task = step.task(placed.index)
+                run = Run(
+                    task, placed.run, placed.worker_id, step, RunPhase.STARTING, now_ms
+                )
+                # The listing of the worker tells whether the run is present.
+                self._attach(run, worker)
         self._keep(progress)
         return progress
 
@@ -189,7 +198,6 @@
     def remove_worker(self, worker_id: str) -> None:
         """Forget a worker that has left; it must have no runs."""
         del self.worker_by_id[worker_id]
-        self.unsettled.discard(worker_id)
 
     def request_sync(self, worker: WorkerState) -> None:
         """Raise the fence of a worker, so that unanswered orders have no effect."""
@@ -211,7 +219,6 @@
         for run in list(worker.run_by_task.values()):
             self.lose_run(run)
         worker.stray_by_task.clear()
-        self.unsettled.discard(worker.worker.worker_id)
 
     # Runs
 
@@ -225,6 +232,9 @@
         ticket = step.tickets.ticket_for(worker_id, worker.worker.born_unix_ms, now_ms)
         new = Run(task, run, worker_id, step, RunPhase.STARTING, now_ms)
         self._attach(new, worker)
+        # The store must know the place before the worker does, so that a successor
+        # knows which tasks a worker that it cannot reach may run.
+        self._changed[task.job_id] = step.job
         self.act(
             StartRun(
                 worker_id,
@@ -260,9 +270,12 @@
             self.send_stop(run)
 
     def send_stop(self, run: Run) -> None:
-        """Send the stop of a run, once more if its answer was lost."""
+        """Send the stop of a run, once more if its answer was lost.
+
+        A worker that does not answer gets its stops when it is listed in sync.
+        """
         worker = self.worker_by_id.get(run.worker_id)
-        if worker is not None:
+        if worker is not None and worker.synced:
             self.act(
                 StopRun(
                     run.worker_id, worker.fence, run.task, run.number, run.stop_reason
@@ -362,6 +375,7 @@
         self, worker: WorkerState, running: tuple[RunReport, ...], now_ms: int
     ) -> None:
         """Settle what a worker runs; orders under lower fences have no effect."""
+        worker.synced = True
         present = {(report.task, report.run) for report in running}
         for key, run in list(worker.run_by_task.items()):
             if key not in present:
@@ -384,8 +398,6 @@
                         "not_wanted",
                     )
                 )
-        worker.synced = True
-        self.unsettled.discard(worker.worker.worker_id)
 
     def _adopt(self, worker: WorkerState, report: RunReport, now_ms: int) -> bool:
         """Take over a run that an earlier leader has started."""
@@ -476,9 +488,9 @@
         if ending is Ending.DONE:
             worker.suspicion.succeeded()
             if run.running_since_ms and not run.step.checkpoint_of(run.task.index):
-                self.durations.add(
-                    run.step.job.queue.name, now_ms - run.running_since_ms
-                )
+                duration_ms = now_ms - run.running_since_ms
+                run.step.done_durations.append(duration_ms)
+                self.durations.add(run.step.job.queue.name, duration_ms)
         elif ending is Ending.FAILED:
             worker.suspicion.failed(run.task.job_id, now_ms)
 
--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -24,6 +24,8 @@
 STALL_SHARE = 0.25
 # A run that needs this many times the usual duration is on a slow worker.
 SLOW_FACTOR = 2.0
+# Tasks of a step of which the progress is known, before one is called slow.
+MIN_SIBLINGS = 3
 # A long-running task that is not at work for this long is started elsewhere.
 IDLE_MS = 2_500
 # Spare work beside a task above its latency target is slowed by halves at this
@@ -138,37 +140,43 @@
         elif now_ms - run.below_full_ms >= IDLE_MS:
             self._move(run, worker, "not_at_work", now_ms)
 
-    def _usual_duration_ms(self, step: StepProgress) -> float:
-        """Return the duration that tasks of a step usually have."""
-        totals = [
-            total
-            for run in step.iter_runs()
-            if (total := run.predicted_total_ms()) is not None
-        ]
-        known = self.state.durations.of(step.job.queue.name, step.step.estimate_ms)
-        if len(totals) >= 3:
-            return statistics.median([*totals, known])
-        return known
+    def _usual_duration_ms(self, step: StepProgress) -> float | None:
+        """Return how long tasks of a step take, judged by the step's own tasks.
+
+        Durations differ widely from job to job and little within a step.
+        """
+        totals: list[float] = list(step.done_durations)
+        for run in step.iter_runs():
+            total_ms = run.predicted_total_ms()
+            if total_ms is not None:
+                totals.append(total_ms)
+        return statistics.median_low(totals) if len(totals) >= MIN_SIBLINGS else None
 
     def _watch_progress(
-        self, run: Run, worker: WorkerState, usual_ms: float, now_ms: int
+        self, run: Run, worker: WorkerState, usual_ms: float | None, now_ms: int
     ) -> None:
-        if run.step.step.uses_spare and worker.free_cpu <= 0:
-            # It is slow because others use the processors.
-            return
-        if run.share < 100:
+        is_starved = run.step.step.uses_spare and worker.free_cpu <= 0
+        if run.share < 100 or is_starved:
+            # It is slow because it was made to be.
             return
-        stall_ms = max(STALL_MS, STALL_SHARE * usual_ms)
-        if now_ms - run.progressed_ms >= stall_ms:
+        if now_ms - run.progressed_ms >= self._stall_limit_ms(run, usual_ms):
             self._move(run, worker, "stands_still", now_ms)
             return
         total_ms = run.predicted_total_ms()
-        if total_ms is None or total_ms < SLOW_FACTOR * usual_ms:
+        if total_ms is None or usual_ms is None or total_ms < SLOW_FACTOR * usual_ms:
             return
         left_ms = total_ms - (now_ms - run.running_since_ms)
         if left_ms > usual_ms:
             self._move(run, worker, "slow", now_ms)
 
+    def _stall_limit_ms(self, run: Run, usual_ms: float | None) -> float:
+        """Return how long a run may show the same percentage."""
+        queue = run.step.job.queue.name
+        expected_ms = usual_ms or self.state.durations.of(
+            queue, run.step.step.estimate_ms
+        )
+        return max(STALL_MS, STALL_SHARE * expected_ms)
+
     def _move(self, run: Run, worker: WorkerState, reason: str, now_ms: int) -> None:
         """Start a copy elsewhere, or stop the run so that it starts elsewhere."""
         step, index = run.step, run.task.index
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -299,7 +299,7 @@
 
     Attributes:
         worker_id: The worker.
-        expired: Whether all its leases have surely run out.
+        expired: Whether whatever it ran has surely ended.
     """
 
     worker_id: str
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -105,7 +105,6 @@
         gate = StoreGate(own.instance_id, link, peers, clock)
         terms = LeaseTerms(
             min(HOLD_MS, settings.longest_lease_ms),
-            settings.longest_lease_ms,
             settings.status_s * 1_000,
         )
         scheduler = StepSchedulerController(
