Preempt for urgent tasks; hand the lead to an instance that reaches the store

Change: runs of less urgent queues make way, those that lose least first; a relay is kept while it works, the direct way is probed aside, and a leader that only others reach the store for gives the lead up.

Ruled out: room, half of the processors were free.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -40,6 +40,7 @@
     LeaderKnown,
     LeaderLeft,
     StepDown,
+    StoreContact,
     TakeLead,
 )
 from marjoramgrade.steprows import (
@@ -69,6 +70,10 @@
 # still writes: it cannot serve them.
 UNHEARD_MS = 2_500
 ASK_TIMEOUT_MS = 300
+# A leader that only others reach the store for gives the lead to one of them after
+# this long; it is no candidate for this long after that.
+RELAYED_MS = 250
+INELIGIBLE_MS = 3_000
 # Candidates wait a little in turn, so that the first one usually is the only one.
 RANK_DELAY_MS = 60
 
@@ -120,6 +125,8 @@
         self._renewed_ms = 0
         self._beat_ms = 0
         self._leaving = False
+        self._lost_direct_ms = 0
+        self._is_relayed = False
 
     async def on_start(self) -> None:
         """Start to follow or to lead."""
@@ -152,18 +159,32 @@
     async def _leader_age(self, message: AskLeaderAge) -> LeaderAge:
         return LeaderAge(self._leader.epoch, self._clock.now_ms() - self._heard_ms)
 
+    @handles(StoreContact)
+    async def _store_contact(self, message: StoreContact) -> None:
+        if message.direct:
+            self._lost_direct_ms = 0
+            self._is_relayed = False
+            return
+        self._lost_direct_ms = self._lost_direct_ms or self._clock.now_ms()
+        self._is_relayed = self._is_relayed or message.relayed
+
     @handles(StepDown)
     async def _step_down(self, message: StepDown) -> None:
         if message.epoch == self._own_epoch:
             self._lose(message.reason)
 
     async def leave(self) -> None:
-        """Give the lead up, so that another instance takes it at once."""
+        """Give the lead up and take none any more."""
         self._leaving = True
+        await self._release("the instance stops")
+
+    async def _release(self, reason: str) -> None:
+        """Give the lead up, so that another instance takes it at once."""
         epoch = self._own_epoch
         if not epoch:
             return
-        self._lose("the instance stops")
+        self._lose(reason)
+        self._scheduler.tell(StepDown(epoch, reason))
         row = serialize_row(LeaderRow(epoch, ""))
         try:
             await self._store.ask(
@@ -184,11 +205,18 @@
             await asyncio.sleep(LOOP_MS / 1000)
             if self._leaving:
                 continue
-            if self._own_epoch:
+            if self._own_epoch and self._is_served_by_others():
+                await self._release("only other instances reach the store")
+            elif self._own_epoch:
                 await self._lead()
             elif self._clock.now_ms() - self._heard_ms >= SILENCE_MS:
                 await self._consider()
 
+    def _is_served_by_others(self) -> bool:
+        if not self._is_relayed or not self._lost_direct_ms:
+            return False
+        return self._clock.now_ms() - self._lost_direct_ms >= RELAYED_MS
+
     async def _lead(self) -> None:
         now_ms = self._clock.now_ms()
         if now_ms - self._beat_ms >= BEAT_MS:
@@ -216,6 +244,9 @@
 
     async def _consider(self) -> None:
         """Take the lead if the leader is gone."""
+        lost_ms = self._clock.now_ms() - self._lost_direct_ms
+        if self._lost_direct_ms and lost_ms < INELIGIBLE_MS:
+            return
         if not await self._observe():
             return
         now_ms = self._clock.now_ms()
@@ -345,8 +376,6 @@
         if self._leader.leader_id == self._instance_id:
             self._leader = LeaderRow(epoch, "")
             self._tell(LeaderKnown("", epoch))
-        if reason == "the instance stops":
-            self._scheduler.tell(StepDown(epoch, reason))
 
     def _tell(self, message: Message[None]) -> None:
         for subscriber in self._subscribers:
--- a/marjoramgrade/controllers/storegate.py
+++ b/marjoramgrade/controllers/storegate.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, Message, handles
-from marjoramgrade.clock import Clock
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -21,12 +21,16 @@
 )
 from marjoramgrade.messages import CallPeer, Member, MembersChanged
 from marjoramgrade.messages.rows import CommitRows, ReadRows, WatchRows
-
-# After a call that failed, the direct way is not tried for this long.
-DIRECT_PAUSE_MS = 700
-RELAY_TIMEOUT_MS = 1_500
+from marjoramgrade.messages.steps import StoreContact
+from marjoramgrade.steprows import MEMBERS_TABLE
+
+# While the direct way fails, it is tried aside at this interval.
+PROBE_MS = 400
+# A relay that answers does so within the time that the store takes; a cut one is
+# given up after this.
+RELAY_TIMEOUT_MS = 800
 # Instances that are asked to relay one call.
-MAX_RELAYS = 2
+MAX_RELAYS = 3
 
 
 class StoreGate(Actor):
@@ -36,21 +40,21 @@
         instance_id: Id of this instance.
         link: The direct connection.
         peers: Reaches the other instances.
-        clock: Monotonic time.
     """
 
-    def __init__(
-        self, instance_id: str, link: Actor, peers: Actor, clock: Clock
-    ) -> None:
+    def __init__(self, instance_id: str, link: Actor, peers: Actor) -> None:
         super().__init__()
         self._instance_id = instance_id
         self._link = link
         self._peers = peers
-        self._clock = clock
         self._members: list[Member] = []
-        self._next_relay = 0
-        self._direct_from_ms = 0
         self._is_direct = True
+        self._relay = 0
+        self._subscribers: tuple[Actor, ...] = ()
+
+    def connect(self, subscribers: tuple[Actor, ...]) -> None:
+        """Set the controllers that are told which way works."""
+        self._subscribers = subscribers
 
     @handles(MembersChanged)
     async def _members_changed(self, message: MembersChanged) -> None:
@@ -73,51 +77,61 @@
         return self.spawn(self._send(message, message.wait_ms))
 
     async def _send(self, message: Message[Any], wait_ms: int) -> Any:
-        failure: MarjoramgradeError = TableUnavailableError("the store is not tried")
-        if self._clock.now_ms() >= self._direct_from_ms:
+        if self._is_direct:
             try:
-                answer = await self._link.ask(message)
-                self._note(True, "")
-                return answer
+                return await self._link.ask(message)
             except WriteOutcomeUnknownError as error:
-                self._note(False, error.message)
+                self._lost_direct(error.message)
                 raise
             except TableUnavailableError as error:
-                self._note(False, error.message)
-                failure = error
-        for member in self._relays():
+                self._lost_direct(error.message)
+        return await self._send_relayed(message, wait_ms)
+
+    async def _send_relayed(self, message: Message[Any], wait_ms: int) -> Any:
+        failure: MarjoramgradeError = TableUnavailableError("the store is cut off")
+        for _ in range(min(MAX_RELAYS, len(self._members))):
+            member = self._members[self._relay % len(self._members)]
             try:
-                return await self._peers.ask(
+                answer = await self._peers.ask(
                     CallPeer(member.instance_id, message, RELAY_TIMEOUT_MS + wait_ms)
                 )
-            except WriteOutcomeUnknownError:
-                raise
-            except TableUnavailableError as error:
-                failure = error
-            except TableError:
-                # A check that failed, or lost history, is an answer of the store.
-                raise
-            except OutcomeUnknownError as error:
+            except (TableUnavailableError, RefusedError) as error:
+                failure = TableUnavailableError(error.message)
+            except (WriteOutcomeUnknownError, OutcomeUnknownError) as error:
+                self._relay += 1
                 if isinstance(message, CommitRows):
                     raise WriteOutcomeUnknownError(error.message) from None
                 failure = TableUnavailableError(error.message)
-            except RefusedError as error:
-                failure = TableUnavailableError(error.message)
+                continue
+            except TableError:
+                # A check that failed, or lost history, is an answer of the store.
+                self._tell(StoreContact(self._is_direct, True))
+                raise
+            else:
+                self._tell(StoreContact(self._is_direct, True))
+                return answer
+            self._relay += 1
         raise failure
 
-    def _relays(self) -> list[Member]:
-        count = min(MAX_RELAYS, len(self._members))
-        first = self._next_relay
-        self._next_relay += 1
-        return [
-            self._members[(first + offset) % len(self._members)]
-            for offset in range(count)
-        ]
+    def _lost_direct(self, reason: str) -> None:
+        if not self._is_direct:
+            return
+        self._is_direct = False
+        logs.state_change("store_lost", reason=reason)
+        self._tell(StoreContact(False, False))
+        self.spawn(self._probe())
 
-    def _note(self, is_direct: bool, reason: str) -> None:
-        if not is_direct:
-            self._direct_from_ms = self._clock.now_ms() + DIRECT_PAUSE_MS
-        if is_direct != self._is_direct:
-            self._is_direct = is_direct
-            event = "store_regained" if is_direct else "store_lost"
-            logs.state_change(event, reason=reason)
+    async def _probe(self) -> None:
+        while not self._is_direct:
+            try:
+                await self._link.ask(ReadRows(MEMBERS_TABLE, "", limit=1))
+            except TableError:
+                await asyncio.sleep(PROBE_MS / 1000)
+                continue
+            self._is_direct = True
+            logs.state_change("store_regained")
+            self._tell(StoreContact(True, False))
+
+    def _tell(self, message: Message[None]) -> None:
+        for subscriber in self._subscribers:
+            subscriber.tell(message)
--- a/marjoramgrade/decisions/steporder.py
+++ b/marjoramgrade/decisions/steporder.py
@@ -35,6 +35,10 @@
     objective_ms: float
     remaining_ms: float
 
+    def is_on_time(self, now_ms: int) -> bool:
+        """Whether the job can still be complete in time."""
+        return now_ms + self.remaining_ms <= self.objective_ms
+
 
 StepOrder = Callable[[list[Waiting], int], list[Waiting]]
 STEP_ORDERS: Registry[StepOrder] = Registry("step order")
@@ -65,9 +69,9 @@
         worth *= BEYOND_WEIGHT_SHARE
     if entry.step.step.long_running:
         return worth
-    finish_ms = now_ms + entry.remaining_ms
-    if finish_ms <= entry.objective_ms:
+    if entry.is_on_time(now_ms):
         return worth
+    finish_ms = now_ms + entry.remaining_ms
     allowed_ms = entry.objective_ms - job.accepted_ms
     if finish_ms <= job.accepted_ms + LATE_MULTIPLE * allowed_ms:
         return worth * LATE_SHARE
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -13,6 +13,7 @@
 from marjoramgrade.decisions.steporder import STEP_ORDERS, StepOrder, Waiting
 from marjoramgrade.decisions.steporders import AskAdvice
 from marjoramgrade.decisions.stepplacement import choose_worker
+from marjoramgrade.decisions.steppreemption import Preemption
 from marjoramgrade.decisions.stepprogress import JobProgress, StepProgress
 from marjoramgrade.decisions.stepstate import StepState
 
@@ -50,6 +51,8 @@
             self.waiting_by_reason[f"{step.job.queue.name}:{reason}"] += 1
             if reason in ("no_permitted_worker", "no_room"):
                 self._ask_advice(step, now_ms)
+            if entry.is_on_time(now_ms):
+                self._make_room(step, reason, now_ms)
 
     def eligible(self, step: StepProgress, now_ms: int) -> list[WorkerState]:
         """Return the workers that may run a step, whatever room they have."""
@@ -148,6 +151,13 @@
         remaining_ms = progress.chain_length(step.index) * average_ms
         return Waiting(step, objective_ms, remaining_ms)
 
+    def _make_room(self, step: StepProgress, reason: str, now_ms: int) -> None:
+        preemption = Preemption(self.state)
+        if reason == "team_limit":
+            preemption.make_team_room(step, now_ms)
+        elif reason == "no_room":
+            preemption.make_worker_room(step, self.permitted(step, now_ms), now_ms)
+
     def _place_tasks(self, step: StepProgress, now_ms: int) -> str:
         """Start as many tasks as possible; returns why others wait, or empty."""
         permitted = self.permitted(step, now_ms)
--- /dev/null
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -0,0 +1,149 @@
+"""Which runs make way for more urgent tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from marjoramgrade.decisions.stepfleet import WorkerState
+from marjoramgrade.decisions.stepprogress import Run, RunPhase, StepProgress
+from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.resources import NOTHING, Resources
+
+# An urgent step waits this long for room that becomes free by itself.
+PATIENCE_MS = 60
+# Most runs that make way for one step at a time.
+MAX_VICTIMS = 12
+
+
+@attrs.define
+class Preemption:
+    """Stops less urgent runs where a team's limit or a worker's room is used up.
+
+    Attributes:
+        state: Jobs and workers.
+    """
+
+    state: StepState
+
+    def make_team_room(self, step: StepProgress, now_ms: int) -> None:
+        """Stop less urgent runs of the same team until its limit leaves room."""
+        if not self._is_due(step, now_ms):
+            return
+        team = step.job.job.team
+        policy = self.state.config.team_by_name.get(team)
+        if policy is None:
+            return
+        waiting = sum(1 for _ in step.iter_waiting())
+        used = self.state.usage.used_by_team.get(team, NOTHING)
+        missing = used + step.step.resources.scaled(waiting, 1)
+        missing = missing - self._leaving(team)
+        runs = [
+            run
+            for progress in self.state.open_by_id.values()
+            if progress.job.team == team
+            for victim_step in progress.iter_steps()
+            for run in victim_step.iter_runs()
+        ]
+        victims = self._victims(step, runs, now_ms)
+        for run in victims[:MAX_VICTIMS]:
+            if _within(missing, policy.limit):
+                return
+            missing = missing - run.step.step.resources
+            self.state.stop_run(run, "makes_way_in_team")
+
+    def make_worker_room(
+        self, step: StepProgress, permitted: Iterable[WorkerState], now_ms: int
+    ) -> None:
+        """Stop less urgent runs on one worker, so that one task fits there."""
+        if not self._is_due(step, now_ms):
+            return
+        best: list[Run] | None = None
+        for worker in permitted:
+            chosen = self._victims_on(step, worker, now_ms)
+            if chosen is None:
+                continue
+            if not chosen:
+                # Room becomes free there already.
+                return
+            if best is None or _loss(chosen, now_ms) < _loss(best, now_ms):
+                best = chosen
+        for run in best or ():
+            self.state.stop_run(run, "makes_way_on_worker")
+
+    def _is_due(self, step: StepProgress, now_ms: int) -> bool:
+        if step.job.beyond_weight or step.ready_ms is None:
+            return False
+        return now_ms - step.ready_ms >= PATIENCE_MS
+
+    def _victims_on(
+        self, step: StepProgress, worker: WorkerState, now_ms: int
+    ) -> list[Run] | None:
+        """Return the runs to stop so that a task fits, or None if it never does."""
+        most = step.step.max_per_worker
+        if most and step.count_on(worker.worker.worker_id) >= most:
+            return None
+        runs = list(worker.run_by_task.values())
+        free = attrs.evolve(worker)
+        chosen: list[Run] = []
+        stopping = [run for run in runs if run.phase is RunPhase.STOPPING]
+        for run in (*stopping, *self._victims(step, runs, now_ms)):
+            if free.has_room(step.step.resources, uses_spare=step.step.uses_spare):
+                return chosen
+            if run.step.step.uses_spare:
+                free.spare_used = free.spare_used - run.step.step.resources
+            else:
+                free.used = free.used - run.step.step.resources
+            if run.phase is not RunPhase.STOPPING:
+                chosen.append(run)
+        fits = free.has_room(step.step.resources, uses_spare=step.step.uses_spare)
+        return chosen if fits else None
+
+    def _victims(
+        self, step: StepProgress, runs: Iterable[Run], now_ms: int
+    ) -> list[Run]:
+        """Return the runs that may make way, those that lose least first."""
+        priority = step.job.queue.priority
+        candidates = [
+            run
+            for run in runs
+            if run.phase is RunPhase.RUNNING
+            and run.step.job.queue.priority > priority
+            and not run.step.step.gang
+            and not run.step.step.long_running
+        ]
+        return sorted(candidates, key=lambda run: _loss((run,), now_ms))
+
+    def _leaving(self, team: str) -> Resources:
+        """Return what the runs of a team that are being stopped take."""
+        total = NOTHING
+        for worker in self.state.worker_by_id.values():
+            for run in worker.run_by_task.values():
+                if run.phase is RunPhase.STOPPING and run.step.job.job.team == team:
+                    total = total + run.step.step.resources
+        return total
+
+
+def _loss(runs: Iterable[Run], now_ms: int) -> float:
+    """Return the core-milliseconds of work that stopping runs throws away."""
+    return sum(
+        run.step.step.resources.cpu_millis / 1_000 * _unsaved_ms(run, now_ms)
+        for run in runs
+    )
+
+
+def _unsaved_ms(run: Run, now_ms: int) -> int:
+    saved_ms = run.checkpointed_ms if run.step.step.checkpoints else 0
+    return now_ms - max(saved_ms, run.running_since_ms)
+
+
+def _within(amount: Resources, limit: Resources) -> bool:
+    return all(
+        most == 0 or used <= most
+        for used, most in (
+            (amount.cpu_millis, limit.cpu_millis),
+            (amount.memory_mib, limit.memory_mib),
+            (amount.accelerators, limit.accelerators),
+        )
+    )
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -43,6 +43,7 @@
         percent: Its progress, 0 to 100.
         progressed_ms: When `percent` last changed.
         checkpoint: Its newest checkpoint, or empty.
+        checkpointed_ms: When that was first seen, or 0.
         figure: See `RunReport.figure`.
         share: Percent of its speed that it was paced to.
         above_target_ms: Since when its latency is above its target; 0 if it is not.
@@ -60,6 +61,7 @@
     percent: int = 0
     progressed_ms: int = 0
     checkpoint: str = ""
+    checkpointed_ms: int = 0
     figure: int = 0
     share: int = 100
     above_target_ms: int = 0
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -451,8 +451,8 @@
         if report.percent != run.percent:
             run.percent = report.percent
             run.progressed_ms = now_ms
-        if report.checkpoint:
-            run.checkpoint = report.checkpoint
+        if report.checkpoint and report.checkpoint != run.checkpoint:
+            run.checkpoint, run.checkpointed_ms = report.checkpoint, now_ms
             run.step.keep_checkpoint(run.task.index, report.checkpoint)
         run.figure = report.figure
 
--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -22,8 +22,9 @@
 # one percent of a long task takes longer.
 STALL_MS = 1_200
 STALL_SHARE = 0.25
-# A run that needs this many times the usual duration is on a slow worker.
-SLOW_FACTOR = 2.0
+# A run that needs this many times the usual duration is on a slow worker; tasks of
+# one step differ by a third among themselves.
+SLOW_FACTOR = 2.6
 # Tasks of a step of which the progress is known, before one is called slow.
 MIN_SIBLINGS = 3
 # A long-running task that is not at work for this long is started elsewhere.
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -234,6 +234,19 @@
     asked_ms: int
 
 
+@attrs.frozen
+class StoreContact(Message[None]):
+    """Which way to the store works.
+
+    Attributes:
+        direct: Whether this instance reaches the store itself.
+        relayed: Whether another instance has just reached it for this one.
+    """
+
+    direct: bool
+    relayed: bool
+
+
 @attrs.frozen
 class StoreReachable(Message[None]):
     """Whether the leader's writes reach the store."""
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -102,7 +102,7 @@
         peers = PeersController(
             own, link, lambda member: PeerLink(own.instance_id, own.host, member)
         )
-        gate = StoreGate(own.instance_id, link, peers, clock)
+        gate = StoreGate(own.instance_id, link, peers)
         terms = LeaseTerms(
             min(HOLD_MS, settings.longest_lease_ms),
             settings.status_s * 1_000,
@@ -137,6 +137,7 @@
             scheduler,
         )
         scheduler.connect(directory, leadership)
+        gate.connect((leadership,))
         peers.connect((gate, leadership, scheduler))
         self._leadership = leadership
         inbound = StepInboundController(leadership, scheduler, advisor, link)
