Refuse unsent jobs when the store is out of reach; replace a silent leader sooner

Change: what was never sent to the store is refused as not run; beats every 150 ms, renewals every 300 ms, a takeover after 0.45 s of silence and 0.65 s of standstill.

Ruled out: refusing what was sent, as it may take effect.

--- a/marjoramgrade/controllers/commits.py
+++ b/marjoramgrade/controllers/commits.py
@@ -19,6 +19,7 @@
     MarjoramgradeError,
     NotOwnerError,
     RowCheckFailedError,
+    TableRefusedError,
     TableUnavailableError,
     WriteOutcomeUnknownError,
 )
@@ -46,14 +47,22 @@
 
 @attrs.frozen
 class SaveRows(Message[None]):
-    """Asks that rows be written; answered once they and all before them are."""
+    """Asks that rows be written; answered once they and all before them are.
+
+    Attributes:
+        writes: The rows.
+        may_refuse: Whether to give the request up, with `TableRefusedError`, if the
+            store turns out to be out of reach before the rows were ever sent.
+    """
 
     writes: tuple[RowWrite, ...]
+    may_refuse: bool = False
 
 
 @attrs.define
 class _Request:
     writes: tuple[RowWrite, ...]
+    may_refuse: bool
     done: asyncio.Future[None]
 
 
@@ -102,7 +111,9 @@
     async def _save(self, message: SaveRows) -> Any:
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         done.add_done_callback(lambda f: f.cancelled() or f.exception())
-        self._queue.append(_Request(message.writes, done))
+        if message.may_refuse and not self._reachable:
+            raise TableRefusedError("the store cannot be reached")
+        self._queue.append(_Request(message.writes, message.may_refuse, done))
         self._wake.set()
         return done
 
@@ -144,7 +155,7 @@
                 self._reconcile(write_by_row, error)
                 continue
             except (TableUnavailableError, WriteOutcomeUnknownError):
-                self._failed()
+                self._failed(asked_ms)
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._succeeded(write_by_row, answer, asked_ms)
@@ -204,11 +215,18 @@
         self._tell(LeadConfirmed(self._epoch, asked_ms))
         self._set_reachable(True)
 
-    def _failed(self) -> None:
-        now_ms = self._clock.now_ms()
-        self._failing_since_ms = self._failing_since_ms or now_ms
-        if now_ms - self._failing_since_ms >= UNREACHABLE_MS:
-            self._set_reachable(False)
+    def _failed(self, asked_ms: int) -> None:
+        self._failing_since_ms = self._failing_since_ms or asked_ms
+        if self._clock.now_ms() - self._failing_since_ms < UNREACHABLE_MS:
+            return
+        self._set_reachable(False)
+        # What was never sent can be refused truthfully, so nobody waits in vain.
+        for request in self._queue:
+            if request.may_refuse and not request.done.done():
+                request.done.set_exception(
+                    TableRefusedError("the store cannot be reached")
+                )
+        self._queue = [r for r in self._queue if not r.done.done()]
 
     def _set_reachable(self, reachable: bool) -> None:
         if reachable == self._reachable:
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -53,19 +53,21 @@
     serialize_row,
 )
 
-LOOP_MS = 100
+LOOP_MS = 50
 # The leader tells everybody that it leads at this interval.
-BEAT_MS = 250
+BEAT_MS = 150
 # It writes to the store at least this often, so that others can tell a leader
 # that is gone from one that they cannot hear.
-RENEWAL_MS = 600
+RENEWAL_MS = 300
 # After this silence the store is asked whether the leader still writes; two beats
 # may be lost or late.
-SILENCE_MS = 700
-# A leader whose row stands still for this long while nobody hears it is gone.
-STALE_MS = 1_300
+SILENCE_MS = 450
+# A leader whose row stands still for this long while this instance does not hear it
+# counts as gone. A takeover that was not needed costs a new fence for each worker; a
+# late one costs every caller who waits.
+STALE_MS = 650
 # The same, once its process is known to refuse connections or to have left.
-STALE_REFUSED_MS = 750
+STALE_REFUSED_MS = 350
 # A leader that most instances have not heard for this long is replaced even if it
 # still writes: it cannot serve them.
 UNHEARD_MS = 2_500
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -432,7 +432,11 @@
             raise OverloadedError("too many jobs are open")
         progress = lead.state.add_job(job, queue, self._clock.now_ms())
         write = RowWrite(job_row(job.job_id), serialize_row(job))
-        await self._settle(lead, write)
+        try:
+            await self._settle(lead, write, may_refuse=True)
+        except TableRefusedError:
+            lead.state.drop_job(job.job_id)
+            raise
         progress.stored = True
         logs.state_change(
             "job_accepted",
@@ -464,14 +468,15 @@
         return queue
 
     @staticmethod
-    async def _settle(lead: _Lead, *writes: RowWrite) -> None:
+    async def _settle(lead: _Lead, *writes: RowWrite, may_refuse: bool = False) -> None:
         """Wait until the store holds a job.
 
         Raises:
+            TableRefusedError: If nothing was sent to the store and nothing will be.
             OutcomeUnknownError: If the lead ends first; a successor may find it.
         """
         try:
-            await lead.commits.ask(SaveRows(writes))
+            await lead.commits.ask(SaveRows(writes, may_refuse))
         except (NotOwnerError, ShuttingDownError):
             raise OutcomeUnknownError("the lead ended before an answer") from None
 
