Send renewals with the leader's other writes; look often while calls go unanswered

Change: one transaction of the leader at a time, two seconds for it, and a takeover whose answer was lost is taken up; listings wait 0.2 s for 5 s after a call that went unanswered; leases of 3.2 s; a copy for a task on a silent worker where copies are allowed.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -198,6 +198,9 @@
     source: asyncio.Future[Any], target: asyncio.Future[Any] | None
 ) -> None:
     if target is None or target.done():
+        # Nobody waits any more; the failure still counts as seen.
+        if not source.cancelled():
+            source.exception()
         return
     if source.cancelled():
         target.set_exception(ShuttingDownError("the work was cancelled"))
--- a/marjoramgrade/controllers/commits.py
+++ b/marjoramgrade/controllers/commits.py
@@ -40,9 +40,10 @@
 MAX_BATCH_BYTES = 600_000
 # Between attempts while the store is unavailable.
 RETRY_MS = 60
-# The store counts as out of reach after failing this long; shorter failures only
-# delay an answer.
-UNREACHABLE_MS = 250
+# The store counts as out of reach once a transaction has waited this long. A slow
+# store takes about a second; callers wait three.
+UNREACHABLE_MS = 1_500
+WATCH_MS = 100
 
 
 @attrs.frozen
@@ -96,12 +97,13 @@
         self._subscribers = subscribers
         self._queue: list[_Request] = []
         self._wake = asyncio.Event()
-        self._failing_since_ms = 0
+        self._waiting_since_ms = 0
         self._reachable = True
 
     async def on_start(self) -> None:
         """Start to write."""
         self.keep_running(self._run())
+        self.keep_running(self._watch_store())
 
     async def on_stop(self) -> None:
         """Tell those who wait that nobody writes for them any more."""
@@ -144,6 +146,7 @@
         write_by_row = {write.row: write for r in requests for write in r.writes}
         while write_by_row:
             asked_ms = self._clock.now_ms()
+            self._waiting_since_ms = self._waiting_since_ms or asked_ms
             try:
                 answer: RowsCommitted = await self._store.ask(
                     self._transaction(write_by_row)
@@ -155,11 +158,11 @@
                 self._reconcile(write_by_row, error)
                 continue
             except (TableUnavailableError, WriteOutcomeUnknownError):
-                self._failed(asked_ms)
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._succeeded(write_by_row, answer, asked_ms)
             break
+        self._waiting_since_ms = 0
         for request in requests:
             if not request.done.done():
                 request.done.set_result(None)
@@ -211,16 +214,21 @@
     ) -> None:
         for row, write in write_by_row.items():
             self._version_by_row[row] = ABSENT if write.remove else answer.version
-        self._failing_since_ms = 0
+        self._waiting_since_ms = 0
         self._tell(LeadConfirmed(self._epoch, asked_ms))
         self._set_reachable(True)
 
-    def _failed(self, asked_ms: int) -> None:
-        self._failing_since_ms = self._failing_since_ms or asked_ms
-        if self._clock.now_ms() - self._failing_since_ms < UNREACHABLE_MS:
-            return
-        self._set_reachable(False)
-        # What was never sent can be refused truthfully, so nobody waits in vain.
+    async def _watch_store(self) -> None:
+        """Refuse what waits in vain while a transaction gets no answer."""
+        while True:
+            await asyncio.sleep(WATCH_MS / 1000)
+            since_ms = self._waiting_since_ms
+            if since_ms and self._clock.now_ms() - since_ms >= UNREACHABLE_MS:
+                self._set_reachable(False)
+                self._refuse_unsent()
+
+    def _refuse_unsent(self) -> None:
+        """Refuse truthfully what was never sent and may be refused."""
         for request in self._queue:
             if request.may_refuse and not request.done.done():
                 request.done.set_exception(
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -18,7 +18,6 @@
 from marjoramgrade.errors import (
     InvalidInputError,
     MarjoramgradeError,
-    RowCheckFailedError,
     TableError,
     WriteOutcomeUnknownError,
 )
@@ -34,11 +33,11 @@
 )
 from marjoramgrade.messages.steps import (
     AskLeaderAge,
-    LeadConfirmed,
     LeaderAge,
     LeaderBeat,
     LeaderKnown,
     LeaderLeft,
+    RenewLead,
     StepDown,
     StoreContact,
     TakeLead,
@@ -124,6 +123,7 @@
         # An instance that has just started has heard nobody.
         self._heard_ms = 0
         self._own_epoch = 0
+        self._attempted_epoch = 0
         self._renewed_ms = 0
         self._beat_ms = 0
         self._leaving = False
@@ -228,21 +228,9 @@
             self._tell(beat)
         if now_ms - self._renewed_ms >= RENEWAL_MS:
             self._renewed_ms = now_ms
-            self.spawn(self._renew(self._own_epoch))
-
-    async def _renew(self, epoch: int) -> None:
-        check = RowCheck(EPOCH_ROW, self._observed.row_version)
-        asked_ms = self._clock.now_ms()
-        write = RowWrite(RENEWAL_ROW, str(asked_ms).encode())
-        try:
-            await self._store.ask(CommitRows((check,), (write,)))
-        except RowCheckFailedError:
-            self._lose("another instance leads")
-            self._scheduler.tell(StepDown(epoch, "another instance leads"))
-            return
-        except TableError:
-            return
-        self._scheduler.tell(LeadConfirmed(epoch, asked_ms))
+            # The leader's writes leave one after the other, so that a slow store
+            # is not flooded with renewals.
+            self._scheduler.tell(RenewLead(self._own_epoch))
 
     async def _consider(self) -> None:
         """Take the lead if the leader is gone."""
@@ -256,6 +244,10 @@
         if row.epoch > self._leader.epoch or row.leader_id != self._leader.leader_id:
             self._follow(row)
         is_own = row.leader_id == self._instance_id
+        if is_own and row.epoch == self._attempted_epoch:
+            # The answer to the takeover was lost, but it took effect.
+            await self._begin(row.epoch, self._observed.row_version)
+            return
         if row.leader_id and not is_own:
             unchanged_ms = now_ms - self._observed.changed_ms
             limit_ms = STALE_MS if self._heard_ms else STALE_REFUSED_MS
@@ -339,6 +331,7 @@
 
     async def _take(self) -> None:
         epoch = self._observed.row.epoch + 1
+        self._attempted_epoch = epoch
         row = serialize_row(LeaderRow(epoch, self._instance_id))
         transaction = CommitRows(
             (RowCheck(EPOCH_ROW, self._observed.row_version),),
@@ -352,14 +345,18 @@
         except TableError as error:
             logs.state_change("lead_not_taken", epoch=epoch, code=error.code)
             return
+        await self._begin(epoch, answer.version)
+
+    async def _begin(self, epoch: int, row_version: int) -> None:
         self._observed.row = LeaderRow(epoch, self._instance_id)
-        self._observed.row_version = answer.version
+        self._observed.row_version = row_version
+        self._attempted_epoch = 0
         self._own_epoch = epoch
         self._renewed_ms = self._clock.now_ms()
         self._beat_ms = 0
         self._follow(self._observed.row)
         await self._lead()
-        await self._scheduler.ask(TakeLead(epoch, answer.version))
+        await self._scheduler.ask(TakeLead(epoch, row_version))
 
     def _follow(self, row: LeaderRow) -> None:
         if row == self._leader:
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -43,18 +43,21 @@
 from marjoramgrade.messages.rows import RowCheck, RowWrite
 from marjoramgrade.messages.steps import (
     AwaitConfiguration,
+    CallUnanswered,
     CancelStepJob,
     ConfigurationChanged,
     CountPending,
     GetStepJob,
     LeadConfirmed,
     LinkAcknowledge,
+    LinkAlert,
     LinkGrant,
     LinkPace,
     LinkStart,
     LinkStop,
     LinkSync,
     PendingCount,
+    RenewLead,
     RequestAdvice,
     StartAnswered,
     StartOutcome,
@@ -75,6 +78,7 @@
 from marjoramgrade.stepjobs import StepJobState, StepWorker
 from marjoramgrade.steprows import (
     EPOCH_ROW,
+    RENEWAL_ROW,
     ROSTER_ROW,
     RosterRow,
     job_row,
@@ -96,6 +100,8 @@
 ADVICE_MARGIN_MS = 1_000
 # How long a job waits for a configuration that its sender already has.
 CONFIG_WAIT_MS = 1_000
+# After a call to a worker that went unanswered, all listings wait only shortly.
+ALERT_MS = 5_000
 # Jobs that may be open at a time; further ones are refused.
 MAX_OPEN_JOBS = 5_000
 
@@ -127,8 +133,10 @@
     roster: frozenset[str] = frozenset()
     inherited: frozenset[str] = frozenset()
     reachable: bool = True
+    is_renewing: bool = False
     grant_until_ms: int = 0
     plan_scheduled: bool = False
+    alert_until_ms: int = 0
     purged_ms: int = 0
     reported_ms: int = 0
 
@@ -253,6 +261,23 @@
         lead.link_by_worker.clear()
         self.spawn(lead.stack.aclose())
 
+    @handles(RenewLead)
+    async def _renew(self, message: RenewLead) -> None:
+        lead = self._lead
+        if lead is None or lead.epoch != message.epoch or lead.is_renewing:
+            return
+        lead.is_renewing = True
+        self.spawn(self._write_renewal(lead))
+
+    async def _write_renewal(self, lead: _Lead) -> None:
+        value = str(self._clock.now_ms()).encode()
+        try:
+            await lead.commits.ask(SaveRows((RowWrite(RENEWAL_ROW, value),)))
+        except (NotOwnerError, ShuttingDownError):
+            return
+        finally:
+            lead.is_renewing = False
+
     @handles(LeadConfirmed)
     async def _confirmed(self, message: LeadConfirmed) -> None:
         lead = self._lead
@@ -358,6 +383,20 @@
         if worker.synced and not had_synced:
             self._schedule_plan(lead)
 
+    @handles(CallUnanswered)
+    async def _call_unanswered(self, message: CallUnanswered) -> None:
+        if self._lead is not None:
+            self._alert(self._lead)
+
+    def _alert(self, lead: _Lead) -> None:
+        """Let all links look more often; what one worker loses others lose too."""
+        until_ms = self._clock.now_ms() + ALERT_MS
+        if until_ms - lead.alert_until_ms < ALERT_MS // 4:
+            return
+        lead.alert_until_ms = until_ms
+        for link in lead.link_by_worker.values():
+            link.tell(LinkAlert(until_ms))
+
     @handles(WorkerSilent)
     async def _worker_silent(self, message: WorkerSilent) -> None:
         lead = self._lead
@@ -386,6 +425,7 @@
             )
         elif message.outcome is StartOutcome.UNKNOWN:
             state.start_unknown(message.worker_id, message.task, message.run)
+            self._alert(lead)
         else:
             self._start_refused(lead, message)
         self._perform(lead)
--- a/marjoramgrade/controllers/workerlink.py
+++ b/marjoramgrade/controllers/workerlink.py
@@ -19,7 +19,9 @@
     WorkerUnreachableError,
 )
 from marjoramgrade.messages.steps import (
+    CallUnanswered,
     LinkAcknowledge,
+    LinkAlert,
     LinkGrant,
     LinkPace,
     LinkStart,
@@ -34,6 +36,9 @@
 
 # A listing waits this long for an end; then it reports progress.
 LISTING_WAIT_MS = 1_000
+# The same while calls go unanswered: an end that comes during a lost call is seen
+# only after the next one.
+ALERT_WAIT_MS = 200
 # While ends wait to be stored, or have just come, the worker is asked again after
 # this time; it would answer at once each time.
 UNSTORED_PAUSE_MS = 120
@@ -81,6 +86,7 @@
         self._grant_until_ms = 0
         self._reported_expiry = False
         self._changed = asyncio.Event()
+        self._alert_until_ms = 0
 
     async def on_start(self) -> None:
         """Start to list the worker's runs."""
@@ -94,6 +100,10 @@
     async def _grant(self, message: LinkGrant) -> None:
         self._grant_until_ms = message.until_ms
 
+    @handles(LinkAlert)
+    async def _alert(self, message: LinkAlert) -> None:
+        self._alert_until_ms = message.until_ms
+
     @handles(LinkAcknowledge)
     async def _acknowledge(self, message: LinkAcknowledge) -> None:
         if message.number > self._acknowledged:
@@ -199,12 +209,16 @@
 
     async def _keep_listing(self) -> None:
         while True:
-            wait_ms = LISTING_WAIT_MS if self._is_settled() else 0
+            wait_ms = self._wait_ms() if self._is_settled() else 0
             if not await self._list(wait_ms):
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
             elif not self._is_settled():
                 await self._wait_for_acknowledgement()
 
+    def _wait_ms(self) -> int:
+        is_alert = self._clock.now_ms() < self._alert_until_ms
+        return ALERT_WAIT_MS if is_alert else LISTING_WAIT_MS
+
     def _is_settled(self) -> bool:
         return bool(self._lease.heard_ms) and self._acknowledged >= self._last_end
 
@@ -257,6 +271,7 @@
 
     def _failed(self, error: WorkerError | InvalidInputError) -> bool:
         self._failures += 1
+        self._scheduler.tell(CallUnanswered(self._worker_id))
         if self._failures == FAILURES_TO_SILENT:
             logs.state_change(
                 "worker_silent",
--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -18,13 +18,15 @@
 
 # A stop that brought no end within this time is sent again.
 STOP_RETRY_MS = 600
+# A task that may have copies gets one when its worker is silent for this long.
+SILENT_MS = 200
 # A run without any progress for this long stands still, unless its tasks are long:
 # one percent of a long task takes longer.
 STALL_MS = 1_200
 STALL_SHARE = 0.25
 # A run that needs this many times the usual duration is on a slow worker; tasks of
 # one step differ by a third among themselves.
-SLOW_FACTOR = 2.6
+SLOW_FACTOR = 3.2
 # Tasks of a step of which the progress is known, before one is called slow.
 MIN_SIBLINGS = 3
 # A long-running task that is not at work for this long is started elsewhere.
@@ -110,15 +112,30 @@
             if run.phase is not RunPhase.RUNNING:
                 continue
             worker = self.state.worker_by_id.get(run.worker_id)
-            if worker is None or not worker.synced:
+            if worker is None:
                 continue
-            if worker.worker.draining:
+            if not worker.synced:
+                self._copy_unreachable(run, worker, now_ms)
+            elif worker.worker.draining:
                 self._leave(run, worker)
             elif step.step.long_running:
                 self._watch_long_running(run, worker, now_ms)
             else:
                 self._watch_progress(run, worker, usual_ms, now_ms)
 
+    def _copy_unreachable(self, run: Run, worker: WorkerState, now_ms: int) -> None:
+        """Start a copy, where that is allowed, of a task on a silent worker."""
+        step, index = run.step, run.task.index
+        is_silent = (
+            worker.silent_since_ms and now_ms - worker.silent_since_ms >= SILENT_MS
+        )
+        if not is_silent or not step.step.speculative:
+            return
+        if len(step.runs_by_index.get(index, ())) < 2:
+            self.planner.place_one(
+                step, index, self.planner.permitted(step, now_ms), now_ms
+            )
+
     def _watch_gang(self, step: StepProgress) -> None:
         """Stop the rest of a gang that has lost a member."""
         if not step.has_waiting:
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -213,6 +213,13 @@
     row_version: int
 
 
+@attrs.frozen
+class RenewLead(Message[None]):
+    """Asks that the leader write that it still leads."""
+
+    epoch: int
+
+
 @attrs.frozen
 class StepDown(Message[None]):
     """This instance leads no longer.
@@ -306,6 +313,20 @@
     asked_ms: int
 
 
+@attrs.frozen
+class CallUnanswered(Message[None]):
+    """A worker left one call without an answer."""
+
+    worker_id: str
+
+
+@attrs.frozen
+class LinkAlert(Message[None]):
+    """Calls go unanswered, so listings must not wait long until a time."""
+
+    until_ms: int
+
+
 @attrs.frozen
 class WorkerSilent(Message[None]):
     """A worker gives no answer.
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -46,7 +46,7 @@
 SETTINGS_VARIABLE = "MARJORAMGRADE_NODE_FILE"
 # Leases that are granted: short ones free the tasks of a dead worker soon, long
 # ones outlast a takeover.
-HOLD_MS = 4_000
+HOLD_MS = 3_200
 # Of the time between SIGTERM and SIGKILL, this much is left for the end itself.
 SHUTDOWN_MARGIN_MS = 1_000
 SHUTDOWN_POLL_MS = 20
--- a/marjoramgrade/platform/store.py
+++ b/marjoramgrade/platform/store.py
@@ -33,8 +33,10 @@
     WatchRows,
 )
 
-# Answers usually take 12 ms; a slow store takes some fifty times as long.
-CALL_TIMEOUT_MS = 1_200
+# Answers usually take 4 ms and transactions 12 ms; a slow store takes some seventy
+# times as long, and what was given up on still takes its time there.
+READ_TIMEOUT_MS = 1_200
+COMMIT_TIMEOUT_MS = 2_000
 # Beyond the time that a watch asked to wait.
 WATCH_MARGIN_MS = 1_000
 
@@ -86,7 +88,7 @@
                 ],
             }
         )
-        answer = await self._call("POST", "/rows-tx", body, CALL_TIMEOUT_MS)
+        answer = await self._call("POST", "/rows-tx", body, COMMIT_TIMEOUT_MS)
         document = _document(answer)
         if answer.status == 412:
             raise RowCheckFailedError("a row has changed", _rows(document))
@@ -97,7 +99,7 @@
         if message.first:
             query["from"] = message.first
         path = f"/rows-get?{urlencode(query)}"
-        return _page(_document(await self._call("GET", path, b"", CALL_TIMEOUT_MS)))
+        return _page(_document(await self._call("GET", path, b"", READ_TIMEOUT_MS)))
 
     async def _send_watch(self, message: WatchRows) -> RowsPage:
         query = {
--- a/marjoramgrade/platform/workers.py
+++ b/marjoramgrade/platform/workers.py
@@ -31,10 +31,11 @@
     WorkerListing,
 )
 
-# Orders are answered within a millisecond or two.
-ORDER_TIMEOUT_MS = 500
+# Orders are answered within a millisecond or two; the rest allows for a loop that
+# lags under load.
+ORDER_TIMEOUT_MS = 250
 # Beyond the time that a listing asked to wait.
-LISTING_MARGIN_MS = 600
+LISTING_MARGIN_MS = 300
 MAX_CONNECTIONS = 5
 
 _ENDING_BY_WORD = {
