Give the lead to strong instances

Change: members say how strong they are; candidates wait in turn, the strongest first, and a weak leader gives the lead to a much stronger instance that answers.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -75,8 +75,15 @@
 # this long; it is no candidate for this long after that.
 RELAYED_MS = 250
 INELIGIBLE_MS = 3_000
-# Candidates wait a little in turn, so that the first one usually is the only one.
+# Candidates wait a little in turn, the strongest first, so that the first one usually
+# is the only one; beyond the last rank all wait alike.
 RANK_DELAY_MS = 60
+LAST_RANK = 10
+# An instance that has just started waits this long for the list of members.
+ALONE_MS = 900
+# A leader that is this much weaker than another instance gives it the lead.
+WEAK_SHARE = 0.6
+WEAK_MS = 1_500
 
 
 @attrs.define
@@ -93,7 +100,7 @@
     """Decides when this instance takes the lead.
 
     Args:
-        instance_id: Id of this instance.
+        own: This instance.
         store: Reads and writes rows.
         peers: Reaches the other instances.
         scheduler: Leads when this instance does.
@@ -103,7 +110,7 @@
 
     def __init__(
         self,
-        instance_id: str,
+        own: Member,
         store: Actor,
         peers: Actor,
         scheduler: Actor,
@@ -111,7 +118,8 @@
         subscribers: tuple[Actor, ...],
     ) -> None:
         super().__init__()
-        self._instance_id = instance_id
+        self._own = own
+        self._instance_id = own.instance_id
         self._store = store
         self._peers = peers
         self._scheduler = scheduler
@@ -124,6 +132,9 @@
         self._heard_ms = 0
         self._own_epoch = 0
         self._attempted_epoch = 0
+        self._led_from_ms = 0
+        self._looked_for_stronger = False
+        self._started_ms = clock.now_ms()
         self._renewed_ms = 0
         self._beat_ms = 0
         self._leaving = False
@@ -211,6 +222,9 @@
                 await self._release("only other instances reach the store")
             elif self._own_epoch:
                 await self._lead()
+                led_ms = self._clock.now_ms() - self._led_from_ms
+                if led_ms >= WEAK_MS and not self._looked_for_stronger:
+                    await self._yield_to_stronger()
             elif self._clock.now_ms() - self._heard_ms >= SILENCE_MS:
                 await self._consider()
 
@@ -234,6 +248,9 @@
 
     async def _consider(self) -> None:
         """Take the lead if the leader is gone."""
+        is_alone = len(self._members) < 2
+        if is_alone and self._clock.now_ms() - self._started_ms < ALONE_MS:
+            return
         lost_ms = self._clock.now_ms() - self._lost_direct_ms
         if self._lost_direct_ms and lost_ms < INELIGIBLE_MS:
             return
@@ -317,17 +334,26 @@
     def _rank(self) -> int:
         """Return how many instances try before this one."""
 
-        def score(instance_id: str) -> bytes:
-            text = f"{self._observed.row.epoch}:{instance_id}"
-            return hashlib.sha256(text.encode()).digest()
+        def score(member: Member) -> tuple[int, bytes]:
+            text = f"{self._observed.row.epoch}:{member.instance_id}"
+            return -member.strength, hashlib.sha256(text.encode()).digest()
 
-        own = score(self._instance_id)
-        return sum(
+        own = score(self._own)
+        rank = sum(
             1
             for member in self._members
-            if member.instance_id != self._leader.leader_id
-            and score(member.instance_id) < own
+            if member.instance_id != self._leader.leader_id and score(member) < own
         )
+        return min(rank, LAST_RANK)
+
+    async def _yield_to_stronger(self) -> None:
+        """Give the lead to a much stronger instance that answers."""
+        self._looked_for_stronger = True
+        best = max(self._members, key=lambda member: member.strength)
+        if self._own.strength >= WEAK_SHARE * best.strength:
+            return
+        if await self._ask_age(best.instance_id) is not None:
+            await self._release("a stronger instance answers")
 
     async def _take(self) -> None:
         epoch = self._observed.row.epoch + 1
@@ -352,6 +378,8 @@
         self._observed.row_version = row_version
         self._attempted_epoch = 0
         self._own_epoch = epoch
+        self._led_from_ms = self._clock.now_ms()
+        self._looked_for_stronger = False
         self._renewed_ms = self._clock.now_ms()
         self._beat_ms = 0
         self._follow(self._observed.row)
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -108,7 +108,7 @@
         own = self._own
         row = RowId(MEMBERS_TABLE, "", own.instance_id)
         value = serialize_row(
-            MemberRow(own.instance_id, own.zone, own.host, own.peer_port)
+            MemberRow(own.instance_id, own.zone, own.host, own.peer_port, own.strength)
         )
         try:
             await self._store.ask(
@@ -134,7 +134,11 @@
                 continue
             if member.instance_id != self._own.instance_id:
                 found[member.instance_id] = Member(
-                    member.instance_id, member.zone, member.host, member.peer_port
+                    member.instance_id,
+                    member.zone,
+                    member.host,
+                    member.peer_port,
+                    strength=member.strength,
                 )
         if found != self._member_by_id:
             await self._change(found)
--- a/marjoramgrade/messages/peers.py
+++ b/marjoramgrade/messages/peers.py
@@ -27,6 +27,7 @@
         host: IP number.
         peer_port: TCP port for other entry instances.
         row_version: Version of its row; a lower one was registered earlier.
+        strength: How much a leader there can do, in thousandths of a core.
     """
 
     instance_id: str
@@ -34,6 +35,7 @@
     host: str
     peer_port: int
     row_version: int = 0
+    strength: int = 0
 
 
 @attrs.frozen
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -95,7 +95,11 @@
     async def _start(self) -> None:
         settings, clock = self._settings, self._clock
         own = Member(
-            settings.instance_id, settings.zone, settings.host, settings.peer_port
+            settings.instance_id,
+            settings.zone,
+            settings.host,
+            settings.peer_port,
+            strength=settings.strength,
         )
         link = StoreLink(settings.store)
         advisor = AdvisingController(AdviceClient(settings.advice))
@@ -120,7 +124,7 @@
         desk = DeskController(own.instance_id, scheduler, peers, gate, clock)
         readiness = ReadinessController(self._ready, clock)
         leadership = LeadershipController(
-            own.instance_id, gate, peers, scheduler, clock, (desk, readiness)
+            own, gate, peers, scheduler, clock, (desk, readiness)
         )
         directory = DirectoryController(
             gate,
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -12,6 +12,10 @@
 
 from marjoramgrade.errors import SettingsError, SettingsProblem
 
+# What a leader sends and receives with 176 workers and 600 starts a second, with
+# room for bursts.
+LEADER_LINK_MBPS = 50.0
+
 
 @attrs.frozen
 class NodeSettings:
@@ -27,6 +31,9 @@
         metrics_port: TCP port on which metrics are served.
         store: Address of the store.
         advice: Address of the placement advisor, or empty if there is none.
+        cpu_share: Share of each core that the instance may use.
+        cores: How fast its processor is, in ordinary cores.
+        link_mbps: Bandwidth of its network link.
         longest_lease_ms: Longest lease that a worker grants.
         status_s: How long callers may ask for a job that has ended, in seconds.
         shutdown_s: Time between SIGTERM and SIGKILL, in seconds.
@@ -40,11 +47,23 @@
     peer_port: int
     metrics_port: int
     store: str
+    cpu_share: float
+    cores: float
+    link_mbps: float
     longest_lease_ms: int
     status_s: int
     shutdown_s: float
     advice: str = ""
 
+    @property
+    def strength(self) -> int:
+        """How much a leader on this instance can do, in thousandths of a core.
+
+        A slow link limits a leader as a slow processor does.
+        """
+        link_share = min(self.link_mbps / LEADER_LINK_MBPS, 1.0)
+        return int(1_000 * self.cpu_share * self.cores * link_share)
+
 
 def read_settings(path: pathlib.Path) -> NodeSettings:
     """Read the settings file.
--- a/marjoramgrade/steprows.py
+++ b/marjoramgrade/steprows.py
@@ -40,12 +40,13 @@
 
 @attrs.frozen
 class MemberRow:
-    """Where an instance can be reached by others."""
+    """Where an instance can be reached by others, and how strong it is."""
 
     instance_id: str
     zone: str
     host: str
     peer_port: int
+    strength: int = 0
 
 
 @attrs.frozen
