--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -13,7 +13,7 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.commits import CommitController, SaveRows
-from marjoramgrade.controllers.takeover import Inheritance, read_inheritance
+from marjoramgrade.controllers.inheritance import Inheritance, read_inheritance
 from marjoramgrade.controllers.workerlink import ConnectWorker, WorkerLink
 from marjoramgrade.decisions.advisorlines import AdvisorLines
 from marjoramgrade.decisions.steporders import (
--- /dev/null
+++ b/tests/steps.py
@@ -0,0 +1,160 @@
+"""Builders of jobs of steps, workers and states for the tests of decisions."""
+
+from __future__ import annotations
+
+import attrs
+
+from marjoramgrade.decisions.advisorlines import AdvisorLines
+from marjoramgrade.decisions.stepfleet import WorkerState
+from marjoramgrade.decisions.steporders import StartRun, StepAction, StopRun
+from marjoramgrade.decisions.stepplanning import Planner
+from marjoramgrade.decisions.stepprogress import JobProgress
+from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.resources import Resources
+from marjoramgrade.stepconfig import AdvicePolicy, Queue, StepConfig, TeamPolicy
+from marjoramgrade.stepjobs import (
+    Ending,
+    RunEnd,
+    RunReport,
+    Step,
+    StepJob,
+    StepWorker,
+    TaskRef,
+    WorkerListing,
+)
+
+URGENT = Queue("urgent", "host", "/urgent/", "pool", 0, 3, 1.5, 250)
+REPORTS = Queue("reports", "host", "/reports/", "pool", 2, 2, 2.2, 1_200)
+ADVISED = attrs.evolve(URGENT, name="advised", advice=AdvicePolicy(26.0, 0.4, 2_500))
+BORN_MS = 1_000
+
+
+def cores(count: float, memory: int = 100) -> Resources:
+    """Return an amount of processors and memory."""
+    return Resources(cpu_millis=int(count * 1_000), memory_mib=memory)
+
+
+def job(job_id: str, *steps: Step, queue: Queue = URGENT, team: str = "red") -> StepJob:
+    """Return a job; by default of one task of one core."""
+    return StepJob(job_id, queue.name, team, "payload", steps or (Step(1, cores(1)),))
+
+
+@attrs.define
+class Cell:
+    """A state with its planner and a clock, driven by hand."""
+
+    state: StepState
+    planner: Planner
+    now_ms: int = 10_000
+    sent: list[StepAction] = attrs.field(factory=list)
+
+    @classmethod
+    def make(
+        cls,
+        *workers: StepWorker,
+        epoch: int = 1,
+        limit: Resources | None = None,
+    ) -> Cell:
+        """Return a state whose workers are listed in sync and empty."""
+        state = StepState(epoch)
+        team = TeamPolicy("red", weight=1_000.0, limit=limit or Resources())
+        queues = (URGENT, REPORTS, ADVISED)
+        state.config = StepConfig(1, {q.name: q for q in queues}, {}, {"red": team})
+        cell = cls(state, Planner(state, AdvisorLines("own", ("peer",))))
+        for worker in workers:
+            state.add_worker(worker)
+            cell.listing(worker.worker_id)
+        cell.drain()
+        return cell
+
+    def add(self, new: StepJob, queue: Queue = URGENT) -> JobProgress:
+        """Take a job that is stored."""
+        progress = self.state.add_job(new, queue, self.now_ms)
+        progress.stored = True
+        return progress
+
+    def plan(self) -> list[StepAction]:
+        """Plan and return what is to be done."""
+        self.planner.plan(self.now_ms, self.now_ms)
+        return self.drain()
+
+    def drain(self) -> list[StepAction]:
+        """Return what is to be done."""
+        actions = self.state.take_actions()
+        self.sent.extend(actions)
+        return actions
+
+    def worker(self, worker_id: str) -> WorkerState:
+        """Return a worker."""
+        return self.state.worker_by_id[worker_id]
+
+    def listing(
+        self,
+        worker_id: str,
+        *,
+        running: tuple[RunReport, ...] = (),
+        ended: tuple[RunEnd, ...] = (),
+        fence: int | None = None,
+        born_ms: int = BORN_MS,
+        asked_ms: int | None = None,
+    ) -> None:
+        """Let a worker answer a call."""
+        worker = self.worker(worker_id)
+        self.state.listed(
+            worker,
+            WorkerListing(born_ms, self.now_ms, running, ended),
+            worker.fence if fence is None else fence,
+            self.now_ms if asked_ms is None else asked_ms,
+            self.now_ms,
+            self.now_ms,
+        )
+
+    def confirm(self, *starts: StartRun) -> None:
+        """Let workers confirm starts."""
+        for start in starts:
+            self.state.start_confirmed(
+                start.worker_id, start.order.task, start.order.run, self.now_ms
+            )
+
+    def end(self, start: StartRun, number: int, ending: Ending = Ending.DONE) -> None:
+        """Let a worker list the end of a run."""
+        task, run = start.order.task, start.order.run
+        self.listing(start.worker_id, ended=(RunEnd(number, task, run, ending, ""),))
+
+
+def worker(
+    worker_id: str, cpu: float = 8, *, zone: str = "north", labels: tuple[str, ...] = ()
+) -> StepWorker:
+    """Return a worker with this many cores."""
+    return StepWorker(
+        worker_id,
+        "pool",
+        "127.0.0.1:1",
+        zone,
+        cores(cpu, 10_000),
+        labels,
+        False,
+        BORN_MS,
+    )
+
+
+def starts(actions: list[StepAction]) -> list[StartRun]:
+    """Return the starts among actions."""
+    return [action for action in actions if isinstance(action, StartRun)]
+
+
+def stops(actions: list[StepAction]) -> list[StopRun]:
+    """Return the stops among actions."""
+    return [action for action in actions if isinstance(action, StopRun)]
+
+
+def report(
+    start: StartRun, percent: int = 50, checkpoint: str = "", figure: int = 0
+) -> RunReport:
+    """Return what a worker says of a run that is present."""
+    return RunReport(start.order.task, start.order.run, checkpoint, percent, figure)
+
+
+def ref(job_id: str, index: int = 0, step: int = 0) -> TaskRef:
+    """Return a task of the first occurrence."""
+    return TaskRef(job_id, 0, step, index)
--- /dev/null
+++ b/tests/test_stepplanning.py
@@ -0,0 +1,191 @@
+"""Who gets room, who waits and who asks for advice."""
+
+from __future__ import annotations
+
+import attrs
+
+from marjoramgrade.decisions.steporder import STEP_ORDERS
+from marjoramgrade.decisions.steporders import AskAdvice
+from marjoramgrade.decisions.tickets import Ticket
+from marjoramgrade.resources import Resources
+from marjoramgrade.stepjobs import Ending, Step
+from tests.steps import (
+    ADVISED,
+    BORN_MS,
+    REPORTS,
+    Cell,
+    cores,
+    job,
+    starts,
+    stops,
+    worker,
+)
+
+
+def asked(actions):
+    return [action for action in actions if isinstance(action, AskAdvice)]
+
+
+def give_tickets(cell, progress, *worker_ids, valid_ms=2_000):
+    book = progress.open_occurrence(0)[0].tickets
+    until_ms = cell.now_ms + valid_ms
+    tickets = {w: Ticket(f"ticket-{w}", BORN_MS, until_ms) for w in worker_ids}
+    book.record(cell.state.worker_by_id, tickets)
+
+
+def test_worker_is_never_filled_beyond_its_capacity():
+    # Guards against overcommitting a worker that starts whatever it is told.
+    cell = Cell.make(worker("w", 4))
+    cell.add(job("a", Step(10, cores(1))))
+    assert len(starts(cell.plan())) == 4
+    assert starts(cell.plan()) == []
+
+
+def test_team_limit_holds_over_all_workers():
+    # Guards against a team that runs more than its upper limit.
+    cell = Cell.make(worker("w"), worker("v"), limit=Resources(cpu_millis=3_000))
+    cell.add(job("a", Step(10, cores(1))))
+    assert len(starts(cell.plan())) == 3
+
+
+def test_evacuated_zone_and_draining_worker_get_nothing():
+    # Guards against starts in a zone that was taken out, or on a leaving worker.
+    leaving = attrs.evolve(worker("x"), draining=True)
+    cell = Cell.make(worker("w", zone="south"), worker("v"), leaving)
+    cell.state.evacuated_zones = frozenset({"south"})
+    cell.add(job("a", Step(20, cores(1))))
+    assert {start.worker_id for start in starts(cell.plan())} == {"v"}
+
+
+def test_label_and_share_of_one_worker_are_kept():
+    # Guards against tasks on workers without the label, or too many on one.
+    cell = Cell.make(worker("w", labels=("fast", "r1")), worker("v", labels=("r1",)))
+    cell.add(job("a", Step(5, cores(1), required_label="fast", max_per_worker=2)))
+    assert [start.worker_id for start in starts(cell.plan())] == ["w", "w"]
+
+
+def test_gang_starts_whole_or_not_at_all():
+    # Guards against members that wait in vain for the rest of their gang.
+    cell = Cell.make(worker("w", 2), worker("v", 1))
+    cell.add(job("a", Step(4, cores(1), gang=True)))
+    assert starts(cell.plan()) == []
+    cell.state.add_worker(worker("x", 1))
+    cell.listing("x")
+    assert len(starts(cell.plan())) == 4
+
+
+def test_failed_task_goes_to_another_worker():
+    # Guards against a task that uses up its attempts on one bad worker.
+    cell = Cell.make(worker("w"), worker("v"))
+    cell.add(job("a"))
+    (first,) = starts(cell.plan())
+    cell.confirm(first)
+    cell.end(first, 1, Ending.FAILED)
+    (second,) = starts(cell.plan())
+    assert second.worker_id != first.worker_id
+
+
+def test_advice_is_asked_once_and_used():
+    # Guards against a start without a ticket, which the worker rejects.
+    cell = Cell.make(worker("w"), worker("v"))
+    progress = cell.add(job("a", queue=ADVISED), ADVISED)
+    actions = cell.plan()
+    assert starts(actions) == []
+    (ask,) = asked(actions)
+    assert set(ask.worker_ids) == {"w", "v"}
+    assert asked(cell.plan()) == []
+    give_tickets(cell, progress, "v")
+    (start,) = starts(cell.plan())
+    assert (start.worker_id, start.order.ticket) == ("v", "ticket-v")
+
+
+def test_advice_is_not_asked_for_a_team_at_its_limit():
+    # Guards against filling the advisor's lines with calls whose tickets lapse
+    # unused, which delayed urgent jobs by seconds.
+    cell = Cell.make(worker("w"), limit=Resources(cpu_millis=500))
+    cell.add(job("a", queue=ADVISED), ADVISED)
+    assert asked(cell.plan()) == []
+
+
+def test_advice_is_asked_again_when_tickets_have_lapsed():
+    # Guards against a step that waits for ever with tickets that no longer count.
+    cell = Cell.make(worker("w", 1), worker("v", 1))
+    progress = cell.add(job("a", Step(3, cores(1)), queue=ADVISED), ADVISED)
+    cell.plan()
+    give_tickets(cell, progress, "v")
+    (start,) = starts(cell.plan())
+    cell.now_ms += 3_000
+    cell.confirm(start)
+    cell.end(start, 1)
+    (ask,) = asked(cell.plan())
+    assert ask.worker_ids == ("v",)
+
+
+def test_rejected_ticket_is_asked_for_again():
+    # Guards against a worker that is never asked about again after a new life.
+    cell = Cell.make(worker("w"))
+    progress = cell.add(job("a", queue=ADVISED), ADVISED)
+    cell.plan()
+    give_tickets(cell, progress, "w")
+    (start,) = starts(cell.plan())
+    run = cell.state.start_refused("w", start.order.task, start.order.run)
+    run.step.tickets.reject("w")
+    assert len(asked(cell.plan())) == 1
+
+
+def test_reason_of_waiting_steps_is_counted():
+    # Guards against a load line that cannot explain why a job was late.
+    cell = Cell.make(worker("w", 1), limit=Resources(cpu_millis=1_500))
+    cell.add(job("a", Step(2, cores(1))))
+    cell.plan()
+    assert cell.planner.waiting_by_reason == {"urgent:team_limit": 1}
+
+
+def play_burst(order):
+    """Return the share of urgent jobs in a burst that end in time beside reports.
+
+    The pattern: reports of 6 s could take three times the room, then urgent jobs of
+    1 s come for 6 s and need a third of it.
+    """
+    cell = Cell.make(*(worker(f"w{i}", 8) for i in range(6)))
+    cell.planner.order = STEP_ORDERS.get(order)
+    cell.state.durations.add("urgent", 1_000)
+    cell.state.durations.add("reports", 6_000)
+    due_ends, number = [], 0
+    for index in range(20):
+        cell.add(job(f"r{index}", Step(4, cores(2)), queue=REPORTS), REPORTS)
+    for tick in range(160):
+        cell.now_ms += 50
+        if tick % 2 == 0 and 20 <= tick < 140:
+            cell.add(job(f"u{tick}", Step(2, cores(1))))
+        for entry in [entry for entry in due_ends if entry[0] <= cell.now_ms]:
+            due_ends.remove(entry)
+            number += 1
+            cell.end(entry[1], number, entry[2])
+        actions = cell.plan()
+        for start in starts(actions):
+            cell.confirm(start)
+            is_report = start.order.task.job_id.startswith("r")
+            took_ms = 6_000 if is_report else 1_000
+            due_ends.append((cell.now_ms + took_ms, start, Ending.DONE))
+        for stop in stops(actions):
+            for entry in due_ends:
+                if (entry[1].order.task, entry[1].order.run) == (stop.task, stop.run):
+                    due_ends.remove(entry)
+                    ending = (cell.now_ms + 400, entry[1], Ending.STOPPED)
+                    due_ends.append(ending)
+                    break
+    urgent = [p for p in cell.state.job_by_id.values() if p.queue.name == "urgent"]
+    in_time = [
+        progress
+        for progress in urgent
+        if progress.state.is_final
+        and progress.ended_unix_ms - progress.accepted_ms <= 1_750
+    ]
+    return len(in_time) / len(urgent)
+
+
+def test_burst_of_urgent_jobs_beside_reports():
+    # Guards against urgent jobs that wait behind reports in a burst.
+    assert play_burst("worth") >= 0.9
+    assert play_burst("worth") > play_burst("fifo")
--- /dev/null
+++ b/tests/test_steppreemption.py
@@ -0,0 +1,58 @@
+"""Runs that make way for more urgent tasks."""
+
+from __future__ import annotations
+
+from marjoramgrade.resources import Resources
+from marjoramgrade.stepjobs import Step
+from tests.steps import REPORTS, Cell, cores, job, report, starts, stops, worker
+
+
+def test_report_makes_way_for_an_urgent_task_of_its_team():
+    # Guards against urgent jobs that wait for reports of the same team to end.
+    cell = Cell.make(worker("w"), limit=Resources(cpu_millis=4_000))
+    cell.add(job("r", Step(4, cores(1), checkpoints=True), queue=REPORTS), REPORTS)
+    cell.confirm(*starts(cell.plan()))
+    cell.add(job("u", Step(2, cores(1))))
+    cell.plan()
+    cell.now_ms += 100
+    assert len(stops(cell.plan())) == 2
+    cell.now_ms += 100
+    assert stops(cell.plan()) == []
+
+
+def test_run_with_the_newest_checkpoint_makes_way():
+    # Guards against throwing more work away than the urgent task needs.
+    cell = Cell.make(worker("w", 2))
+    cell.add(job("r", Step(2, cores(1), checkpoints=True), queue=REPORTS), REPORTS)
+    old, fresh = starts(cell.plan())
+    cell.confirm(old, fresh)
+    cell.now_ms += 3_000
+    cell.listing("w", running=(report(old), report(fresh, checkpoint="new")))
+    cell.add(job("u"))
+    cell.plan()
+    cell.now_ms += 100
+    (stop,) = stops(cell.plan())
+    assert stop.task == fresh.order.task
+
+
+def test_nothing_makes_way_for_work_beyond_the_weight_of_its_team():
+    # Guards against a flood of one team that throws the work of others away.
+    cell = Cell.make(worker("w", 1))
+    cell.add(job("r", queue=REPORTS), REPORTS)
+    cell.confirm(*starts(cell.plan()))
+    cell.add(job("u")).beyond_weight = True
+    cell.plan()
+    cell.now_ms += 100
+    assert stops(cell.plan()) == []
+
+
+def test_gang_and_long_running_tasks_stay():
+    # Guards against stopping a whole gang, or a watch, for one urgent task.
+    cell = Cell.make(worker("w", 2))
+    cell.add(job("g", Step(1, cores(1), gang=True), queue=REPORTS), REPORTS)
+    cell.add(job("l", Step(1, cores(1), long_running=True), queue=REPORTS), REPORTS)
+    cell.confirm(*starts(cell.plan()))
+    cell.add(job("u"))
+    cell.plan()
+    cell.now_ms += 100
+    assert stops(cell.plan()) == []
--- /dev/null
+++ b/tests/test_stepsupervision.py
@@ -0,0 +1,143 @@
+"""Runs that stand still, are slow or disturb others."""
+
+from __future__ import annotations
+
+import pytest
+
+from marjoramgrade.decisions.steporders import PaceRun
+from marjoramgrade.decisions.stepsupervision import Supervisor
+from marjoramgrade.resources import Resources
+from marjoramgrade.stepjobs import Ending, Step
+from tests.steps import REPORTS, Cell, cores, job, report, starts, stops, worker
+
+
+def supervise(cell, supervisor):
+    supervisor.supervise(cell.now_ms)
+    return cell.drain()
+
+
+@pytest.fixture
+def cell():
+    return Cell.make(worker("w", 4), worker("v", 4))
+
+
+@pytest.fixture
+def supervisor(cell):
+    return Supervisor(cell.state, cell.planner)
+
+
+def test_run_that_stands_still_starts_elsewhere(cell, supervisor):
+    # Guards against work that hangs on a worker whose health looks good.
+    cell.add(job("a"))
+    (start,) = starts(cell.plan())
+    cell.confirm(start)
+    cell.listing(start.worker_id, running=(report(start, 20),))
+    cell.now_ms += 2_000
+    cell.listing(start.worker_id, running=(report(start, 20),))
+    (stop,) = stops(supervise(cell, supervisor))
+    cell.end(start, 1, Ending.STOPPED)
+    (again,) = starts(cell.plan())
+    assert (stop.worker_id, again.worker_id != start.worker_id) == (
+        start.worker_id,
+        True,
+    )
+
+
+def test_run_that_gets_on_is_left_alone(cell, supervisor):
+    # Guards against stopping long tasks because others of the queue are short.
+    cell.state.durations.add("urgent", 500)
+    cell.add(job("a", Step(4, cores(1))))
+    sent = starts(cell.plan())
+    cell.confirm(*sent)
+    for percent in range(10, 90, 10):
+        cell.now_ms += 600
+        for start in sent:
+            cell.listing(start.worker_id, running=(report(start, percent),))
+        assert supervise(cell, supervisor) == []
+
+
+def test_task_that_may_have_copies_gets_one_on_a_silent_worker(cell, supervisor):
+    # Guards against waiting for a lease to run out where a copy is allowed.
+    cell.add(job("a", Step(1, cores(1), speculative=True)))
+    (start,) = starts(cell.plan())
+    cell.confirm(start)
+    silent = cell.worker(start.worker_id)
+    silent.silent_since_ms = cell.now_ms
+    cell.state.request_sync(silent)
+    cell.drain()
+    cell.now_ms += 300
+    (copy,) = starts(supervise(cell, supervisor))
+    assert copy.worker_id != start.worker_id
+    assert starts(supervise(cell, supervisor)) == []
+
+
+def test_task_without_copies_stays_on_a_silent_worker(cell, supervisor):
+    # Guards against a task that runs twice while its worker is cut off.
+    cell.add(job("a"))
+    (start,) = starts(cell.plan())
+    cell.confirm(start)
+    silent = cell.worker(start.worker_id)
+    silent.silent_since_ms = cell.now_ms
+    cell.state.request_sync(silent)
+    cell.drain()
+    cell.now_ms += 5_000
+    assert starts(supervise(cell, supervisor)) == []
+    assert starts(cell.plan()) == []
+
+
+def test_gang_that_lost_a_member_ends_whole(cell, supervisor):
+    # Guards against members that keep room while they wait for a lost one.
+    cell.add(job("a", Step(3, cores(1), gang=True)))
+    members = starts(cell.plan())
+    cell.confirm(*members)
+    cell.end(members[0], 1, Ending.LEASE_EXPIRED)
+    assert len(stops(supervise(cell, supervisor))) == 2
+
+
+def test_stop_without_an_end_is_sent_again(cell, supervisor):
+    # Guards against a run of a cancelled job whose stop was lost.
+    progress = cell.add(job("a"))
+    (start,) = starts(cell.plan())
+    cell.confirm(start)
+    cell.state.cancel_job(progress, 0)
+    assert len(stops(cell.drain())) == 1
+    supervise(cell, supervisor)
+    cell.now_ms += 700
+    assert len(stops(supervise(cell, supervisor))) == 1
+
+
+def test_spare_work_slows_down_beside_a_task_above_its_target():
+    # Guards against spare work that keeps a latency target broken.
+    cell = Cell.make(worker("w", 8))
+    supervisor = Supervisor(cell.state, cell.planner)
+    watch = Step(1, cores(2), long_running=True, latency_target_ms=50)
+    cell.add(job("l", watch))
+    cell.add(job("s", Step(1, cores(2), uses_spare=True), queue=REPORTS), REPORTS)
+    sent = {start.order.task.job_id: start for start in starts(cell.plan())}
+    cell.confirm(*sent.values())
+    shares = []
+    for _ in range(4):
+        cell.now_ms += 600
+        running = (report(sent["l"], 100, figure=90), report(sent["s"], 10))
+        cell.listing("w", running=running)
+        actions = supervise(cell, supervisor)
+        shares += [a.percent for a in actions if isinstance(a, PaceRun)]
+        if stops(actions):
+            break
+    assert shares == [40, 0]
+    assert stops(actions)[0].task.job_id == "s"
+
+
+def test_leaving_worker_keeps_what_would_be_lost():
+    # Guards against throwing work away that may end before the worker leaves.
+    cell = Cell.make(worker("w"), limit=Resources())
+    supervisor = Supervisor(cell.state, cell.planner)
+    cell.add(job("a"))
+    cell.add(job("l", Step(1, cores(1), long_running=True)))
+    sent = starts(cell.plan())
+    cell.confirm(*sent)
+    leaving = cell.worker("w")
+    leaving.worker = type(leaving.worker)(
+        "w", "pool", "127.0.0.1:1", "north", cores(8), (), True, 1_000
+    )
+    assert {s.task.job_id for s in stops(supervise(cell, supervisor))} == {"l"}
--- /dev/null
+++ b/tests/test_teamusage.py
@@ -0,0 +1,24 @@
+"""Limits and weights of teams."""
+
+from __future__ import annotations
+
+from marjoramgrade.decisions.teamusage import TeamUsage
+from marjoramgrade.resources import Resources
+from marjoramgrade.stepconfig import TeamPolicy
+from tests.steps import cores
+
+
+def test_limit_of_zero_means_none():
+    # Guards against a team without a limit that may run nothing.
+    usage = TeamUsage()
+    policies = {"red": TeamPolicy("red", limit=Resources(cpu_millis=2_000))}
+    assert usage.has_room("red", cores(2, 10**6), policies)
+    assert not usage.has_room("red", cores(2.1), policies)
+    assert usage.has_room("unknown", cores(100), policies)
+
+
+def test_jobs_beyond_the_weight_are_told_apart():
+    # Guards against a team that takes the place of others by sending more.
+    usage, policy = TeamUsage(), TeamPolicy("red", weight=2.0)
+    marks = [usage.is_beyond_weight(policy, 100 * n) for n in range(20)]
+    assert marks.count(False) in (5, 6)
