Do not take a refused job for accepted when its caller repeats it

Change: a repetition whose first call was refused hands the job in anew.

Ruled out: a takeover; the leader was the same all the while.

--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -464,8 +464,13 @@
             # The same id again is a repetition, which can arrive much later.
             if not known.stored:
                 await self._settle(lead)
-            return StepJobAccepted(False)
+            if known.stored:
+                return StepJobAccepted(False)
+            # The first call was refused meanwhile, so this one hands the job in.
         queue = await self._find_queue(job.queue, message.config_version)
+        if job.job_id in lead.state.job_by_id:
+            # A repetition came first while this call waited for the configuration.
+            return await self._accept(lead, message)
         if not lead.reachable:
             raise TableRefusedError("the store cannot be reached")
         if len(lead.state.open_by_id) >= MAX_OPEN_JOBS:
--- /dev/null
+++ b/tests/rowstore.py
@@ -0,0 +1,115 @@
+"""A store of rows in memory that misbehaves on request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.errors import (
+    RowCheckFailedError,
+    TableUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from marjoramgrade.messages.rows import (
+    ABSENT,
+    CommitRows,
+    ReadRows,
+    RowId,
+    RowsCommitted,
+    RowsPage,
+    StoredRow,
+    WatchRows,
+)
+
+
+class MemoryRows(Actor):
+    """Handles the messages of the store.
+
+    Attributes:
+        rows: The rows.
+        mode: `ok`, `down` (nothing is done), `lost` (done and not answered), `late`
+            (neither answered nor done until `deliver`), or `hang`.
+        commits: How many transactions came.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rows: dict[RowId, StoredRow] = {}
+        self.version = 0
+        self.mode = "ok"
+        self.commits = 0
+        self.late: list[CommitRows] = []
+
+    def apply(self, message: CommitRows) -> RowsCommitted:
+        """Apply a transaction at once."""
+        current = []
+        for check in message.checks:
+            row = self.rows.get(check.row)
+            if row is not None:
+                current.append(row)
+            if (row.version if row is not None else ABSENT) != check.version:
+                found = [self.rows[c.row] for c in message.checks if c.row in self.rows]
+                raise RowCheckFailedError("a row has changed", tuple(found))
+        self.version += 1
+        for write in message.writes:
+            if write.remove:
+                self.rows.pop(write.row, None)
+            else:
+                self.rows[write.row] = StoredRow(write.row, write.value, self.version)
+        return RowsCommitted(self.version)
+
+    def deliver(self) -> None:
+        """Carry out what was late, if its checks still hold."""
+        for message in self.late:
+            try:
+                self.apply(message)
+            except RowCheckFailedError:
+                continue
+        self.late.clear()
+
+    @handles(CommitRows)
+    async def _commit(self, message: CommitRows) -> RowsCommitted:
+        self.commits += 1
+        if self.mode == "down":
+            raise TableUnavailableError("down")
+        if self.mode == "hang":
+            return self.spawn(asyncio.sleep(3_600))
+        if self.mode == "late":
+            self.late.append(message)
+            raise WriteOutcomeUnknownError("no answer")
+        answer = self.apply(message)
+        if self.mode == "lost":
+            raise WriteOutcomeUnknownError("no answer")
+        return answer
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> RowsPage:
+        if self.mode in ("down", "hang"):
+            raise TableUnavailableError("down")
+        rows = sorted(
+            (
+                row
+                for row in self.rows.values()
+                if (row.row.table, row.row.part) == (message.table, message.part)
+                and row.row.key >= message.first
+            ),
+            key=lambda row: row.row.key,
+        )
+        more = len(rows) > message.limit
+        return RowsPage(tuple(rows[: message.limit]), self.version, more)
+
+    @handles(WatchRows)
+    async def _watch(self, message: WatchRows) -> RowsPage:
+        return self.spawn(self._wait(message))
+
+    async def _wait(self, message: WatchRows) -> RowsPage:
+        for _ in range(max(message.wait_ms // 10, 1)):
+            rows = tuple(
+                row
+                for row in self.rows.values()
+                if row.row.table == message.table and row.version > message.after
+            )
+            if rows:
+                break
+            await asyncio.sleep(0.01)
+        return RowsPage(rows, self.version)
--- /dev/null
+++ b/tests/test_commits.py
@@ -0,0 +1,150 @@
+"""Group commits of the leader."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.controllers import commits
+from marjoramgrade.controllers.commits import CommitController, SaveRows
+from marjoramgrade.errors import NotOwnerError, TableRefusedError
+from marjoramgrade.messages.rows import CommitRows, RowCheck, RowId, RowWrite
+from marjoramgrade.messages.steps import LeadConfirmed, StepDown, StoreReachable
+from marjoramgrade.steprows import EPOCH_ROW
+from tests.rowstore import MemoryRows
+
+ROW = RowId("jobs", "p0", "a")
+
+
+class Listener(Actor):
+    def __init__(self):
+        super().__init__()
+        self.heard = []
+
+    @handles(LeadConfirmed)
+    async def _confirmed(self, message: LeadConfirmed) -> None:
+        self.heard.append(message)
+
+    @handles(StepDown)
+    async def _down(self, message: StepDown) -> None:
+        self.heard.append(message)
+
+    @handles(StoreReachable)
+    async def _reachable(self, message: StoreReachable) -> None:
+        self.heard.append(message)
+
+
+@contextlib.asynccontextmanager
+async def leading(store=None):
+    store = store or MemoryRows()
+    listener = Listener()
+    row = RowWrite(EPOCH_ROW, b"1")
+    version = store.apply(CommitRows((), (row,))).version
+    controller = CommitController(
+        store, 1, RowCheck(EPOCH_ROW, version), {}, SystemClock(), (listener,)
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        for actor in (store, listener, controller):
+            await actor.start()
+            stack.push_async_callback(actor.stop)
+        yield store, controller, listener
+
+
+def save(value, row=ROW, **kwargs):
+    return SaveRows((RowWrite(row, value),), **kwargs)
+
+
+def test_requests_of_one_moment_share_a_transaction():
+    # Guards against a transaction for each job, which the store would refuse.
+    async def run():
+        async with leading() as (store, controller, _):
+            rows = [RowId("jobs", "p0", f"{n}") for n in range(20)]
+            await asyncio.gather(*(controller.ask(save(b"x", row)) for row in rows))
+            assert store.commits <= 2
+            assert all(row in store.rows for row in rows)
+
+    asyncio.run(run())
+
+
+def test_lost_answer_is_resolved_and_the_row_stays_writable():
+    # Guards against a job that is stored and reported as unknown for ever.
+    async def run():
+        async with leading() as (store, controller, _):
+            store.mode = "lost"
+            first = asyncio.ensure_future(controller.ask(save(b"one")))
+            await asyncio.sleep(0.05)
+            store.mode = "ok"
+            await first
+            await controller.ask(save(b"two"))
+            assert store.rows[ROW].value == b"two"
+
+    asyncio.run(run())
+
+
+def test_write_that_arrives_late_does_not_undo_a_newer_one():
+    # Guards against old progress that replaces newer progress.
+    async def run():
+        async with leading() as (store, controller, _):
+            store.mode = "late"
+            first = asyncio.ensure_future(controller.ask(save(b"old")))
+            await asyncio.sleep(0.05)
+            store.mode = "ok"
+            await first
+            await controller.ask(save(b"new"))
+            store.deliver()
+            assert store.rows[ROW].value == b"new"
+
+    asyncio.run(run())
+
+
+def test_former_leader_writes_nothing():
+    # Guards against two leaders that both change a job.
+    async def run():
+        async with leading() as (store, controller, listener):
+            store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"2"),)))
+            with pytest.raises(NotOwnerError):
+                await controller.ask(save(b"x"))
+            await asyncio.sleep(0.01)
+            assert ROW not in store.rows
+            assert StepDown(1, "another instance leads") in listener.heard
+
+    asyncio.run(run())
+
+
+def test_unsent_job_is_refused_while_the_store_does_not_answer(monkeypatch):
+    # Guards against callers who wait until their deadline for a store that is away.
+    monkeypatch.setattr(commits, "UNREACHABLE_MS", 50)
+    monkeypatch.setattr(commits, "WATCH_MS", 10)
+
+    async def run():
+        async with leading() as (store, controller, listener):
+            store.mode = "hang"
+            stuck = asyncio.ensure_future(controller.ask(save(b"sent")))
+            await asyncio.sleep(0.02)
+            unsent = controller.ask(
+                save(b"x", RowId("jobs", "p0", "b"), may_refuse=True)
+            )
+            with pytest.raises(TableRefusedError):
+                await asyncio.wait_for(unsent, 1)
+            assert not stuck.done()
+            assert StoreReachable(False) in listener.heard
+            stuck.cancel()
+
+    asyncio.run(run())
+
+
+def test_row_is_removed_once():
+    # Guards against a removal that fails because the row is gone already.
+    async def run():
+        async with leading() as (store, controller, _):
+            await controller.ask(save(b"x"))
+            remove = SaveRows((RowWrite(ROW, remove=True),))
+            await controller.ask(remove)
+            await controller.ask(remove)
+            assert ROW not in store.rows
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_stepscheduling.py
@@ -0,0 +1,269 @@
+"""The leader's controller against a store and workers in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.controllers import commits
+from marjoramgrade.controllers.stepscheduling import LeaseTerms, StepSchedulerController
+from marjoramgrade.controllers.workerport import WorkerPort
+from marjoramgrade.errors import (
+    JobNotFoundError,
+    NotOwnerError,
+    TableRefusedError,
+    WorkerSilentError,
+)
+from marjoramgrade.messages import CallPeer, TellPeers
+from marjoramgrade.messages.rows import CommitRows, RowWrite
+from marjoramgrade.messages.steps import (
+    CancelStepJob,
+    ConfigurationChanged,
+    GetStepJob,
+    StepJobAccepted,
+    SubmitStepJob,
+    TakeLead,
+    WorkersListed,
+)
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.stepconfig import StepConfig
+from marjoramgrade.stepjobs import (
+    Ending,
+    RunEnd,
+    RunReport,
+    Step,
+    StepJobState,
+    WorkerListing,
+)
+from marjoramgrade.steprows import EPOCH_ROW, job_row
+from tests.rowstore import MemoryRows
+from tests.steps import URGENT, cores, job, worker
+
+
+class FakePort(WorkerPort):
+    """A worker whose runs end after a while."""
+
+    run_ms = 30
+
+    def __init__(self, registered):
+        self.registered = registered
+        self.running = {}
+        self.ended = []
+        self.started = []
+        self.lose_next = False
+        self.fence = 0
+
+    def clock(self):
+        return SystemClock().now_ms()
+
+    async def start(self, order, fence, expires_clock_ms):
+        if self.lose_next:
+            self.lose_next = False
+            raise WorkerSilentError("no answer")
+        self.started.append((order.task, order.run))
+        self.running[(order.task, order.run)] = self.clock() + self.run_ms
+        return self.clock()
+
+    async def stop(self, task, run, fence):
+        if self.running.pop((task, run), None) is not None:
+            self.end(task, run, Ending.STOPPED)
+        return self.clock()
+
+    async def pace(self, task, run, percent, fence):
+        return self.clock()
+
+    def end(self, task, run, ending):
+        number = self.ended[-1].number + 1 if self.ended else 1
+        self.ended.append(RunEnd(number, task, run, ending, ""))
+
+    async def renew(self, fence, expires_clock_ms, acknowledged, wait_ms):
+        self.fence = max(self.fence, fence)
+        await asyncio.sleep(0.01)
+        for key, due_ms in list(self.running.items()):
+            if due_ms <= self.clock():
+                del self.running[key]
+                self.end(*key, Ending.DONE)
+        running = tuple(RunReport(*key, "", 50, 0) for key in self.running)
+        ended = tuple(end for end in self.ended if end.number > acknowledged)
+        return WorkerListing(1_000, self.clock(), running, ended)
+
+    def close(self):
+        return None
+
+
+class Nobody(Actor):
+    @handles(CallPeer)
+    async def _call(self, message: CallPeer) -> None:
+        raise AssertionError("no peer is expected to be called")
+
+    @handles(TellPeers)
+    async def _tell(self, message: TellPeers) -> None:
+        return None
+
+
+@contextlib.asynccontextmanager
+async def leading(store=None, epoch=1):
+    store = store or MemoryRows()
+    peers = Nobody()
+    ports = {}
+
+    def connect(registered):
+        return ports.setdefault(registered.worker_id, FakePort(registered))
+
+    scheduler = StepSchedulerController(
+        "own",
+        store,
+        peers,
+        peers,
+        connect,
+        LeaseTerms(3_000, 120_000),
+        SystemClock(),
+        MemoryMetrics(),
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        for actor in (store, peers, scheduler):
+            if actor._runner is None:
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+        config = StepConfig(1, {"urgent": URGENT})
+        scheduler.tell(ConfigurationChanged(config, frozenset()))
+        version = store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"1"),))).version
+        await scheduler.ask(TakeLead(epoch, version))
+        scheduler.tell(WorkersListed((worker("w"), worker("v"))))
+        yield store, scheduler, ports
+
+
+async def wait_for_state(scheduler, job_id, state):
+    async with asyncio.timeout(5):
+        while (await scheduler.ask(GetStepJob(job_id))).state is not state:
+            await asyncio.sleep(0.01)
+
+
+def test_job_runs_from_hand_in_to_completion():
+    # Guards against a break anywhere on the whole path inside the leader.
+    async def run():
+        async with leading() as (store, scheduler, ports):
+            new = job("a", Step(3, cores(1)), Step(2, cores(1), after=(0,)))
+            answer = await scheduler.ask(SubmitStepJob(new))
+            assert answer == StepJobAccepted(True)
+            assert job_row("a") in store.rows
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            started = [entry for port in ports.values() for entry in port.started]
+            assert len(started) == 5
+
+    asyncio.run(run())
+
+
+def test_same_id_is_the_same_job():
+    # Guards against a job that runs twice because its answer was lost.
+    async def run():
+        async with leading() as (_, scheduler, ports):
+            first = await scheduler.ask(SubmitStepJob(job("a")))
+            again = await scheduler.ask(SubmitStepJob(job("a")))
+            assert (first.created, again.created) == (True, False)
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            assert sum(len(port.started) for port in ports.values()) == 1
+
+    asyncio.run(run())
+
+
+def test_repeated_job_is_not_accepted_by_the_refusal_of_the_first_call(monkeypatch):
+    # Guards against a job that was accepted and is not known: the first call was
+    # refused unsent while a repetition waited, which then was told that all is well
+    # (hunt of kbwb-arrears, trouble-2 with seed 586699905086).
+    monkeypatch.setattr(commits, "UNREACHABLE_MS", 50)
+    monkeypatch.setattr(commits, "WATCH_MS", 10)
+
+    async def run():
+        async with leading() as (store, scheduler, _):
+            store.mode = "down"
+            # The rows of the workers are on their way already, so the job is unsent.
+            await asyncio.sleep(0.02)
+            calls = [scheduler.ask(SubmitStepJob(job("a"))) for _ in range(2)]
+            answers = asyncio.gather(*calls, return_exceptions=True)
+            await asyncio.sleep(0.1)
+            store.mode = "ok"
+            for answer in await answers:
+                if isinstance(answer, StepJobAccepted):
+                    assert job_row("a") in store.rows
+                    await scheduler.ask(GetStepJob("a"))
+                else:
+                    assert isinstance(answer, TableRefusedError)
+
+    asyncio.run(run())
+
+
+def test_unanswered_start_runs_once():
+    # Guards against a task that waits for ever, or runs twice, after a lost answer.
+    async def run():
+        async with leading() as (_, scheduler, ports):
+            while len(ports) < 2:
+                await asyncio.sleep(0.01)
+            for port in ports.values():
+                port.lose_next = True
+            await scheduler.ask(SubmitStepJob(job("a")))
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            assert sum(len(port.started) for port in ports.values()) == 1
+
+    asyncio.run(run())
+
+
+def test_successor_goes_on_with_what_the_store_has():
+    # Guards against accepted jobs that are lost with their leader.
+    async def run():
+        store = MemoryRows()
+        await store.start()
+        async with leading(store) as (_, scheduler, _):
+            await scheduler.ask(SubmitStepJob(job("done")))
+            await wait_for_state(scheduler, "done", StepJobState.COMPLETED)
+            await scheduler.ask(SubmitStepJob(job("open", Step(40, cores(1)))))
+        async with leading(store, epoch=2) as (_, heir, _):
+            shown = await heir.ask(GetStepJob("done"))
+            assert shown.state is StepJobState.COMPLETED
+            assert not (await heir.ask(GetStepJob("open"))).state.is_final
+        await store.stop()
+
+    asyncio.run(run())
+
+
+def test_cancelled_job_is_stored_before_the_answer():
+    # Guards against a cancelled job that runs on after the leader has changed.
+    async def run():
+        async with leading() as (store, scheduler, _):
+            FakePort.run_ms = 2_000
+            try:
+                await scheduler.ask(SubmitStepJob(job("a")))
+                shown = await scheduler.ask(CancelStepJob("a"))
+            finally:
+                FakePort.run_ms = 30
+            assert shown.state is StepJobState.CANCELLED
+
+    asyncio.run(run())
+
+
+def test_unknown_job_and_missing_lead_are_told_apart():
+    # Guards against "no such job" from an instance that cannot know.
+    async def run():
+        async with leading() as (_, scheduler, _):
+            with pytest.raises(JobNotFoundError):
+                await scheduler.ask(GetStepJob("none"))
+        follower = StepSchedulerController(
+            "own",
+            MemoryRows(),
+            Nobody(),
+            Nobody(),
+            FakePort,
+            LeaseTerms(3_000, 120_000),
+            SystemClock(),
+            MemoryMetrics(),
+        )
+        await follower.start()
+        with pytest.raises(NotOwnerError):
+            await follower.ask(GetStepJob("none"))
+        await follower.stop()
+
+    asyncio.run(run())
