Answer a cancel only once the store has it

Cause: the answer waited for the writes before the cancel, not for the cancel itself, whose write left from a task that had not run yet; a cancel that was answered could be lost with its leader.

Change: the answer waits for the write of the cancelled job, and is unknown if the lead ends first.

--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -540,10 +540,15 @@
         if not progress.state.is_final:
             lead.state.cancel_job(progress, self._clock.unix_ms())
             logs.state_change("job_cancelled", job=progress.job.job_id)
-            self._save_changed(lead, None)
+            stored = self._save_changed(lead, None)
             self._perform(lead)
             self._schedule_plan(lead)
-        await self._settle(lead)
+            if stored is not None:
+                await stored
+        else:
+            await self._settle(lead)
+        if not progress.shown_state.is_final:
+            raise OutcomeUnknownError("the lead ended before the job was cancelled")
         return StepJobShown(progress.shown_state, progress.job.team)
 
     @handles(CountPending)
@@ -734,17 +739,20 @@
         lead: _Lead,
         ends: tuple[str, int] | None,
         starts: Sequence[StartRun] = (),
-    ) -> None:
+    ) -> asyncio.Task[None] | None:
         """Store the jobs that changed, then let go what waits for that.
 
         Args:
             lead: The lead.
             ends: A worker, and the number of its last end that this covers.
             starts: Starts of which the store must know.
+
+        Returns:
+            A task that ends once all is stored, or None if nothing is to be.
         """
         changed = lead.state.take_changed()
         if not changed and ends is None and not starts:
-            return
+            return None
         writes = tuple(
             RowWrite(
                 progress_row(progress.job.job_id), serialize_row(progress.record())
@@ -753,7 +761,7 @@
             if progress.stored
         )
         states = [(progress, progress.state) for progress in changed]
-        self.spawn(self._store_changed_jobs(lead, writes, states, ends, starts))
+        return self.spawn(self._store_changed_jobs(lead, writes, states, ends, starts))
 
     async def _store_changed_jobs(
         self,
