--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,239 @@
+"""Who leads, and when another instance takes the lead."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.controllers.leadership import LeadershipController
+from marjoramgrade.errors import OwnerUnreachableError
+from marjoramgrade.messages import CallPeer, Member, MembersChanged, TellPeers
+from marjoramgrade.messages.rows import CommitRows, RowWrite
+from marjoramgrade.messages.steps import (
+    LeaderBeat,
+    LeaderKnown,
+    LeaderLeft,
+    RenewLead,
+    StepDown,
+    StoreContact,
+    TakeLead,
+)
+from marjoramgrade.steprows import (
+    EPOCH_ROW,
+    RENEWAL_ROW,
+    LeaderRow,
+    parse_row,
+    serialize_row,
+)
+from tests.rowstore import MemoryRows
+
+
+class Recorder(Actor):
+    """Stands for the scheduler, the peers and the subscribers."""
+
+    def __init__(self):
+        super().__init__()
+        self.heard = []
+
+    @handles(TakeLead)
+    async def _take(self, message: TakeLead) -> None:
+        self.heard.append(message)
+
+    @handles(StepDown)
+    async def _down(self, message: StepDown) -> None:
+        self.heard.append(message)
+
+    @handles(RenewLead)
+    async def _renew(self, message: RenewLead) -> None:
+        self.heard.append(message)
+
+    @handles(LeaderKnown)
+    async def _known(self, message: LeaderKnown) -> None:
+        self.heard.append(message)
+
+    @handles(LeaderBeat)
+    async def _beat(self, message: LeaderBeat) -> None:
+        return None
+
+    @handles(TellPeers)
+    async def _tell(self, message: TellPeers) -> None:
+        self.heard.append(message.message)
+
+    @handles(CallPeer)
+    async def _call(self, message: CallPeer) -> None:
+        raise OwnerUnreachableError("nobody answers")
+
+
+def members(**strength_by_id):
+    return tuple(
+        Member(name, "north", "127.0.0.1", 1, strength=strength)
+        for name, strength in strength_by_id.items()
+    )
+
+
+@contextlib.asynccontextmanager
+async def instance(store, name="a", peers=None, known=None):
+    known = known or members(a=1_000, b=1_000)
+    recorder = Recorder()
+    own = next(member for member in known if member.instance_id == name)
+    leadership = LeadershipController(
+        own, store, recorder, recorder, SystemClock(), (recorder,)
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        for actor in (store, recorder, leadership):
+            if actor._runner is None:
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+        leadership.tell(MembersChanged(known))
+        yield leadership, recorder
+
+
+def write_leader(store, epoch, leader_id):
+    row = RowWrite(EPOCH_ROW, serialize_row(LeaderRow(epoch, leader_id)))
+    store.apply(CommitRows((), (row, RowWrite(RENEWAL_ROW, b"0"))))
+
+
+async def until(condition, timeout_s=4.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def took(recorder, epoch):
+    return any(
+        isinstance(heard, TakeLead) and heard.epoch == epoch for heard in recorder.heard
+    )
+
+
+def test_first_instance_takes_an_unheld_lead():
+    # Guards against a system in which nobody leads after its first start.
+    async def run():
+        store = MemoryRows()
+        async with instance(store) as (_, recorder):
+            await until(lambda: took(recorder, 1))
+
+    asyncio.run(run())
+
+
+def test_leader_that_no_longer_writes_is_replaced():
+    # Guards against jobs that wait for a leader without power.
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "b")
+        async with instance(store) as (_, recorder):
+            await until(lambda: took(recorder, 5))
+
+    asyncio.run(run())
+
+
+def test_leader_that_is_heard_keeps_the_lead():
+    # Guards against takeovers from a leader that works.
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "b")
+        async with instance(store) as (leadership, recorder):
+            for _ in range(20):
+                leadership.tell(LeaderBeat(4, "b"))
+                await asyncio.sleep(0.1)
+            assert not took(recorder, 5)
+
+    asyncio.run(run())
+
+
+def test_leader_that_writes_and_is_not_heard_here_keeps_the_lead():
+    # Guards against an instance that is cut off and takes the lead from all others.
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "b")
+        known = members(a=1, b=1, c=1, d=1)
+        async with instance(store, known=known) as (_, recorder):
+            for number in range(25):
+                store.apply(
+                    CommitRows((), (RowWrite(RENEWAL_ROW, str(number).encode()),))
+                )
+                await asyncio.sleep(0.1)
+            assert not took(recorder, 5)
+
+    asyncio.run(run())
+
+
+def test_leader_that_starts_again_goes_on_at_once():
+    # Guards against waiting for a standstill after all instances were killed.
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "a")
+        async with instance(store) as (_, recorder):
+            await until(lambda: took(recorder, 5), 0.6)
+
+    asyncio.run(run())
+
+
+def test_lead_that_was_given_up_is_taken_at_once():
+    # Guards against a pause after each planned stop of the leader.
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "")
+        async with instance(store) as (leadership, recorder):
+            leadership.tell(LeaderLeft(4))
+            await until(lambda: took(recorder, 5), 0.6)
+
+    asyncio.run(run())
+
+
+def test_takeover_whose_answer_was_lost_is_taken_up():
+    # Guards against a row that names a leader who does not know of it; each such
+    # takeover cost seconds on a slow store.
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "")
+        store.mode = "lost"
+        async with instance(store) as (_, recorder):
+            await until(lambda: store.commits == 1)
+            await until(lambda: took(recorder, 5))
+            assert parse_row(store.rows[EPOCH_ROW].value, LeaderRow).epoch == 5
+
+    asyncio.run(run())
+
+
+def test_leader_that_only_others_reach_the_store_for_hands_over():
+    # Guards against a leader that writes through relays, each of them slow.
+    async def run():
+        store = MemoryRows()
+        async with instance(store) as (leadership, recorder):
+            await until(lambda: took(recorder, 1))
+            leadership.tell(StoreContact(False, False))
+            leadership.tell(StoreContact(False, True))
+            await until(lambda: LeaderLeft(1) in recorder.heard)
+            await asyncio.sleep(0.3)
+            assert not took(recorder, 2)
+
+    asyncio.run(run())
+
+
+def test_strongest_instance_takes_the_lead_first():
+    # Guards against a leader with a slow link while there are better ones.
+    async def run():
+        store = MemoryRows()
+        known = members(a=100, b=2_000)
+        async with (
+            instance(store, "a", known=known) as (_, weak),
+            instance(store, "b", known=known) as (_, strong),
+        ):
+            await until(lambda: took(strong, 1))
+            assert not took(weak, 1)
+
+    asyncio.run(run())
+
+
+def test_leader_steps_down_when_it_hears_of_a_newer_one():
+    # Guards against two leaders that both go on.
+    async def run():
+        store = MemoryRows()
+        async with instance(store) as (leadership, recorder):
+            await until(lambda: took(recorder, 1))
+            leadership.tell(LeaderBeat(2, "b"))
+            await until(lambda: any(isinstance(m, StepDown) for m in recorder.heard))
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_storegate.py
@@ -0,0 +1,128 @@
+"""The way to the store, direct or through another instance."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.controllers.storegate import StoreGate
+from marjoramgrade.errors import (
+    OutcomeUnknownError,
+    OwnerUnreachableError,
+    RowCheckFailedError,
+    TableUnavailableError,
+    WriteOutcomeUnknownError,
+)
+from marjoramgrade.messages import CallPeer, Member, MembersChanged
+from marjoramgrade.messages.rows import CommitRows, ReadRows, RowCheck, RowId, RowWrite
+from tests.rowstore import MemoryRows
+
+ROW = RowId("jobs", "p0", "a")
+WRITE = CommitRows((), (RowWrite(ROW, b"x"),))
+
+
+class Relays(Actor):
+    """Other instances, which reach the store or fail with an error."""
+
+    def __init__(self, store, error_by_id):
+        super().__init__()
+        self.store = store
+        self.error_by_id = error_by_id
+        self.asked = []
+
+    @handles(CallPeer)
+    async def _call(self, message: CallPeer) -> object:
+        self.asked.append(message.instance_id)
+        error = self.error_by_id.get(message.instance_id)
+        if error is not None:
+            raise error
+        return self.store.apply(message.message)
+
+
+@contextlib.asynccontextmanager
+async def gate_to(mode, **error_by_id):
+    link = MemoryRows()
+    link.mode = mode
+    relays = Relays(MemoryRows(), error_by_id)
+    gate = StoreGate("own", link, relays)
+    async with contextlib.AsyncExitStack() as stack:
+        for actor in (link, relays, gate):
+            await actor.start()
+            stack.push_async_callback(actor.stop)
+        members = [Member(n, "z", "127.0.0.1", 1) for n in ("own", "b", "c", "d")]
+        gate.tell(MembersChanged(tuple(members)))
+        yield gate, link, relays
+
+
+def test_direct_way_is_used_while_it_works():
+    # Guards against needless hops.
+    async def run():
+        async with gate_to("ok") as (gate, link, relays):
+            await gate.ask(WRITE)
+            assert ROW in link.rows
+            assert relays.asked == []
+
+    asyncio.run(run())
+
+
+def test_relay_that_works_is_kept():
+    # Guards against going round relays that are cut off, 1.5 s for each write.
+    async def run():
+        gone = OwnerUnreachableError("gone")
+        async with gate_to("down", b=gone) as (gate, _, relays):
+            await gate.ask(WRITE)
+            assert relays.asked == ["b", "c"]
+            await gate.ask(WRITE)
+            assert relays.asked[2:] == ["c"]
+
+    asyncio.run(run())
+
+
+def test_check_that_failed_is_not_sent_to_another_relay():
+    # Guards against taking an answer of the store for a failure of the way.
+    async def run():
+        error = RowCheckFailedError("changed")
+        async with gate_to("down", b=error) as (gate, _, relays):
+            with pytest.raises(RowCheckFailedError):
+                await gate.ask(CommitRows((RowCheck(ROW, 1),), ()))
+            assert relays.asked == ["b"]
+
+    asyncio.run(run())
+
+
+def test_write_that_a_relay_may_have_made_is_unknown():
+    # Guards against a write that is reported as not made and takes effect.
+    async def run():
+        async with gate_to("down", b=OutcomeUnknownError("cut")) as (gate, _, _):
+            with pytest.raises(WriteOutcomeUnknownError):
+                await gate.ask(WRITE)
+
+    asyncio.run(run())
+
+
+def test_direct_way_is_taken_again_once_it_works():
+    # Guards against relaying for ever after a short failure.
+    async def run():
+        async with gate_to("down") as (gate, link, relays):
+            await gate.ask(WRITE)
+            link.mode = "ok"
+            await asyncio.sleep(0.6)
+            relays.asked.clear()
+            await gate.ask(ReadRows("jobs", "p0"))
+            assert relays.asked == []
+
+    asyncio.run(run())
+
+
+def test_store_that_nobody_reaches_is_unavailable():
+    # Guards against a caller that hangs while the store is away.
+    async def run():
+        errors = {n: TableUnavailableError("down") for n in ("b", "c", "d")}
+        async with gate_to("down", **errors) as (gate, _, _):
+            with pytest.raises(TableUnavailableError):
+                await gate.ask(WRITE)
+
+    asyncio.run(run())
