--- a/marjoramgrade/platform/front.py
+++ b/marjoramgrade/platform/front.py
@@ -21,6 +21,7 @@
     OutcomeUnknownError,
     OverloadedError,
     QueueNotFoundError,
+    Ran,
     RefusedError,
     UnauthenticatedError,
 )
@@ -175,7 +176,12 @@
 
 
 def status_of(error: MarjoramgradeError) -> int:
-    """Return the HTTP status for an error; 502 where its outcome is unknown."""
+    """Return the HTTP status for an error.
+
+    429 and 503 promise that nothing runs, so they are only for errors that know it.
+    """
+    if error.ran is Ran.UNKNOWN:
+        return 504
     for kind, status in _STATUS_BY_TYPE:
         if isinstance(error, kind):
             return status
--- a/marjoramgrade/platform/workers.py
+++ b/marjoramgrade/platform/workers.py
@@ -209,10 +209,12 @@
     """
     try:
         document = msgspec.json.decode(data)
-        capacity = document.get("capacity") or {}
+        capacity = document["capacity"]
         labels = document.get("labels") or []
         state = document["state"]
         texts = [document["service"], document["addr"], document["zone"], *labels]
+        if not isinstance(capacity, dict):
+            raise TypeError("the capacity is not an object")
         if state not in ("ready", "draining") or not all(
             isinstance(text, str) and text for text in texts
         ):
--- a/tests/test_peercodec.py
+++ b/tests/test_peercodec.py
@@ -12,8 +12,10 @@
     serialize_frame,
 )
 from marjoramgrade.decisions.promises import PromiseReply, PromiseRequest, Refusal
+from marjoramgrade.messages import rows, steps
 from marjoramgrade.model import TaskId
 from marjoramgrade.resources import Resources
+from marjoramgrade.stepjobs import Schedule, Step, StepJob, StepJobState
 
 BODIES = [
     Hello("leeds-entry-1"),
@@ -64,3 +66,50 @@
         parse_frame(data)
     except errors.ProtocolError:
         return
+
+
+def test_messages_about_steps_go_there_and_back():
+    # Guards against a field that one side writes and the other does not read.
+    job = StepJob(
+        "5c0e7a21d94b36f8",
+        "queue",
+        "red",
+        "payload",
+        (
+            Step(2, Resources(cpu_millis=5), 9, (), image="x", max_unavailable=1),
+            Step(1, after=(0,), gang=True, latency_target_ms=4),
+        ),
+        Schedule(2, 3, 4),
+        7,
+    )
+    row = rows.RowId("jobs", "p0", "a")
+    for body in (
+        steps.SubmitStepJob(job, 3),
+        steps.StepJobAccepted(True),
+        steps.GetStepJob("a"),
+        steps.CancelStepJob("a"),
+        steps.StepJobShown(StepJobState.RUNNING, "red"),
+        steps.CountPending("queue", 2),
+        steps.PendingCount(4),
+        steps.LeaderBeat(2, "b"),
+        steps.LeaderLeft(2),
+        steps.AskLeaderAge(),
+        steps.LeaderAge(2, 500),
+        steps.RequestAdvice("a", 0, 1, ("w", "v")),
+        steps.StepAdvice((steps.AdvisedWorker("w", "t"),), 2_500),
+        rows.CommitRows((rows.RowCheck(row, 4),), (rows.RowWrite(row, b"\x00x"),)),
+        rows.RowsCommitted(5),
+        rows.ReadRows("jobs", "p0", "a", 7),
+        rows.WatchRows("jobs", 4, 1_000),
+        rows.RowsPage((rows.StoredRow(row, b"x", 3, True),), 8, True),
+    ):
+        assert parse_frame(serialize_frame(PeerFrame(1, body))).body == body
+
+
+def test_rows_that_differ_reach_the_instance_that_asked():
+    # Guards against a relayed check that failed without the rows to go on from.
+    row = rows.StoredRow(rows.RowId("jobs", "p0", "a"), b"x", 3)
+    error = errors.RowCheckFailedError("changed", (row,))
+    parsed = parse_frame(serialize_frame(PeerFrame(1, error))).body
+    assert isinstance(parsed, errors.RowCheckFailedError)
+    assert parsed.rows == (row,)
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,286 @@
+"""Translation between the users' platform and the product."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marjoramgrade import errors
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.errors import (
+    InvalidInputError,
+    JobNotFoundError,
+    MarjoramgradeError,
+    NoLeaderError,
+    OutcomeUnknownError,
+    OverloadedError,
+    QueueNotFoundError,
+    SettingsError,
+    UnauthenticatedError,
+)
+from marjoramgrade.filters.chain import Chain, Filter
+from marjoramgrade.messages.steps import PendingCount, StepJobShown
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.platform.configuration import parse_config
+from marjoramgrade.platform.front import (
+    ClientFront,
+    parse_job,
+    serialize_answer,
+    status_of,
+)
+from marjoramgrade.platform.settings import read_settings
+from marjoramgrade.platform.workers import (
+    parse_listing,
+    parse_task,
+    parse_worker,
+    serialize_task,
+)
+from marjoramgrade.resources import Resources
+from marjoramgrade.stepjobs import Ending, StepJobState, TaskRef
+
+ENTRY = {
+    "service": "pool",
+    "addr": "10.0.0.1:80",
+    "zone": "north",
+    "state": "ready",
+    "capacity": {"cpu": 16_000, "memMb": 32_768},
+    "labels": ["a", "r1"],
+    "born": 5,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "A.example",
+            "pathPrefix": "/x/",
+            "service": "pool",
+            "sloMs": 250,
+            "attempts": 3,
+            "stretch": 1.5,
+            "advice": {"decideMs": 41.6, "periodMs": 0.37, "validMs": 2_500},
+        }
+    ],
+    "services": [{"name": "pool", "enforcesCapacity": False}],
+    "tenants": [{"name": "t", "apiKeys": ["k"], "weight": 5, "maxTasks": {"cpu": 9}}],
+}
+
+
+def encode(value):
+    return msgspec.json.encode(value)
+
+
+def test_entry_of_a_runner_is_read():
+    # Guards against a capacity or rack that is read from the wrong field.
+    worker = parse_worker("i-1", encode(ENTRY))
+    assert worker.capacity == Resources(cpu_millis=16_000, memory_mib=32_768)
+    assert (worker.rack, worker.draining, worker.born_unix_ms) == ("r1", False, 5)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"addr": 7},
+        {"addr": "nowhere"},
+        {"zone": None},
+        {"capacity": {"cpu": "many"}},
+        {"capacity": []},
+        {"labels": [4]},
+    ],
+)
+def test_entry_of_another_writer_is_refused(change):
+    # Guards against a worker that does not exist, and against a crash.
+    with pytest.raises(InvalidInputError):
+        parse_worker("i-1", encode({**ENTRY, **change}))
+
+
+@given(st.binary(max_size=60))
+def test_bytes_that_cannot_be_read_are_a_typed_error(data):
+    # Guards against a process that ends because of a row that others wrote.
+    for parse in (lambda d: parse_worker("i", d), parse_config, parse_job):
+        try:
+            parse(data)
+        except InvalidInputError:
+            continue
+
+
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda inner: (
+            st.lists(inner, max_size=3)
+            | st.dictionaries(st.sampled_from([*ENTRY, *CONFIG, "steps"]), inner)
+        ),
+        max_leaves=12,
+    )
+)
+def test_documents_of_another_shape_are_a_typed_error(document):
+    # Guards against the same for JSON whose fields are missing or mistyped.
+    data = encode(document)
+    for parse in (lambda d: parse_worker("i", d), parse_config, parse_job):
+        try:
+            parse(data)
+        except InvalidInputError:
+            continue
+
+
+def test_configuration_is_read():
+    # Guards against limits and times that are taken from the wrong fields.
+    config = parse_config(encode(CONFIG))
+    queue = config.find_queue("a.example", "/x/1")
+    assert queue.advice.per_worker_ms == 0.37
+    assert (queue.attempts, queue.objective_ms) == (3, 250)
+    assert config.find_team("k").limit == Resources(cpu_millis=9)
+
+
+def test_job_is_read():
+    # Guards against a step that loses one of its demands on the way in.
+    step = {
+        "count": 2,
+        "cpu": 500,
+        "memMb": 256,
+        "estMs": 900,
+        "after": [0],
+        "antiAffinity": 1,
+        "affinity": "r1",
+        "constraints": "b",
+        "speculative": True,
+        "checkpoint": True,
+        "mayMiss": 3,
+        "targetMs": 40,
+    }
+    job = parse_job(encode({"spec": "s", "steps": [{"count": 1}, step], "times": 2}))
+    parsed = job.steps[1]
+    assert parsed.resources == Resources(cpu_millis=500, memory_mib=256)
+    assert (parsed.max_per_worker, parsed.data_rack, parsed.required_label) == (
+        1,
+        "r1",
+        "b",
+    )
+    assert parsed.speculative and parsed.checkpoints and not parsed.gang
+    assert (parsed.max_unavailable, parsed.latency_target_ms) == (3, 40)
+    assert job.occurrences == 2
+
+
+def test_task_name_goes_there_and_back():
+    # Guards against a start that another task's end is matched with.
+    task = TaskRef("5c0e7a21d94b36f8", 0, 1, 17)
+    assert parse_task(serialize_task(task)) == task
+    for text in ("", "a.b", "a.0.1.x", None):
+        with pytest.raises(InvalidInputError):
+            parse_task(text)
+
+
+def test_listing_is_read():
+    # Guards against an end that is taken for another kind of end.
+    name = "5c0e7a21d94b36f8.0.1.9"
+    listing = parse_listing(
+        {
+            "born": 3,
+            "clockMs": 7,
+            "running": [[name, 2, "saved", 41, 12.5]],
+            "ended": [[58, name, 1, "lapsed", ""]],
+        }
+    )
+    assert listing.running[0].figure == 12
+    assert listing.ended[0].ending is Ending.LEASE_EXPIRED
+    with pytest.raises(InvalidInputError):
+        parse_listing({"clockMs": 1, "ended": [[1, name, 1, "vanished", ""]]})
+
+
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [
+        (UnauthenticatedError, 401),
+        (QueueNotFoundError, 404),
+        (JobNotFoundError, 410),
+        (InvalidInputError, 400),
+        (OverloadedError, 429),
+        (NoLeaderError, 503),
+        (OutcomeUnknownError, 504),
+        (MarjoramgradeError, 502),
+    ],
+)
+def test_status_of_each_error(error, status):
+    # Guards against a caller that gives up, or repeats, where it must not.
+    assert status_of(error("x")) == status
+
+
+def test_only_refusals_promise_that_nothing_runs():
+    # Guards against a 429 or 503 for work whose outcome is unknown.
+    for kind in errors.iter_error_types():
+        if kind.ran is not errors.Ran.NO:
+            error = kind.from_report("x", {})
+            assert status_of(error) not in (429, 503), kind
+
+
+def test_answers_have_the_words_of_the_platform():
+    # Guards against a state that clients cannot read.
+    shown = serialize_answer(StepJobShown(StepJobState.COMPLETED))
+    assert msgspec.json.decode(shown) == {"state": "completed"}
+    assert msgspec.json.decode(serialize_answer(PendingCount(3))) == {"pending": 3}
+
+
+class Answer(Filter):
+    """Answers every request."""
+
+    @classmethod
+    def from_config(cls, environment):
+        return cls()
+
+    async def apply(self, context, proceed):
+        if context.message.path == "/q/refused":
+            raise NoLeaderError("nobody")
+        return StepJobShown(StepJobState.RUNNING)
+
+
+def test_refusal_says_when_to_come_back():
+    # Guards against callers who hammer or give up, and against unread answers.
+    async def run():
+        front = ClientFront(Chain([Answer()], MemoryMetrics()), SystemClock())
+        server = front.make_server()
+        server.listen(0, "127.0.0.1")
+        (socket,) = server._sockets.values()
+        port = socket.getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        answers = []
+        for path in ("/q/0011", "/q/refused"):
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: a:80\r\n\r\n".encode())
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            length = int(head.lower().split("content-length: ")[1].split("\r\n")[0])
+            answers.append((head, await reader.readexactly(length)))
+        assert answers[0][0].startswith("HTTP/1.1 200")
+        assert msgspec.json.decode(answers[0][1]) == {"state": "running"}
+        assert answers[1][0].startswith("HTTP/1.1 503")
+        assert "Retry-After: 1" in answers[1][0]
+        writer.close()
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
+
+
+def test_settings_are_checked(tmp_path: pathlib.Path):
+    # Guards against a process that starts with half of its settings.
+    path = tmp_path / "settings"
+    with pytest.raises(SettingsError):
+        read_settings(path)
+    path.write_text('{"instance_id": 4}')
+    with pytest.raises(SettingsError):
+        read_settings(path)
+
+
+def test_template_names_every_setting():
+    # Guards against a setting that the platform never fills in.
+    root = pathlib.Path(__file__).resolve().parent.parent
+    template = (root / "deploy" / "entry.json").read_text(encoding="utf-8")
+    from marjoramgrade.platform.settings import NodeSettings
+
+    for field in NodeSettings.__attrs_attrs__:
+        assert f'"{field.name}"' in template
--- /dev/null
+++ b/tests/test_workerlink.py
@@ -0,0 +1,199 @@
+"""The leader's connection to one worker."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.controllers.workerlink import WorkerLink
+from marjoramgrade.controllers.workerport import WorkerPort
+from marjoramgrade.errors import (
+    WorkerReplacedError,
+    WorkerSilentError,
+    WorkerUnreachableError,
+)
+from marjoramgrade.messages.steps import (
+    CallUnanswered,
+    LinkAcknowledge,
+    LinkGrant,
+    LinkStart,
+    LinkSync,
+    StartAnswered,
+    StartOutcome,
+    WorkerListed,
+    WorkerSilent,
+)
+from marjoramgrade.stepjobs import Ending, RunEnd, StartOrder, WorkerListing
+from tests.steps import ref, worker
+
+HOLD_MS = 300
+
+
+class Port(WorkerPort):
+    def __init__(self):
+        self.error = None
+        self.ended = ()
+        self.calls = []
+
+    def clock(self):
+        return SystemClock().now_ms()
+
+    async def _answer(self, *call):
+        self.calls.append(call)
+        await asyncio.sleep(0.005)
+        if self.error is not None:
+            raise self.error
+        return self.clock()
+
+    async def start(self, order, fence, expires_clock_ms):
+        return await self._answer("start", fence, expires_clock_ms)
+
+    async def stop(self, task, run, fence):
+        return await self._answer("stop", fence)
+
+    async def pace(self, task, run, percent, fence):
+        return await self._answer("pace", fence)
+
+    async def renew(self, fence, expires_clock_ms, acknowledged, wait_ms):
+        clock = await self._answer("renew", fence, expires_clock_ms, acknowledged)
+        return WorkerListing(1_000, clock, (), self.ended)
+
+    def close(self):
+        self.calls.append(("close",))
+
+
+class Scheduler(Actor):
+    def __init__(self):
+        super().__init__()
+        self.heard = []
+
+    @handles(WorkerListed)
+    async def _listed(self, message: WorkerListed) -> None:
+        self.heard.append(message)
+
+    @handles(WorkerSilent)
+    async def _silent(self, message: WorkerSilent) -> None:
+        self.heard.append(message)
+
+    @handles(StartAnswered)
+    async def _answered(self, message: StartAnswered) -> None:
+        self.heard.append(message)
+
+    @handles(CallUnanswered)
+    async def _unanswered(self, message: CallUnanswered) -> None:
+        return None
+
+    def of(self, kind):
+        return [message for message in self.heard if isinstance(message, kind)]
+
+
+@contextlib.asynccontextmanager
+async def linked(granted=True):
+    port, scheduler, clock = Port(), Scheduler(), SystemClock()
+    link = WorkerLink(worker("w"), port, scheduler, clock, HOLD_MS, 10, 0)
+    async with contextlib.AsyncExitStack() as stack:
+        for actor in (scheduler, link):
+            await actor.start()
+            stack.push_async_callback(actor.stop)
+        if granted:
+            link.tell(LinkGrant(clock.now_ms() + 60_000))
+        async with asyncio.timeout(3):
+            while not scheduler.of(WorkerListed):
+                await asyncio.sleep(0.005)
+        yield link, port, scheduler
+
+
+def start():
+    return LinkStart(StartOrder(ref("a"), 1, "x"), 10)
+
+
+async def answer_to_start(link, scheduler):
+    link.tell(start())
+    async with asyncio.timeout(3):
+        while not scheduler.of(StartAnswered):
+            await asyncio.sleep(0.005)
+    return scheduler.of(StartAnswered)[0]
+
+
+def test_start_outcomes_are_told_apart():
+    # Guards against a lost answer that is taken for a refusal: the task would start
+    # elsewhere while the worker carries the order out late.
+    async def run():
+        for error, outcome in (
+            (None, StartOutcome.STARTED),
+            (WorkerSilentError("lost"), StartOutcome.UNKNOWN),
+            (WorkerUnreachableError("none"), StartOutcome.REFUSED),
+        ):
+            async with linked() as (link, port, scheduler):
+                port.error = error
+                answer = await answer_to_start(link, scheduler)
+                assert answer.outcome is outcome
+
+    asyncio.run(run())
+
+
+def test_leader_without_confirmation_starts_nothing():
+    # Guards against a former leader that goes on starting tasks.
+    async def run():
+        async with linked(granted=False) as (link, port, scheduler):
+            answer = await answer_to_start(link, scheduler)
+            assert answer.outcome is StartOutcome.REFUSED
+            assert not any(call[0] == "start" for call in port.calls)
+
+    asyncio.run(run())
+
+
+def test_lease_of_a_silent_worker_is_not_extended():
+    # Guards against a late order that keeps runs alive which count as lost.
+    async def run():
+        async with linked() as (_, port, scheduler):
+            port.error = WorkerSilentError("lost")
+            await asyncio.sleep(0.05)
+            port.calls.clear()
+            async with asyncio.timeout(5):
+                while not any(m.expired for m in scheduler.of(WorkerSilent)):
+                    await asyncio.sleep(0.01)
+            expiries = {call[2] for call in port.calls if call[0] == "renew"}
+            assert len(expiries) == 1
+
+    asyncio.run(run())
+
+
+def test_another_life_at_the_address_means_that_the_worker_is_gone():
+    # Guards against waiting for leases of a worker that has surely ended.
+    async def run():
+        async with linked() as (_, port, scheduler):
+            port.error = WorkerReplacedError("gone")
+            async with asyncio.timeout(1):
+                while not any(m.expired for m in scheduler.of(WorkerSilent)):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_ends_are_acknowledged_only_when_told():
+    # Guards against ends that are forgotten before the store has them.
+    async def run():
+        async with linked() as (link, port, _):
+            port.ended = (RunEnd(1, ref("a"), 1, Ending.DONE, ""),)
+            await asyncio.sleep(0.3)
+            assert {call[3] for call in port.calls if call[0] == "renew"} == {0}
+            link.tell(LinkAcknowledge(1))
+            await asyncio.sleep(0.2)
+            assert port.calls[-1][3] == 1
+
+    asyncio.run(run())
+
+
+def test_sync_lists_under_the_higher_fence():
+    # Guards against a listing that leaves unanswered orders in force.
+    async def run():
+        async with linked() as (link, _, scheduler):
+            link.tell(LinkSync(11))
+            async with asyncio.timeout(1):
+                while not any(m.fence == 11 for m in scheduler.of(WorkerListed)):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
