Let the newest of equal instances lead; wait longer on a slow store

Change: of equal instances the one that registered last comes first; the limit of standstill grows with the time that a reading takes.

Ruled out: lost beats; the leader's connections were up.

The two new tests failed before.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 
 import attrs
 
@@ -67,6 +66,9 @@
 STALE_MS = 650
 # The same, once its process is known to refuse connections or to have left.
 STALE_REFUSED_MS = 350
+# On a slow store a renewal takes about three times as long as the reading that looks
+# for it, and the next one is only sent after it.
+STALE_READINGS = 6
 # A leader that most instances have not heard for this long is replaced even if it
 # still writes: it cannot serve them.
 UNHEARD_MS = 2_500
@@ -75,8 +77,8 @@
 # this long; it is no candidate for this long after that.
 RELAYED_MS = 250
 INELIGIBLE_MS = 3_000
-# Candidates wait a little in turn, the strongest first, so that the first one usually
-# is the only one; beyond the last rank all wait alike.
+# Candidates wait a little in turn, the strongest first and of these the newest, so
+# that the first one usually is the only one; beyond the last rank all wait alike.
 RANK_DELAY_MS = 60
 LAST_RANK = 10
 # An instance that has just started waits this long for the list of members.
@@ -94,6 +96,7 @@
     row_version: int = ABSENT
     renewal_version: int = ABSENT
     changed_ms: int = 0
+    reading_ms: int = 0
 
 
 class LeadershipController(Actor):
@@ -268,6 +271,7 @@
         if row.leader_id and not is_own:
             unchanged_ms = now_ms - self._observed.changed_ms
             limit_ms = STALE_MS if self._heard_ms else STALE_REFUSED_MS
+            limit_ms = max(limit_ms, STALE_READINGS * self._observed.reading_ms)
             if unchanged_ms < limit_ms and not await self._is_unheard():
                 return
         await asyncio.sleep(self._rank() * RANK_DELAY_MS / 1000)
@@ -276,6 +280,7 @@
 
     async def _observe(self) -> bool:
         """Read the rows of the leadership; returns whether the store answered."""
+        asked_ms = self._clock.now_ms()
         try:
             page: RowsPage = await self._store.ask(
                 ReadRows(LEADERSHIP_TABLE, LEADER_PART)
@@ -284,6 +289,7 @@
             # While nothing can be seen, the time does not count as standstill.
             self._observed.changed_ms = self._clock.now_ms()
             return False
+        self._observed.reading_ms = self._clock.now_ms() - asked_ms
         found = {row.row: row for row in page.rows}
         self._note_epoch(found.get(EPOCH_ROW))
         renewal = found.get(RENEWAL_ROW)
@@ -334,11 +340,17 @@
     def _rank(self) -> int:
         """Return how many instances try before this one."""
 
-        def score(member: Member) -> tuple[int, bytes]:
-            text = f"{self._observed.row.epoch}:{member.instance_id}"
-            return -member.strength, hashlib.sha256(text.encode()).digest()
+        def score(member: Member) -> tuple[int, int, str]:
+            # While instances are stopped and started in turn, the newest one is the
+            # last to be stopped again.
+            return -member.strength, -member.row_version, member.instance_id
 
-        own = score(self._own)
+        own = score(
+            next(
+                (m for m in self._members if m.instance_id == self._instance_id),
+                self._own,
+            )
+        )
         rank = sum(
             1
             for member in self._members
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -124,6 +124,7 @@
     async def _refresh(self) -> None:
         page: RowsPage = await self._store.ask(ReadRows(MEMBERS_TABLE, ""))
         found: dict[str, Member] = {self._own.instance_id: self._own}
+        # The version tells a new life of an instance from the one before.
         for row in page.rows:
             try:
                 member = parse_row(row.value, MemberRow)
@@ -132,14 +133,14 @@
                     "row_unreadable", row=row.row.key, reason=error.message
                 )
                 continue
-            if member.instance_id != self._own.instance_id:
-                found[member.instance_id] = Member(
-                    member.instance_id,
-                    member.zone,
-                    member.host,
-                    member.peer_port,
-                    strength=member.strength,
-                )
+            found[member.instance_id] = Member(
+                member.instance_id,
+                member.zone,
+                member.host,
+                member.peer_port,
+                row.version,
+                member.strength,
+            )
         if found != self._member_by_id:
             await self._change(found)
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,7 +10,7 @@
 from marjoramgrade.controllers.leadership import LeadershipController
 from marjoramgrade.errors import OwnerUnreachableError
 from marjoramgrade.messages import CallPeer, Member, MembersChanged, TellPeers
-from marjoramgrade.messages.rows import CommitRows, RowWrite
+from marjoramgrade.messages.rows import CommitRows, ReadRows, RowsPage, RowWrite
 from marjoramgrade.messages.steps import (
     LeaderBeat,
     LeaderKnown,
@@ -227,6 +227,46 @@
     asyncio.run(run())
 
 
+def test_newest_of_equal_instances_takes_the_lead_first():
+    # Guards against a lead that moves with every step of a rolling restart, because
+    # the successor is the next to be stopped (recorded day inc-3ecb).
+    async def run():
+        store = MemoryRows()
+        known = (
+            Member("a", "north", "127.0.0.1", 1, 5, 1_000),
+            Member("b", "north", "127.0.0.1", 1, 9, 1_000),
+        )
+        async with (
+            instance(store, "a", known=known) as (_, old),
+            instance(store, "b", known=known) as (_, new),
+        ):
+            await until(lambda: took(new, 1))
+            assert not took(old, 1)
+
+    asyncio.run(run())
+
+
+def test_slow_store_gives_the_leader_more_time():
+    # Guards against takeovers that chase each other while renewals take a second.
+    class SlowRows(MemoryRows):
+        @handles(ReadRows)
+        async def _read(self, message: ReadRows) -> RowsPage:
+            await asyncio.sleep(0.25)
+            return await super()._read(message)
+
+    async def run():
+        store = SlowRows()
+        write_leader(store, 4, "b")
+        async with instance(store) as (_, recorder):
+            for number in range(3):
+                await asyncio.sleep(1.0)
+                renewal = RowWrite(RENEWAL_ROW, str(number).encode())
+                store.apply(CommitRows((), (renewal,)))
+            assert not took(recorder, 5)
+
+    asyncio.run(run())
+
+
 def test_leader_steps_down_when_it_hears_of_a_newer_one():
     # Guards against two leaders that both go on.
     async def run():
