--- a/marjoramgrade/controllers/commits.py
+++ b/marjoramgrade/controllers/commits.py
@@ -33,6 +33,7 @@
     StoredRow,
 )
 from marjoramgrade.messages.steps import LeadConfirmed, StepDown, StoreReachable
+from marjoramgrade.metrics import Metrics
 
 # The store takes 100 entries in a transaction; each row has a check and a write.
 MAX_ROWS = 48
@@ -76,6 +77,7 @@
         epoch_check: The row that says who leads, as this leader wrote it.
         versions: Versions of the rows that exist.
         clock: Monotonic time.
+        metrics: Counts times.
         subscribers: Told of the store's confirmations and failures.
     """
 
@@ -86,6 +88,7 @@
         epoch_check: RowCheck,
         versions: dict[RowId, int],
         clock: Clock,
+        metrics: Metrics,
         subscribers: tuple[Actor, ...],
     ) -> None:
         super().__init__()
@@ -94,6 +97,7 @@
         self._epoch_check = epoch_check
         self._version_by_row = versions
         self._clock = clock
+        self._metrics = metrics
         self._subscribers = subscribers
         self._queue: list[_Request] = []
         self._wake = asyncio.Event()
@@ -143,6 +147,7 @@
 
     async def _commit(self, requests: list[_Request]) -> bool:
         """Write a batch; returns whether the leadership still holds."""
+        began_ms = self._clock.now_ms()
         write_by_row = {write.row: write for r in requests for write in r.writes}
         while write_by_row:
             asked_ms = self._clock.now_ms()
@@ -163,6 +168,7 @@
             self._succeeded(write_by_row, answer, asked_ms)
             break
         self._waiting_since_ms = 0
+        self._metrics.timing("commit", self._clock.now_ms() - began_ms)
         for request in requests:
             if not request.done.done():
                 request.done.set_result(None)
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -209,7 +209,13 @@
         check = RowCheck(EPOCH_ROW, message.row_version)
         versions = dict(inheritance.version_by_row)
         commits = CommitController(
-            self._store, message.epoch, check, versions, self._clock, (self,)
+            self._store,
+            message.epoch,
+            check,
+            versions,
+            self._clock,
+            self._metrics,
+            (self,),
         )
         stack = contextlib.AsyncExitStack()
         await commits.start()
@@ -657,6 +663,7 @@
         if link is None:
             return
         if isinstance(action, StopRun):
+            self._metrics.count(f"stopped.{action.reason}")
             logs.state_change(
                 "run_stopped",
                 job=action.task.job_id,
@@ -793,6 +800,8 @@
             if progress.shown_state.is_final or not state.is_final:
                 continue
             progress.shown_state = state
+            self._metrics.count(f"ended.{state.value}")
+            self._metrics.timing("job", self._clock.now_ms() - progress.accepted_ms)
             logs.state_change(
                 "job_ended",
                 job=progress.job.job_id,
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -97,6 +97,38 @@
 )
 
 
+declare(
+    "request",
+    MetricKind.TIMING,
+    "milliseconds",
+    "Time to answer a call of a caller to a queue.",
+)
+declare(
+    "commit",
+    MetricKind.TIMING,
+    "milliseconds",
+    "Time of a transaction of the leader, attempts included.",
+)
+declare(
+    "job",
+    MetricKind.TIMING,
+    "milliseconds",
+    "Time from the hand-in of a job of steps to its end.",
+)
+declare(
+    "ended.*",
+    MetricKind.COUNTER,
+    "jobs",
+    "Jobs of steps that ended, by their state.",
+)
+declare(
+    "stopped.*",
+    MetricKind.COUNTER,
+    "runs",
+    "Runs that the leader stopped, by the reason.",
+)
+
+
 def iter_metrics() -> Iterator[Metric]:
     """Yield the declared metrics in alphabetical order."""
     return (METRICS.get(name) for name in METRICS.iter_names())
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -28,6 +28,7 @@
 )
 from marjoramgrade.controllers.storegate import StoreGate
 from marjoramgrade.errors import SettingsError
+from marjoramgrade.exposition import ServedMetrics
 from marjoramgrade.filters.chain import Chain
 from marjoramgrade.filters.queues import (
     DEFAULT_QUEUE_FILTERS,
@@ -35,7 +36,6 @@
     QueueEnvironment,
 )
 from marjoramgrade.messages import Member
-from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.platform import configuration
 from marjoramgrade.platform.advice import AdviceClient
 from marjoramgrade.platform.front import ClientFront, ReadyFront
@@ -64,7 +64,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._clock = SystemClock()
-        self._metrics = MemoryMetrics()
+        self._metrics = ServedMetrics()
         self._stack = ActorGroup()
         self._ready = ReadyFront()
         self._front: ClientFront | None = None
@@ -170,10 +170,16 @@
             QUEUE_FILTERS.get(name).from_config(environment)  # type: ignore[arg-type]
             for name in DEFAULT_QUEUE_FILTERS
         ]
-        self._front = ClientFront(Chain(filters, self._metrics), self._clock)
+        self._front = ClientFront(
+            Chain(filters, self._metrics), self._clock, self._metrics
+        )
         for server, address in (
             (self._front.make_server(), self._settings.front),
             (self._ready.make_server(), self._settings.ready),
+            (
+                self._metrics.make_server(),
+                f"{self._settings.host}:{self._settings.metrics_port}",
+            ),
         ):
             host, _, port = address.rpartition(":")
             server.listen(int(port), host)
@@ -237,7 +243,8 @@
     except SettingsError as error:
         sys.stderr.write(f"{error.message}\n")
         return 2
-    logs.configure(sys.stdout, instance=settings.instance_id)
+    stream = logs.DroppingStream(sys.stdout.fileno())
+    logs.configure(stream, instance=settings.instance_id)
     with contextlib.suppress(KeyboardInterrupt):
         return asyncio.run(_serve(settings, path))
     return 0
--- a/marjoramgrade/platform/front.py
+++ b/marjoramgrade/platform/front.py
@@ -33,6 +33,7 @@
     QueueVerb,
     StepJobShown,
 )
+from marjoramgrade.metrics import Metrics
 from marjoramgrade.platform.workers import parse_resources
 from marjoramgrade.stepjobs import Schedule, Step, StepJob
 
@@ -80,12 +81,14 @@
     Attributes:
         chain: The filter chain.
         clock: Time.
+        metrics: Counts times.
         is_leaving: Whether the process is about to end.
         in_flight: Requests that have not been answered.
     """
 
     chain: Chain
     clock: Clock
+    metrics: Metrics
     is_leaving: bool = False
     in_flight: int = 0
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -116,6 +119,7 @@
         began_ms = self.clock.now_ms()
         try:
             status, body = await self._answer(request, began_ms)
+            self.metrics.timing("request", self.clock.now_ms() - began_ms)
             self._write(request, status, body)
         except StreamClosedError:
             return
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -14,6 +14,7 @@
 from marjoramgrade.errors import NotOwnerError, TableRefusedError
 from marjoramgrade.messages.rows import CommitRows, RowCheck, RowId, RowWrite
 from marjoramgrade.messages.steps import LeadConfirmed, StepDown, StoreReachable
+from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.steprows import EPOCH_ROW
 from tests.rowstore import MemoryRows
 
@@ -45,7 +46,13 @@
     row = RowWrite(EPOCH_ROW, b"1")
     version = store.apply(CommitRows((), (row,))).version
     controller = CommitController(
-        store, 1, RowCheck(EPOCH_ROW, version), {}, SystemClock(), (listener,)
+        store,
+        1,
+        RowCheck(EPOCH_ROW, version),
+        {},
+        SystemClock(),
+        MemoryMetrics(),
+        (listener,),
     )
     async with contextlib.AsyncExitStack() as stack:
         for actor in (store, listener, controller):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,7 @@
 import io
 import json
 import logging
+import os
 import pathlib
 import re
 
@@ -48,3 +49,31 @@
         if logging_use.search(path.read_text())
     }
     assert users == {"logs.py"}
+
+
+def test_lines_of_one_kind_are_bounded(monkeypatch):
+    # Guards against a fault that makes logging cost more than the work.
+    stream = io.StringIO()
+    logs.configure(stream)
+    monkeypatch.setattr(logs, "_budget", logs._LineBudget())
+    monkeypatch.setattr(logs.time, "monotonic", lambda: 7.0)
+    for _ in range(logs.MAX_LINES_PER_S + 25):
+        logs.state_change("start_refused")
+    logs.state_change("other")
+    monkeypatch.setattr(logs.time, "monotonic", lambda: 8.0)
+    logs.state_change("other")
+    events = [json.loads(line)["event"] for line in stream.getvalue().splitlines()]
+    assert events.count("start_refused") == logs.MAX_LINES_PER_S
+    assert events[-3:] == ["other", "lines_left_out", "other"]
+    assert "start_refused=25" in stream.getvalue()
+
+
+def test_line_is_dropped_rather_than_waited_for():
+    # Guards against a process that stands still because nobody reads its lines.
+    reader, writer = os.pipe()
+    stream = logs.DroppingStream(writer)
+    for _ in range(100):
+        stream.write("x" * 3_000 + "\n")
+    assert stream.dropped > 0
+    os.close(reader)
+    os.close(writer)
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -243,7 +243,9 @@
 def test_refusal_says_when_to_come_back():
     # Guards against callers who hammer or give up, and against unread answers.
     async def run():
-        front = ClientFront(Chain([Answer()], MemoryMetrics()), SystemClock())
+        front = ClientFront(
+            Chain([Answer()], MemoryMetrics()), SystemClock(), MemoryMetrics()
+        )
         server = front.make_server()
         server.listen(0, "127.0.0.1")
         (socket,) = server._sockets.values()
