Plan a job's first runs while it is being stored

Cause: on a slow store a job waited for three transactions of 0.8 s one after the other before its first start.

Change: its places are planned at once and stored right behind the job; starts still leave only after both. The test that nothing starts before the job is stored asserted this of the decisions; it is replaced by one of the whole controller, with a store that does not answer, which holds job and place.

Ruled out: two transactions at a time; the part serves them one after the other.

--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -483,6 +483,9 @@
             raise OverloadedError("too many jobs are open")
         progress = lead.state.add_job(job, queue, self._clock.now_ms())
         write = RowWrite(job_row(job.job_id), serialize_row(job))
+        # Rows are written in the order in which they are asked for, so whatever is
+        # planned from now on is stored after the job.
+        self._schedule_plan(lead)
         try:
             await self._settle(lead, write, may_refuse=True)
         except TableRefusedError:
@@ -498,7 +501,6 @@
             tasks=sum(step.count for step in job.steps),
             beyond_weight=progress.beyond_weight,
         )
-        self._schedule_plan(lead)
         return StepJobAccepted(True)
 
     async def _find_queue(self, name: str, config_version: int) -> Queue:
@@ -765,7 +767,6 @@
                 progress_row(progress.job.job_id), serialize_row(progress.record())
             )
             for progress in changed
-            if progress.stored
         )
         states = [(progress, progress.state) for progress in changed]
         return self.spawn(self._store_changed_jobs(lead, writes, states, ends, starts))
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -124,7 +124,7 @@
         return [
             self._describe(step, now_ms, unix_ms)
             for progress in self.state.open_by_id.values()
-            if progress.stored and not progress.state.is_final
+            if not progress.state.is_final
             for step in self._iter_waiting(progress, now_ms, unix_ms)
         ]
 
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -262,7 +262,7 @@
         job: The job as handed in.
         queue: Its queue.
         accepted_ms: When it was taken, on this instance's clock.
-        stored: Whether the store holds it; nothing starts before.
+        stored: Whether the store holds it; callers see it only then.
         state: Its state.
         steps_by_occurrence: Steps of the occurrences that have become due.
         started: Whether a task of it has ever started.
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -95,7 +95,11 @@
     # Jobs
 
     def add_job(self, job: StepJob, queue: Queue, now_ms: int) -> JobProgress:
-        """Take a new job; it starts once it is stored."""
+        """Take a new job.
+
+        Its runs are planned at once. They leave once their places are stored, and so
+        after the job itself, whose row is written before.
+        """
         progress = JobProgress(job, queue, now_ms)
         progress.beyond_weight = self.usage.is_beyond_weight(
             self.config.team_by_name.get(job.team), now_ms
@@ -125,8 +129,12 @@
         return progress
 
     def drop_job(self, job_id: str) -> None:
-        """Forget a job."""
-        self.job_by_id.pop(job_id, None)
+        """Forget a job and the runs that were never sent."""
+        progress = self.job_by_id.pop(job_id, None)
+        if progress is not None:
+            for step in progress.iter_steps():
+                for run in list(step.iter_runs()):
+                    self._detach(run)
         self.open_by_id.pop(job_id, None)
         self._changed.pop(job_id, None)
 
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -158,6 +158,23 @@
     asyncio.run(run())
 
 
+def test_nothing_starts_before_the_store_holds_job_and_place():
+    # Guards against a run of a job whose refusal said that it never runs, and of a
+    # task whose place a successor would not know.
+    async def run():
+        async with leading() as (store, scheduler, ports):
+            while len(ports) < 2:
+                await asyncio.sleep(0.01)
+            store.mode = "hang"
+            call = asyncio.ensure_future(scheduler.ask(SubmitStepJob(job("a"))))
+            await asyncio.sleep(0.3)
+            assert not any(port.started for port in ports.values())
+            assert not call.done()
+            call.cancel()
+
+    asyncio.run(run())
+
+
 def test_same_id_is_the_same_job():
     # Guards against a job that runs twice because its answer was lost.
     async def run():
