Store the queue beside its job; a leader alone goes on

Change: the row of a job holds its queue as well, so that it also outlives a configuration that drops it; the strongest of no members is this instance.

--- a/marjoramgrade/controllers/desk.py
+++ b/marjoramgrade/controllers/desk.py
@@ -36,11 +36,12 @@
     StepJobShown,
     SubmitStepJob,
 )
-from marjoramgrade.stepjobs import StepJob, StepJobState
+from marjoramgrade.stepjobs import StepJobState
 from marjoramgrade.steprows import (
     JOBS_TABLE,
     LEADER_PART,
     PROGRESS_TABLE,
+    JobRow,
     parse_row,
 )
 
@@ -169,16 +170,16 @@
             NoLeaderError: If the store does not answer either.
         """
         try:
-            job = await self._read_row(JOBS_TABLE, message.job_id, StepJob)
+            row = await self._read_row(JOBS_TABLE, message.job_id, JobRow)
             record = await self._read_row(PROGRESS_TABLE, message.job_id, JobRecord)
         except TableError as error:
             raise NoLeaderError(
                 f"neither leader nor store answers: {error.message}"
             ) from None
-        if job is None:
+        if row is None:
             raise JobNotFoundError(f"no job has the id {message.job_id}")
         state = record.state if record is not None else StepJobState.QUEUED
-        return StepJobShown(state, job.team)
+        return StepJobShown(state, row.job.team)
 
     async def _read_row(self, table: str, key: str, kind: type[Any]) -> Any:
         page: RowsPage = await self._store.ask(
--- a/marjoramgrade/controllers/inheritance.py
+++ b/marjoramgrade/controllers/inheritance.py
@@ -12,14 +12,14 @@
 from marjoramgrade.decisions.stepprogress import JobRecord
 from marjoramgrade.errors import InvalidInputError, TableUnavailableError
 from marjoramgrade.messages.rows import ReadRows, RowId, StoredRow
-from marjoramgrade.stepconfig import Queue
-from marjoramgrade.stepjobs import StepJob, StepWorker
+from marjoramgrade.stepjobs import StepWorker
 from marjoramgrade.steprows import (
     JOBS_TABLE,
     LEADER_PART,
     LEADERSHIP_TABLE,
     PROGRESS_TABLE,
     ROSTER_ROW,
+    JobRow,
     RosterRow,
     parse_row,
 )
@@ -33,23 +33,15 @@
     """Jobs, workers and row versions that an earlier leader has left.
 
     Attributes:
-        jobs: Each job and its progress.
+        jobs: Each job with its queue, and its progress.
         roster: Workers that may have runs.
         version_by_row: Versions of all rows that were read.
     """
 
-    jobs: tuple[tuple[StepJob, JobRecord], ...]
+    jobs: tuple[tuple[JobRow, JobRecord], ...]
     roster: tuple[StepWorker, ...]
     version_by_row: Mapping[RowId, int]
 
-    @staticmethod
-    def queue_for(job: StepJob) -> Queue:
-        """Return a stand-in for the queue of a job that is no longer configured.
-
-        No worker belongs to its pool, so that nothing of the job starts.
-        """
-        return Queue(job.queue, "", "", "")
-
 
 async def read_inheritance(store: Actor) -> Inheritance:
     """Read the rows of the leadership, trying again until the store answers."""
@@ -74,7 +66,7 @@
     inherited = []
     for row in jobs:
         try:
-            job = parse_row(row.value, StepJob)
+            job = parse_row(row.value, JobRow)
         except InvalidInputError as error:
             logs.state_change("row_unreadable", row=row.row.key, reason=error.message)
             continue
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -361,7 +361,7 @@
     async def _yield_to_stronger(self) -> None:
         """Give the lead to a much stronger instance that answers."""
         self._looked_for_stronger = True
-        best = max(self._members, key=lambda member: member.strength)
+        best = max((self._own, *self._members), key=lambda member: member.strength)
         if self._own.strength >= WEAK_SHARE * best.strength:
             return
         if await self._ask_age(best.instance_id) is not None:
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -80,6 +80,7 @@
     EPOCH_ROW,
     RENEWAL_ROW,
     ROSTER_ROW,
+    JobRow,
     RosterRow,
     job_row,
     progress_row,
@@ -241,10 +242,11 @@
         for worker in inheritance.roster:
             lead.state.add_worker(worker)
         lead.roster = lead.inherited = frozenset(lead.state.worker_by_id)
-        for job, record in inheritance.jobs:
-            queue = self._config.queue_by_name.get(job.queue)
-            if queue is None:
-                queue = inheritance.queue_for(job)
+        for row, record in inheritance.jobs:
+            job = row.job
+            # An instance that has just started may lead before it has read the
+            # configuration.
+            queue = self._config.queue_by_name.get(job.queue, row.queue)
             lead.state.restore_job(job, queue, record, now_ms, unix_ms)
 
     @handles(StepDown)
@@ -482,7 +484,9 @@
         if len(lead.state.open_by_id) >= MAX_OPEN_JOBS:
             raise OverloadedError("too many jobs are open")
         progress = lead.state.add_job(job, queue, self._clock.now_ms())
-        write = RowWrite(job_row(job.job_id), serialize_row(job))
+        write = RowWrite(
+            job_row(job.job_id), serialize_row(JobRow(job, progress.queue))
+        )
         # Rows are written in the order in which they are asked for, so whatever is
         # planned from now on is stored after the job.
         self._schedule_plan(lead)
--- a/marjoramgrade/steprows.py
+++ b/marjoramgrade/steprows.py
@@ -9,7 +9,8 @@
 
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.messages.rows import RowId
-from marjoramgrade.stepjobs import StepWorker
+from marjoramgrade.stepconfig import Queue
+from marjoramgrade.stepjobs import StepJob, StepWorker
 
 T = TypeVar("T")
 
@@ -49,6 +50,17 @@
     strength: int = 0
 
 
+@attrs.frozen
+class JobRow:
+    """A job as handed in, and its queue as it was then.
+
+    A job outlives its queue, which a later configuration may drop.
+    """
+
+    job: StepJob
+    queue: Queue
+
+
 @attrs.frozen
 class RosterRow:
     """The workers that a leader may have given work."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -69,7 +69,7 @@
         while True:
             port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
             with socket.socket() as probe:
-                if port not in self._picked and not probe.connect_ex((HOST, port)) == 0:
+                if port not in self._picked and probe.connect_ex((HOST, port)) != 0:
                     self._picked.add(port)
                     return port
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -267,6 +267,21 @@
     asyncio.run(run())
 
 
+def test_leader_that_knows_no_other_instance_goes_on():
+    # Guards against a process that ends because it leads before it has read the
+    # list of members (hunt-a8c3-39 of kbwb-arrears).
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "")
+        async with instance(store) as (leadership, recorder):
+            leadership.tell(MembersChanged(()))
+            await until(lambda: took(recorder, 5))
+            await asyncio.sleep(1.7)
+            assert not any(isinstance(m, StepDown) for m in recorder.heard)
+
+    asyncio.run(run())
+
+
 def test_leader_steps_down_when_it_hears_of_a_newer_one():
     # Guards against two leaders that both go on.
     async def run():
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -106,7 +106,7 @@
 
 
 @contextlib.asynccontextmanager
-async def leading(store=None, epoch=1):
+async def leading(store=None, epoch=1, config=None):
     store = store or MemoryRows()
     peers = Nobody()
     ports = {}
@@ -129,8 +129,9 @@
             if actor._runner is None:
                 await actor.start()
                 stack.push_async_callback(actor.stop)
-        config = StepConfig(1, {"urgent": URGENT})
-        scheduler.tell(ConfigurationChanged(config, frozenset()))
+        config = config or StepConfig(1, {"urgent": URGENT})
+        if config.version:
+            scheduler.tell(ConfigurationChanged(config, frozenset()))
         version = store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"1"),))).version
         await scheduler.ask(TakeLead(epoch, version))
         scheduler.tell(WorkersListed((worker("w"), worker("v"))))
@@ -247,6 +248,23 @@
     asyncio.run(run())
 
 
+def test_successor_without_a_configuration_knows_the_queue():
+    # Guards against a job that fails after one attempt of three, or never runs,
+    # because the new leader has not read the configuration or the queue was dropped
+    # (hunt-a8c3-39 of kbwb-arrears).
+    async def run():
+        store = MemoryRows()
+        await store.start()
+        async with leading(store) as (_, scheduler, _):
+            await scheduler.ask(SubmitStepJob(job("a", Step(40, cores(1)))))
+        async with leading(store, epoch=2, config=StepConfig()) as (_, heir, _):
+            assert heir._lead.state.job_by_id["a"].queue == URGENT
+            await wait_for_state(heir, "a", StepJobState.COMPLETED)
+        await store.stop()
+
+    asyncio.run(run())
+
+
 def test_cancelled_job_is_stored_before_the_answer():
     # Guards against a cancelled job that runs on after the leader has changed.
     async def run():
