Replace a silent leader after 0.95 s

Change: 0.40 s of silence, 0.55 s of standstill, candidates 30 ms apart.

Ruled out: the reading of 483 jobs, which took 0.1 s.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -59,11 +59,11 @@
 RENEWAL_MS = 300
 # After this silence the store is asked whether the leader still writes; two beats
 # may be lost or late.
-SILENCE_MS = 450
+SILENCE_MS = 400
 # A leader whose row stands still for this long while this instance does not hear it
 # counts as gone. A takeover that was not needed costs a new fence for each worker; a
 # late one costs every caller who waits.
-STALE_MS = 650
+STALE_MS = 550
 # The same, once its process is known to refuse connections or to have left.
 STALE_REFUSED_MS = 350
 # On a slow store a renewal takes about three times as long as the reading that looks
@@ -79,7 +79,7 @@
 INELIGIBLE_MS = 3_000
 # Candidates wait a little in turn, the strongest first and of these the newest, so
 # that the first one usually is the only one; beyond the last rank all wait alike.
-RANK_DELAY_MS = 60
+RANK_DELAY_MS = 30
 LAST_RANK = 10
 # An instance that has just started waits this long for the list of members.
 ALONE_MS = 900
