--- /dev/null
+++ b/marjoramgrade/controllers/lead.py
@@ -0,0 +1,375 @@
+"""A lead: what exists only while this instance leads, and how it is carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Sequence
+
+import attrs
+
+from marjoramgrade import logs
+from marjoramgrade.actor import Actor
+from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.commits import CommitController, SaveRows
+from marjoramgrade.controllers.workerlink import ConnectWorker, WorkerLink
+from marjoramgrade.decisions.steporders import (
+    AskAdvice,
+    PaceRun,
+    StartRun,
+    StepAction,
+    StopRun,
+    SyncWorker,
+)
+from marjoramgrade.decisions.stepplanning import Planner
+from marjoramgrade.decisions.stepprogress import JobProgress, RunPhase
+from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.decisions.stepsupervision import Supervisor
+from marjoramgrade.decisions.tickets import Ticket
+from marjoramgrade.errors import (
+    MarjoramgradeError,
+    NotOwnerError,
+    ShuttingDownError,
+)
+from marjoramgrade.messages import CallPeer
+from marjoramgrade.messages.rows import RowWrite
+from marjoramgrade.messages.steps import (
+    LinkAcknowledge,
+    LinkGrant,
+    LinkPace,
+    LinkStart,
+    LinkStop,
+    LinkSync,
+    RequestAdvice,
+    StepAdvice,
+)
+from marjoramgrade.metrics import Metrics
+from marjoramgrade.stepconfig import StepConfig
+from marjoramgrade.stepjobs import StepJobState, StepWorker
+from marjoramgrade.steprows import (
+    ROSTER_ROW,
+    RosterRow,
+    progress_row,
+    serialize_row,
+)
+
+# Events of the same moment are planned for together.
+PLAN_DELAY_MS = 2
+# A leader that the store has not confirmed for this long extends no lease, so a
+# successor knows when the runs of workers that it cannot reach have ended.
+GRANT_LIMIT_MS = 3_500
+# Beyond the time that the advisor is expected to take.
+ADVICE_MARGIN_MS = 1_000
+
+
+@attrs.frozen
+class LeaseTerms:
+    """How long leases of workers last.
+
+    Attributes:
+        hold_ms: Length of the leases that every leader grants.
+        status_ms: How long callers may ask for a job that has ended.
+    """
+
+    hold_ms: int
+    status_ms: int
+
+
+@attrs.define
+class Lead:
+    """What exists only while this instance leads."""
+
+    epoch: int
+    stack: contextlib.AsyncExitStack
+    commits: CommitController
+    state: StepState
+    planner: Planner
+    supervisor: Supervisor
+    link_by_worker: dict[str, WorkerLink] = attrs.field(factory=dict)
+    roster: frozenset[str] = frozenset()
+    inherited: frozenset[str] = frozenset()
+    reachable: bool = True
+    is_renewing: bool = False
+    grant_until_ms: int = 0
+    plan_scheduled: bool = False
+    alert_until_ms: int = 0
+    purged_ms: int = 0
+    reported_ms: int = 0
+
+
+class LeadKeeper(Actor):
+    """Base class that carries out what the state of a lead asks for.
+
+    Args:
+        instance_id: Id of this instance.
+        store: Reads and writes rows.
+        peers: Reaches the other instances.
+        advisor: Asks the placement advisor from this instance.
+        connect: Makes the client of a worker.
+        terms: How long leases last.
+        clock: Monotonic time.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        store: Actor,
+        peers: Actor,
+        advisor: Actor,
+        connect: ConnectWorker,
+        terms: LeaseTerms,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._instance_id = instance_id
+        self._store = store
+        self._peers = peers
+        self._advisor = advisor
+        self._connect = connect
+        self._terms = terms
+        self._clock = clock
+        self._metrics = metrics
+        self._config = StepConfig()
+        self._evacuated: frozenset[str] = frozenset()
+        self._member_ids: tuple[str, ...] = ()
+        self._lead: Lead | None = None
+        self._directory: Actor | None = None
+        self._leadership: Actor | None = None
+
+    def connect(self, directory: Actor, leadership: Actor) -> None:
+        """Set the controllers that are built after this one."""
+        self._directory = directory
+        self._leadership = leadership
+
+    def _schedule_plan(self, lead: Lead) -> None:
+        if not lead.plan_scheduled:
+            lead.plan_scheduled = True
+            self.spawn(self._plan_soon(lead))
+
+    async def _plan_soon(self, lead: Lead) -> None:
+        await asyncio.sleep(PLAN_DELAY_MS / 1000)
+        lead.plan_scheduled = False
+        if self._lead is lead:
+            lead.planner.lines.instance_ids = self._member_ids
+            lead.planner.plan(self._clock.now_ms(), self._clock.unix_ms())
+            self._perform(lead)
+
+    def _perform(self, lead: Lead) -> None:
+        """Store what has changed and send whatever the state asks for."""
+        if self._lead is not lead:
+            return
+        starts = []
+        for action in lead.state.take_actions():
+            if isinstance(action, StartRun):
+                starts.append(action)
+            else:
+                self._perform_one(lead, action)
+        self._save_changed(lead, None, starts)
+
+    def _perform_one(self, lead: Lead, action: StepAction) -> None:
+        if isinstance(action, AskAdvice):
+            self.spawn(self._ask_advice(lead, action))
+            return
+        if isinstance(action, SyncWorker):
+            self.spawn(self._sync_worker(lead, action))
+            return
+        link = lead.link_by_worker.get(action.worker_id)
+        if link is None:
+            return
+        if isinstance(action, StopRun):
+            self._metrics.count(f"stopped.{action.reason}")
+            logs.state_change(
+                "run_stopped",
+                job=action.task.job_id,
+                task=f"{action.task.occurrence}.{action.task.step}.{action.task.index}",
+                worker=action.worker_id,
+                reason=action.reason,
+            )
+            link.tell(LinkStop(action.task, action.run, action.fence))
+        elif isinstance(action, PaceRun):
+            link.tell(LinkPace(action.task, action.run, action.percent, action.fence))
+
+    def _send_starts(self, lead: Lead, starts: Sequence[StartRun]) -> None:
+        for action in starts:
+            link = lead.link_by_worker.get(action.worker_id)
+            worker = lead.state.worker_by_id.get(action.worker_id)
+            order = action.order
+            if link is None or worker is None or worker.fence != action.fence:
+                # The listing under the new fence has shown that it is not there.
+                continue
+            run = worker.run_by_task.get((order.task, order.run))
+            if run is None:
+                continue
+            if run.phase is RunPhase.STOPPING:
+                lead.state.start_refused(action.worker_id, order.task, order.run)
+                continue
+            link.tell(LinkStart(order, action.fence))
+
+    async def _sync_worker(self, lead: Lead, action: SyncWorker) -> None:
+        link = lead.link_by_worker.get(action.worker_id)
+        if link is not None:
+            link.tell(LinkSync(action.fence))
+            return
+        state = lead.state.worker_by_id.get(action.worker_id)
+        if state is None:
+            return
+        is_inherited = action.worker_id in lead.inherited
+        if action.worker_id not in lead.roster:
+            lead.roster = lead.roster | {action.worker_id}
+            await self._save_roster(lead)
+        if self._lead is not lead or action.worker_id in lead.link_by_worker:
+            return
+        await self._add_link(lead, state.worker, action.fence, is_inherited)
+
+    async def _add_link(
+        self, lead: Lead, worker: StepWorker, fence: int, is_inherited: bool
+    ) -> None:
+        expired_ms = 0
+        if is_inherited:
+            # An earlier leader that is still at work may renew leases for this
+            # long, and each of them lasts on the worker's own clock.
+            expired_ms = (
+                self._clock.now_ms() + GRANT_LIMIT_MS + self._terms.hold_ms * 11 // 10
+            )
+        link = WorkerLink(
+            worker,
+            self._connect(worker),
+            self,
+            self._clock,
+            self._terms.hold_ms,
+            fence,
+            expired_ms,
+        )
+        lead.link_by_worker[worker.worker_id] = link
+        link.on_fatal = self.on_fatal
+        await link.start()
+        link.tell(LinkGrant(lead.grant_until_ms))
+
+    async def _save_roster(self, lead: Lead) -> None:
+        workers = tuple(
+            state.worker
+            for worker_id, state in lead.state.worker_by_id.items()
+            if worker_id in lead.roster
+        )
+        write = RowWrite(ROSTER_ROW, serialize_row(RosterRow(workers)))
+        with contextlib.suppress(NotOwnerError, ShuttingDownError):
+            await lead.commits.ask(SaveRows((write,)))
+
+    def _save_changed(
+        self,
+        lead: Lead,
+        ends: tuple[str, int] | None,
+        starts: Sequence[StartRun] = (),
+    ) -> asyncio.Task[None] | None:
+        """Store the jobs that changed, then let go what waits for that.
+
+        Args:
+            lead: The lead.
+            ends: A worker, and the number of its last end that this covers.
+            starts: Starts of which the store must know.
+
+        Returns:
+            A task that ends once all is stored, or None if nothing is to be.
+        """
+        changed = lead.state.take_changed()
+        if not changed and ends is None and not starts:
+            return None
+        writes = tuple(
+            RowWrite(
+                progress_row(progress.job.job_id), serialize_row(progress.record())
+            )
+            for progress in changed
+        )
+        states = [(progress, progress.state) for progress in changed]
+        return self.spawn(self._store_changed_jobs(lead, writes, states, ends, starts))
+
+    async def _store_changed_jobs(
+        self,
+        lead: Lead,
+        writes: tuple[RowWrite, ...],
+        states: list[tuple[JobProgress, StepJobState]],
+        ends: tuple[str, int] | None,
+        starts: Sequence[StartRun],
+    ) -> None:
+        try:
+            await lead.commits.ask(SaveRows(writes))
+        except (NotOwnerError, ShuttingDownError):
+            return
+        if self._lead is not lead:
+            return
+        self._show_states(lead, states)
+        if ends is not None:
+            worker_id, number = ends
+            link = lead.link_by_worker.get(worker_id)
+            if link is not None:
+                link.tell(LinkAcknowledge(number))
+        if starts:
+            self._send_starts(lead, starts)
+
+    def _show_states(
+        self, lead: Lead, states: list[tuple[JobProgress, StepJobState]]
+    ) -> None:
+        for progress, state in states:
+            if progress.shown_state.is_final or not state.is_final:
+                continue
+            progress.shown_state = state
+            self._metrics.count(f"ended.{state.value}")
+            self._metrics.timing("job", self._clock.now_ms() - progress.accepted_ms)
+            logs.state_change(
+                "job_ended",
+                job=progress.job.job_id,
+                queue=progress.job.queue,
+                state=state.value,
+                age_ms=self._clock.now_ms() - progress.accepted_ms,
+            )
+
+    def _save(self, lead: Lead, *writes: RowWrite) -> None:
+        self.spawn(self._store_changed_jobs(lead, writes, [], None, ()))
+
+    async def _ask_advice(self, lead: Lead, action: AskAdvice) -> None:
+        lines, chosen = lead.planner.lines, action.instance_id
+        request = RequestAdvice(
+            action.job_id, action.occurrence, action.step, action.worker_ids
+        )
+        advice: StepAdvice | None = None
+        try:
+            if chosen == self._instance_id:
+                advice = await self._advisor.ask(request)
+            else:
+                timeout_ms = lines.pending_ms(chosen) + ADVICE_MARGIN_MS
+                advice = await self._peers.ask(CallPeer(chosen, request, timeout_ms))
+        except MarjoramgradeError as error:
+            lines.avoid(chosen, self._clock.now_ms())
+            logs.state_change(
+                "advice_failed", job=action.job_id, by=chosen, code=error.code
+            )
+        finally:
+            lines.ended(chosen, action.decide_ms)
+        if self._lead is lead:
+            self._advised(lead, action, advice)
+
+    def _advised(
+        self, lead: Lead, action: AskAdvice, advice: StepAdvice | None
+    ) -> None:
+        progress = lead.state.job_by_id.get(action.job_id)
+        steps = progress and progress.steps_by_occurrence.get(action.occurrence)
+        if not steps:
+            return
+        now_ms = self._clock.now_ms()
+        book = steps[action.step].tickets
+        if advice is None:
+            book.failed(now_ms)
+            return
+        tickets = {}
+        for advised in advice.workers:
+            state = lead.state.worker_by_id.get(advised.worker_id)
+            if state is not None:
+                tickets[advised.worker_id] = Ticket(
+                    advised.ticket,
+                    state.worker.born_unix_ms,
+                    now_ms + advice.valid_ms,
+                )
+        book.record(action.worker_ids, tickets)
+        self._schedule_plan(lead)
--- /dev/null
+++ b/marjoramgrade/controllers/leadreports.py
@@ -0,0 +1,312 @@
+"""What the leadership, the directory and the workers tell the leader."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+
+from marjoramgrade import logs
+from marjoramgrade.actor import handles
+from marjoramgrade.controllers.commits import CommitController, SaveRows
+from marjoramgrade.controllers.inheritance import Inheritance, read_inheritance
+from marjoramgrade.controllers.lead import GRANT_LIMIT_MS, Lead, LeadKeeper
+from marjoramgrade.decisions.advisorlines import AdvisorLines
+from marjoramgrade.decisions.stepplanning import Planner
+from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.decisions.stepsupervision import Supervisor
+from marjoramgrade.errors import (
+    NotOwnerError,
+    ShuttingDownError,
+)
+from marjoramgrade.messages import MembersChanged
+from marjoramgrade.messages.rows import RowCheck, RowWrite
+from marjoramgrade.messages.steps import (
+    CallUnanswered,
+    ConfigurationChanged,
+    LeadConfirmed,
+    LinkAlert,
+    LinkGrant,
+    RenewLead,
+    StartAnswered,
+    StartOutcome,
+    StepDown,
+    StoreReachable,
+    TakeLead,
+    WatchWorkers,
+    WorkerListed,
+    WorkerSilent,
+    WorkersListed,
+)
+from marjoramgrade.steprows import (
+    EPOCH_ROW,
+    RENEWAL_ROW,
+)
+
+# After a call to a worker that went unanswered, all listings wait only shortly.
+ALERT_MS = 5_000
+
+
+class LeadReports(LeadKeeper):
+    """Base class that takes over what others report while this instance leads."""
+
+    async def on_stop(self) -> None:
+        """End the leadership, if there is one."""
+        await self._end_lead("the instance stops")
+
+    @handles(TakeLead)
+    async def _take_lead(self, message: TakeLead) -> Any:
+        await self._end_lead("a newer leadership of this instance")
+        return self.spawn(self._begin_lead(message))
+
+    async def _begin_lead(self, message: TakeLead) -> None:
+        inheritance = await read_inheritance(self._store)
+        state = StepState(message.epoch, self._config, self._evacuated)
+        planner = Planner(state, AdvisorLines(self._instance_id))
+        check = RowCheck(EPOCH_ROW, message.row_version)
+        versions = dict(inheritance.version_by_row)
+        commits = CommitController(
+            self._store,
+            message.epoch,
+            check,
+            versions,
+            self._clock,
+            self._metrics,
+            (self,),
+        )
+        stack = contextlib.AsyncExitStack()
+        await commits.start()
+        stack.push_async_callback(commits.stop)
+        lead = Lead(
+            message.epoch, stack, commits, state, planner, Supervisor(state, planner)
+        )
+        lead.grant_until_ms = self._clock.now_ms() + GRANT_LIMIT_MS
+        self._restore(lead, inheritance)
+        self._lead = lead
+        self._watch_workers(True)
+        logs.state_change(
+            "lead_taken",
+            epoch=message.epoch,
+            jobs=len(state.job_by_id),
+            open=len(state.open_by_id),
+            workers=len(inheritance.roster),
+        )
+        self._perform(lead)
+
+    def _restore(self, lead: Lead, inheritance: Inheritance) -> None:
+        now_ms, unix_ms = self._clock.now_ms(), self._clock.unix_ms()
+        for worker in inheritance.roster:
+            lead.state.add_worker(worker)
+        lead.roster = lead.inherited = frozenset(lead.state.worker_by_id)
+        for row, record in inheritance.jobs:
+            job = row.job
+            # An instance that has just started may lead before it has read the
+            # configuration.
+            queue = self._config.queue_by_name.get(job.queue, row.queue)
+            lead.state.restore_job(job, queue, record, now_ms, unix_ms)
+
+    @handles(StepDown)
+    async def _step_down(self, message: StepDown) -> None:
+        if self._lead is not None and self._lead.epoch == message.epoch:
+            await self._end_lead(message.reason)
+            if self._leadership is not None:
+                self._leadership.tell(message)
+
+    async def _end_lead(self, reason: str) -> None:
+        lead, self._lead = self._lead, None
+        if lead is None:
+            return
+        logs.state_change("lead_ended", epoch=lead.epoch, reason=reason)
+        self._watch_workers(False)
+        for link in lead.link_by_worker.values():
+            # Calls of the old leadership are refused by fence; nothing waits for
+            # them.
+            self.spawn(link.stop())
+        lead.link_by_worker.clear()
+        self.spawn(lead.stack.aclose())
+
+    @handles(RenewLead)
+    async def _renew(self, message: RenewLead) -> None:
+        lead = self._lead
+        if lead is None or lead.epoch != message.epoch or lead.is_renewing:
+            return
+        lead.is_renewing = True
+        self.spawn(self._write_renewal(lead))
+
+    async def _write_renewal(self, lead: Lead) -> None:
+        value = str(self._clock.now_ms()).encode()
+        try:
+            await lead.commits.ask(SaveRows((RowWrite(RENEWAL_ROW, value),)))
+        except (NotOwnerError, ShuttingDownError):
+            return
+        finally:
+            lead.is_renewing = False
+
+    @handles(LeadConfirmed)
+    async def _confirmed(self, message: LeadConfirmed) -> None:
+        lead = self._lead
+        if lead is None or lead.epoch != message.epoch:
+            return
+        until_ms = message.asked_ms + GRANT_LIMIT_MS
+        # Telling every link at each write would cost more than the writes.
+        if until_ms - lead.grant_until_ms >= GRANT_LIMIT_MS // 16:
+            lead.grant_until_ms = until_ms
+            for link in lead.link_by_worker.values():
+                link.tell(LinkGrant(until_ms))
+
+    @handles(StoreReachable)
+    async def _store_changed(self, message: StoreReachable) -> None:
+        if self._lead is not None:
+            self._lead.reachable = message.reachable
+
+    def _watch_workers(self, enabled: bool) -> None:
+        if self._directory is not None:
+            with contextlib.suppress(ShuttingDownError):
+                self._directory.tell(WatchWorkers(enabled))
+
+    @handles(ConfigurationChanged)
+    async def _config_changed(self, message: ConfigurationChanged) -> None:
+        self._config = message.config
+        self._evacuated = message.evacuated_zones
+        lead = self._lead
+        if lead is None:
+            return
+        lead.state.config = message.config
+        lead.state.evacuated_zones = message.evacuated_zones
+        for progress in lead.state.open_by_id.values():
+            queue = message.config.queue_by_name.get(progress.job.queue)
+            if queue is not None:
+                progress.queue = queue
+        self._schedule_plan(lead)
+
+    @handles(MembersChanged)
+    async def _members_changed(self, message: MembersChanged) -> None:
+        self._member_ids = tuple(
+            member.instance_id
+            for member in message.members
+            if member.instance_id != self._instance_id
+        )
+
+    @handles(WorkersListed)
+    async def _workers_listed(self, message: WorkersListed) -> None:
+        lead = self._lead
+        if lead is None:
+            return
+        known = set(lead.state.worker_by_id)
+        lead.state.set_workers(message.workers)
+        for worker in message.workers:
+            if worker.worker_id not in known:
+                logs.state_change(
+                    "worker_joined",
+                    worker=worker.worker_id,
+                    zone=worker.zone,
+                    cpu=worker.capacity.cpu_millis,
+                )
+        self._drop_departed(lead)
+        self._perform(lead)
+
+    def _drop_departed(self, lead: Lead) -> None:
+        for worker_id, state in list(lead.state.worker_by_id.items()):
+            if state.listed or state.run_by_task or state.synced:
+                continue
+            lead.state.remove_worker(worker_id)
+            link = lead.link_by_worker.pop(worker_id, None)
+            if link is not None:
+                self.spawn(link.stop())
+            logs.state_change("worker_left", worker=worker_id)
+
+    @handles(WorkerListed)
+    async def _worker_listed(self, message: WorkerListed) -> None:
+        lead = self._lead
+        worker = lead and lead.state.worker_by_id.get(message.worker_id)
+        if lead is None or not worker:
+            return
+        had_synced = worker.synced
+        lead.state.listed(
+            worker,
+            message.listing,
+            message.fence,
+            message.asked_ms,
+            self._clock.now_ms(),
+            self._clock.unix_ms(),
+        )
+        if worker.synced and not had_synced:
+            logs.state_change(
+                "worker_synced",
+                worker=message.worker_id,
+                fence=message.fence,
+                runs=len(worker.run_by_task),
+                strays=len(worker.stray_by_task),
+            )
+        if message.listing.ended:
+            self._schedule_plan(lead)
+            self._save_changed(lead, (message.worker_id, worker.last_end))
+        self._perform(lead)
+        if worker.synced and not had_synced:
+            self._schedule_plan(lead)
+
+    @handles(CallUnanswered)
+    async def _call_unanswered(self, message: CallUnanswered) -> None:
+        if self._lead is not None:
+            self._alert(self._lead)
+
+    def _alert(self, lead: Lead) -> None:
+        """Let all links look more often; what one worker loses others lose too."""
+        until_ms = self._clock.now_ms() + ALERT_MS
+        if until_ms - lead.alert_until_ms < ALERT_MS // 4:
+            return
+        lead.alert_until_ms = until_ms
+        for link in lead.link_by_worker.values():
+            link.tell(LinkAlert(until_ms))
+
+    @handles(WorkerSilent)
+    async def _worker_silent(self, message: WorkerSilent) -> None:
+        lead = self._lead
+        worker = lead and lead.state.worker_by_id.get(message.worker_id)
+        if lead is None or not worker:
+            return
+        if not worker.silent_since_ms:
+            worker.silent_since_ms = self._clock.now_ms()
+            if worker.synced:
+                lead.state.request_sync(worker)
+        if message.expired:
+            lead.state.expire_worker(worker)
+            self._schedule_plan(lead)
+            self._drop_departed(lead)
+        self._perform(lead)
+
+    @handles(StartAnswered)
+    async def _start_answered(self, message: StartAnswered) -> None:
+        lead = self._lead
+        if lead is None:
+            return
+        state = lead.state
+        if message.outcome is StartOutcome.STARTED:
+            state.start_confirmed(
+                message.worker_id, message.task, message.run, self._clock.now_ms()
+            )
+        elif message.outcome is StartOutcome.UNKNOWN:
+            state.start_unknown(message.worker_id, message.task, message.run)
+            self._alert(lead)
+        else:
+            self._start_refused(lead, message)
+        self._perform(lead)
+
+    def _start_refused(self, lead: Lead, message: StartAnswered) -> None:
+        run = lead.state.start_refused(message.worker_id, message.task, message.run)
+        if run is None:
+            return
+        self._metrics.retried("start_refused")
+        logs.state_change(
+            "start_refused",
+            job=message.task.job_id,
+            worker=message.worker_id,
+            reason=message.reason,
+        )
+        worker = lead.state.worker_by_id.get(message.worker_id)
+        if message.reason == "ticket":
+            run.step.tickets.reject(message.worker_id)
+        elif worker is not None and worker.synced:
+            # Whatever the worker has is not what this leader believes.
+            worker.suspicion.distrust(self._clock.now_ms())
+            lead.state.request_sync(worker)
+        self._schedule_plan(lead)
--- /dev/null
+++ b/marjoramgrade/decisions/stepbook.py
@@ -0,0 +1,309 @@
+"""Jobs of steps, the workers that run them, and the actions that are due.
+
+Actions go out through `take_actions`, and the jobs whose lasting part changed through
+`take_changed`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from marjoramgrade.decisions.durations import Durations
+from marjoramgrade.decisions.stepfleet import WorkerState
+from marjoramgrade.decisions.steporders import (
+    StartRun,
+    StepAction,
+    StopRun,
+    SyncWorker,
+)
+from marjoramgrade.decisions.stepprogress import (
+    JobProgress,
+    JobRecord,
+    Run,
+    RunPhase,
+    StepProgress,
+)
+from marjoramgrade.decisions.teamusage import TeamUsage
+from marjoramgrade.stepconfig import Queue, StepConfig
+from marjoramgrade.stepjobs import (
+    StartOrder,
+    StepJob,
+    StepJobState,
+    StepWorker,
+    TaskRef,
+)
+
+# Run numbers and fences of one leadership lie below those of the next.
+RUNS_PER_EPOCH = 1_000
+FENCES_PER_EPOCH = 10_000
+
+
+@attrs.define(eq=False)
+class StepBook:
+    """Jobs, workers, teams and the actions that are due.
+
+    Attributes:
+        epoch: Number of this leadership; rises with each takeover.
+        config: The configuration in force.
+        evacuated_zones: Zones whose workers are to get nothing.
+        job_by_id: All jobs that are kept.
+        worker_by_id: All workers that are known.
+        usage: What teams have running.
+        durations: How long tasks take, by queue.
+    """
+
+    epoch: int
+    config: StepConfig = attrs.field(factory=StepConfig)
+    evacuated_zones: frozenset[str] = frozenset()
+    job_by_id: dict[str, JobProgress] = attrs.field(factory=dict)
+    open_by_id: dict[str, JobProgress] = attrs.field(factory=dict)
+    worker_by_id: dict[str, WorkerState] = attrs.field(factory=dict)
+    usage: TeamUsage = attrs.field(factory=TeamUsage)
+    durations: Durations = attrs.field(factory=Durations)
+    _actions: list[StepAction] = attrs.field(factory=list)
+    _changed: dict[str, JobProgress] = attrs.field(factory=dict)
+
+    @property
+    def first_fence(self) -> int:
+        """The lowest fence of this leadership."""
+        return self.epoch * FENCES_PER_EPOCH
+
+    def take_actions(self) -> list[StepAction]:
+        """Return what must be done since the last call."""
+        actions, self._actions = self._actions, []
+        return actions
+
+    def take_changed(self) -> list[JobProgress]:
+        """Return the jobs whose lasting part changed since the last call."""
+        changed, self._changed = list(self._changed.values()), {}
+        return changed
+
+    def act(self, action: StepAction) -> None:
+        """Ask for something to be done."""
+        self._actions.append(action)
+
+    # Jobs
+
+    def add_job(self, job: StepJob, queue: Queue, now_ms: int) -> JobProgress:
+        """Take a new job.
+
+        Its runs are planned at once. They leave once their places are stored, and so
+        after the job itself, whose row is written before.
+        """
+        progress = JobProgress(job, queue, now_ms)
+        progress.beyond_weight = self.usage.is_beyond_weight(
+            self.config.team_by_name.get(job.team), now_ms
+        )
+        self._keep(progress)
+        return progress
+
+    def restore_job(
+        self, job: StepJob, queue: Queue, record: JobRecord, now_ms: int, unix_ms: int
+    ) -> JobProgress:
+        """Take a job over from an earlier leader.
+
+        The workers of its runs must have been added before.
+        """
+        age_ms = max(unix_ms - job.accepted_unix_ms, 0)
+        progress = JobProgress(job, queue, now_ms - age_ms)
+        for step, placed in progress.restore(record):
+            worker = self.worker_by_id.get(placed.worker_id)
+            if worker is not None:
+                task = step.task(placed.index)
+                run = Run(
+                    task, placed.run, placed.worker_id, step, RunPhase.STARTING, now_ms
+                )
+                # The listing of the worker tells whether the run is present.
+                self._attach(run, worker)
+        self._keep(progress)
+        return progress
+
+    def drop_job(self, job_id: str) -> None:
+        """Forget a job and the runs that were never sent."""
+        progress = self.job_by_id.pop(job_id, None)
+        if progress is not None:
+            for step in progress.iter_steps():
+                for run in list(step.iter_runs()):
+                    self._detach(run)
+        self.open_by_id.pop(job_id, None)
+        self._changed.pop(job_id, None)
+
+    def cancel_job(self, progress: JobProgress, unix_ms: int) -> None:
+        """End a job that callers no longer want."""
+        self.finish_job(progress, StepJobState.CANCELLED, unix_ms)
+
+    def finish_job(
+        self, progress: JobProgress, state: StepJobState, unix_ms: int
+    ) -> None:
+        """Bring a job to a final state and stop its runs."""
+        if progress.state.is_final:
+            return
+        progress.state = state
+        progress.ended_unix_ms = unix_ms
+        self._changed[progress.job.job_id] = progress
+        for step in progress.iter_steps():
+            if state is StepJobState.COMPLETED and step.step.gang:
+                # The members of a gang end together; each worker lists its own.
+                continue
+            for run in list(step.iter_runs()):
+                self.stop_run(run, f"job_{state.value}")
+        self._settle_job(progress)
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have been taken and not started."""
+        return sum(
+            1
+            for progress in self.open_by_id.values()
+            if progress.queue.name == queue
+            and not progress.started
+            and not progress.job.schedule.times
+        )
+
+    def _keep(self, progress: JobProgress) -> None:
+        self.job_by_id[progress.job.job_id] = progress
+        if not progress.state.is_final:
+            self.open_by_id[progress.job.job_id] = progress
+
+    def _settle_job(self, progress: JobProgress) -> None:
+        if progress.state.is_final and not any(
+            step.runs_by_index for step in progress.iter_steps()
+        ):
+            self.open_by_id.pop(progress.job.job_id, None)
+
+    # Workers
+
+    def set_workers(self, listed: Iterable[StepWorker]) -> None:
+        """Take over the platform's list of workers."""
+        listed_by_id = {worker.worker_id: worker for worker in listed}
+        for known in self.worker_by_id.values():
+            known.listed = known.worker.worker_id in listed_by_id
+        for worker_id, worker in listed_by_id.items():
+            state = self.worker_by_id.get(worker_id)
+            if state is None:
+                self.add_worker(worker)
+            elif worker.born_unix_ms >= state.worker.born_unix_ms:
+                if worker.born_unix_ms != state.worker.born_unix_ms:
+                    self._reborn(state)
+                state.worker = worker
+
+    def add_worker(self, worker: StepWorker) -> WorkerState:
+        """Start to use a worker; it gets work once it is listed in sync."""
+        state = WorkerState(worker, fence=self.first_fence)
+        self.worker_by_id[worker.worker_id] = state
+        self.act(SyncWorker(worker.worker_id, state.fence))
+        return state
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Forget a worker that has left; it must have no runs."""
+        del self.worker_by_id[worker_id]
+
+    def request_sync(self, worker: WorkerState) -> None:
+        """Raise the fence of a worker, so that unanswered orders have no effect."""
+        worker.fence += 1
+        worker.synced = False
+        self.act(SyncWorker(worker.worker.worker_id, worker.fence))
+
+    def _reborn(self, worker: WorkerState) -> None:
+        """Note that a worker started again: nothing of before is left on it."""
+        for run in list(worker.run_by_task.values()):
+            self.lose_run(run)
+        worker.stray_by_task.clear()
+        worker.last_end = 0
+        if worker.synced:
+            self.request_sync(worker)
+
+    def expire_worker(self, worker: WorkerState) -> None:
+        """Note that all leases on a silent worker have surely run out."""
+        for run in list(worker.run_by_task.values()):
+            self.lose_run(run)
+        worker.stray_by_task.clear()
+
+    # Runs
+
+    def place(
+        self, step: StepProgress, index: int, worker: WorkerState, run: int, now_ms: int
+    ) -> Run:
+        """Order the start of a task."""
+        worker_id = worker.worker.worker_id
+        task = step.task(index)
+        checkpoint = step.checkpoint_of(index)
+        ticket = step.tickets.ticket_for(worker_id, worker.worker.born_unix_ms, now_ms)
+        new = Run(task, run, worker_id, step, RunPhase.STARTING, now_ms)
+        self._attach(new, worker)
+        # The store must know the place before the worker does, so that a successor
+        # knows which tasks a worker that it cannot reach may run.
+        self._changed[task.job_id] = step.job
+        self.act(
+            StartRun(
+                worker_id,
+                worker.fence,
+                StartOrder(
+                    task,
+                    run,
+                    step.job.job.payload,
+                    checkpoint,
+                    ticket.text if ticket is not None else "",
+                ),
+            )
+        )
+        return new
+
+    def next_run(self, step: StepProgress, index: int) -> int:
+        """Return a run number that no earlier leader can have used."""
+        first = (self.epoch - 1) * RUNS_PER_EPOCH
+        indexes = range(step.step.count) if step.step.gang else (index,)
+        return 1 + max(
+            first, *(step.last_run_by_index.get(other, 0) for other in indexes)
+        )
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """Order the stop of a run; its room is given back when its end is listed."""
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        run.stop_reason = reason
+        # A start that is on its way could overtake the stop, so the stop waits
+        # for its answer.
+        if run.running_since_ms:
+            self.send_stop(run)
+
+    def send_stop(self, run: Run) -> None:
+        """Send the stop of a run, once more if its answer was lost.
+
+        A worker that does not answer gets its stops when it is listed in sync.
+        """
+        worker = self.worker_by_id.get(run.worker_id)
+        if worker is not None and worker.synced:
+            self.act(
+                StopRun(
+                    run.worker_id, worker.fence, run.task, run.number, run.stop_reason
+                )
+            )
+
+    def lose_run(self, run: Run) -> None:
+        """Note that a run is gone and told nothing; its task waits again."""
+        run.step.keep_checkpoint(run.task.index, run.checkpoint)
+        self._detach(run)
+
+    def _attach(self, run: Run, worker: WorkerState) -> None:
+        worker.add(run)
+        run.step.add_run(run)
+        if run.step.step.same_rack:
+            run.step.rack_in_use = worker.worker.rack
+        self.usage.add(run.step.job.job.team, run.step.step.resources)
+
+    def _detach(self, run: Run) -> None:
+        worker = self.worker_by_id.get(run.worker_id)
+        if worker is not None and (run.task, run.number) in worker.run_by_task:
+            worker.remove(run)
+            self.usage.remove(run.step.job.job.team, run.step.step.resources)
+        run.step.drop_run(run)
+        if not run.step.runs_by_index:
+            run.step.rack_in_use = ""
+        self._settle_job(run.step.job)
+
+    def _run(self, worker_id: str, task: TaskRef, number: int) -> Run | None:
+        worker = self.worker_by_id.get(worker_id)
+        return None if worker is None else worker.run_by_task.get((task, number))
--- /dev/null
+++ b/soak/cell.py
@@ -0,0 +1,218 @@
+"""The processes of one soak and what is known of its jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import random
+import socket
+import time
+from typing import Any
+
+import attrs
+
+from marjoramgrade.adapters.httppool import (
+    HttpAnswer,
+    HttpNoAnswerError,
+    HttpNotSentError,
+    HttpPool,
+)
+from standins.processes import HOST, Process
+
+INSTANCES = ("a", "b", "c")
+WORKERS = 4
+WORKER_CPU = 4_000
+GRACE_S = 4
+DEADLINE_MS = 3_000
+
+
+# Below the ports that the kernel gives to outgoing connections, one of which could
+# otherwise take the port of an instance that is down.
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+
+
+@attrs.define
+class StablePorts:
+    """Picks free ports that stay free while nobody listens on them."""
+
+    _picked: set[int] = attrs.field(factory=set)
+
+    def pick(self) -> int:
+        """Return a free port."""
+        while True:
+            port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+            with socket.socket() as probe:
+                if port not in self._picked and probe.connect_ex((HOST, port)) != 0:
+                    self._picked.add(port)
+                    return port
+
+
+@attrs.define
+class Soak:
+    """One seed.
+
+    Attributes:
+        folder: Where settings and logs lie.
+        rng: Decides everything.
+        events: What happened, with its time.
+        accepted: Ids of the jobs that were answered with success.
+        refused: Ids of jobs of which every answer was a refusal.
+    """
+
+    folder: pathlib.Path
+    rng: random.Random
+    ports: StablePorts = attrs.field(factory=lambda: StablePorts())
+    process_by_name: dict[str, Process] = attrs.field(factory=dict)
+    front_by_name: dict[str, str] = attrs.field(factory=dict)
+    events: list[str] = attrs.field(factory=list)
+    accepted: dict[str, float] = attrs.field(factory=dict)
+    answers: dict[str, list[int]] = attrs.field(factory=dict)
+    rules: list[list[str]] = attrs.field(factory=list)
+    began: float = attrs.field(factory=time.monotonic)
+    control: int = 0
+    relay: int = 0
+
+    def note(self, text: str) -> None:
+        """Record an event."""
+        self.events.append(f"{time.monotonic() - self.began:7.2f} {text}")
+
+    async def start(self) -> None:
+        """Start the stand-in, the relay and the instances."""
+        pick = self.ports.pick
+        store, self.control, self.relay = pick(), pick(), pick()
+        routes, workers = [], []
+        for number in range(WORKERS):
+            real, relayed = pick(), pick()
+            addr = f"{HOST}:{relayed}"
+            entry = {"id": f"w{number}", "addr": addr, "port": real, "cpu": WORKER_CPU}
+            workers.append(entry)
+            routes.append(_route(f"w{number}", relayed, real))
+        plan = {
+            "store": store,
+            "control": self.control,
+            "workers": workers,
+            "config": _config(),
+        }
+        for name in INSTANCES:
+            relayed = pick()
+            routes.append(_route(f"store-{name}", relayed, store))
+            self._write_settings(name, relayed)
+        self._write("plan.json", plan)
+        self._write("routes.json", routes)
+        self._spawn("fleet", "standins.fleet", str(self.folder / "plan.json"))
+        self._spawn(
+            "relay",
+            "standins.relay",
+            str(self.folder / "routes.json"),
+            HOST,
+            str(self.relay),
+        )
+        await asyncio.sleep(1.0)
+        for name in INSTANCES:
+            self.start_instance(name)
+
+    def start_instance(self, name: str) -> None:
+        """Start an instance, again if it has ended."""
+        module = "soak.instance"
+        self._spawn(name, module, str(self.folder / f"{name}.settings"))
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        process = Process.spawn(name, self.folder, module, *arguments)
+        self.process_by_name[name] = process
+
+    def _write(self, name: str, document: Any) -> None:
+        (self.folder / name).write_text(json.dumps(document), encoding="utf-8")
+
+    def _write_settings(self, name: str, store: int) -> None:
+        front = f"{HOST}:{self.ports.pick()}"
+        self.front_by_name[name] = front
+        self._write(
+            f"{name}.settings",
+            {
+                "instance_id": name,
+                "zone": "north",
+                "host": HOST,
+                "front": front,
+                "ready": f"{HOST}:{self.ports.pick()}",
+                "peer_port": self.ports.pick(),
+                "metrics_port": self.ports.pick(),
+                "store": f"{HOST}:{store}",
+                "advice": f"{HOST}:1",
+                "cpu_share": 1.0,
+                "cores": 1.0,
+                "link_mbps": 1_000.0,
+                "longest_lease_ms": 6_000,
+                "status_s": 120,
+                "shutdown_s": GRACE_S,
+            },
+        )
+
+    async def command(self, **body: Any) -> dict[str, Any]:
+        """Change the stand-in's behaviour and return the audit."""
+        answer = await call(f"{HOST}:{self.control}", "POST", "/control", body)
+        if answer is None:
+            raise RuntimeError("the stand-in does not answer")
+        document: dict[str, Any] = json.loads(answer.body)
+        return document
+
+    async def cut(self, target: str, mode: str, seconds: float) -> None:
+        """Drop or stall the connections to a target for a while."""
+        rule = ["", target, mode]
+        self.rules.append(rule)
+        await self._send_rules()
+        await asyncio.sleep(seconds)
+        self.rules.remove(rule)
+        await self._send_rules()
+
+    async def _send_rules(self) -> None:
+        rules = {"rules": self.rules}
+        await call(f"{HOST}:{self.relay}", "POST", "/control", rules)
+
+    async def stop(self) -> None:
+        """End every process that this soak started."""
+        for process in self.process_by_name.values():
+            process.end()
+
+
+def _route(target: str, listen: int, port: int) -> dict[str, Any]:
+    return {
+        "target": target,
+        "listen_host": HOST,
+        "listen_port": listen,
+        "host": HOST,
+        "port": port,
+    }
+
+
+def _config() -> dict[str, Any]:
+    route = {
+        "name": "q",
+        "host": "jobs.example",
+        "pathPrefix": "/q/",
+        "service": "pool",
+        "attempts": 3,
+        "sloMs": 500,
+        "public": True,
+    }
+    return {"version": 1, "routes": [route], "services": [{"name": "pool"}]}
+
+
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+) -> HttpAnswer | None:
+    """Send a request on a new connection; returns None if no whole answer came."""
+    pool = HttpPool(address, 1)
+    data = b"" if body is None else json.dumps(body).encode()
+    try:
+        return await pool.request(
+            method, path, body=data, headers=headers, timeout_ms=DEADLINE_MS
+        )
+    except (HttpNotSentError, HttpNoAnswerError):
+        return None
+    finally:
+        pool.close()
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,333 +17,22 @@
 import json
 import pathlib
 import random
-import signal
-import socket
 import sys
 import tempfile
 import time
-from collections.abc import Callable
 from typing import Any
 
-import attrs
+from soak.cell import DEADLINE_MS, INSTANCES, Soak, call
+from soak.faults import FAULTS
 
-from marjoramgrade.adapters.httppool import (
-    HttpAnswer,
-    HttpNoAnswerError,
-    HttpNotSentError,
-    HttpPool,
-)
-from marjoramgrade.registry import Registry
-from standins.processes import HOST, Process
-
-INSTANCES = ("a", "b", "c")
-WORKERS = 4
-WORKER_CPU = 4_000
 # The rules' bound for jobs that are asked for after the end of the traffic.
 FINISH_S = 14.0
-GRACE_S = 4
 START_S = 10.0
-DEADLINE_MS = 3_000
 
-Fault = Callable[["Soak"], Any]
 # Seeds that failed once, each with its cause.
 REGRESSIONS = {
     20: "a connection that was closed as soon as it was made ended the process",
 }
-FAULTS: Registry[Fault] = Registry("fault")
-
-
-# Below the ports that the kernel gives to outgoing connections, one of which could
-# otherwise take the port of an instance that is down.
-FIRST_PORT, LAST_PORT = 12_000, 32_000
-
-
-@attrs.define
-class StablePorts:
-    """Picks free ports that stay free while nobody listens on them."""
-
-    _picked: set[int] = attrs.field(factory=set)
-
-    def pick(self) -> int:
-        """Return a free port."""
-        while True:
-            port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
-            with socket.socket() as probe:
-                if port not in self._picked and probe.connect_ex((HOST, port)) != 0:
-                    self._picked.add(port)
-                    return port
-
-
-@attrs.define
-class Soak:
-    """One seed.
-
-    Attributes:
-        folder: Where settings and logs lie.
-        rng: Decides everything.
-        events: What happened, with its time.
-        accepted: Ids of the jobs that were answered with success.
-        refused: Ids of jobs of which every answer was a refusal.
-    """
-
-    folder: pathlib.Path
-    rng: random.Random
-    ports: StablePorts = attrs.field(factory=lambda: StablePorts())
-    process_by_name: dict[str, Process] = attrs.field(factory=dict)
-    front_by_name: dict[str, str] = attrs.field(factory=dict)
-    events: list[str] = attrs.field(factory=list)
-    accepted: dict[str, float] = attrs.field(factory=dict)
-    answers: dict[str, list[int]] = attrs.field(factory=dict)
-    rules: list[list[str]] = attrs.field(factory=list)
-    began: float = attrs.field(factory=time.monotonic)
-    control: int = 0
-    relay: int = 0
-
-    def note(self, text: str) -> None:
-        """Record an event."""
-        self.events.append(f"{time.monotonic() - self.began:7.2f} {text}")
-
-    async def start(self) -> None:
-        """Start the stand-in, the relay and the instances."""
-        pick = self.ports.pick
-        store, self.control, self.relay = pick(), pick(), pick()
-        routes, workers = [], []
-        for number in range(WORKERS):
-            real, relayed = pick(), pick()
-            addr = f"{HOST}:{relayed}"
-            entry = {"id": f"w{number}", "addr": addr, "port": real, "cpu": WORKER_CPU}
-            workers.append(entry)
-            routes.append(_route(f"w{number}", relayed, real))
-        plan = {
-            "store": store,
-            "control": self.control,
-            "workers": workers,
-            "config": _config(),
-        }
-        for name in INSTANCES:
-            relayed = pick()
-            routes.append(_route(f"store-{name}", relayed, store))
-            self._write_settings(name, relayed)
-        self._write("plan.json", plan)
-        self._write("routes.json", routes)
-        self._spawn("fleet", "standins.fleet", str(self.folder / "plan.json"))
-        self._spawn(
-            "relay",
-            "standins.relay",
-            str(self.folder / "routes.json"),
-            HOST,
-            str(self.relay),
-        )
-        await asyncio.sleep(1.0)
-        for name in INSTANCES:
-            self.start_instance(name)
-
-    def start_instance(self, name: str) -> None:
-        """Start an instance, again if it has ended."""
-        module = "soak.instance"
-        self._spawn(name, module, str(self.folder / f"{name}.settings"))
-
-    def _spawn(self, name: str, module: str, *arguments: str) -> None:
-        process = Process.spawn(name, self.folder, module, *arguments)
-        self.process_by_name[name] = process
-
-    def _write(self, name: str, document: Any) -> None:
-        (self.folder / name).write_text(json.dumps(document), encoding="utf-8")
-
-    def _write_settings(self, name: str, store: int) -> None:
-        front = f"{HOST}:{self.ports.pick()}"
-        self.front_by_name[name] = front
-        self._write(
-            f"{name}.settings",
-            {
-                "instance_id": name,
-                "zone": "north",
-                "host": HOST,
-                "front": front,
-                "ready": f"{HOST}:{self.ports.pick()}",
-                "peer_port": self.ports.pick(),
-                "metrics_port": self.ports.pick(),
-                "store": f"{HOST}:{store}",
-                "advice": f"{HOST}:1",
-                "cpu_share": 1.0,
-                "cores": 1.0,
-                "link_mbps": 1_000.0,
-                "longest_lease_ms": 6_000,
-                "status_s": 120,
-                "shutdown_s": GRACE_S,
-            },
-        )
-
-    async def command(self, **body: Any) -> dict[str, Any]:
-        """Change the stand-in's behaviour and return the audit."""
-        answer = await _call(f"{HOST}:{self.control}", "POST", "/control", body)
-        if answer is None:
-            raise RuntimeError("the stand-in does not answer")
-        document: dict[str, Any] = json.loads(answer.body)
-        return document
-
-    async def cut(self, target: str, mode: str, seconds: float) -> None:
-        """Drop or stall the connections to a target for a while."""
-        rule = ["", target, mode]
-        self.rules.append(rule)
-        await self._send_rules()
-        await asyncio.sleep(seconds)
-        self.rules.remove(rule)
-        await self._send_rules()
-
-    async def _send_rules(self) -> None:
-        rules = {"rules": self.rules}
-        await _call(f"{HOST}:{self.relay}", "POST", "/control", rules)
-
-    async def stop(self) -> None:
-        """End every process that this soak started."""
-        for process in self.process_by_name.values():
-            process.end()
-
-
-def _route(target: str, listen: int, port: int) -> dict[str, Any]:
-    return {
-        "target": target,
-        "listen_host": HOST,
-        "listen_port": listen,
-        "host": HOST,
-        "port": port,
-    }
-
-
-def _config() -> dict[str, Any]:
-    route = {
-        "name": "q",
-        "host": "jobs.example",
-        "pathPrefix": "/q/",
-        "service": "pool",
-        "attempts": 3,
-        "sloMs": 500,
-        "public": True,
-    }
-    return {"version": 1, "routes": [route], "services": [{"name": "pool"}]}
-
-
-async def _call(
-    address: str,
-    method: str,
-    path: str,
-    body: Any = None,
-    headers: dict[str, str] | None = None,
-) -> HttpAnswer | None:
-    pool = HttpPool(address, 1)
-    data = b"" if body is None else json.dumps(body).encode()
-    try:
-        return await pool.request(
-            method, path, body=data, headers=headers, timeout_ms=DEADLINE_MS
-        )
-    except (HttpNotSentError, HttpNoAnswerError):
-        return None
-    finally:
-        pool.close()
-
-
-# Faults; each one ends by itself.
-
-
-@FAULTS.register("kill")
-async def kill(soak: Soak) -> None:
-    """Kill an instance and start it again."""
-    name = soak.rng.choice(INSTANCES)
-    soak.note(f"kill {name}")
-    soak.process_by_name[name].end()
-    await asyncio.sleep(soak.rng.uniform(0.1, 2.0))
-    soak.start_instance(name)
-
-
-@FAULTS.register("kill_all")
-async def kill_all(soak: Soak) -> None:
-    """Kill all instances at once."""
-    soak.note("kill all")
-    for name in INSTANCES:
-        soak.process_by_name[name].end()
-    await asyncio.sleep(soak.rng.uniform(0.1, 1.5))
-    for name in INSTANCES:
-        soak.start_instance(name)
-
-
-@FAULTS.register("freeze")
-async def freeze(soak: Soak) -> None:
-    """Freeze an instance and let it go on."""
-    name = soak.rng.choice(INSTANCES)
-    process = soak.process_by_name[name]
-    soak.note(f"freeze {name}")
-    process.send(signal.SIGSTOP)
-    await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
-    process.send(signal.SIGCONT)
-
-
-@FAULTS.register("terminate")
-async def terminate(soak: Soak) -> None:
-    """Stop an instance gracefully and start it again."""
-    name = soak.rng.choice(INSTANCES)
-    process = soak.process_by_name[name]
-    soak.note(f"terminate {name}")
-    process.send(signal.SIGTERM)
-    await asyncio.sleep(GRACE_S)
-    process.end()
-    soak.start_instance(name)
-
-
-@FAULTS.register("reload")
-async def reload(soak: Soak) -> None:
-    """Send SIGHUP."""
-    name = soak.rng.choice(INSTANCES)
-    soak.note(f"reload {name}")
-    soak.process_by_name[name].send(signal.SIGHUP)
-
-
-@FAULTS.register("store")
-async def store(soak: Soak) -> None:
-    """Let the store be busy, slow or lose answers."""
-    mode = soak.rng.choice(("busy", "slow", "lost"))
-    soak.note(f"store {mode}")
-    await soak.command(mode=mode)
-    await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
-    await soak.command(mode="ok")
-
-
-@FAULTS.register("cut_store")
-async def cut_store(soak: Soak) -> None:
-    """Cut one instance off from the store."""
-    target = f"store-{soak.rng.choice(INSTANCES)}"
-    mode = soak.rng.choice(("drop", "stall"))
-    soak.note(f"{mode} {target}")
-    await soak.cut(target, mode, soak.rng.uniform(0.5, 4.0))
-
-
-@FAULTS.register("cut_worker")
-async def cut_worker(soak: Soak) -> None:
-    """Cut one worker off from all instances."""
-    target = f"w{soak.rng.randrange(WORKERS)}"
-    mode = soak.rng.choice(("drop", "stall"))
-    soak.note(f"{mode} {target}")
-    await soak.cut(target, mode, soak.rng.uniform(0.5, 6.0))
-
-
-@FAULTS.register("crash_worker")
-async def crash_worker(soak: Soak) -> None:
-    """Let a worker start again."""
-    number = soak.rng.randrange(WORKERS)
-    soak.note(f"crash w{number}")
-    await soak.command(crash=number)
-
-
-@FAULTS.register("late")
-async def late(soak: Soak) -> None:
-    """Let orders to workers go unanswered and be carried out late."""
-    soak.note("late orders")
-    await soak.command(late=0.1)
-    await asyncio.sleep(soak.rng.uniform(1.0, 3.0))
-    await soak.command(late=0.0)
-
-
-# Clients
 
 
 async def submit(soak: Soak, number: int) -> None:
@@ -360,7 +49,7 @@
     for _ in range(4):
         name = soak.rng.choice(INSTANCES)
         headers = {"Host": "jobs.example", "X-Deadline-Ms": str(DEADLINE_MS)}
-        answer = await _call(
+        answer = await call(
             soak.front_by_name[name], "POST", f"/q/{job_id}", body, headers
         )
         codes.append(answer.status if answer is not None else 0)
@@ -374,7 +63,7 @@
     """Return the state of a job, or the status of the answer."""
     for name in INSTANCES:
         headers = {"Host": "jobs.example"}
-        answer = await _call(
+        answer = await call(
             soak.front_by_name[name], "GET", f"/q/{job_id}", None, headers
         )
         if answer is not None and answer.status == 200:
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -4,9 +4,10 @@
 
 import attrs
 
+from marjoramgrade.decisions.stepbook import RUNS_PER_EPOCH
 from marjoramgrade.decisions.steporders import SyncWorker
 from marjoramgrade.decisions.stepprogress import JobRecord, TaskPhase
-from marjoramgrade.decisions.stepstate import RUNS_PER_EPOCH, StepState
+from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.resources import NOTHING
 from marjoramgrade.stepjobs import Ending, RunEnd, RunReport, Step, StepJobState
 from marjoramgrade.steprows import parse_row, serialize_row
