Refuse starts that were overtaken while their place was stored; tidy the seams

Cause: a start waits for the store, and meanwhile its worker may begin to leave or its zone be taken out; found in the last read of the change.

Change: such a start is not sent. The lead is given up by a message like all else, the faults of decoding stand once, and a lead's fields are described.

Ruled out: a wider check in the planner, which has it already. The new test failed before.

--- a/marjoramgrade/controllers/desk.py
+++ b/marjoramgrade/controllers/desk.py
@@ -102,13 +102,13 @@
 
     @handles(Forward)
     async def _forward(self, message: Forward) -> Any:
-        return self.spawn(self.forward(message.request, message.deadline_ms))
+        return self.spawn(self._answer_until(message.request, message.deadline_ms))
 
     @handles(LeaderBeat)
     async def _beat(self, message: LeaderBeat) -> None:
         self._served_ms = self._clock.now_ms()
 
-    async def forward(self, message: Forwarded, deadline_ms: int) -> Any:
+    async def _answer_until(self, message: Forwarded, deadline_ms: int) -> Any:
         """Return the leader's answer.
 
         Args:
--- a/marjoramgrade/controllers/lead.py
+++ b/marjoramgrade/controllers/lead.py
@@ -77,7 +77,26 @@
 
 @attrs.define
 class Lead:
-    """What exists only while this instance leads."""
+    """What exists only while this instance leads.
+
+    Attributes:
+        epoch: Number of the leadership.
+        stack: Owns the commits.
+        commits: Writes the rows.
+        state: Jobs, workers and runs.
+        planner: Gives tasks to workers.
+        supervisor: Watches runs.
+        link_by_worker: The connections to the workers.
+        roster: Workers that the store knows as possible holders of runs.
+        inherited: Those of them that an earlier leader has used.
+        reachable: Whether writes reach the store.
+        is_renewing: Whether a renewal of the lead is on its way.
+        grant_until_ms: Until when leases of workers may be extended.
+        plan_scheduled: Whether a plan is about to be made.
+        alert_until_ms: Until when listings wait only shortly.
+        purged_ms: When ended jobs were last dropped.
+        reported_ms: When the load was last logged.
+    """
 
     epoch: int
     stack: contextlib.AsyncExitStack
@@ -202,7 +221,13 @@
             run = worker.run_by_task.get((order.task, order.run))
             if run is None:
                 continue
-            if run.phase is RunPhase.STOPPING:
+            # While its place was stored, the job may have been cancelled, and the
+            # worker or its zone may have been taken out.
+            is_out = (
+                worker.worker.draining
+                or worker.worker.zone in lead.state.evacuated_zones
+            )
+            if run.phase is RunPhase.STOPPING or is_out:
                 lead.state.start_refused(action.worker_id, order.task, order.run)
                 continue
             link.tell(LinkStart(order, action.fence))
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import attrs
 
@@ -36,6 +37,7 @@
     LeaderBeat,
     LeaderKnown,
     LeaderLeft,
+    LeaveLead,
     RenewLead,
     StepDown,
     StoreContact,
@@ -189,10 +191,10 @@
         if message.epoch == self._own_epoch:
             self._lose(message.reason)
 
-    async def leave(self) -> None:
-        """Give the lead up and take none any more."""
+    @handles(LeaveLead)
+    async def _leave(self, message: LeaveLead) -> Any:
         self._leaving = True
-        await self._release("the instance stops")
+        return self.spawn(self._release("the instance stops"))
 
     async def _release(self, reason: str) -> None:
         """Give the lead up, so that another instance takes it at once."""
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -213,6 +213,11 @@
     row_version: int
 
 
+@attrs.frozen
+class LeaveLead(Message[None]):
+    """Asks to give the lead up for good; answered once the store has it or failed."""
+
+
 @attrs.frozen
 class RenewLead(Message[None]):
     """Asks that the leader write that it still leads."""
--- a/marjoramgrade/platform/advice.py
+++ b/marjoramgrade/platform/advice.py
@@ -12,6 +12,7 @@
 from marjoramgrade.controllers.advising import AdvisorPort
 from marjoramgrade.errors import AdvisorError
 from marjoramgrade.messages.steps import AdvisedWorker, RequestAdvice, StepAdvice
+from marjoramgrade.platform.decoding import DECODE_FAULTS
 
 # The service answers the calls of a machine in turn and takes up to a second each.
 CALL_TIMEOUT_MS = 8_000
@@ -51,10 +52,5 @@
                 for worker_id, ticket in document["good"]
             )
             return StepAdvice(workers, int(document["validMs"]))
-        except (
-            KeyError,
-            TypeError,
-            ValueError,
-            msgspec.DecodeError,
-        ) as error:
+        except DECODE_FAULTS as error:
             raise AdvisorError(f"the advice cannot be read: {error!r}") from None
--- a/marjoramgrade/platform/configuration.py
+++ b/marjoramgrade/platform/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from marjoramgrade.errors import InvalidInputError
+from marjoramgrade.platform.decoding import DECODE_FAULTS
 from marjoramgrade.platform.workers import parse_resources
 from marjoramgrade.stepconfig import (
     AdvicePolicy,
@@ -45,13 +46,7 @@
                 int(limits.get("maxBodyBytes") or 262_144),
             ),
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        msgspec.DecodeError,
-    ) as error:
+    except DECODE_FAULTS as error:
         raise InvalidInputError(f"the configuration: {error!r}") from None
 
 
--- a/marjoramgrade/platform/workers.py
+++ b/marjoramgrade/platform/workers.py
@@ -20,6 +20,7 @@
     WorkerSilentError,
     WorkerUnreachableError,
 )
+from marjoramgrade.platform.decoding import DECODE_FAULTS
 from marjoramgrade.resources import Resources
 from marjoramgrade.stepjobs import (
     Ending,
@@ -179,7 +180,7 @@
             tuple(_report(entry) for entry in document.get("running") or ()),
             tuple(_end(entry) for entry in document.get("ended") or ()),
         )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except DECODE_FAULTS as error:
         raise InvalidInputError(f"a listing of runs: {error!r}") from None
 
 
@@ -232,13 +233,7 @@
             state == "draining",
             int(document.get("born") or 0),
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        msgspec.DecodeError,
-    ) as error:
+    except DECODE_FAULTS as error:
         raise InvalidInputError(f"the entry of {worker_id}: {error!r}") from None
 
 
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+import attrs
 import pytest
 
 from marjoramgrade.actor import Actor, handles
@@ -302,3 +303,25 @@
         await follower.stop()
 
     asyncio.run(run())
+
+
+def test_start_that_was_being_stored_does_not_reach_a_leaving_worker():
+    # Guards against a start on a worker that began to leave while the store was slow.
+    async def run():
+        async with leading() as (store, scheduler, ports):
+            while len(ports) < 2:
+                await asyncio.sleep(0.01)
+            store.mode = "down"
+            call = asyncio.ensure_future(scheduler.ask(SubmitStepJob(job("a"))))
+            await asyncio.sleep(0.1)
+            leaving = tuple(
+                attrs.evolve(worker(worker_id), draining=True)
+                for worker_id in ("w", "v")
+            )
+            scheduler.tell(WorkersListed(leaving))
+            store.mode = "ok"
+            await call
+            await asyncio.sleep(0.2)
+            assert not any(port.started for port in ports.values())
+
+    asyncio.run(run())
