End every process that the soak has started

Change: an instance is started only if the present one has ended, and all that were started are ended.

Ruled out: the kill of a run from outside; the list names the parents as gone.

--- a/soak/cell.py
+++ b/soak/cell.py
@@ -55,6 +55,7 @@
     Attributes:
         folder: Where settings and logs lie.
         rng: Decides everything.
+        started: Every process that was started, to be ended in the end.
         events: What happened, with its time.
         accepted: Ids of the jobs that were answered with success.
         refused: Ids of jobs of which every answer was a refusal.
@@ -65,6 +66,7 @@
     ports: StablePorts = attrs.field(factory=lambda: StablePorts())
     process_by_name: dict[str, Process] = attrs.field(factory=dict)
     front_by_name: dict[str, str] = attrs.field(factory=dict)
+    started: list[Process] = attrs.field(factory=list)
     events: list[str] = attrs.field(factory=list)
     accepted: dict[str, float] = attrs.field(factory=dict)
     answers: dict[str, list[int]] = attrs.field(factory=dict)
@@ -113,13 +115,17 @@
             self.start_instance(name)
 
     def start_instance(self, name: str) -> None:
-        """Start an instance, again if it has ended."""
+        """Start an instance, unless an overlapping fault has done so."""
+        current = self.process_by_name.get(name)
+        if current is not None and current.popen.poll() is None:
+            return
         module = "soak.instance"
         self._spawn(name, module, str(self.folder / f"{name}.settings"))
 
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         process = Process.spawn(name, self.folder, module, *arguments)
         self.process_by_name[name] = process
+        self.started.append(process)
 
     def _write(self, name: str, document: Any) -> None:
         (self.folder / name).write_text(json.dumps(document), encoding="utf-8")
@@ -171,7 +177,7 @@
 
     async def stop(self) -> None:
         """End every process that this soak started."""
-        for process in self.process_by_name.values():
+        for process in self.started:
             process.end()
 
 
