Acknowledge ends to the life of the worker that listed them

Cause: a worker that starts again counts its ends anew; an acknowledgement for its earlier life, delayed by a busy store, reached the next one, which forgot ends that nobody had seen, and their tasks ran a second time.

Change: an acknowledgement names the life; the link ignores those of another one.

Ruled out: a takeover; both runs have numbers of the same leadership.

--- a/marjoramgrade/controllers/lead.py
+++ b/marjoramgrade/controllers/lead.py
@@ -75,6 +75,15 @@
     status_ms: int
 
 
+@attrs.frozen
+class EndsCovered:
+    """Ends of one life of a worker up to a number."""
+
+    worker_id: str
+    born_unix_ms: int
+    number: int
+
+
 @attrs.define
 class Lead:
     """What exists only while this instance leads.
@@ -285,14 +294,14 @@
     def _save_changed(
         self,
         lead: Lead,
-        ends: tuple[str, int] | None,
+        ends: EndsCovered | None,
         starts: Sequence[StartRun] = (),
     ) -> asyncio.Task[None] | None:
         """Store the jobs that changed, then let go what waits for that.
 
         Args:
             lead: The lead.
-            ends: A worker, and the number of its last end that this covers.
+            ends: The ends of a worker that this covers, or None.
             starts: Starts of which the store must know.
 
         Returns:
@@ -315,7 +324,7 @@
         lead: Lead,
         writes: tuple[RowWrite, ...],
         states: list[tuple[JobProgress, StepJobState]],
-        ends: tuple[str, int] | None,
+        ends: EndsCovered | None,
         starts: Sequence[StartRun],
     ) -> None:
         try:
@@ -326,10 +335,9 @@
             return
         self._show_states(lead, states)
         if ends is not None:
-            worker_id, number = ends
-            link = lead.link_by_worker.get(worker_id)
+            link = lead.link_by_worker.get(ends.worker_id)
             if link is not None:
-                link.tell(LinkAcknowledge(number))
+                link.tell(LinkAcknowledge(ends.born_unix_ms, ends.number))
         if starts:
             self._send_starts(lead, starts)
 
--- a/marjoramgrade/controllers/leadreports.py
+++ b/marjoramgrade/controllers/leadreports.py
@@ -9,7 +9,7 @@
 from marjoramgrade.actor import handles
 from marjoramgrade.controllers.commits import CommitController, SaveRows
 from marjoramgrade.controllers.inheritance import Inheritance, read_inheritance
-from marjoramgrade.controllers.lead import GRANT_LIMIT_MS, Lead, LeadKeeper
+from marjoramgrade.controllers.lead import GRANT_LIMIT_MS, EndsCovered, Lead, LeadKeeper
 from marjoramgrade.decisions.advisorlines import AdvisorLines
 from marjoramgrade.decisions.stepplanning import Planner
 from marjoramgrade.decisions.stepstate import StepState
@@ -239,7 +239,12 @@
             )
         if message.listing.ended:
             self._schedule_plan(lead)
-            self._save_changed(lead, (message.worker_id, worker.last_end))
+            self._save_changed(
+                lead,
+                EndsCovered(
+                    message.worker_id, message.listing.born_unix_ms, worker.last_end
+                ),
+            )
         self._perform(lead)
         if worker.synced and not had_synced:
             self._schedule_plan(lead)
--- a/marjoramgrade/controllers/workerlink.py
+++ b/marjoramgrade/controllers/workerlink.py
@@ -106,6 +106,9 @@
 
     @handles(LinkAcknowledge)
     async def _acknowledge(self, message: LinkAcknowledge) -> None:
+        if message.born_unix_ms != self._born_unix_ms:
+            # The ends of this life have numbers of their own, which are not stored.
+            return
         if message.number > self._acknowledged:
             self._acknowledged = message.number
             self._changed.set()
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -381,8 +381,14 @@
 
 @attrs.frozen
 class LinkAcknowledge(Message[None]):
-    """Lets the worker forget ends up to a number."""
+    """Lets a life of the worker forget ends up to a number.
 
+    Attributes:
+        born_unix_ms: The life of the worker; each counts its ends anew.
+        number: The highest number that the store has.
+    """
+
+    born_unix_ms: int
     number: int
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -31,6 +31,7 @@
 
 # Seeds that failed once, each with its cause.
 REGRESSIONS = {
+    1: "ends of a worker that started again were acknowledged for its earlier life",
     20: "a connection that was closed as soon as it was made ended the process",
 }
 
