Check limits of teams in one place

Preemption had a copy of the check in TeamUsage.has_room; both call is_within now. No change of behaviour. Run: formatter, linter, mypy and the tests of both modules.

--- a/marjoramgrade/decisions/steppreemption.py
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -9,6 +9,7 @@
 from marjoramgrade.decisions.stepfleet import WorkerState
 from marjoramgrade.decisions.stepprogress import Run, RunPhase, StepProgress
 from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.decisions.teamusage import is_within
 from marjoramgrade.resources import NOTHING, Resources
 
 # An urgent step waits this long for room that becomes free by itself.
@@ -48,7 +49,7 @@
         ]
         victims = self._victims(step, runs, now_ms)
         for run in victims[:MAX_VICTIMS]:
-            if _within(missing, policy.limit):
+            if is_within(missing, policy.limit):
                 return
             missing = missing - run.step.step.resources
             self.state.stop_run(run, "makes_way_in_team")
@@ -136,14 +137,3 @@
 def _unsaved_ms(run: Run, now_ms: int) -> int:
     saved_ms = run.checkpointed_ms if run.step.step.checkpoints else 0
     return now_ms - max(saved_ms, run.running_since_ms)
-
-
-def _within(amount: Resources, limit: Resources) -> bool:
-    return all(
-        most == 0 or used <= most
-        for used, most in (
-            (amount.cpu_millis, limit.cpu_millis),
-            (amount.memory_mib, limit.memory_mib),
-            (amount.accelerators, limit.accelerators),
-        )
-    )
--- a/marjoramgrade/decisions/teamusage.py
+++ b/marjoramgrade/decisions/teamusage.py
@@ -40,14 +40,7 @@
         if policy is None:
             return True
         total = self.used_by_team.get(team, NOTHING) + amount
-        return all(
-            limit == 0 or used <= limit
-            for used, limit in (
-                (total.cpu_millis, policy.limit.cpu_millis),
-                (total.memory_mib, policy.limit.memory_mib),
-                (total.accelerators, policy.limit.accelerators),
-            )
-        )
+        return is_within(total, policy.limit)
 
     def is_beyond_weight(self, policy: TeamPolicy | None, now_ms: int) -> bool:
         """Count a job that came; returns whether it exceeds the team's weight.
@@ -65,3 +58,15 @@
             now_ms,
         )
         return exceeds
+
+
+def is_within(amount: Resources, limit: Resources) -> bool:
+    """Whether an amount is within a limit, of which 0 means none."""
+    return all(
+        most == 0 or used <= most
+        for used, most in (
+            (amount.cpu_millis, limit.cpu_millis),
+            (amount.memory_mib, limit.memory_mib),
+            (amount.accelerators, limit.accelerators),
+        )
+    )
