Keep the connections to the table service and the backend servers

Change: both clients use the pool of kept connections. The pool notices when a peer closes an idle connection, tells a timeout from a broken connection, and sends nothing when no time is left. Two tests of the pool, the first of which failed before.

--- a/marjoramgrade/adapters/backend.py
+++ b/marjoramgrade/adapters/backend.py
@@ -4,9 +4,13 @@
 
 import json
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
-
+from marjoramgrade.adapters.httppool import (
+    HttpAnswer,
+    HttpAnswerTimeoutError,
+    HttpNoAnswerError,
+    HttpNotSentError,
+    HttpPool,
+)
 from marjoramgrade.errors import (
     AnswerTimeoutError,
     BackendFailedError,
@@ -17,32 +21,29 @@
 from marjoramgrade.messages import FenceBackend, RunReply, RunRequest
 from marjoramgrade.model import Instance
 
-CONNECT_TIMEOUT_MS = 500
 FENCE_TIMEOUT_MS = 2_000
 HTTP_CONFLICT = 409
 HTTP_FAILURES = range(500, 600)
-# A backend server takes 64 connections from all entry instances together. After
-# a takeover the previous owner's connections may still be open.
-MAX_CLIENTS = 1_000
+# A backend server takes 64 connections from all entry instances together; its
+# slots bound the requests that one instance has under way.
+MAX_CONNECTIONS = 64
 
 
 class BackendClient:
-    """Sends requests to backend servers.
+    """Sends requests to backend servers over connections that it keeps.
 
     Args:
         max_answer_bytes: Largest answer that is taken.
     """
 
     def __init__(self, max_answer_bytes: int) -> None:
-        self._client = AsyncHTTPClient(
-            force_instance=True,
-            max_clients=MAX_CLIENTS,
-            max_body_size=max_answer_bytes,
-        )
+        self._max_answer_bytes = max_answer_bytes
+        self._pool_by_address: dict[str, HttpPool] = {}
 
     def close(self) -> None:
-        """Release the connections."""
-        self._client.close()
+        """Close every connection."""
+        for pool in self._pool_by_address.values():
+            pool.close()
 
     async def run(
         self, backend: Instance, epoch: int, request: RunRequest, timeout_ms: int
@@ -61,32 +62,24 @@
             "Team": request.team,
             "Deadline-Ms": str(timeout_ms),
         }
-        fetch = HTTPRequest(
-            f"http://{backend.host}:{backend.port}/run",
-            method="POST",
-            headers=headers,
-            body=request.body,
-            connect_timeout=min(CONNECT_TIMEOUT_MS, timeout_ms) / 1000,
-            request_timeout=timeout_ms / 1000,
-        )
         try:
-            response = await self._client.fetch(fetch, raise_error=False)
-        except ConnectionRefusedError as error:
-            raise NoBackendError(f"{backend.instance_id} refused: {error}") from error
-        except HTTPTimeoutError as error:
-            if "connecting" in str(error):
-                raise NoBackendError(f"{backend.instance_id}: {error}") from error
+            answer = await self._post(
+                backend, "/run", headers, request.body, timeout_ms
+            )
+        except HttpNotSentError as error:
+            raise NoBackendError(f"{backend.instance_id}: {error}") from error
+        except HttpAnswerTimeoutError as error:
             raise AnswerTimeoutError(f"{backend.instance_id}: {error}") from error
-        except (HTTPStreamClosedError, HTTPClientError, OSError) as error:
+        except HttpNoAnswerError as error:
             raise OutcomeUnknownError(f"{backend.instance_id}: {error}") from error
-        if response.code == HTTP_CONFLICT:
+        if answer.status == HTTP_CONFLICT:
             raise NotOwnerError(f"{backend.instance_id} has seen a newer epoch")
-        if response.code in HTTP_FAILURES:
+        if answer.status in HTTP_FAILURES:
             raise BackendFailedError(
-                f"{backend.instance_id} answered {response.code}",
-                status=str(response.code),
+                f"{backend.instance_id} answered {answer.status}",
+                status=str(answer.status),
             )
-        return RunReply(response.code, response.body, backend.instance_id)
+        return RunReply(answer.status, answer.body, backend.instance_id)
 
     async def fence(self, backend: Instance, epoch: int) -> FenceBackend:
         """Raise the server's epoch and return the slots in use.
@@ -95,19 +88,44 @@
             NotOwnerError: If the server has seen a newer epoch.
             NoBackendError: If the server gave no usable answer.
         """
-        fetch = HTTPRequest(
-            f"http://{backend.host}:{backend.port}/fence",
-            method="POST",
-            headers={"Epoch": str(epoch)},
-            body=b"",
-            connect_timeout=CONNECT_TIMEOUT_MS / 1000,
-            request_timeout=FENCE_TIMEOUT_MS / 1000,
-        )
         try:
-            response = await self._client.fetch(fetch, raise_error=False)
-            if response.code == HTTP_CONFLICT:
+            answer = await self._post(
+                backend, "/fence", {"Epoch": str(epoch)}, b"", FENCE_TIMEOUT_MS
+            )
+            if answer.status == HTTP_CONFLICT:
                 raise NotOwnerError(f"{backend.instance_id} has seen a newer epoch")
-            answer = json.loads(response.body)
-            return FenceBackend(int(answer["in_use"]), int(answer["slots"]))
-        except (HTTPClientError, OSError, ValueError, KeyError, TypeError) as error:
+            document = json.loads(answer.body)
+            return FenceBackend(int(document["in_use"]), int(document["slots"]))
+        except (
+            HttpNotSentError,
+            HttpNoAnswerError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
             raise NoBackendError(f"{backend.instance_id}: {error}") from error
+
+    async def _post(
+        self,
+        backend: Instance,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_ms: int,
+    ) -> HttpAnswer:
+        pool = self._pool(f"{backend.host}:{backend.port}")
+        return await pool.request(
+            "POST", path, timeout_ms=timeout_ms, body=body, headers=headers
+        )
+
+    def _pool(self, address: str) -> HttpPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            self._pool_by_address = {
+                known: kept
+                for known, kept in self._pool_by_address.items()
+                if not kept.is_empty
+            }
+            pool = HttpPool(address, MAX_CONNECTIONS, self._max_answer_bytes)
+            self._pool_by_address[address] = pool
+        return pool
--- a/marjoramgrade/adapters/httppool.py
+++ b/marjoramgrade/adapters/httppool.py
@@ -44,6 +44,10 @@
     ran = Ran.UNKNOWN
 
 
+class HttpAnswerTimeoutError(HttpNoAnswerError):
+    """No whole answer came in time; the connection did not break."""
+
+
 @attrs.frozen
 class HttpAnswer:
     """A whole answer."""
@@ -74,11 +78,6 @@
         self.is_whole = True
 
 
-_PARAMETERS = HTTP1ConnectionParameters(
-    no_keep_alive=False, max_body_size=MAX_RESPONSE_BYTES
-)
-
-
 def bound_silence(stream: IOStream, timeout_ms: int) -> None:
     """Make the kernel break a connection whose peer acknowledges nothing.
 
@@ -97,9 +96,15 @@
     Args:
         address: IP number and port.
         max_connections: Requests that may be under way at a time; others wait.
+        max_response_bytes: Largest answer that is taken; a larger one is lost.
     """
 
-    def __init__(self, address: str, max_connections: int = MAX_CONNECTIONS) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_connections: int = MAX_CONNECTIONS,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._address = address
@@ -107,9 +112,17 @@
         self._busy: set[IOStream] = set()
         self._open = 0
         self._max = max_connections
+        self._parameters = HTTP1ConnectionParameters(
+            no_keep_alive=False, max_body_size=max_response_bytes
+        )
         self._waiters: deque[asyncio.Future[None]] = deque()
         self._closed = False
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no connection and no request."""
+        return not self._idle and not self._open and not self._waiters
+
     def close(self) -> None:
         """Close every connection; requests under way fail."""
         self._closed = True
@@ -163,17 +176,34 @@
                 answer = await self._exchange(stream, method, path, body, headers)
             is_kept = answer.headers.get("Connection", "").lower() != "close"
             return answer
-        except (TimeoutError, StreamClosedError, OSError) as error:
+        except TimeoutError:
+            raise HttpAnswerTimeoutError(
+                f"{method} to {self._address} brought no answer in time"
+            ) from None
+        except (StreamClosedError, OSError) as error:
             raise HttpNoAnswerError(
                 f"{method} to {self._address} brought no answer: {error!r}"
             ) from None
         finally:
             self._busy.discard(stream)
             if is_kept and not stream.closed() and not self._closed:
-                self._idle.append(stream)
+                self._park(stream)
             else:
                 stream.close()
 
+    def _park(self, stream: IOStream) -> None:
+        """Keep a connection for the next request.
+
+        A request on a connection that its peer has closed meanwhile would have an
+        unknown outcome. The stream notices the end only while it has a callback.
+        """
+        self._idle.append(stream)
+        stream.set_close_callback(lambda: self._forget(stream))
+
+    def _forget(self, stream: IOStream) -> None:
+        if stream in self._idle:
+            self._idle.remove(stream)
+
     async def _exchange(
         self,
         stream: IOStream,
@@ -189,7 +219,7 @@
             sent["Content-Type"] = "application/json"
         if body or method in ("POST", "PUT"):
             sent["Content-Length"] = str(len(body))
-        connection = HTTP1Connection(stream, True, _PARAMETERS)
+        connection = HTTP1Connection(stream, True, self._parameters)
         start = RequestStartLine(method, path, "HTTP/1.1")
         written = connection.write_headers(start, sent, body or None)
         written.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -205,6 +235,7 @@
     async def _stream(self, deadline: float) -> IOStream:
         while self._idle:
             stream = self._idle.pop()
+            stream.set_close_callback(None)
             if not stream.closed():
                 return stream
         loop = asyncio.get_running_loop()
@@ -224,6 +255,8 @@
     async def _acquire(self, deadline: float) -> None:
         if self._closed:
             raise HttpNotSentError(f"the client of {self._address} is closed")
+        if deadline <= asyncio.get_running_loop().time():
+            raise HttpNotSentError(f"no time is left for {self._address}")
         if self._open < self._max:
             self._open += 1
             return
--- a/marjoramgrade/adapters/platform.py
+++ b/marjoramgrade/adapters/platform.py
@@ -5,12 +5,16 @@
 import json
 from collections.abc import Iterator
 from typing import Any
-from urllib.parse import urlencode
+from urllib.parse import urlencode, urlsplit
 
 import attrs
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
+from marjoramgrade.adapters.httppool import (
+    HttpAnswer,
+    HttpNoAnswerError,
+    HttpNotSentError,
+    HttpPool,
+)
 from marjoramgrade.documents import parse_instance
 from marjoramgrade.errors import (
     CheckFailedError,
@@ -22,8 +26,10 @@
 from marjoramgrade.model import Instance
 from marjoramgrade.table import Row, RowsPage, Table, Transaction
 
-CONNECT_TIMEOUT_MS = 500
 REQUEST_TIMEOUT_MS = 2_500
+# Reads of the list, of rows and of jobs run beside commits.
+MAX_CONNECTIONS = 16
+HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_NOT_MODIFIED = 304
 MAX_ANSWER_BYTES = 64 * 1_048_576
@@ -41,20 +47,19 @@
     """Sends requests to the platform in the name of one entry instance.
 
     Args:
-        base_url: URL of the platform without a trailing slash.
+        base_url: URL of the platform, `http://HOST:PORT` without a trailing slash.
         instance_id: Id of this instance, sent with each request.
     """
 
     def __init__(self, base_url: str, instance_id: str) -> None:
-        self._base_url = base_url
-        self._headers = {"Instance": instance_id, "Content-Type": "application/json"}
-        self._client = AsyncHTTPClient(
-            force_instance=True, max_clients=16, max_body_size=MAX_ANSWER_BYTES
+        self._headers = {"Instance": instance_id}
+        self._pool = HttpPool(
+            urlsplit(base_url).netloc, MAX_CONNECTIONS, MAX_ANSWER_BYTES
         )
 
     def close(self) -> None:
-        """Release the connections."""
-        self._client.close()
+        """Close the connections."""
+        self._pool.close()
 
     async def get(self, path: str) -> Any:
         """Return the JSON document at a path.
@@ -62,11 +67,7 @@
         Raises:
             TableUnavailableError: If there was no usable answer.
         """
-        try:
-            response = await self._client.fetch(self._make_request(path, None))
-            return json.loads(response.body)
-        except (HTTPClientError, OSError, ValueError) as error:
-            raise TableUnavailableError(f"no answer to {path}: {error}") from error
+        return _parse_document(path, await self._get(path, self._headers))
 
     async def get_changed(self, path: str, known_tag: str) -> Tagged | None:
         """Return the JSON document at a path unless it is the known one.
@@ -82,17 +83,12 @@
         Raises:
             TableUnavailableError: If there was no usable answer.
         """
-        request = self._make_request(path, None)
-        if known_tag:
-            request.headers["If-None-Match"] = known_tag
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-            if response.code == HTTP_NOT_MODIFIED and known_tag:
-                return None
-            response.rethrow()
-            return Tagged(json.loads(response.body), response.headers.get("Etag", ""))
-        except (HTTPClientError, OSError, ValueError) as error:
-            raise TableUnavailableError(f"no answer to {path}: {error}") from error
+        condition = {"If-None-Match": known_tag} if known_tag else {}
+        answer = await self._get(path, {**self._headers, **condition})
+        if answer.status == HTTP_NOT_MODIFIED and known_tag:
+            return None
+        document = _parse_document(path, answer)
+        return Tagged(document, answer.headers.get("Etag", ""))
 
     async def post(self, path: str, document: Any) -> tuple[int, Any]:
         """Send a JSON document and return the status and the answer.
@@ -103,27 +99,38 @@
         """
         body = json.dumps(document).encode()
         try:
-            response = await self._client.fetch(
-                self._make_request(path, body), raise_error=False
+            answer = await self._pool.request(
+                "POST",
+                path,
+                timeout_ms=REQUEST_TIMEOUT_MS,
+                body=body,
+                headers=self._headers,
             )
-        except ConnectionRefusedError as error:
-            raise TableUnavailableError(f"connection refused: {error}") from error
-        except (HTTPStreamClosedError, HTTPTimeoutError, OSError) as error:
-            raise WriteOutcomeUnknownError(f"no answer: {error}") from error
+        except HttpNotSentError as error:
+            raise TableUnavailableError(error.message) from error
+        except HttpNoAnswerError as error:
+            raise WriteOutcomeUnknownError(error.message) from error
         try:
-            return response.code, json.loads(response.body or b"{}")
+            return answer.status, json.loads(answer.body or b"{}")
         except ValueError as error:
             raise WriteOutcomeUnknownError("the answer is no JSON") from error
 
-    def _make_request(self, path: str, body: bytes | None) -> HTTPRequest:
-        return HTTPRequest(
-            self._base_url + path,
-            method="GET" if body is None else "POST",
-            headers=dict(self._headers),
-            body=body,
-            connect_timeout=CONNECT_TIMEOUT_MS / 1000,
-            request_timeout=REQUEST_TIMEOUT_MS / 1000,
-        )
+    async def _get(self, path: str, headers: dict[str, str]) -> HttpAnswer:
+        try:
+            return await self._pool.request(
+                "GET", path, timeout_ms=REQUEST_TIMEOUT_MS, headers=headers
+            )
+        except (HttpNotSentError, HttpNoAnswerError) as error:
+            raise TableUnavailableError(f"no answer to {path}: {error}") from error
+
+
+def _parse_document(path: str, answer: HttpAnswer) -> Any:
+    if answer.status != HTTP_OK:
+        raise TableUnavailableError(f"status {answer.status} to {path}")
+    try:
+        return json.loads(answer.body)
+    except ValueError as error:
+        raise TableUnavailableError(f"no JSON at {path}: {error}") from error
 
 
 class HttpTable(Table):
@@ -144,7 +151,7 @@
         )
         if status == HTTP_CONFLICT:
             raise CheckFailedError("a row has changed", answer["versions"])
-        if status != 200 or "version" not in answer:
+        if status != HTTP_OK or "version" not in answer:
             raise WriteOutcomeUnknownError(f"the table answered status {status}")
         return int(answer["version"])
 
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -30,6 +30,8 @@
 OPERATOR_SECRET = "operator-secret-of-the-stand-in-cell"
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+# Of each log, at its beginning and at its end; about one screen a process.
+LOG_LINES = 25
 
 
 @attrs.define
@@ -83,11 +85,14 @@
             await self._start()
         except BaseException:
             self.stop()
+            self._print_logs()
             raise
         return self
 
     async def __aexit__(self, *details: object) -> None:
         self.stop()
+        if details[0] is not None:
+            self._print_logs()
 
     @property
     def platform_url(self) -> str:
@@ -99,6 +104,14 @@
         for process in self.process_by_name.values():
             process.end()
 
+    def _print_logs(self) -> None:
+        """Show how the log of each process begins and ends, to trace a failure."""
+        for process in self.process_by_name.values():
+            lines = process.log.read_text(errors="replace").splitlines()
+            if len(lines) > 2 * LOG_LINES:
+                lines = [*lines[:LOG_LINES], "...", *lines[-LOG_LINES:]]
+            print(f"--- {process.name}", *lines, sep="\n")
+
     def start_entry(self, plan: EntryPlan) -> None:
         """Start an entry instance."""
         settings = {
--- a/tests/test_httppool.py
+++ b/tests/test_httppool.py
@@ -100,6 +100,38 @@
     asyncio.run(run())
 
 
+def test_idle_connection_that_its_peer_closed_is_not_used():
+    # Guards against an unknown outcome because a server closed an idle connection
+    # before the request.
+    async def run():
+        server, address, connections = await serve(answer)
+        pool = HttpPool(address)
+        await pool.request("GET", "/", timeout_ms=1_000)
+        connections[0].close()
+        await asyncio.sleep(0.05)
+        assert pool.is_empty
+        got = await pool.request("POST", "/", body=b"x", timeout_ms=1_000)
+        assert got.status == 200
+        pool.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_request_without_time_left_is_not_sent():
+    # Guards against a request that runs although its caller has given up.
+    async def run():
+        server, address, connections = await serve(answer)
+        pool = HttpPool(address)
+        with pytest.raises(HttpNotSentError):
+            await pool.request("POST", "/", body=b"x", timeout_ms=0)
+        assert not connections
+        pool.close()
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_calls_beyond_the_bound_wait_for_a_connection():
     # Guards against as many connections as calls.
     async def slow(head, writer):
