Try advisors that refused again soon after a restart

Ruled out: missing room (4.2 of 12.9 million thousandths of a processor in use), workers that were not synced (164 of 176 were).

Change: the pause begins at 250 ms and doubles to 4 s; only an instance that was silent is left alone for 4 s at once; one that registers again is tried at once; a step whose call never reached the advisor asks through another instance at once.

--- a/marjoramgrade/controllers/lead.py
+++ b/marjoramgrade/controllers/lead.py
@@ -27,6 +27,7 @@
 from marjoramgrade.decisions.stepsupervision import Supervisor
 from marjoramgrade.decisions.tickets import Ticket
 from marjoramgrade.errors import (
+    AdvisorError,
     MarjoramgradeError,
     NotOwnerError,
     ShuttingDownError,
@@ -161,7 +162,7 @@
         self._metrics = metrics
         self._config = StepConfig()
         self._evacuated: frozenset[str] = frozenset()
-        self._member_ids: tuple[str, ...] = ()
+        self._version_by_member: dict[str, int] = {}
         self._lead: Lead | None = None
         self._directory: Actor | None = None
         self._leadership: Actor | None = None
@@ -180,7 +181,7 @@
         await asyncio.sleep(PLAN_DELAY_MS / 1000)
         lead.plan_scheduled = False
         if self._lead is lead:
-            lead.planner.lines.instance_ids = self._member_ids
+            lead.planner.lines.register(self._version_by_member)
             lead.planner.plan(self._clock.now_ms(), self._clock.unix_ms())
             self._perform(lead)
 
@@ -367,6 +368,8 @@
             action.job_id, action.occurrence, action.step, action.worker_ids
         )
         advice: StepAdvice | None = None
+        is_asked = True
+        began_ms = self._clock.now_ms()
         try:
             if chosen == self._instance_id:
                 advice = await self._advisor.ask(request)
@@ -374,17 +377,21 @@
                 timeout_ms = lines.pending_ms(chosen) + ADVICE_MARGIN_MS
                 advice = await self._peers.ask(CallPeer(chosen, request, timeout_ms))
         except MarjoramgradeError as error:
-            lines.avoid(chosen, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            lines.avoid(chosen, now_ms - began_ms, now_ms)
+            is_asked = isinstance(error, AdvisorError)
             logs.state_change(
                 "advice_failed", job=action.job_id, by=chosen, code=error.code
             )
+        else:
+            lines.answered(chosen)
         finally:
             lines.ended(chosen, action.decide_ms)
         if self._lead is lead:
-            self._advised(lead, action, advice)
+            self._advised(lead, action, advice, is_asked)
 
     def _advised(
-        self, lead: Lead, action: AskAdvice, advice: StepAdvice | None
+        self, lead: Lead, action: AskAdvice, advice: StepAdvice | None, is_asked: bool
     ) -> None:
         progress = lead.state.job_by_id.get(action.job_id)
         steps = progress and progress.steps_by_occurrence.get(action.occurrence)
@@ -393,7 +400,12 @@
         now_ms = self._clock.now_ms()
         book = steps[action.step].tickets
         if advice is None:
-            book.failed(now_ms)
+            if is_asked:
+                book.failed(now_ms)
+            else:
+                # The next plan asks through another instance.
+                book.not_asked()
+                self._schedule_plan(lead)
             return
         tickets = {}
         for advised in advice.workers:
--- a/marjoramgrade/controllers/leadreports.py
+++ b/marjoramgrade/controllers/leadreports.py
@@ -180,11 +180,11 @@
 
     @handles(MembersChanged)
     async def _members_changed(self, message: MembersChanged) -> None:
-        self._member_ids = tuple(
-            member.instance_id
+        self._version_by_member = {
+            member.instance_id: member.row_version
             for member in message.members
             if member.instance_id != self._instance_id
-        )
+        }
 
     @handles(WorkersListed)
     async def _workers_listed(self, message: WorkersListed) -> None:
--- a/marjoramgrade/decisions/advisorlines.py
+++ b/marjoramgrade/decisions/advisorlines.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -15,8 +15,13 @@
 # Time that the calls of one line may take together, so that a call can still be
 # given to whichever step needs it most.
 MAX_LINE_MS = 300
-# An instance that brought no advice is not asked again for this long.
-PAUSE_MS = 4_000
+# An instance that brought no advice is not asked again for this long, twice as long
+# each time. Right after a restart the next attempt is likely to succeed.
+FIRST_PAUSE_MS = 250
+MAX_PAUSE_MS = 4_000
+# A call that took this long to fail has met silence, which costs a step its time
+# each time that it is tried; a refused or broken connection fails sooner.
+SILENCE_MS = 500
 
 
 @attrs.define
@@ -25,13 +30,14 @@
 
     Attributes:
         own_id: This instance, whose line is kept for short calls.
-        instance_ids: The other instances.
+        version_by_id: The other instances, with the version of their registration.
     """
 
     own_id: str
-    instance_ids: tuple[str, ...] = ()
+    version_by_id: Mapping[str, int] = attrs.field(factory=dict)
     _pending_by_id: dict[str, int] = attrs.field(factory=dict)
     _avoided_until_by_id: dict[str, int] = attrs.field(factory=dict)
+    _pause_by_id: dict[str, int] = attrs.field(factory=dict)
 
     def choose(self, decide_ms: int, now_ms: int) -> str | None:
         """Return the instance to make a call, or None if all have enough to do.
@@ -66,14 +72,41 @@
         """Note that a call was answered or given up."""
         self._pending_by_id[instance_id] -= decide_ms
 
-    def avoid(self, instance_id: str, now_ms: int) -> None:
-        """Make no calls through an instance for a while."""
-        self._avoided_until_by_id[instance_id] = now_ms + PAUSE_MS
+    def answered(self, instance_id: str) -> None:
+        """Note that an instance brought advice."""
+        self._pause_by_id.pop(instance_id, None)
+
+    def avoid(self, instance_id: str, took_ms: int, now_ms: int) -> None:
+        """Make no calls through an instance for a while.
+
+        Args:
+            instance_id: The instance that brought no advice.
+            took_ms: How long its call took to fail.
+            now_ms: The time.
+        """
+        pause_ms = self._pause_by_id.get(instance_id, FIRST_PAUSE_MS)
+        if took_ms >= SILENCE_MS:
+            pause_ms = MAX_PAUSE_MS
+        self._avoided_until_by_id[instance_id] = now_ms + pause_ms
+        self._pause_by_id[instance_id] = min(2 * pause_ms, MAX_PAUSE_MS)
+
+    def register(self, version_by_id: Mapping[str, int]) -> None:
+        """Take over the other instances.
+
+        Args:
+            version_by_id: Version of the registration by instance; one that has
+                changed belongs to a new process, which may answer.
+        """
+        for instance_id, version in version_by_id.items():
+            if self.version_by_id.get(instance_id) != version:
+                self._avoided_until_by_id.pop(instance_id, None)
+                self._pause_by_id.pop(instance_id, None)
+        self.version_by_id = version_by_id
 
     def _iter_usable(self, decide_ms: int, now_ms: int) -> Iterable[str]:
         others = [
             instance_id
-            for instance_id in self.instance_ids
+            for instance_id in self.version_by_id
             if now_ms >= self._avoided_until_by_id.get(instance_id, 0)
         ]
         yield from others
--- a/marjoramgrade/decisions/tickets.py
+++ b/marjoramgrade/decisions/tickets.py
@@ -84,3 +84,7 @@
         """Forget a ticket that its worker refused; the advisor is asked again."""
         self.ticket_by_worker.pop(worker_id, None)
         self.asked_workers.discard(worker_id)
+
+    def not_asked(self) -> None:
+        """Note that a call did not reach the advisor; another may follow at once."""
+        self.is_pending = False
