Give a lost write up once the store answers, and tell callers soon

Change: while a write waits, reads are sent directly every 150 ms, several at a time; once one is answered, the write counts as lost and is sent again. It is not given up while reads are slow too, and later each time.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -75,9 +75,11 @@
 # still writes: it cannot serve them.
 UNHEARD_MS = 2_500
 ASK_TIMEOUT_MS = 300
-# A leader that only others reach the store for gives the lead to one of them after
-# this long; it is no candidate for this long after that.
-RELAYED_MS = 250
+# A leader that only others have reached the store for all this time gives the lead to
+# one of them. After an outage of the whole store a relay may answer before the direct
+# way is tried again, which takes up to 400 ms.
+RELAYED_MS = 700
+# After that it is no candidate for this long.
 INELIGIBLE_MS = 3_000
 # Candidates wait a little in turn, the strongest first and of these the newest, so
 # that the first one usually is the only one; beyond the last rank all wait alike.
@@ -144,7 +146,7 @@
         self._beat_ms = 0
         self._leaving = False
         self._lost_direct_ms = 0
-        self._is_relayed = False
+        self._relayed_since_ms = 0
 
     async def on_start(self) -> None:
         """Start to follow or to lead."""
@@ -180,11 +182,12 @@
     @handles(StoreContact)
     async def _store_contact(self, message: StoreContact) -> None:
         if message.direct:
-            self._lost_direct_ms = 0
-            self._is_relayed = False
+            self._lost_direct_ms = self._relayed_since_ms = 0
             return
-        self._lost_direct_ms = self._lost_direct_ms or self._clock.now_ms()
-        self._is_relayed = self._is_relayed or message.relayed
+        now_ms = self._clock.now_ms()
+        self._lost_direct_ms = self._lost_direct_ms or now_ms
+        if message.relayed:
+            self._relayed_since_ms = self._relayed_since_ms or now_ms
 
     @handles(StepDown)
     async def _step_down(self, message: StepDown) -> None:
@@ -234,9 +237,8 @@
                 await self._consider()
 
     def _is_served_by_others(self) -> bool:
-        if not self._is_relayed or not self._lost_direct_ms:
-            return False
-        return self._clock.now_ms() - self._lost_direct_ms >= RELAYED_MS
+        since_ms = self._relayed_since_ms
+        return bool(since_ms) and self._clock.now_ms() - since_ms >= RELAYED_MS
 
     async def _lead(self) -> None:
         now_ms = self._clock.now_ms()
--- a/marjoramgrade/controllers/storegate.py
+++ b/marjoramgrade/controllers/storegate.py
@@ -24,8 +24,20 @@
 from marjoramgrade.messages.steps import StoreContact
 from marjoramgrade.steprows import MEMBERS_TABLE
 
-# While the direct way fails, it is tried aside at this interval.
+# While the direct way fails, a read is sent aside at this interval without waiting for
+# the ones before it: what was sent while the store was silent is never answered.
 PROBE_MS = 400
+# The interval while a write waits; callers come back within half a second.
+URGENT_PROBE_MS = 150
+# Reads that may be under way at a time for that; the link keeps 12 connections.
+MAX_PROBES = 6
+# A write that has not been answered for this long may have been lost. A slow store
+# takes about three times as long for a write as for a read.
+# That time doubles with each write that is given up, so that a store which needs
+# longer is not sent the same write again and again.
+OVERDUE_MS = 400
+MAX_OVERDUE_MS = 3_200
+SLOW_WRITE_FACTOR = 3
 # A relay that answers does so within the time that the store takes; a cut one is
 # given up after this.
 RELAY_TIMEOUT_MS = 800
@@ -50,6 +62,7 @@
         self._members: list[Member] = []
         self._is_direct = True
         self._relay = 0
+        self._overdue_ms = OVERDUE_MS
         self._subscribers: tuple[Actor, ...] = ()
 
     def connect(self, subscribers: tuple[Actor, ...]) -> None:
@@ -66,7 +79,7 @@
 
     @handles(CommitRows)
     async def _commit(self, message: CommitRows) -> Any:
-        return self.spawn(self._send(message, 0))
+        return self.spawn(self._send_write(message))
 
     @handles(ReadRows)
     async def _read(self, message: ReadRows) -> Any:
@@ -76,6 +89,68 @@
     async def _watch(self, message: WatchRows) -> Any:
         return self.spawn(self._send(message, message.wait_ms))
 
+    async def _send_write(self, message: CommitRows) -> Any:
+        """Write, but give a lost write up as soon as the store answers reads.
+
+        Raises:
+            WriteOutcomeUnknownError: If the write may have been made.
+        """
+        write = asyncio.ensure_future(self._send(message, 0))
+        answering = asyncio.ensure_future(self._await_answering_store())
+        try:
+            await asyncio.wait((write, answering), return_when=asyncio.FIRST_COMPLETED)
+            if not write.done():
+                self._overdue_ms = min(2 * self._overdue_ms, MAX_OVERDUE_MS)
+                self._regained_direct()
+                raise WriteOutcomeUnknownError("the store answers, but not this write")
+            self._overdue_ms = OVERDUE_MS
+            return write.result()
+        finally:
+            write.cancel()
+            answering.cancel()
+
+    async def _await_answering_store(self) -> None:
+        """Return once a write that was just sent must be taken for lost."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await asyncio.sleep(self._overdue_ms / 1000)
+        took_s = await self._first_answer_s(URGENT_PROBE_MS)
+        lost_s = self._overdue_ms / 1000 + SLOW_WRITE_FACTOR * took_s
+        await asyncio.sleep(max(0.0, began_s + lost_s - loop.time()))
+
+    async def _first_answer_s(self, interval_ms: int) -> float:
+        """Read directly until the store answers; returns how long it took."""
+        loop = asyncio.get_running_loop()
+        probes: set[asyncio.Task[float | None]] = set()
+        try:
+            while True:
+                next_s = loop.time() + interval_ms / 1000
+                if len(probes) < MAX_PROBES:
+                    probes.add(asyncio.ensure_future(self._probe_s()))
+                done, probes = await asyncio.wait(
+                    probes,
+                    timeout=interval_ms / 1000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for probe in done:
+                    took_s = probe.result()
+                    if took_s is not None:
+                        return took_s
+                await asyncio.sleep(max(0.0, next_s - loop.time()))
+        finally:
+            for probe in probes:
+                probe.cancel()
+
+    async def _probe_s(self) -> float | None:
+        """Read a row directly; returns how long it took, None without an answer."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        try:
+            await self._link.ask(ReadRows(MEMBERS_TABLE, "", limit=1))
+        except TableError:
+            return None
+        return loop.time() - began_s
+
     async def _send(self, message: Message[Any], wait_ms: int) -> Any:
         if self._is_direct:
             try:
@@ -123,14 +198,15 @@
 
     async def _probe(self) -> None:
         while not self._is_direct:
-            try:
-                await self._link.ask(ReadRows(MEMBERS_TABLE, "", limit=1))
-            except TableError:
-                await asyncio.sleep(PROBE_MS / 1000)
-                continue
-            self._is_direct = True
-            logs.state_change("store_regained")
-            self._tell(StoreContact(True, False))
+            await self._first_answer_s(PROBE_MS)
+            self._regained_direct()
+
+    def _regained_direct(self) -> None:
+        if self._is_direct:
+            return
+        self._is_direct = True
+        logs.state_change("store_regained")
+        self._tell(StoreContact(True, False))
 
     def _tell(self, message: Message[None]) -> None:
         for subscriber in self._subscribers:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -212,6 +212,24 @@
     asyncio.run(run())
 
 
+def test_leader_keeps_the_lead_when_a_relay_answers_first_after_an_outage():
+    # Guards against a hand-over, 0.8 s without a leader, because the first answer after
+    # an outage of the whole store came through a relay (kbwb-arrears trouble-3).
+    async def run():
+        store = MemoryRows()
+        async with instance(store) as (leadership, recorder):
+            await until(lambda: took(recorder, 1))
+            leadership.tell(StoreContact(False, False))
+            await asyncio.sleep(0.5)
+            leadership.tell(StoreContact(False, True))
+            await asyncio.sleep(0.4)
+            leadership.tell(StoreContact(True, False))
+            await asyncio.sleep(0.5)
+            assert LeaderLeft(1) not in recorder.heard
+
+    asyncio.run(run())
+
+
 def test_strongest_instance_takes_the_lead_first():
     # Guards against a leader with a slow link while there are better ones.
     async def run():
--- a/tests/test_storegate.py
+++ b/tests/test_storegate.py
@@ -32,10 +32,13 @@
         self.store = store
         self.error_by_id = error_by_id
         self.asked = []
+        self.answer_later = None
 
     @handles(CallPeer)
     async def _call(self, message: CallPeer) -> object:
         self.asked.append(message.instance_id)
+        if self.answer_later is not None:
+            return self.answer_later
         error = self.error_by_id.get(message.instance_id)
         if error is not None:
             raise error
@@ -126,3 +129,74 @@
                 await gate.ask(WRITE)
 
     asyncio.run(run())
+
+
+def test_write_lost_in_a_silent_store_is_given_up_once_it_answers_again():
+    # Guards against a leader that waits for a lost answer while the store is back:
+    # callers used up their returns in that half second (grown kbwb-arrears trouble-1).
+    async def run():
+        errors = {n: OutcomeUnknownError("silent") for n in ("b", "c", "d")}
+        async with gate_to("hang", **errors) as (gate, link, _):
+            loop = asyncio.get_running_loop()
+            write = asyncio.ensure_future(gate.ask(WRITE))
+            await asyncio.sleep(0.6)
+            assert not write.done()
+            link.mode = "ok"
+            back_s = loop.time()
+            with pytest.raises(WriteOutcomeUnknownError):
+                await write
+            assert loop.time() - back_s < 0.3
+            await gate.ask(WRITE)
+            assert ROW in link.rows
+
+    asyncio.run(run())
+
+
+def test_relay_is_not_waited_for_once_the_store_answers_again():
+    # Guards against a write that waits for a relay which asked a silent store.
+    async def run():
+        async with gate_to("down") as (gate, link, relays):
+            silent = asyncio.get_running_loop().create_future()
+            relays.answer_later = silent
+            write = asyncio.ensure_future(gate.ask(WRITE))
+            await asyncio.sleep(0.1)
+            link.mode = "ok"
+            with pytest.raises(WriteOutcomeUnknownError):
+                await write
+            await gate.ask(WRITE)
+            assert ROW in link.rows
+            silent.cancel()
+
+    asyncio.run(run())
+
+
+def test_slow_write_is_not_given_up_while_reads_are_slow_too():
+    # Guards against sending a slow store the same write again and again.
+    class SlowRows(MemoryRows):
+        def handle_slowly(self, seconds, message):
+            async def work():
+                await asyncio.sleep(seconds)
+                return self.apply(message)
+
+            return self.spawn(work())
+
+        @handles(CommitRows)
+        async def _commit(self, message: CommitRows) -> object:
+            self.commits += 1
+            return self.handle_slowly(0.85, message)
+
+        @handles(ReadRows)
+        async def _read(self, message: ReadRows) -> object:
+            return self.handle_slowly(0.28, CommitRows((), ()))
+
+    async def run():
+        link = SlowRows()
+        gate = StoreGate("own", link, Relays(MemoryRows(), {}))
+        async with contextlib.AsyncExitStack() as stack:
+            for actor in (link, gate):
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+            await gate.ask(WRITE)
+            assert link.commits == 1
+
+    asyncio.run(run())
