Load only the messages that a process uses

Cause: an instance on the platform took as long to import its modules as the platform takes to restart it, and a sixth of that were messages and encodings of the earlier request path: the package of messages imported all of them, and so did the codec between instances. Callers are refused connections meanwhile.

Change: modules import the messages they use from the module that holds them; the codec keeps frames and registry, and two modules register the encodings of the earlier path and of jobs of steps. Seven messages whose structs have the fields of the attrs class are no longer spelled out twice.

--- a/marjoramgrade/adapters/backend.py
+++ b/marjoramgrade/adapters/backend.py
@@ -18,7 +18,7 @@
     NotOwnerError,
     OutcomeUnknownError,
 )
-from marjoramgrade.messages import FenceBackend, RunReply, RunRequest
+from marjoramgrade.messages.requests import FenceBackend, RunReply, RunRequest
 from marjoramgrade.model import Instance
 
 FENCE_TIMEOUT_MS = 2_000
--- a/marjoramgrade/adapters/httpresources.py
+++ b/marjoramgrade/adapters/httpresources.py
@@ -8,11 +8,29 @@
 
 import attrs
 
-from marjoramgrade import documents, jsontext, messages
+from marjoramgrade import documents, jsontext
 from marjoramgrade.actor import Message
 from marjoramgrade.controllers.instances import GetInstances
 from marjoramgrade.decisions.versions import resource_version
 from marjoramgrade.errors import InvalidInputError, NotFoundError
+from marjoramgrade.messages.configuration import (
+    ChangeConfig,
+    ConfigConfirmed,
+    GetConfig,
+    GrantKey,
+    KeyGranted,
+)
+from marjoramgrade.messages.jobs import (
+    CancelJob,
+    GetJob,
+    GetTasks,
+    ListJobs,
+    StoredJob,
+    SubmitJob,
+    TaskStatus,
+)
+from marjoramgrade.messages.requests import RunReply, RunRequest
+from marjoramgrade.messages.routing import GetSummaries, Summaries
 from marjoramgrade.model import (
     Config,
     Instance,
@@ -118,17 +136,17 @@
 # Requests
 
 
-def _show_run(call: HttpCall, reply: messages.RunReply) -> HttpAnswer:
+def _show_run(call: HttpCall, reply: RunReply) -> HttpAnswer:
     headers = {"Ran": "yes", "Backend": reply.backend_id}
     return HttpAnswer(reply.status, reply.body, headers)
 
 
 @operation("POST", rf"/v1/run/{NAME}", _show_run)
-def _parse_run(call: HttpCall) -> messages.RunRequest:
+def _parse_run(call: HttpCall) -> RunRequest:
     text = call.headers.get("Idempotent", "false")
     if text not in ("true", "false"):
         raise InvalidInputError("Idempotent must be true or false")
-    return messages.RunRequest(
+    return RunRequest(
         request_id=call.request_id,
         service=call.arguments[0],
         team="",
@@ -142,16 +160,16 @@
 # Jobs
 
 
-def _show_job(call: HttpCall, stored: messages.StoredJob) -> HttpAnswer:
+def _show_job(call: HttpCall, stored: StoredJob) -> HttpAnswer:
     document = {**documents.serialize_job(stored.job), "version": stored.version}
     return _json(document, version=stored.version)
 
 
-def _show_accepted(call: HttpCall, stored: messages.StoredJob) -> HttpAnswer:
+def _show_accepted(call: HttpCall, stored: StoredJob) -> HttpAnswer:
     return attrs.evolve(_show_job(call, stored), status=201)
 
 
-def _show_jobs(call: HttpCall, jobs: tuple[messages.StoredJob, ...]) -> HttpAnswer:
+def _show_jobs(call: HttpCall, jobs: tuple[StoredJob, ...]) -> HttpAnswer:
     items = [
         {**documents.serialize_job(stored.job), "version": stored.version}
         for stored in jobs
@@ -160,7 +178,7 @@
     return _json({"version": version, "items": items})
 
 
-def _show_tasks(call: HttpCall, tasks: tuple[messages.TaskStatus, ...]) -> HttpAnswer:
+def _show_tasks(call: HttpCall, tasks: tuple[TaskStatus, ...]) -> HttpAnswer:
     items = [
         {
             "task": str(status.task),
@@ -174,33 +192,33 @@
 
 
 @operation("POST", r"/v1/jobs", _show_accepted)
-def _parse_submit(call: HttpCall) -> messages.SubmitJob:
+def _parse_submit(call: HttpCall) -> SubmitJob:
     document = call.document()
     if not isinstance(document, dict) or set(document) - {"job_id", "spec"}:
         raise InvalidInputError("the body must hold only job_id and spec")
     job_id = document.get("job_id", uuid.uuid4().hex)
     spec = documents.parse_job_spec(document.get("spec"))
-    return messages.SubmitJob(documents.parse_job_id(job_id), spec)
+    return SubmitJob(documents.parse_job_id(job_id), spec)
 
 
 @operation("GET", r"/v1/jobs", _show_jobs)
-def _parse_list(call: HttpCall) -> messages.ListJobs:
-    return messages.ListJobs()
+def _parse_list(call: HttpCall) -> ListJobs:
+    return ListJobs()
 
 
 @operation("GET", rf"/v1/jobs/{NAME}", _show_job)
-def _parse_get_job(call: HttpCall) -> messages.GetJob:
-    return messages.GetJob(call.arguments[0])
+def _parse_get_job(call: HttpCall) -> GetJob:
+    return GetJob(call.arguments[0])
 
 
 @operation("DELETE", rf"/v1/jobs/{NAME}", _show_job)
-def _parse_cancel(call: HttpCall) -> messages.CancelJob:
-    return messages.CancelJob(call.arguments[0])
+def _parse_cancel(call: HttpCall) -> CancelJob:
+    return CancelJob(call.arguments[0])
 
 
 @operation("GET", rf"/v1/jobs/{NAME}/tasks", _show_tasks)
-def _parse_tasks(call: HttpCall) -> messages.GetTasks:
-    return messages.GetTasks("", call.arguments[0])
+def _parse_tasks(call: HttpCall) -> GetTasks:
+    return GetTasks("", call.arguments[0])
 
 
 # Configuration
@@ -254,13 +272,13 @@
 def _register_config_kind(kind: ConfigKind) -> None:
     """Register the operations that all types of configuration share."""
 
-    def show_all(call: HttpCall, confirmed: messages.ConfigConfirmed) -> HttpAnswer:
+    def show_all(call: HttpCall, confirmed: ConfigConfirmed) -> HttpAnswer:
         by_name = kind.find(confirmed.config)
         items = [kind.serialize(by_name[name]) for name in sorted(by_name)]
         version = confirmed.config.version
         return _json({"version": version, "items": items}, version=version)
 
-    def show_one(call: HttpCall, confirmed: messages.ConfigConfirmed) -> HttpAnswer:
+    def show_one(call: HttpCall, confirmed: ConfigConfirmed) -> HttpAnswer:
         name = call.arguments[0]
         found = kind.find(confirmed.config).get(name)
         if found is None:
@@ -279,21 +297,19 @@
             version = resource_version(config, kind.kind, name)
         return _json({**document, "version": config.version}, version=version)
 
-    def parse_get(call: HttpCall) -> messages.GetConfig:
-        return messages.GetConfig()
+    def parse_get(call: HttpCall) -> GetConfig:
+        return GetConfig()
 
-    def parse_put(call: HttpCall) -> messages.ChangeConfig:
+    def parse_put(call: HttpCall) -> ChangeConfig:
         name = call.arguments[0]
         document = call.document()
         if not isinstance(document, dict) or document.get("name", name) != name:
             raise InvalidInputError("the name in the body differs from the path")
         value = kind.parse({**document, "name": name})
-        return messages.ChangeConfig(kind.kind, name, value, call.expected_version())
+        return ChangeConfig(kind.kind, name, value, call.expected_version())
 
-    def parse_delete(call: HttpCall) -> messages.ChangeConfig:
-        return messages.ChangeConfig(
-            kind.kind, call.arguments[0], None, call.expected_version()
-        )
+    def parse_delete(call: HttpCall) -> ChangeConfig:
+        return ChangeConfig(kind.kind, call.arguments[0], None, call.expected_version())
 
     one = rf"/v1/{kind.kind}/{NAME}"
     operation("GET", rf"/v1/{kind.kind}", show_all)(parse_get)
@@ -307,26 +323,26 @@
     _register_config_kind(_kind)
 
 
-def _show_granted(call: HttpCall, granted: messages.KeyGranted) -> HttpAnswer:
+def _show_granted(call: HttpCall, granted: KeyGranted) -> HttpAnswer:
     document = documents.serialize_key_summary(granted.key)
     return _json({**document, "secret": granted.secret}, version=granted.version)
 
 
 @operation("PUT", rf"/v1/keys/{NAME}", _show_granted)
-def _parse_grant_key(call: HttpCall) -> messages.GrantKey:
+def _parse_grant_key(call: HttpCall) -> GrantKey:
     document = call.document()
     if not isinstance(document, dict) or set(document) - {"name", "team"}:
         raise InvalidInputError("the body must hold only the team")
     secret = generate_secret()
     key = Key.from_secret(call.arguments[0], str(document.get("team", "")), secret)
     checked = documents.parse_key(documents.serialize_key(key))
-    return messages.GrantKey(checked, secret, call.expected_version())
+    return GrantKey(checked, secret, call.expected_version())
 
 
 # Load and state
 
 
-def _show_summaries(call: HttpCall, summaries: messages.Summaries) -> HttpAnswer:
+def _show_summaries(call: HttpCall, summaries: Summaries) -> HttpAnswer:
     shards: dict[str, dict[str, Any]] = {}
     for tasks in summaries.tasks:
         shards[tasks.shard] = {
@@ -361,8 +377,8 @@
 
 
 @operation("GET", r"/v1/status", _show_summaries)
-def _parse_status(call: HttpCall) -> messages.GetSummaries:
-    return messages.GetSummaries()
+def _parse_status(call: HttpCall) -> GetSummaries:
+    return GetSummaries()
 
 
 def _show_instances(instance_kind: InstanceKind) -> Serialize:
--- a/marjoramgrade/adapters/peer.capnp
+++ b/marjoramgrade/adapters/peer.capnp
@@ -1,6 +1,6 @@
 @0xd5b6f9a3c1e84027;
 # Frames between entry instances. Field names are those of the attrs classes in
-# messages.py; the codec maps one to the other by name.
+# messages/; the codec maps one to the other by name.
 
 struct Resources {
   cpuMillis @0 :Int64;
--- a/marjoramgrade/adapters/peercodec.py
+++ b/marjoramgrade/adapters/peercodec.py
@@ -1,7 +1,8 @@
-"""Encoding of messages between entry instances as Cap'n Proto frames.
+"""Frames between entry instances, encoded as Cap'n Proto.
 
 Each message type has one encoder and one decoder, registered by decorators
-under the name of its field in the frame's union.
+under the name of its field in the frame's union; `peermessages` and `stepmessages`
+register theirs.
 """
 
 from __future__ import annotations
@@ -15,11 +16,7 @@
 from cattrs import Converter
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 
-from marjoramgrade import errors, messages
-from marjoramgrade.decisions.promises import PromiseReply, PromiseRequest, Refusal
-from marjoramgrade.messages import rows, steps
-from marjoramgrade.model import TaskId
-from marjoramgrade.resources import Resources
+from marjoramgrade import errors
 
 MAX_FRAME_BYTES = 4 * 1_048_576
 # Traversal limit of one frame in words; bounds the work of a hostile frame.
@@ -119,19 +116,6 @@
         raise errors.ProtocolError(f"invalid frame: {error}") from error
 
 
-def _parse_resources(data: Any) -> Resources:
-    return Resources(data.cpuMillis, data.memoryMib, data.accelerators, data.slots)
-
-
-def _serialize_resources(resources: Resources) -> dict[str, int]:
-    return {
-        "cpuMillis": resources.cpu_millis,
-        "memoryMib": resources.memory_mib,
-        "accelerators": resources.accelerators,
-        "slots": resources.slots,
-    }
-
-
 @encodes(Hello, "hello", Hello)
 def _serialize_hello(hello: Hello) -> str:
     return hello.instance_id
@@ -142,185 +126,6 @@
     return None
 
 
-def _parse_job_assigned(data: Any) -> messages.JobAssigned:
-    return messages.JobAssigned(data.jobId, data.shard)
-
-
-@encodes(messages.JobAssigned, "jobAssigned", _parse_job_assigned)
-def _serialize_job_assigned(message: messages.JobAssigned) -> dict[str, str]:
-    return {"jobId": message.job_id, "shard": message.shard}
-
-
-@encodes(messages.ConfigPushed, "configPushed", messages.ConfigPushed)
-def _serialize_config_pushed(message: messages.ConfigPushed) -> int:
-    return message.version
-
-
-def _parse_run_request(data: Any) -> messages.RunRequest:
-    return messages.RunRequest(
-        request_id=data.requestId,
-        service=data.service,
-        team=data.team,
-        key_name=data.keyName,
-        body=bytes(data.body),
-        remaining_ms=data.remainingMs,
-        idempotent=data.idempotent,
-        shard=data.shard,
-    )
-
-
-@encodes(messages.RunRequest, "runRequest", _parse_run_request)
-def _serialize_run_request(message: messages.RunRequest) -> dict[str, Any]:
-    return {
-        "requestId": message.request_id,
-        "service": message.service,
-        "team": message.team,
-        "keyName": message.key_name,
-        "body": message.body,
-        "remainingMs": message.remaining_ms,
-        "idempotent": message.idempotent,
-        "shard": message.shard,
-    }
-
-
-def _parse_run_reply(data: Any) -> messages.RunReply:
-    return messages.RunReply(data.status, bytes(data.body), data.backendId)
-
-
-@encodes(messages.RunReply, "runReply", _parse_run_reply)
-def _serialize_run_reply(reply: messages.RunReply) -> dict[str, Any]:
-    return {
-        "status": reply.status,
-        "body": reply.body,
-        "backendId": reply.backend_id,
-    }
-
-
-def _parse_dispatch_summary(data: Any) -> messages.DispatchSummary:
-    free = {entry.service: entry.free for entry in data.freeSlots}
-    return messages.DispatchSummary(
-        data.shard, data.owner, data.epoch, free, data.queued
-    )
-
-
-@encodes(messages.DispatchSummary, "dispatchSummary", _parse_dispatch_summary)
-def _serialize_dispatch_summary(summary: messages.DispatchSummary) -> dict[str, Any]:
-    return {
-        "shard": summary.shard,
-        "owner": summary.owner,
-        "epoch": summary.epoch,
-        "freeSlots": [
-            {"service": service, "free": free}
-            for service, free in summary.free_slots_by_service.items()
-        ],
-        "queued": summary.queued,
-    }
-
-
-def _parse_task_summary(data: Any) -> messages.TaskSummary:
-    return messages.TaskSummary(
-        data.shard,
-        data.owner,
-        data.epoch,
-        _parse_resources(data.total),
-        _parse_resources(data.free),
-        data.queued,
-    )
-
-
-@encodes(messages.TaskSummary, "taskSummary", _parse_task_summary)
-def _serialize_task_summary(summary: messages.TaskSummary) -> dict[str, Any]:
-    return {
-        "shard": summary.shard,
-        "owner": summary.owner,
-        "epoch": summary.epoch,
-        "total": _serialize_resources(summary.total),
-        "free": _serialize_resources(summary.free),
-        "queued": summary.queued,
-    }
-
-
-def _parse_instance_summary(data: Any) -> messages.InstanceSummary:
-    return messages.InstanceSummary(data.instanceId, data.zone, data.configVersion)
-
-
-@encodes(messages.InstanceSummary, "instanceSummary", _parse_instance_summary)
-def _serialize_instance_summary(summary: messages.InstanceSummary) -> dict[str, Any]:
-    return {
-        "instanceId": summary.instance_id,
-        "zone": summary.zone,
-        "configVersion": summary.config_version,
-    }
-
-
-def _parse_get_tasks(data: Any) -> messages.GetTasks:
-    return messages.GetTasks(data.shard, data.jobId)
-
-
-@encodes(messages.GetTasks, "getTasks", _parse_get_tasks)
-def _serialize_get_tasks(message: messages.GetTasks) -> dict[str, str]:
-    return {"shard": message.shard, "jobId": message.job_id}
-
-
-def _parse_tasks(data: Any) -> tuple[messages.TaskStatus, ...]:
-    return tuple(
-        messages.TaskStatus(
-            TaskId(entry.jobId, entry.index), entry.state, entry.reason, entry.workerId
-        )
-        for entry in data
-    )
-
-
-@encodes(tuple, "tasks", _parse_tasks)
-def _serialize_tasks(tasks: tuple[messages.TaskStatus, ...]) -> list[dict[str, Any]]:
-    return [
-        {
-            "jobId": status.task.job_id,
-            "index": status.task.index,
-            "state": status.state,
-            "reason": status.reason,
-            "workerId": status.worker_id,
-        }
-        for status in tasks
-    ]
-
-
-def _parse_attest(data: Any) -> messages.Attest:
-    request = PromiseRequest(data.scope, frozenset(data.members))
-    return messages.Attest(request)
-
-
-@encodes(messages.Attest, "attest", _parse_attest)
-def _serialize_attest(message: messages.Attest) -> dict[str, Any]:
-    request = message.request
-    return {"scope": request.scope, "members": sorted(request.members)}
-
-
-def _parse_promise_reply(data: Any) -> PromiseReply:
-    refusal = Refusal(data.refusal) if data.refusal else None
-    return PromiseReply(refusal, data.configVersion)
-
-
-@encodes(PromiseReply, "promiseReply", _parse_promise_reply)
-def _serialize_promise_reply(reply: PromiseReply) -> dict[str, Any]:
-    refusal = "" if reply.refusal is None else reply.refusal.value
-    return {"refusal": refusal, "configVersion": reply.config_version}
-
-
-def _parse_newcomer(data: Any) -> messages.AcknowledgeNewcomer:
-    return messages.AcknowledgeNewcomer(data.instanceId, data.zone)
-
-
-@encodes(messages.AcknowledgeNewcomer, "acknowledgeNewcomer", _parse_newcomer)
-def _serialize_newcomer(message: messages.AcknowledgeNewcomer) -> dict[str, str]:
-    return {"instanceId": message.instance_id, "zone": message.zone}
-
-
-@encodes(messages.Acknowledged, "acknowledged", messages.Acknowledged)
-def _serialize_acknowledged(reply: messages.Acknowledged) -> bool:
-    return reply.is_acknowledged
-
-
 def _parse_failure(data: Any) -> errors.MarjoramgradeError:
     details = {entry.name: entry.value for entry in data.details}
     return errors.from_code(data.code, data.message, details)
@@ -360,55 +165,20 @@
     return first + "".join(word.capitalize() for word in rest)
 
 
-_converter = _make_converter()
+converter = _make_converter()
 
 
-def encode_by_fields(message_type: type, field: str) -> None:
+def encode_by_fields(message_type: type) -> None:
     """Register a message type whose struct has the fields of the attrs class.
 
     Args:
-        message_type: The attrs class.
-        field: Name of the member of the frame's union.
+        message_type: The attrs class; the member of the frame's union has its name.
     """
     attrs.resolve_types(message_type)
+    name = message_type.__name__
+    field = name[0].lower() + name[1:]
 
     def decode(data: Any) -> Any:
-        return _converter.structure(data.to_dict(verbose=True), message_type)
-
-    encodes(message_type, field, decode)(_converter.unstructure)
-
-
-for _message_type in (
-    rows.CommitRows,
-    rows.RowsCommitted,
-    rows.ReadRows,
-    rows.WatchRows,
-    rows.RowsPage,
-    steps.SubmitStepJob,
-    steps.StepJobAccepted,
-    steps.GetStepJob,
-    steps.CancelStepJob,
-    steps.StepJobShown,
-    steps.CountPending,
-    steps.PendingCount,
-    steps.LeaderBeat,
-    steps.LeaderLeft,
-    steps.AskLeaderAge,
-    steps.LeaderAge,
-    steps.StepAdvice,
-    steps.RequestAdvice,
-):
-    _name = _message_type.__name__
-    encode_by_fields(_message_type, _name[0].lower() + _name[1:])
-
-
-def _parse_rows_differ(data: Any) -> errors.RowCheckFailedError:
-    page = _converter.structure(
-        {"rows": data.to_dict(verbose=True)["rows"], "version": 0}, rows.RowsPage
-    )
-    return errors.RowCheckFailedError("a row has changed", page.rows)
-
-
-@encodes(errors.RowCheckFailedError, "rowsDiffer", _parse_rows_differ)
-def _serialize_rows_differ(error: errors.RowCheckFailedError) -> dict[str, Any]:
-    return {"rows": _converter.unstructure(error.rows)}
+        return converter.structure(data.to_dict(verbose=True), message_type)
+
+    encodes(message_type, field, decode)(converter.unstructure)
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -34,7 +34,7 @@
     OwnerUnreachableError,
     ProtocolError,
 )
-from marjoramgrade.messages import Inbound, Member, PeerCall, PeerTell
+from marjoramgrade.messages.peers import Inbound, Member, PeerCall, PeerTell
 
 CONNECT_TIMEOUT_MS = 1_000
 # Bytes that may wait in one connection before further calls are refused.
--- /dev/null
+++ b/marjoramgrade/adapters/stepmessages.py
@@ -0,0 +1,43 @@
+"""Encodings of the messages about jobs of steps and the rows that hold them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from marjoramgrade import errors
+from marjoramgrade.adapters.peercodec import converter, encode_by_fields, encodes
+from marjoramgrade.messages import rows, steps
+
+for _message_type in (
+    rows.CommitRows,
+    rows.RowsCommitted,
+    rows.ReadRows,
+    rows.WatchRows,
+    rows.RowsPage,
+    steps.SubmitStepJob,
+    steps.StepJobAccepted,
+    steps.GetStepJob,
+    steps.CancelStepJob,
+    steps.StepJobShown,
+    steps.CountPending,
+    steps.PendingCount,
+    steps.LeaderBeat,
+    steps.LeaderLeft,
+    steps.AskLeaderAge,
+    steps.LeaderAge,
+    steps.StepAdvice,
+    steps.RequestAdvice,
+):
+    encode_by_fields(_message_type)
+
+
+def _parse_rows_differ(data: Any) -> errors.RowCheckFailedError:
+    page = converter.structure(
+        {"rows": data.to_dict(verbose=True)["rows"], "version": 0}, rows.RowsPage
+    )
+    return errors.RowCheckFailedError("a row has changed", page.rows)
+
+
+@encodes(errors.RowCheckFailedError, "rowsDiffer", _parse_rows_differ)
+def _serialize_rows_differ(error: errors.RowCheckFailedError) -> dict[str, Any]:
+    return {"rows": converter.unstructure(error.rows)}
--- a/marjoramgrade/adapters/workerlink.py
+++ b/marjoramgrade/adapters/workerlink.py
@@ -17,7 +17,7 @@
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.documents import serialize_resources
 from marjoramgrade.errors import ProtocolError, ShuttingDownError
-from marjoramgrade.messages import (
+from marjoramgrade.messages.workers import (
     TaskEnd,
     TaskRun,
     TaskStart,
--- a/marjoramgrade/composition.py
+++ b/marjoramgrade/composition.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+import marjoramgrade.adapters.peermessages  # noqa: F401 (registers encodings)
 from marjoramgrade.actor import Actor
 from marjoramgrade.adapters.backend import BackendClient
 from marjoramgrade.adapters.peerlink import PeerLink
@@ -25,7 +26,7 @@
 from marjoramgrade.controllers.routes import RoutesController
 from marjoramgrade.controllers.shard import ShardController
 from marjoramgrade.controllers.watch import WatchController
-from marjoramgrade.messages import Member
+from marjoramgrade.messages.peers import Member
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import Instance
 from marjoramgrade.settings import EntrySettings
--- a/marjoramgrade/controllers/authority.py
+++ b/marjoramgrade/controllers/authority.py
@@ -19,19 +19,17 @@
 )
 from marjoramgrade.errors import MarjoramgradeError, StaleAuthorityError
 from marjoramgrade.logs import state_change
-from marjoramgrade.messages import (
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged
+from marjoramgrade.messages.promises import (
     Acknowledged,
     AcknowledgeNewcomer,
     Attest,
     BeginWrite,
-    CallPeer,
     ConfigAttested,
-    ConfigConfirmed,
     EndWrite,
     MayTakeShard,
-    Member,
     MemberReplaced,
-    MembersChanged,
     OwnershipAttested,
     ShardDropped,
     ShardHeld,
--- a/marjoramgrade/controllers/config.py
+++ b/marjoramgrade/controllers/config.py
@@ -27,18 +27,20 @@
     WriteOutcomeUnknownError,
 )
 from marjoramgrade.logs import state_change
-from marjoramgrade.messages import (
-    BeginWrite,
+from marjoramgrade.messages.configuration import (
     ChangeConfig,
-    ConfigAttested,
     ConfigConfirmed,
     ConfigPushed,
-    EndWrite,
     GetConfig,
     GrantKey,
     KeyGranted,
+)
+from marjoramgrade.messages.peers import TellPeers
+from marjoramgrade.messages.promises import (
+    BeginWrite,
+    ConfigAttested,
+    EndWrite,
     TableContact,
-    TellPeers,
 )
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import Config
--- a/marjoramgrade/controllers/desk.py
+++ b/marjoramgrade/controllers/desk.py
@@ -25,7 +25,7 @@
     TableError,
     TableRefusedError,
 )
-from marjoramgrade.messages import CallPeer
+from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.rows import ReadRows, RowsPage
 from marjoramgrade.messages.steps import (
     CancelStepJob,
--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -28,17 +28,12 @@
     TableError,
     UnauthenticatedError,
 )
-from marjoramgrade.messages import (
-    ConfigConfirmed,
-    DispatchSummary,
-    DrainRequests,
-    FenceBackend,
-    InstancesChanged,
-    OwnershipChanged,
-    RecordRequest,
-    RunReply,
-    RunRequest,
-)
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.jobs import RecordRequest
+from marjoramgrade.messages.ownership import DrainRequests, OwnershipChanged
+from marjoramgrade.messages.peers import InstancesChanged
+from marjoramgrade.messages.requests import FenceBackend, RunReply, RunRequest
+from marjoramgrade.messages.routing import DispatchSummary
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import Config, Instance, InstanceKind
 from marjoramgrade.resources import Resources
--- a/marjoramgrade/controllers/inbound.py
+++ b/marjoramgrade/controllers/inbound.py
@@ -7,18 +7,12 @@
 
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.errors import NotOwnerError, ProtocolError
-from marjoramgrade.messages import (
-    AcknowledgeNewcomer,
-    Attest,
-    ConfigPushed,
-    DispatchSummary,
-    GetTasks,
-    Inbound,
-    InstanceSummary,
-    JobAssigned,
-    RunRequest,
-    TaskSummary,
-)
+from marjoramgrade.messages.configuration import ConfigPushed
+from marjoramgrade.messages.jobs import GetTasks, JobAssigned
+from marjoramgrade.messages.peers import Inbound
+from marjoramgrade.messages.promises import AcknowledgeNewcomer, Attest
+from marjoramgrade.messages.requests import RunRequest
+from marjoramgrade.messages.routing import DispatchSummary, InstanceSummary, TaskSummary
 
 
 class InboundController(Actor):
--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -23,22 +23,21 @@
     TableUnavailableError,
     WriteOutcomeUnknownError,
 )
-from marjoramgrade.messages import (
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.jobs import (
     CancelJob,
-    ChooseShard,
-    ConfigConfirmed,
     GetJob,
     GetTasks,
-    InstancesChanged,
     JobAssigned,
     JobsChanged,
     ListJobs,
     StoredJob,
     SubmitJob,
     TaskStatus,
-    TellPeers,
     WriteJob,
 )
+from marjoramgrade.messages.peers import InstancesChanged, TellPeers
+from marjoramgrade.messages.routing import ChooseShard
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import (
     Config,
--- a/marjoramgrade/controllers/jobwriter.py
+++ b/marjoramgrade/controllers/jobwriter.py
@@ -15,7 +15,8 @@
     TableError,
     WriteOutcomeUnknownError,
 )
-from marjoramgrade.messages import ChooseShard, JobsChanged, StoredJob, WriteJob
+from marjoramgrade.messages.jobs import JobsChanged, StoredJob, WriteJob
+from marjoramgrade.messages.routing import ChooseShard
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.store import Store
 
--- a/marjoramgrade/controllers/journal.py
+++ b/marjoramgrade/controllers/journal.py
@@ -13,7 +13,7 @@
     DuplicateRequestError,
     MarjoramgradeError,
 )
-from marjoramgrade.messages import RecordRequest, StoredJob, WriteJob
+from marjoramgrade.messages.jobs import RecordRequest, StoredJob, WriteJob
 from marjoramgrade.store import (
     JOBS_PREFIX,
     RequestRecord,
--- a/marjoramgrade/controllers/lead.py
+++ b/marjoramgrade/controllers/lead.py
@@ -32,7 +32,7 @@
     NotOwnerError,
     ShuttingDownError,
 )
-from marjoramgrade.messages import CallPeer
+from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.rows import RowWrite
 from marjoramgrade.messages.steps import (
     LinkAcknowledge,
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -21,7 +21,7 @@
     TableError,
     WriteOutcomeUnknownError,
 )
-from marjoramgrade.messages import CallPeer, Member, MembersChanged, TellPeers
+from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged, TellPeers
 from marjoramgrade.messages.rows import (
     ABSENT,
     CommitRows,
--- a/marjoramgrade/controllers/leadreports.py
+++ b/marjoramgrade/controllers/leadreports.py
@@ -18,7 +18,7 @@
     NotOwnerError,
     ShuttingDownError,
 )
-from marjoramgrade.messages import MembersChanged
+from marjoramgrade.messages.peers import MembersChanged
 from marjoramgrade.messages.rows import RowCheck, RowWrite
 from marjoramgrade.messages.steps import (
     CallUnanswered,
--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -17,18 +17,16 @@
     TableError,
 )
 from marjoramgrade.logs import state_change
-from marjoramgrade.messages import (
-    BeginWrite,
+from marjoramgrade.messages.peers import (
     CallPeer,
-    EndWrite,
     InstancesChanged,
     Member,
-    MemberReplaced,
     MembersChanged,
     PeerCall,
     PeerTell,
     TellPeers,
 )
+from marjoramgrade.messages.promises import BeginWrite, EndWrite, MemberReplaced
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.store import Store
 
--- a/marjoramgrade/controllers/outboxes.py
+++ b/marjoramgrade/controllers/outboxes.py
@@ -5,7 +5,7 @@
 import attrs
 
 from marjoramgrade.decisions.sessions import WorkerSessions
-from marjoramgrade.messages import TaskStart, WorkerBatch
+from marjoramgrade.messages.workers import TaskStart, WorkerBatch
 from marjoramgrade.model import TaskId
 
 
--- a/marjoramgrade/controllers/ownership.py
+++ b/marjoramgrade/controllers/ownership.py
@@ -25,14 +25,13 @@
     TableUnavailableError,
 )
 from marjoramgrade.logs import state_change
-from marjoramgrade.messages import (
+from marjoramgrade.messages.ownership import OwnershipChanged, ReleaseShards
+from marjoramgrade.messages.peers import MembersChanged
+from marjoramgrade.messages.promises import (
     BeginWrite,
     EndWrite,
     MayTakeShard,
-    MembersChanged,
     OwnershipAttested,
-    OwnershipChanged,
-    ReleaseShards,
     ShardDropped,
     ShardHeld,
 )
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -14,7 +14,7 @@
     RowCheckFailedError,
     TableError,
 )
-from marjoramgrade.messages import (
+from marjoramgrade.messages.peers import (
     CallPeer,
     Member,
     MembersChanged,
--- a/marjoramgrade/controllers/routes.py
+++ b/marjoramgrade/controllers/routes.py
@@ -29,20 +29,17 @@
     OwnerUnreachableError,
     ShuttingDownError,
 )
-from marjoramgrade.messages import (
-    CallPeer,
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.jobs import GetTasks
+from marjoramgrade.messages.peers import CallPeer, MembersChanged, TellPeers
+from marjoramgrade.messages.requests import RunReply, RunRequest
+from marjoramgrade.messages.routing import (
     ChooseShard,
-    ConfigConfirmed,
     DispatchSummary,
     GetSummaries,
-    GetTasks,
     InstanceSummary,
-    MembersChanged,
-    RunReply,
-    RunRequest,
     Summaries,
     TaskSummary,
-    TellPeers,
 )
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import Config, Kind
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -16,16 +16,18 @@
 from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
 from marjoramgrade.errors import CheckFailedError, MarjoramgradeError, NotOwnerError
 from marjoramgrade.logs import state_change
-from marjoramgrade.messages import (
-    ConfigConfirmed,
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.jobs import (
     GetTasks,
-    InstancesChanged,
     JobsChanged,
-    OwnershipChanged,
     ShardFence,
     StoredJob,
     TaskStatus,
-    TaskSummary,
+)
+from marjoramgrade.messages.ownership import OwnershipChanged
+from marjoramgrade.messages.peers import InstancesChanged
+from marjoramgrade.messages.routing import TaskSummary
+from marjoramgrade.messages.workers import (
     WorkerBatch,
     WorkerConnected,
     WorkerDisconnected,
--- a/marjoramgrade/controllers/shardtasks.py
+++ b/marjoramgrade/controllers/shardtasks.py
@@ -22,13 +22,11 @@
 )
 from marjoramgrade.decisions.workers import WorkerNode
 from marjoramgrade.errors import MarjoramgradeError
-from marjoramgrade.messages import (
-    ShardFence,
-    StoredJob,
+from marjoramgrade.messages.jobs import ShardFence, StoredJob, TaskStatus
+from marjoramgrade.messages.workers import (
     TaskEnd,
     TaskRun,
     TaskStart,
-    TaskStatus,
     WorkerConnected,
     WorkerRefused,
 )
--- a/marjoramgrade/controllers/stepinbound.py
+++ b/marjoramgrade/controllers/stepinbound.py
@@ -6,7 +6,7 @@
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.errors import ProtocolError
-from marjoramgrade.messages import Inbound
+from marjoramgrade.messages.peers import Inbound
 from marjoramgrade.messages.rows import CommitRows, ReadRows, WatchRows
 from marjoramgrade.messages.steps import (
     AskLeaderAge,
--- a/marjoramgrade/controllers/storegate.py
+++ b/marjoramgrade/controllers/storegate.py
@@ -19,7 +19,7 @@
     TableUnavailableError,
     WriteOutcomeUnknownError,
 )
-from marjoramgrade.messages import CallPeer, Member, MembersChanged
+from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged
 from marjoramgrade.messages.rows import CommitRows, ReadRows, WatchRows
 from marjoramgrade.messages.steps import StoreContact
 from marjoramgrade.steprows import MEMBERS_TABLE
--- a/marjoramgrade/controllers/watch.py
+++ b/marjoramgrade/controllers/watch.py
@@ -16,7 +16,9 @@
 
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.errors import ShuttingDownError
-from marjoramgrade.messages import ConfigConfirmed, JobsChanged, WatchEvent
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.jobs import JobsChanged
+from marjoramgrade.messages.watches import WatchEvent
 
 # A watch that was interrupted can resume within this many changes.
 KEPT_EVENTS = 10_000
--- a/marjoramgrade/controllers/zonedrain.py
+++ b/marjoramgrade/controllers/zonedrain.py
@@ -6,7 +6,7 @@
 
 from marjoramgrade.controllers.shardtasks import ShardTasks
 from marjoramgrade.decisions.tasks import queued_tasks_from
-from marjoramgrade.messages import StoredJob
+from marjoramgrade.messages.jobs import StoredJob
 from marjoramgrade.model import Kind
 
 # Batch tasks may end by themselves this long after their zone was taken out.
--- a/marjoramgrade/documents.py
+++ b/marjoramgrade/documents.py
@@ -14,7 +14,7 @@
 
 from marjoramgrade import structuring
 from marjoramgrade.errors import InvalidInputError, OversizedInputError
-from marjoramgrade.messages import WatchEvent
+from marjoramgrade.messages.watches import WatchEvent
 from marjoramgrade.model import (
     Config,
     Instance,
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -22,7 +22,8 @@
 from marjoramgrade.decisions.retries import RETRIES
 from marjoramgrade.filters import access, requests, route  # noqa: F401  registers
 from marjoramgrade.filters.chain import FILTERS, Chain, Environment
-from marjoramgrade.messages import DrainRequests, GetSummaries, ReleaseShards
+from marjoramgrade.messages.ownership import DrainRequests, ReleaseShards
+from marjoramgrade.messages.routing import GetSummaries
 from marjoramgrade.settings import EntrySettings
 from marjoramgrade.settingsfile import KnownNames, read_entry_settings
 
--- a/marjoramgrade/filters/access.py
+++ b/marjoramgrade/filters/access.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from marjoramgrade import messages
 from marjoramgrade.actor import Actor, Message
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.watch import Subscribe
@@ -20,6 +19,9 @@
 )
 from marjoramgrade.filters.chain import FILTERS, Environment, Filter, Proceed
 from marjoramgrade.filters.context import Context, Principal
+from marjoramgrade.messages.configuration import GetConfig
+from marjoramgrade.messages.jobs import CancelJob, GetJob, GetTasks, ListJobs, SubmitJob
+from marjoramgrade.messages.requests import RunRequest
 from marjoramgrade.model import Config, hash_secret
 
 Permit = Callable[[Any, Principal, Config, Actor], Awaitable[None]]
@@ -77,7 +79,7 @@
     async def _find_team(self, context: Context) -> Principal:
         if not context.secret:
             raise UnauthenticatedError("the request carries no key")
-        confirmed = await self._config.ask(messages.GetConfig())
+        confirmed = await self._config.ask(GetConfig())
         key = confirmed.config.find_key(context.secret)
         if key is not None:
             return Principal(key.name, key.team)
@@ -106,7 +108,7 @@
 
     async def apply(self, context: Context, proceed: Proceed) -> Any:
         """Refuse what the principal may not do; no rule means operators only."""
-        confirmed = await self._config.ask(messages.GetConfig())
+        confirmed = await self._config.ask(GetConfig())
         permit = _permit_by_type.get(type(context.message), permit_operators)
         await permit(context.message, context.principal, confirmed.config, self._jobs)
         message = _narrow(context.message, context.principal)
@@ -115,9 +117,9 @@
 
 def _narrow(message: Message[Any], principal: Principal) -> Message[Any]:
     """Return the message with the principal's team filled in."""
-    if isinstance(message, messages.RunRequest):
+    if isinstance(message, RunRequest):
         return attrs.evolve(message, team=principal.team, key_name=principal.key_name)
-    if isinstance(message, messages.ListJobs | Subscribe):
+    if isinstance(message, ListJobs | Subscribe):
         return attrs.evolve(message, team=principal.team)
     return message
 
@@ -130,16 +132,16 @@
         raise ForbiddenError("this operation needs the operators' key")
 
 
-@permits(messages.ListJobs, Subscribe)
+@permits(ListJobs, Subscribe)
 async def _permit_narrowed(
     message: Any, principal: Principal, config: Config, jobs: Actor
 ) -> None:
     """Permit everyone; the message is narrowed to the principal's team."""
 
 
-@permits(messages.RunRequest)
+@permits(RunRequest)
 async def _permit_run(
-    message: messages.RunRequest, principal: Principal, config: Config, jobs: Actor
+    message: RunRequest, principal: Principal, config: Config, jobs: Actor
 ) -> None:
     service = config.services_by_name.get(message.service)
     if service is None:
@@ -150,9 +152,9 @@
         raise ForbiddenError(f"service {service.name} belongs to another team")
 
 
-@permits(messages.SubmitJob)
+@permits(SubmitJob)
 async def _permit_submit(
-    message: messages.SubmitJob, principal: Principal, config: Config, jobs: Actor
+    message: SubmitJob, principal: Principal, config: Config, jobs: Actor
 ) -> None:
     if message.spec.team not in config.teams_by_name:
         raise NotFoundError(f"there is no team {message.spec.team}")
@@ -160,15 +162,15 @@
         raise ForbiddenError(f"the key does not belong to team {message.spec.team}")
 
 
-@permits(messages.GetJob, messages.CancelJob, messages.GetTasks)
+@permits(GetJob, CancelJob, GetTasks)
 async def _permit_own_job(
-    message: messages.GetJob | messages.CancelJob | messages.GetTasks,
+    message: GetJob | CancelJob | GetTasks,
     principal: Principal,
     config: Config,
     jobs: Actor,
 ) -> None:
     if principal.is_operator:
         return
-    stored = await jobs.ask(messages.GetJob(message.job_id))
+    stored = await jobs.ask(GetJob(message.job_id))
     if stored.job.spec.team != principal.team:
         raise ForbiddenError(f"job {message.job_id} belongs to another team")
--- a/marjoramgrade/filters/requests.py
+++ b/marjoramgrade/filters/requests.py
@@ -16,7 +16,7 @@
 )
 from marjoramgrade.filters.chain import FILTERS, Environment, Filter, Proceed
 from marjoramgrade.filters.context import Context
-from marjoramgrade.messages import RunRequest
+from marjoramgrade.messages.requests import RunRequest
 
 # The owner refuses at the deadline; its "not run" needs this long to come back.
 REPLY_GRACE_MS = 1_500
--- a/marjoramgrade/filters/route.py
+++ b/marjoramgrade/filters/route.py
@@ -4,13 +4,16 @@
 
 from typing import Any
 
-from marjoramgrade import messages
 from marjoramgrade.actor import Actor, Message
 from marjoramgrade.controllers.instances import GetInstances
 from marjoramgrade.controllers.watch import Subscribe
 from marjoramgrade.errors import ProtocolError
 from marjoramgrade.filters.chain import FILTERS, Environment, Filter, Proceed
 from marjoramgrade.filters.context import Context
+from marjoramgrade.messages.configuration import ChangeConfig, GetConfig, GrantKey
+from marjoramgrade.messages.jobs import CancelJob, GetJob, GetTasks, ListJobs, SubmitJob
+from marjoramgrade.messages.requests import RunRequest
+from marjoramgrade.messages.routing import GetSummaries
 
 
 @FILTERS.register("route")
@@ -29,16 +32,16 @@
         """Return the filter."""
         return cls(
             {
-                messages.RunRequest: environment.routes,
-                messages.GetTasks: environment.jobs,
-                messages.GetSummaries: environment.routes,
-                messages.SubmitJob: environment.jobs,
-                messages.GetJob: environment.jobs,
-                messages.ListJobs: environment.jobs,
-                messages.CancelJob: environment.jobs,
-                messages.GetConfig: environment.config,
-                messages.ChangeConfig: environment.config,
-                messages.GrantKey: environment.config,
+                RunRequest: environment.routes,
+                GetTasks: environment.jobs,
+                GetSummaries: environment.routes,
+                SubmitJob: environment.jobs,
+                GetJob: environment.jobs,
+                ListJobs: environment.jobs,
+                CancelJob: environment.jobs,
+                GetConfig: environment.config,
+                ChangeConfig: environment.config,
+                GrantKey: environment.config,
                 GetInstances: environment.instances,
                 Subscribe: environment.watch,
             }
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -11,6 +11,7 @@
 
 from tornado.httpserver import HTTPServer
 
+import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, ActorGroup
 from marjoramgrade.adapters.peerlink import PeerLink, PeerServer
@@ -35,7 +36,7 @@
     QUEUE_FILTERS,
     QueueEnvironment,
 )
-from marjoramgrade.messages import Member
+from marjoramgrade.messages.peers import Member
 from marjoramgrade.messages.steps import LeaveLead
 from marjoramgrade.platform import configuration
 from marjoramgrade.platform.advice import AdviceClient
--- a/marjoramgrade/store.py
+++ b/marjoramgrade/store.py
@@ -22,7 +22,8 @@
     InvalidInputError,
     ProtocolError,
 )
-from marjoramgrade.messages import Member, ShardFence, StoredJob, WriteJob
+from marjoramgrade.messages.jobs import ShardFence, StoredJob, WriteJob
+from marjoramgrade.messages.peers import Member
 from marjoramgrade.model import Config
 from marjoramgrade.resources import Resources
 from marjoramgrade.table import ABSENT, Row, Table, Transaction, Value
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -16,7 +16,7 @@
     Forward,
 )
 from marjoramgrade.errors import NoLeaderError, OutcomeUnknownError
-from marjoramgrade.messages import CallPeer
+from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.steps import (
     LeaderBeat,
     LeaderKnown,
--- a/tests/test_httpfront.py
+++ b/tests/test_httpfront.py
@@ -12,7 +12,7 @@
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.filters.chain import Chain, Filter, Proceed
 from marjoramgrade.filters.context import Context
-from marjoramgrade.messages import ListJobs
+from marjoramgrade.messages.jobs import ListJobs
 from marjoramgrade.metrics import MemoryMetrics
 
 MAX_BODY_BYTES = 1_000
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -4,7 +4,7 @@
 from marjoramgrade.clock import ManualClock
 from marjoramgrade.controllers.jobs import JobsController
 from marjoramgrade.decisions.outcomes import OutcomeBook
-from marjoramgrade.messages import GetTasks, TaskStatus, WriteJob
+from marjoramgrade.messages.jobs import GetTasks, TaskStatus, WriteJob
 from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.model import Job, JobSpec, Kind, Outcome, TaskId
 from marjoramgrade.store import Store
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -9,7 +9,7 @@
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers.leadership import LeadershipController
 from marjoramgrade.errors import OwnerUnreachableError
-from marjoramgrade.messages import CallPeer, Member, MembersChanged, TellPeers
+from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged, TellPeers
 from marjoramgrade.messages.rows import CommitRows, ReadRows, RowsPage, RowWrite
 from marjoramgrade.messages.steps import (
     LeaderBeat,
--- a/tests/test_peercodec.py
+++ b/tests/test_peercodec.py
@@ -2,7 +2,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from marjoramgrade import errors, messages
+import marjoramgrade.adapters.peermessages  # noqa: F401 (registers encodings)
+import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
+from marjoramgrade import errors
 from marjoramgrade.adapters.peercodec import (
     MAX_FRAME_BYTES,
     Done,
@@ -13,6 +15,11 @@
 )
 from marjoramgrade.decisions.promises import PromiseReply, PromiseRequest, Refusal
 from marjoramgrade.messages import rows, steps
+from marjoramgrade.messages.configuration import ConfigPushed
+from marjoramgrade.messages.jobs import GetTasks, JobAssigned, TaskStatus
+from marjoramgrade.messages.promises import Acknowledged, AcknowledgeNewcomer, Attest
+from marjoramgrade.messages.requests import RunReply, RunRequest
+from marjoramgrade.messages.routing import DispatchSummary, InstanceSummary, TaskSummary
 from marjoramgrade.model import TaskId
 from marjoramgrade.resources import Resources
 from marjoramgrade.stepjobs import Schedule, Step, StepJob, StepJobState
@@ -20,20 +27,20 @@
 BODIES = [
     Hello("leeds-entry-1"),
     Done(),
-    messages.RunRequest("r", "s", "t", "k", b"\x00\xff", 900, True, "leeds.0"),
-    messages.RunReply(200, b"body", "b-1"),
-    messages.DispatchSummary("leeds.0", "a", 3, {"s": 16}, 2),
-    messages.TaskSummary("leeds.0", "a", 3, Resources(1, 2, 3, 4), Resources(1), 9),
-    messages.InstanceSummary("a", "leeds", 7),
-    messages.JobAssigned("pack", "leeds.0"),
-    messages.ConfigPushed(12),
-    messages.GetTasks("leeds.0", "pack"),
-    (messages.TaskStatus(TaskId("pack", 1), "running", "placed on w", "w"),),
-    messages.Attest(PromiseRequest("fleet", frozenset({"a", "b"}))),
+    RunRequest("r", "s", "t", "k", b"\x00\xff", 900, True, "leeds.0"),
+    RunReply(200, b"body", "b-1"),
+    DispatchSummary("leeds.0", "a", 3, {"s": 16}, 2),
+    TaskSummary("leeds.0", "a", 3, Resources(1, 2, 3, 4), Resources(1), 9),
+    InstanceSummary("a", "leeds", 7),
+    JobAssigned("pack", "leeds.0"),
+    ConfigPushed(12),
+    GetTasks("leeds.0", "pack"),
+    (TaskStatus(TaskId("pack", 1), "running", "placed on w", "w"),),
+    Attest(PromiseRequest("fleet", frozenset({"a", "b"}))),
     PromiseReply(Refusal.TABLE_REACHED, 4),
     PromiseReply(None, 4),
-    messages.AcknowledgeNewcomer("c", "leeds"),
-    messages.Acknowledged(True),
+    AcknowledgeNewcomer("c", "leeds"),
+    Acknowledged(True),
 ]
 
 
@@ -53,7 +60,7 @@
 
 def test_an_oversized_frame_is_refused_before_it_is_sent() -> None:
     """Guards against a peer that has to keep an unbounded frame."""
-    reply = messages.RunReply(200, bytes(MAX_FRAME_BYTES), "b")
+    reply = RunReply(200, bytes(MAX_FRAME_BYTES), "b")
     with pytest.raises(errors.OversizedInputError):
         serialize_frame(PeerFrame(1, reply))
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -8,7 +8,8 @@
 from marjoramgrade.clock import ManualClock
 from marjoramgrade.controllers import routes
 from marjoramgrade.controllers.routes import REPEAT_INTERVAL_MS, RoutesController
-from marjoramgrade.messages import ConfigConfirmed, Member, MembersChanged, TellPeers
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.peers import Member, MembersChanged, TellPeers
 from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.model import Config
 
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -19,7 +19,7 @@
     TableRefusedError,
     WorkerSilentError,
 )
-from marjoramgrade.messages import CallPeer, TellPeers
+from marjoramgrade.messages.peers import CallPeer, TellPeers
 from marjoramgrade.messages.rows import CommitRows, RowWrite
 from marjoramgrade.messages.steps import (
     CancelStepJob,
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,7 +6,7 @@
 
 from marjoramgrade.decisions.ownership import ShardRow
 from marjoramgrade.errors import CheckFailedError
-from marjoramgrade.messages import ShardFence, WriteJob
+from marjoramgrade.messages.jobs import ShardFence, WriteJob
 from marjoramgrade.model import Config, Job, JobSpec, Kind, Outcome, Team
 from marjoramgrade.store import Store, failed_keys
 from marjoramgrade.table import MemoryTable, RowsPage
--- a/tests/test_storegate.py
+++ b/tests/test_storegate.py
@@ -16,7 +16,7 @@
     TableUnavailableError,
     WriteOutcomeUnknownError,
 )
-from marjoramgrade.messages import CallPeer, Member, MembersChanged
+from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged
 from marjoramgrade.messages.rows import CommitRows, ReadRows, RowCheck, RowId, RowWrite
 from tests.rowstore import MemoryRows
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,7 +2,8 @@
 
 from marjoramgrade.actor import ActorGroup
 from marjoramgrade.controllers.watch import Subscribe, WatchController
-from marjoramgrade.messages import ConfigConfirmed, JobsChanged, StoredJob
+from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.jobs import JobsChanged, StoredJob
 from marjoramgrade.model import Config, Job, JobSpec, Kind
 
 SPEC = JobSpec("acme", Kind.BATCH)
