Keep the own connections to the store free of relayed calls

Change: calls for others have a client, and so connections, of their own.

Not measured by itself: it was seen once, on an instance that did not lead.

--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -104,6 +104,9 @@
             strength=settings.strength,
         )
         link = StoreLink(settings.store)
+        # Calls of others that hang in a silent store leave this instance's own
+        # connections free.
+        relay_link = StoreLink(settings.store)
         advisor = AdvisingController(AdviceClient(settings.advice))
         peers = PeersController(
             own, link, lambda member: PeerLink(own.instance_id, own.host, member)
@@ -146,9 +149,10 @@
         gate.connect((leadership,))
         peers.connect((gate, leadership, scheduler))
         self._leadership = leadership
-        inbound = StepInboundController(leadership, scheduler, advisor, link)
+        inbound = StepInboundController(leadership, scheduler, advisor, relay_link)
         actors: tuple[Actor, ...] = (
             link,
+            relay_link,
             advisor,
             gate,
             desk,
