Specify the takeover by fence

One task, the worker of a former leader that may pause and whose transaction and order may arrive late, a new leader, and another worker.

Not covered: several takeovers, loss of all power.

--- a/formal/check.py
+++ b/formal/check.py
@@ -13,6 +13,7 @@
     grants_lemmas,
     ownership_lemmas,
     requests,
+    takeover,
     tasks,
 )
 from formal.bounded import (
@@ -33,6 +34,7 @@
 CONFIG_DEPTH = 5
 REQUESTS_DEPTH = 8
 ACCEPTANCE_DEPTH = 12
+TAKEOVER_DEPTH = 24
 # Longest run to a goal or to the violation that a mutation causes.
 WITNESS_DEPTH = 13
 # Further steps of `--deep`, which CI does not run.
@@ -54,6 +56,7 @@
     Bound(config.SPEC, CONFIG_DEPTH),
     Bound(requests.SPEC, REQUESTS_DEPTH),
     Bound(acceptance.SPEC, ACCEPTANCE_DEPTH),
+    Bound(takeover.SPEC, TAKEOVER_DEPTH),
 )
 
 
