Count the standstill of a silent leader from its last beat

Change: a beat carries the leader's clock, as the renewal does. If the renewal found after the silence is not newer than the last beat, none came since, and the standstill counts from that beat. Time in which the store could not be read does not count, as before; a renewal of another leader proves nothing. The rule is a class of its own without I/O, LeadWatch.

--- a/marjoramgrade/adapters/peer.capnp
+++ b/marjoramgrade/adapters/peer.capnp
@@ -209,6 +209,7 @@
 struct LeaderBeat {
   epoch @0 :Int64;
   leaderId @1 :Text;
+  clockMs @2 :Int64;
 }
 
 struct LeaderLeft {
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -10,11 +10,10 @@
 import asyncio
 from typing import Any
 
-import attrs
-
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.clock import Clock
+from marjoramgrade.decisions.leadwatch import HeardBeat, LeaderRow, LeadWatch
 from marjoramgrade.errors import (
     InvalidInputError,
     MarjoramgradeError,
@@ -48,7 +47,6 @@
     LEADER_PART,
     LEADERSHIP_TABLE,
     RENEWAL_ROW,
-    LeaderRow,
     parse_row,
     serialize_row,
 )
@@ -62,15 +60,6 @@
 # After this silence the store is asked whether the leader still writes; two beats
 # may be lost or late.
 SILENCE_MS = 400
-# A leader whose row stands still for this long while this instance does not hear it
-# counts as gone. A takeover that was not needed costs a new fence for each worker; a
-# late one costs every caller who waits.
-STALE_MS = 550
-# The same, once its process is known to refuse connections or to have left.
-STALE_REFUSED_MS = 350
-# On a slow store a renewal takes about three times as long as the reading that looks
-# for it, and the next one is only sent after it.
-STALE_READINGS = 6
 # A leader that most instances have not heard for this long is replaced even if it
 # still writes: it cannot serve them.
 UNHEARD_MS = 2_500
@@ -92,17 +81,6 @@
 WEAK_MS = 1_500
 
 
-@attrs.define
-class _Observed:
-    """What the store says of the leadership."""
-
-    row: LeaderRow = LeaderRow(0, "")
-    row_version: int = ABSENT
-    renewal_version: int = ABSENT
-    changed_ms: int = 0
-    reading_ms: int = 0
-
-
 class LeadershipController(Actor):
     """Decides when this instance takes the lead.
 
@@ -133,10 +111,11 @@
         self._clock = clock
         self._subscribers = subscribers
         self._members: tuple[Member, ...] = ()
-        self._observed = _Observed()
+        self._watch = LeadWatch()
         self._leader = LeaderRow(0, "")
         # An instance that has just started has heard nobody.
         self._heard_ms = 0
+        self._heard_clock_ms = 0
         self._own_epoch = 0
         self._attempted_epoch = 0
         self._led_from_ms = 0
@@ -167,6 +146,7 @@
                 "leader_heard", leader=message.leader_id, epoch=message.epoch
             )
         self._heard_ms = self._clock.now_ms()
+        self._heard_clock_ms = message.clock_ms
         self._follow(LeaderRow(message.epoch, message.leader_id))
         self._tell(message)
 
@@ -210,7 +190,7 @@
         try:
             await self._store.ask(
                 CommitRows(
-                    (RowCheck(EPOCH_ROW, self._observed.row_version),),
+                    (RowCheck(EPOCH_ROW, self._watch.row_version),),
                     (RowWrite(EPOCH_ROW, row),),
                 )
             )
@@ -244,7 +224,7 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._beat_ms >= BEAT_MS:
             self._beat_ms = now_ms
-            beat = LeaderBeat(self._own_epoch, self._instance_id)
+            beat = LeaderBeat(self._own_epoch, self._instance_id, now_ms)
             self._peers.tell(TellPeers(beat))
             self._tell(beat)
         if now_ms - self._renewed_ms >= RENEWAL_MS:
@@ -264,19 +244,17 @@
         if not await self._observe():
             return
         now_ms = self._clock.now_ms()
-        row = self._observed.row
+        row = self._watch.row
         if row.epoch > self._leader.epoch or row.leader_id != self._leader.leader_id:
             self._follow(row)
         is_own = row.leader_id == self._instance_id
         if is_own and row.epoch == self._attempted_epoch:
             # The answer to the takeover was lost, but it took effect.
-            await self._begin(row.epoch, self._observed.row_version)
+            await self._begin(row.epoch, self._watch.row_version)
             return
         if row.leader_id and not is_own:
-            unchanged_ms = now_ms - self._observed.changed_ms
-            limit_ms = STALE_MS if self._heard_ms else STALE_REFUSED_MS
-            limit_ms = max(limit_ms, STALE_READINGS * self._observed.reading_ms)
-            if unchanged_ms < limit_ms and not await self._is_unheard():
+            is_gone = self._watch.is_gone(self._heard(), now_ms)
+            if not is_gone and not await self._is_unheard():
                 return
         await asyncio.sleep(self._rank() * RANK_DELAY_MS / 1000)
         if self._clock.now_ms() - self._heard_ms >= SILENCE_MS:
@@ -290,28 +268,32 @@
                 ReadRows(LEADERSHIP_TABLE, LEADER_PART)
             )
         except TableError:
-            # While nothing can be seen, the time does not count as standstill.
-            self._observed.changed_ms = self._clock.now_ms()
+            self._watch.note_failure(self._clock.now_ms())
             return False
-        self._observed.reading_ms = self._clock.now_ms() - asked_ms
+        now_ms = self._clock.now_ms()
+        self._watch.reading_ms = now_ms - asked_ms
         found = {row.row: row for row in page.rows}
-        self._note_epoch(found.get(EPOCH_ROW))
+        self._note_epoch(found.get(EPOCH_ROW), now_ms)
         renewal = found.get(RENEWAL_ROW)
-        version = renewal.version if renewal is not None else ABSENT
-        if version != self._observed.renewal_version:
-            self._observed.renewal_version = version
-            self._observed.changed_ms = self._clock.now_ms()
+        if renewal is None:
+            self._watch.note_renewal(ABSENT, None, self._heard(), now_ms)
+        else:
+            renewed_ms = int(renewal.value) if renewal.value.isdigit() else None
+            self._watch.note_renewal(renewal.version, renewed_ms, self._heard(), now_ms)
         return True
 
-    def _note_epoch(self, row: StoredRow | None) -> None:
-        if row is None or row.version == self._observed.row_version:
+    def _heard(self) -> HeardBeat:
+        return HeardBeat(self._leader, self._heard_ms, self._heard_clock_ms)
+
+    def _note_epoch(self, row: StoredRow | None, now_ms: int) -> None:
+        if row is None:
             return
-        self._observed.row_version = row.version
-        self._observed.changed_ms = self._clock.now_ms()
         try:
-            self._observed.row = parse_row(row.value, LeaderRow)
+            leader = parse_row(row.value, LeaderRow)
         except InvalidInputError as error:
             logs.state_change("row_unreadable", row="epoch", reason=error.message)
+            leader = self._watch.row
+        self._watch.note_row(leader, row.version, now_ms)
 
     async def _is_unheard(self) -> bool:
         """Whether most instances have not heard the leader for long."""
@@ -372,11 +354,11 @@
             await self._release("a stronger instance answers")
 
     async def _take(self) -> None:
-        epoch = self._observed.row.epoch + 1
+        epoch = self._watch.row.epoch + 1
         self._attempted_epoch = epoch
         row = serialize_row(LeaderRow(epoch, self._instance_id))
         transaction = CommitRows(
-            (RowCheck(EPOCH_ROW, self._observed.row_version),),
+            (RowCheck(EPOCH_ROW, self._watch.row_version),),
             (RowWrite(EPOCH_ROW, row),),
         )
         try:
@@ -390,15 +372,15 @@
         await self._begin(epoch, answer.version)
 
     async def _begin(self, epoch: int, row_version: int) -> None:
-        self._observed.row = LeaderRow(epoch, self._instance_id)
-        self._observed.row_version = row_version
+        self._watch.row = LeaderRow(epoch, self._instance_id)
+        self._watch.row_version = row_version
         self._attempted_epoch = 0
         self._own_epoch = epoch
         self._led_from_ms = self._clock.now_ms()
         self._looked_for_stronger = False
         self._renewed_ms = self._clock.now_ms()
         self._beat_ms = 0
-        self._follow(self._observed.row)
+        self._follow(self._watch.row)
         await self._lead()
         await self._scheduler.ask(TakeLead(epoch, row_version))
 
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -82,10 +82,12 @@
     Attributes:
         epoch: Number of the leadership.
         leader_id: The instance that leads.
+        clock_ms: The leader's clock, which its renewals in the store carry too.
     """
 
     epoch: int
     leader_id: str
+    clock_ms: int = 0
 
 
 @attrs.frozen
--- a/marjoramgrade/steprows.py
+++ b/marjoramgrade/steprows.py
@@ -26,19 +26,6 @@
 ROSTER_ROW = RowId(LEADERSHIP_TABLE, LEADER_PART, "roster")
 
 
-@attrs.frozen
-class LeaderRow:
-    """Who leads.
-
-    Attributes:
-        epoch: Number of the leadership.
-        leader_id: The instance, or empty once it has given the leadership up.
-    """
-
-    epoch: int
-    leader_id: str
-
-
 @attrs.frozen
 class MemberRow:
     """Where an instance can be reached by others, and how strong it is."""
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -8,6 +8,7 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers.leadership import LeadershipController
+from marjoramgrade.decisions.leadwatch import LeaderRow
 from marjoramgrade.errors import OwnerUnreachableError
 from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged, TellPeers
 from marjoramgrade.messages.rows import CommitRows, ReadRows, RowsPage, RowWrite
@@ -23,7 +24,6 @@
 from marjoramgrade.steprows import (
     EPOCH_ROW,
     RENEWAL_ROW,
-    LeaderRow,
     parse_row,
     serialize_row,
 )
@@ -230,6 +230,36 @@
     asyncio.run(run())
 
 
+def test_renewal_older_than_the_last_beat_counts_as_standstill_since_then():
+    # Guards against 0.4 s more without a leader after each loss of one: the row was
+    # only watched from the end of the silence on (ledgerwell-accounts-grown trouble-3).
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "b")
+        async with instance(store) as (leadership, recorder):
+            leadership.tell(LeaderBeat(4, "b", 1_000))
+            store.apply(CommitRows((), (RowWrite(RENEWAL_ROW, b"990"),)))
+            await until(lambda: took(recorder, 5), 0.85)
+
+    asyncio.run(run())
+
+
+def test_leader_that_renews_after_its_last_beat_is_kept():
+    # Guards against replacing a leader that this instance alone does not hear.
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 4, "b")
+        async with instance(store) as (leadership, recorder):
+            leadership.tell(LeaderBeat(4, "b", 1_000))
+            for renewed_ms in range(1_100, 2_600, 300):
+                await asyncio.sleep(0.3)
+                value = str(renewed_ms).encode()
+                store.apply(CommitRows((), (RowWrite(RENEWAL_ROW, value),)))
+            assert not took(recorder, 5)
+
+    asyncio.run(run())
+
+
 def test_strongest_instance_takes_the_lead_first():
     # Guards against a leader with a slow link while there are better ones.
     async def run():
