Let callers wait for the first configuration of an instance

Change: a call waits up to 400 ms for the first configuration; without one it is refused as before.

Tests: four for the filters of queues, the first of which failed before.

--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -16,12 +16,12 @@
     JobNotFoundError,
     ProtocolError,
     QueueNotFoundError,
-    StaleAuthorityError,
     UnauthenticatedError,
 )
 from marjoramgrade.filters.chain import Filter, Proceed
 from marjoramgrade.filters.context import Context, Principal
 from marjoramgrade.messages.steps import (
+    AwaitConfiguration,
     CancelStepJob,
     CountPending,
     GetConfiguration,
@@ -36,6 +36,10 @@
 
 DEFAULT_QUEUE_FILTERS = ("find_queue", "check_key", "check_job", "hand_over")
 
+# An instance that has just started reads the configuration within some 50 ms; a caller
+# that is refused meanwhile comes back a second later.
+FIRST_CONFIG_MS = 400
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 
@@ -75,9 +79,10 @@
         return cls(environment)
 
     async def _config(self) -> StepConfig:
-        config = await self._environment.directory.ask(GetConfiguration())
+        directory = self._environment.directory
+        config = await directory.ask(GetConfiguration())
         if not config.version:
-            raise StaleAuthorityError("no configuration has been read yet")
+            config = await directory.ask(AwaitConfiguration(1, FIRST_CONFIG_MS))
         return config
 
 
--- /dev/null
+++ b/tests/test_filters_queues.py
@@ -0,0 +1,124 @@
+"""The filters that calls to queues pass."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.clock import ManualClock
+from marjoramgrade.controllers.desk import Forward
+from marjoramgrade.errors import (
+    JobNotFoundError,
+    QueueNotFoundError,
+    StaleAuthorityError,
+    UnauthenticatedError,
+)
+from marjoramgrade.filters.chain import Chain
+from marjoramgrade.filters.context import Context
+from marjoramgrade.filters.queues import (
+    DEFAULT_QUEUE_FILTERS,
+    QUEUE_FILTERS,
+    QueueEnvironment,
+)
+from marjoramgrade.messages.steps import (
+    AwaitConfiguration,
+    GetConfiguration,
+    GetStepJob,
+    QueueRequest,
+    QueueVerb,
+)
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.stepconfig import StepConfig
+from tests.steps import URGENT
+
+JOB_ID = "00112233445566aa"
+CONFIG = StepConfig(3, {URGENT.name: URGENT}, {}, {})
+
+
+class Directory(Actor):
+    """Has the configuration at once, later or never."""
+
+    def __init__(self, config, later=None):
+        super().__init__()
+        self.config = config
+        self.later = later
+
+    @handles(GetConfiguration)
+    async def _get(self, message: GetConfiguration) -> StepConfig:
+        return self.config
+
+    @handles(AwaitConfiguration)
+    async def _await(self, message: AwaitConfiguration) -> StepConfig:
+        if self.later is None:
+            raise StaleAuthorityError("not here yet")
+        self.config = self.later
+        return self.config
+
+
+class Desk(Actor):
+    """Returns what was handed over."""
+
+    @handles(Forward)
+    async def _forward(self, message: Forward) -> object:
+        return message.request
+
+
+@contextlib.asynccontextmanager
+async def chain_to(directory):
+    desk = Desk()
+    environment = QueueEnvironment(ManualClock(), MemoryMetrics(), directory, desk)
+    filters = [
+        QUEUE_FILTERS.get(name).from_config(environment)
+        for name in DEFAULT_QUEUE_FILTERS
+    ]
+    async with contextlib.AsyncExitStack() as stack:
+        for actor in (directory, desk):
+            await actor.start()
+            stack.push_async_callback(actor.stop)
+        yield Chain(filters, MemoryMetrics())
+
+
+async def ask(chain, path, host=URGENT.host):
+    request = QueueRequest(QueueVerb.STATE, host, path, None)
+    return await chain.handle(Context(request, "", "", 1_000))
+
+
+def run(directory, path, host=URGENT.host):
+    async def work():
+        async with chain_to(directory) as chain:
+            return await ask(chain, path, host)
+
+    return asyncio.run(work())
+
+
+def test_caller_of_an_instance_that_has_just_started_waits_for_the_configuration():
+    # Guards against refusing, for a second, callers that come within 50 ms of a restart
+    # (kbwb-arrears-grown trouble-1, 43.5 s).
+    with pytest.raises(UnauthenticatedError):
+        run(Directory(StepConfig(), CONFIG), URGENT.path_prefix + JOB_ID)
+
+
+def test_instance_without_a_configuration_refuses():
+    # Guards against a caller that is told that its queue does not exist.
+    with pytest.raises(StaleAuthorityError):
+        run(Directory(StepConfig()), URGENT.path_prefix + JOB_ID)
+
+
+def test_unknown_queue_and_missing_key_are_told_apart():
+    # Guards against a 401 for a queue that does not exist.
+    with pytest.raises(QueueNotFoundError):
+        run(Directory(CONFIG), "/other/" + JOB_ID)
+
+
+def test_public_queue_needs_no_key():
+    # Guards against refusing the callers of a public queue.
+    public = attrs.evolve(URGENT, public=True)
+    config = StepConfig(3, {public.name: public}, {}, {})
+    got = run(Directory(config), URGENT.path_prefix + JOB_ID)
+    assert got == GetStepJob(JOB_ID)
+    with pytest.raises(JobNotFoundError):
+        run(Directory(config), URGENT.path_prefix + "not-an-id")
