Let the planner take over advice

No change of behaviour but that a plan follows a failed call at once. Two tests: advice that never reached the advisor, and an answer that names a worker which has left.

--- a/marjoramgrade/controllers/lead.py
+++ b/marjoramgrade/controllers/lead.py
@@ -25,7 +25,6 @@
 from marjoramgrade.decisions.stepprogress import JobProgress, RunPhase
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.decisions.stepsupervision import Supervisor
-from marjoramgrade.decisions.tickets import Ticket
 from marjoramgrade.errors import (
     AdvisorError,
     MarjoramgradeError,
@@ -387,34 +386,12 @@
             lines.answered(chosen)
         finally:
             lines.ended(chosen, action.decide_ms)
-        if self._lead is lead:
-            self._advised(lead, action, advice, is_asked)
-
-    def _advised(
-        self, lead: Lead, action: AskAdvice, advice: StepAdvice | None, is_asked: bool
-    ) -> None:
-        progress = lead.state.job_by_id.get(action.job_id)
-        steps = progress and progress.steps_by_occurrence.get(action.occurrence)
-        if not steps:
+        if self._lead is not lead:
             return
         now_ms = self._clock.now_ms()
-        book = steps[action.step].tickets
         if advice is None:
-            if is_asked:
-                book.failed(now_ms)
-            else:
-                # The next plan asks through another instance.
-                book.not_asked()
-                self._schedule_plan(lead)
-            return
-        tickets = {}
-        for advised in advice.workers:
-            state = lead.state.worker_by_id.get(advised.worker_id)
-            if state is not None:
-                tickets[advised.worker_id] = Ticket(
-                    advised.ticket,
-                    state.worker.born_unix_ms,
-                    now_ms + advice.valid_ms,
-                )
-        book.record(action.worker_ids, tickets)
+            lead.planner.not_advised(action, is_asked=is_asked, now_ms=now_ms)
+        else:
+            text_by_worker = {w.worker_id: w.ticket for w in advice.workers}
+            lead.planner.advised(action, text_by_worker, now_ms + advice.valid_ms)
         self._schedule_plan(lead)
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import attrs
 
@@ -16,6 +16,7 @@
 from marjoramgrade.decisions.steppreemption import Preemption
 from marjoramgrade.decisions.stepprogress import JobProgress, StepProgress
 from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.decisions.tickets import Ticket, TicketBook
 
 # Workers that one call for advice names at most; each costs time.
 MAX_ADVISED = 30
@@ -54,6 +55,49 @@
             if entry.is_on_time(now_ms):
                 self._make_room(step, reason, now_ms)
 
+    def advised(
+        self, asked: AskAdvice, text_by_worker: Mapping[str, str], until_ms: int
+    ) -> None:
+        """Take over the advisor's answer.
+
+        Args:
+            asked: The question.
+            text_by_worker: The tickets of the workers that may run the step.
+            until_ms: End of their validity.
+        """
+        book = self._tickets_of(asked)
+        if book is None:
+            return
+        tickets = {}
+        for worker_id, text in text_by_worker.items():
+            worker = self.state.worker_by_id.get(worker_id)
+            if worker is not None:
+                born_unix_ms = worker.worker.born_unix_ms
+                tickets[worker_id] = Ticket(text, born_unix_ms, until_ms)
+        book.record(asked.worker_ids, tickets)
+
+    def not_advised(self, asked: AskAdvice, *, is_asked: bool, now_ms: int) -> None:
+        """Note that no advice came.
+
+        Args:
+            asked: The question.
+            is_asked: Whether the advisor was reached; if not, the next plan asks
+                through another instance.
+            now_ms: The time.
+        """
+        book = self._tickets_of(asked)
+        if book is None:
+            return
+        if is_asked:
+            book.failed(now_ms)
+        else:
+            book.not_asked()
+
+    def _tickets_of(self, asked: AskAdvice) -> TicketBook | None:
+        progress = self.state.job_by_id.get(asked.job_id)
+        steps = progress and progress.steps_by_occurrence.get(asked.occurrence)
+        return steps[asked.step].tickets if steps else None
+
     def eligible(self, step: StepProgress, now_ms: int) -> list[WorkerState]:
         """Return the workers that may run a step, whatever room they have."""
         job = step.job
--- a/tests/test_stepplanning.py
+++ b/tests/test_stepplanning.py
@@ -108,6 +108,30 @@
     assert asked(cell.plan()) == []
 
 
+def test_advice_that_never_reached_the_advisor_is_asked_again_at_once():
+    # Guards against a step that waits for an instance which has just been restarted.
+    cell = Cell.make(worker("w", 8))
+    cell.add(job("a", queue=ADVISED), ADVISED)
+    first = asked(cell.plan())
+    cell.planner.lines.ended(first[0].instance_id, first[0].decide_ms)
+    cell.planner.not_advised(first[0], is_asked=False, now_ms=cell.now_ms)
+    again = asked(cell.plan())
+    assert len(again) == 1
+    cell.planner.lines.ended(again[0].instance_id, again[0].decide_ms)
+    cell.planner.not_advised(again[0], is_asked=True, now_ms=cell.now_ms)
+    assert not asked(cell.plan())
+
+
+def test_advice_of_a_worker_that_left_is_left_out():
+    # Guards against an answer that names a worker which has gone meanwhile.
+    cell = Cell.make(worker("w", 8))
+    cell.add(job("a", queue=ADVISED), ADVISED)
+    question = asked(cell.plan())[0]
+    until_ms = cell.now_ms + 2_000
+    cell.planner.advised(question, {"w": "t", "gone": "t"}, until_ms)
+    assert [start.worker_id for start in starts(cell.plan())] == ["w"]
+
+
 def test_advice_is_asked_again_when_tickets_have_lapsed():
     # Guards against a step that waits for ever with tickets that no longer count.
     cell = Cell.make(worker("w", 1), worker("v", 1))
