Take an unusable answer of the store for a failure of the store

A status of 500 or a body that is not JSON raised a protocol error, which the controllers of writes and probes do not expect: the leader's process would have ended, and an instance that had lost the direct way would never have tried it again.

Change: reads count as unavailable, writes as unknown, as with a lost answer; a probe that fails for any reason is tried again. The test failed before with both answers.

--- a/marjoramgrade/controllers/storegate.py
+++ b/marjoramgrade/controllers/storegate.py
@@ -31,12 +31,12 @@
 URGENT_PROBE_MS = 150
 # Reads that may be under way at a time for that; the link keeps 12 connections.
 MAX_PROBES = 6
-# A write that has not been answered for this long may have been lost. A slow store
-# takes about three times as long for a write as for a read.
-# That time doubles with each write that is given up, so that a store which needs
-# longer is not sent the same write again and again.
+# A write that has not been answered for this long may have been lost. The time doubles
+# with each write that is given up, so that a store which needs longer is not sent the
+# same write again and again.
 OVERDUE_MS = 400
 MAX_OVERDUE_MS = 3_200
+# A slow store takes about three times as long for a write as for a read.
 SLOW_WRITE_FACTOR = 3
 # A relay that answers does so within the time that the store takes; a cut one is
 # given up after this.
@@ -147,7 +147,8 @@
         began_s = loop.time()
         try:
             await self._link.ask(ReadRows(MEMBERS_TABLE, "", limit=1))
-        except TableError:
+        except MarjoramgradeError:
+            # Whatever is wrong, the direct way does not work yet.
             return None
         return loop.time() - began_s
 
--- a/marjoramgrade/platform/store.py
+++ b/marjoramgrade/platform/store.py
@@ -20,6 +20,7 @@
     InvalidInputError,
     ProtocolError,
     RowCheckFailedError,
+    TableError,
     TableUnavailableError,
     WriteOutcomeUnknownError,
 )
@@ -89,7 +90,7 @@
             }
         )
         answer = await self._call("POST", "/rows-tx", body, COMMIT_TIMEOUT_MS)
-        document = _document(answer)
+        document = _document(answer, "POST")
         if answer.status == 412:
             raise RowCheckFailedError("a row has changed", _rows(document))
         return RowsCommitted(_integer(document, "ver"))
@@ -123,13 +124,13 @@
         except HttpNotSentError as error:
             raise TableUnavailableError(error.message) from None
         except HttpNoAnswerError as error:
-            if method == "GET":
-                raise TableUnavailableError(error.message) from None
-            raise WriteOutcomeUnknownError(error.message) from None
+            raise _unanswered(method, error.message) from None
         if answer.status in (429, 503, 507):
             raise TableUnavailableError(f"the store answered {answer.status}")
         if answer.status in (200, 410, 412):
             return answer
+        if answer.status >= 500:
+            raise _unanswered(method, f"the store answered {answer.status}")
         raise ProtocolError(
             f"the store answered {answer.status} to {method} {path[:80]}: "
             f"{answer.body[:200]!r}"
@@ -140,13 +141,20 @@
     return {"table": row.table, "part": row.part, "key": row.key}
 
 
-def _document(answer: HttpAnswer) -> dict[str, Any]:
+def _unanswered(method: str, reason: str) -> TableError:
+    """Return the failure of a call that brought no usable answer."""
+    if method == "GET":
+        return TableUnavailableError(reason)
+    return WriteOutcomeUnknownError(reason)
+
+
+def _document(answer: HttpAnswer, method: str = "GET") -> dict[str, Any]:
     try:
         document = msgspec.json.decode(answer.body)
     except msgspec.DecodeError as error:
-        raise ProtocolError(f"the store's answer is not JSON: {error}") from None
+        raise _unanswered(method, f"the answer is not JSON: {error}") from None
     if not isinstance(document, dict):
-        raise ProtocolError("the store's answer is not an object")
+        raise _unanswered(method, "the answer is not an object")
     return document
 
 
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import pathlib
+import re
 
 import msgspec
 import pytest
@@ -21,9 +22,12 @@
     OverloadedError,
     QueueNotFoundError,
     SettingsError,
+    TableUnavailableError,
     UnauthenticatedError,
+    WriteOutcomeUnknownError,
 )
 from marjoramgrade.filters.chain import Chain, Filter
+from marjoramgrade.messages.rows import CommitRows, ReadRows, RowId, RowWrite
 from marjoramgrade.messages.steps import PendingCount, StepJobShown
 from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.platform.configuration import parse_config
@@ -34,6 +38,7 @@
     status_of,
 )
 from marjoramgrade.platform.settings import read_settings
+from marjoramgrade.platform.store import StoreLink
 from marjoramgrade.platform.workers import (
     parse_listing,
     parse_task,
@@ -299,3 +304,28 @@
         if path.parent.name != "platform":
             text = path.read_text(encoding="utf-8")
             assert not [word for word in words if word in text], path
+
+
+@pytest.mark.parametrize("answer", [b"HTTP/1.1 500 x\r\n", b"HTTP/1.1 200 OK\r\n"])
+def test_answer_of_the_store_that_cannot_be_used_is_a_failure_of_the_store(answer):
+    # Guards against a process that ends because the store answers something else.
+    async def handle(reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            length = re.search(rb"Content-Length: (\d+)", head)
+            await reader.readexactly(int(length[1]) if length else 0)
+            writer.write(answer + b"Content-Length: 2\r\n\r\nno")
+
+    async def run():
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        link = StoreLink(f"127.0.0.1:{port}")
+        await link.start()
+        row = RowId("jobs", "p0", "a")
+        with pytest.raises(TableUnavailableError):
+            await link.ask(ReadRows("jobs", "p0"))
+        with pytest.raises(WriteOutcomeUnknownError):
+            await link.ask(CommitRows((), (RowWrite(row, b"x"),)))
+        await link.stop()
+        server.close()
+
+    asyncio.run(run())
