Hold a job that may have been taken until its caller's deadline, as before

Ruled out: jobs whose row is refused after their places were stored (their starts are dropped), refusals by the leader (it knows what it has written).

Also, a refusal for an old configuration no longer hides an earlier attempt that may have succeeded.

--- a/marjoramgrade/controllers/desk.py
+++ b/marjoramgrade/controllers/desk.py
@@ -22,6 +22,7 @@
     OwnerUnreachableError,
     QueueNotFoundError,
     ShuttingDownError,
+    StaleAuthorityError,
     TableError,
     TableRefusedError,
 )
@@ -49,14 +50,22 @@
 RETRY_MS = 60
 # One attempt at the leader; commits usually take 20 ms, on a slow store 1 s.
 ATTEMPT_MS = 1_500
-# A request is given up once no leader has been heard for this long; a takeover
-# usually ends within it, and the caller still has half of its time to come back.
+# A job that nobody can take is refused once no leader has been known for this long;
+# a takeover usually ends within it. One that may have been taken is not given up before
+# the deadline: its caller would come back, perhaps to an instance that knows of no
+# leader and refuses it as not run, while it runs.
 NO_LEADER_MS = 1_500
-# Even a leader that has not been heard for a while is asked for this long.
-LAST_ATTEMPT_MS = 200
 # Left of the caller's time for the way back.
 ANSWER_MARGIN_MS = 60
 
+# What the leader refuses; true of a job only if no earlier attempt may have reached it.
+_REFUSALS = (
+    InvalidInputError,
+    OverloadedError,
+    StaleAuthorityError,
+    TableRefusedError,
+)
+
 Forwarded = SubmitStepJob | GetStepJob | CancelStepJob | CountPending
 
 
@@ -123,11 +132,10 @@
         """
         was_sent = False
         failure: MarjoramgradeError = NoLeaderError("no instance leads")
-        began_ms = self._clock.now_ms()
         while self._clock.now_ms() + ANSWER_MARGIN_MS < deadline_ms:
             left_ms = deadline_ms - self._clock.now_ms() - ANSWER_MARGIN_MS
             try:
-                answer = await self._attempt(message, min(left_ms, self._attempt_ms()))
+                answer = await self._attempt(message, min(left_ms, ATTEMPT_MS))
                 self._served_ms = self._clock.now_ms()
                 return answer
             except (NotOwnerError, OwnerUnreachableError, NoLeaderError) as error:
@@ -137,17 +145,13 @@
             except (JobNotFoundError, QueueNotFoundError):
                 self._served_ms = self._clock.now_ms()
                 raise
-            except (OverloadedError, TableRefusedError, InvalidInputError):
+            except _REFUSALS:
                 if not was_sent:
                     raise
             if isinstance(message, GetStepJob):
                 return await self._read_state(message)
-            if self._unserved_ms() > NO_LEADER_MS:
-                break
-            asked_ms = self._clock.now_ms() - began_ms
-            is_repeated = isinstance(message, SubmitStepJob)
-            if was_sent and is_repeated and asked_ms >= ATTEMPT_MS:
-                # The caller hands the same job in again, and needs time for that.
+            unserved_ms = self._clock.now_ms() - self._served_ms
+            if not was_sent and unserved_ms > NO_LEADER_MS:
                 break
             await asyncio.sleep(RETRY_MS / 1000)
         if was_sent:
@@ -155,14 +159,6 @@
         logs.state_change("request_refused", code=failure.code, leader=self._leader_id)
         raise NoLeaderError(f"no instance could take it: {failure.message}")
 
-    def _unserved_ms(self) -> int:
-        return self._clock.now_ms() - self._served_ms
-
-    def _attempt_ms(self) -> int:
-        """How long to wait for the leader, less if it has not been heard lately."""
-        until_given_up_ms = NO_LEADER_MS - self._unserved_ms()
-        return max(LAST_ATTEMPT_MS, min(ATTEMPT_MS, until_given_up_ms))
-
     async def _attempt(self, message: Forwarded, timeout_ms: int) -> Any:
         leader_id = self._leader_id
         if not leader_id:
