Settle what was placed on a worker's earlier life by a listing

A worker went unanswered (its orders are carried out 1.5 s late) and crashed. The leader took the first listing of its next life for proof that nothing of before was there, and placed its tasks elsewhere at once. But the next life had seen no fence, so the late order was carried out there. Only the fence that followed would have refused it.

Change: a new life only asks for the listing under a higher fence; that settles what was placed, as after any other doubt.

Tests: the late order is carried out by the next life (failed before), and one that never comes leaves the task free after that listing.

--- a/marjoramgrade/decisions/stepbook.py
+++ b/marjoramgrade/decisions/stepbook.py
@@ -206,9 +206,12 @@
         self.act(SyncWorker(worker.worker.worker_id, worker.fence))
 
     def _reborn(self, worker: WorkerState) -> None:
-        """Note that a worker started again: nothing of before is left on it."""
-        for run in list(worker.run_by_task.values()):
-            self.lose_run(run)
+        """Note that a worker started again.
+
+        It has seen no fence yet, so an order to its earlier life may still come late
+        and take effect. What was placed there is settled by the next listing under a
+        higher fence, as after any other doubt.
+        """
         worker.stray_by_task.clear()
         worker.last_end = 0
         if worker.synced:
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -272,3 +272,28 @@
 
 
 BORN = 1_000
+
+
+def test_order_to_an_earlier_life_of_a_worker_may_come_late():
+    # Guards against two runs of a task at a time: an order that went unanswered was
+    # carried out by the next life of the worker, which had seen no fence, after the
+    # task had been placed elsewhere (soak seed 1 of 12 s, a worker that crashes).
+    cell = Cell.make(worker("w1", 1), worker("w2", 1))
+    cell.add(job("a"))
+    first = starts(cell.plan())[0]
+    cell.now_ms += 100
+    cell.listing(first.worker_id, born_ms=5_000)
+    assert not starts(cell.plan())
+    cell.listing(first.worker_id, running=(report(first),), born_ms=5_000)
+    assert not starts(cell.plan())
+
+
+def test_order_that_the_next_life_has_not_carried_out_never_will_be():
+    # Guards against a task that waits for ever for an order to an earlier life.
+    cell = Cell.make(worker("w1", 1), worker("w2", 1))
+    cell.add(job("a"))
+    first = starts(cell.plan())[0]
+    cell.now_ms += 100
+    cell.listing(first.worker_id, born_ms=5_000)
+    cell.listing(first.worker_id, born_ms=5_000)
+    assert len(starts(cell.plan())) == 1
