Wait for admission in the test that withdraws a key

No kept connection was involved.

Change: the test first declares its zone through that instance, which waits for the admission. The bound on the withdrawal and the assertions stay.

--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -97,13 +97,14 @@
             secret = (await cell.seed({TEAM: {}}))[TEAM]
             await cell.wait_for_shards()
             plan = cell.entry_by_id["leeds-entry-1"]
+            withdrawing = cell.entry_by_id["manchester-entry-1"].url
+            # An instance may change the configuration only once it is admitted, which
+            # it may not be yet if it started later than the others.
+            await cell.put(f"{withdrawing}/v1/zones/manchester", {"state": "in"})
             cut = [name for name in cell.entry_by_id if name.startswith("leeds")]
             await cell.control_platform(cut=cut)
             cut_at = time.monotonic()
-            withdrawn = await cell.fetch(
-                f"{cell.entry_by_id['manchester-entry-1'].url}/v1/keys/{TEAM}-key",
-                "DELETE",
-            )
+            withdrawn = await cell.fetch(f"{withdrawing}/v1/keys/{TEAM}-key", "DELETE")
             assert withdrawn.code == 200
 
             async def is_refused() -> bool:
