--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -29,9 +29,9 @@
     UnauthenticatedError,
 )
 from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.instances import InstancesChanged
 from marjoramgrade.messages.jobs import RecordRequest
 from marjoramgrade.messages.ownership import DrainRequests, OwnershipChanged
-from marjoramgrade.messages.peers import InstancesChanged
 from marjoramgrade.messages.requests import FenceBackend, RunReply, RunRequest
 from marjoramgrade.messages.routing import DispatchSummary
 from marjoramgrade.metrics import Metrics
--- a/marjoramgrade/controllers/instances.py
+++ b/marjoramgrade/controllers/instances.py
@@ -8,7 +8,7 @@
 
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.errors import MarjoramgradeError
-from marjoramgrade.messages.peers import InstancesChanged
+from marjoramgrade.messages.instances import InstancesChanged
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import Instance
 
--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -24,6 +24,7 @@
     WriteOutcomeUnknownError,
 )
 from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.instances import InstancesChanged
 from marjoramgrade.messages.jobs import (
     CancelJob,
     GetJob,
@@ -36,7 +37,7 @@
     TaskStatus,
     WriteJob,
 )
-from marjoramgrade.messages.peers import InstancesChanged, TellPeers
+from marjoramgrade.messages.peers import TellPeers
 from marjoramgrade.messages.routing import ChooseShard
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.model import (
--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -17,9 +17,9 @@
     TableError,
 )
 from marjoramgrade.logs import state_change
+from marjoramgrade.messages.instances import InstancesChanged
 from marjoramgrade.messages.peers import (
     CallPeer,
-    InstancesChanged,
     Member,
     MembersChanged,
     PeerCall,
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -17,6 +17,7 @@
 from marjoramgrade.errors import CheckFailedError, MarjoramgradeError, NotOwnerError
 from marjoramgrade.logs import state_change
 from marjoramgrade.messages.configuration import ConfigConfirmed
+from marjoramgrade.messages.instances import InstancesChanged
 from marjoramgrade.messages.jobs import (
     GetTasks,
     JobsChanged,
@@ -25,7 +26,6 @@
     TaskStatus,
 )
 from marjoramgrade.messages.ownership import OwnershipChanged
-from marjoramgrade.messages.peers import InstancesChanged
 from marjoramgrade.messages.routing import TaskSummary
 from marjoramgrade.messages.workers import (
     WorkerBatch,
--- a/marjoramgrade/filters/chain.py
+++ b/marjoramgrade/filters/chain.py
@@ -4,7 +4,7 @@
 
 import abc
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -14,7 +14,10 @@
 from marjoramgrade.filters.context import Context
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.registry import Registry
-from marjoramgrade.settings import EntrySettings
+
+if TYPE_CHECKING:
+    # The chain of queues is built without the settings of the `/v1` interface.
+    from marjoramgrade.settings import EntrySettings
 
 Proceed = Callable[[Context], Awaitable[Any]]
 
--- a/marjoramgrade/messages/peers.py
+++ b/marjoramgrade/messages/peers.py
@@ -1,4 +1,4 @@
-"""Messages about instances and between entry instances."""
+"""Messages about the members and between entry instances."""
 
 from __future__ import annotations
 
@@ -7,14 +7,6 @@
 import attrs
 
 from marjoramgrade.actor import Message
-from marjoramgrade.model import Instance
-
-
-@attrs.frozen
-class InstancesChanged(Message[None]):
-    """The platform's list of instances as last read."""
-
-    instances: tuple[Instance, ...]
 
 
 @attrs.frozen
