Send callers elsewhere when the leader is cut off together with them

Change: a beat says how long ago the leader sent the newest write that the store has confirmed. An instance is ready while it hears a leader that the store has confirmed within a second; a leader that is not heard at all is noticed after three beats instead of five.

--- a/marjoramgrade/adapters/peer.capnp
+++ b/marjoramgrade/adapters/peer.capnp
@@ -210,6 +210,7 @@
   epoch @0 :Int64;
   leaderId @1 :Text;
   clockMs @2 :Int64;
+  confirmedAgeMs @3 :Int64;
 }
 
 struct LeaderLeft {
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Any
 
 from marjoramgrade import logs
@@ -32,6 +33,7 @@
 )
 from marjoramgrade.messages.steps import (
     AskLeaderAge,
+    LeadConfirmed,
     LeaderAge,
     LeaderBeat,
     LeaderKnown,
@@ -51,6 +53,7 @@
     serialize_row,
 )
 
+# Shortest time between two looks at what is due.
 LOOP_MS = 50
 # The leader tells everybody that it leads at this interval.
 BEAT_MS = 150
@@ -119,11 +122,13 @@
         self._own_epoch = 0
         self._attempted_epoch = 0
         self._led_from_ms = 0
+        self._confirmed_ms = 0
         self._looked_for_stronger = False
         self._started_ms = clock.now_ms()
         self._renewed_ms = 0
         self._beat_ms = 0
         self._leaving = False
+        self._wake = asyncio.Event()
         self._lost_direct_ms = 0
         self._relayed_since_ms = 0
 
@@ -154,6 +159,7 @@
     async def _leader_left(self, message: LeaderLeft) -> None:
         if message.epoch >= self._leader.epoch:
             self._heard_ms = 0
+            self._wake.set()
 
     @handles(AskLeaderAge)
     async def _leader_age(self, message: AskLeaderAge) -> LeaderAge:
@@ -169,6 +175,11 @@
         if message.relayed:
             self._relayed_since_ms = self._relayed_since_ms or now_ms
 
+    @handles(LeadConfirmed)
+    async def _confirmed(self, message: LeadConfirmed) -> None:
+        if message.epoch == self._own_epoch:
+            self._confirmed_ms = max(self._confirmed_ms, message.asked_ms)
+
     @handles(StepDown)
     async def _step_down(self, message: StepDown) -> None:
         if message.epoch == self._own_epoch:
@@ -203,7 +214,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(LOOP_MS / 1000)
+            await self._pause()
             if self._leaving:
                 continue
             if self._own_epoch and self._is_served_by_others():
@@ -216,6 +227,18 @@
             elif self._clock.now_ms() - self._heard_ms >= SILENCE_MS:
                 await self._consider()
 
+    async def _pause(self) -> None:
+        """Wait until something is due, or until the leader says that it leaves."""
+        if self._own_epoch:
+            due_ms = min(self._beat_ms + BEAT_MS, self._renewed_ms + RENEWAL_MS)
+        else:
+            due_ms = self._heard_ms + SILENCE_MS
+        pause_ms = max(LOOP_MS, due_ms - self._clock.now_ms())
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_ms / 1000):
+                await self._wake.wait()
+
     def _is_served_by_others(self) -> bool:
         since_ms = self._relayed_since_ms
         return bool(since_ms) and self._clock.now_ms() - since_ms >= RELAYED_MS
@@ -224,7 +247,9 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._beat_ms >= BEAT_MS:
             self._beat_ms = now_ms
-            beat = LeaderBeat(self._own_epoch, self._instance_id, now_ms)
+            beat = LeaderBeat(
+                self._own_epoch, self._instance_id, now_ms, now_ms - self._confirmed_ms
+            )
             self._peers.tell(TellPeers(beat))
             self._tell(beat)
         if now_ms - self._renewed_ms >= RENEWAL_MS:
@@ -376,7 +401,7 @@
         self._watch.row_version = row_version
         self._attempted_epoch = 0
         self._own_epoch = epoch
-        self._led_from_ms = self._clock.now_ms()
+        self._led_from_ms = self._confirmed_ms = self._clock.now_ms()
         self._looked_for_stronger = False
         self._renewed_ms = self._clock.now_ms()
         self._beat_ms = 0
--- a/marjoramgrade/controllers/leadreports.py
+++ b/marjoramgrade/controllers/leadreports.py
@@ -146,6 +146,8 @@
         lead = self._lead
         if lead is None or lead.epoch != message.epoch:
             return
+        if self._leadership is not None:
+            self._leadership.tell(message)
         until_ms = message.asked_ms + GRANT_LIMIT_MS
         # Telling every link at each write would cost more than the writes.
         if until_ms - lead.grant_until_ms >= GRANT_LIMIT_MS // 16:
--- a/marjoramgrade/controllers/readiness.py
+++ b/marjoramgrade/controllers/readiness.py
@@ -11,10 +11,14 @@
 from marjoramgrade.messages.steps import ConfigurationChanged, LeaderBeat, LeaderKnown
 
 POLL_MS = 200
-# An instance that has not heard a leader for this long sends its callers to others.
-# The balancer needs two looks, one second apart, to notice; where all instances are
-# without a leader it uses them all the same.
-UNHEARD_MS = 800
+# An instance that has not heard a leader for this long sends its callers to others:
+# two beats may be lost or late. The balancer needs two looks, one second apart, to
+# notice; where all instances are without a leader it uses them all the same.
+UNHEARD_MS = 450
+# A leader that is heard but that the store has not confirmed for this long takes no
+# jobs: it may be cut off together with this instance. It renews its lead three times
+# in that time.
+UNCONFIRMED_MS = 1_000
 
 
 class ReadySign(Protocol):
@@ -37,7 +41,7 @@
         self._clock = clock
         self._has_config = False
         self._leader_id = ""
-        self._heard_ms = clock.now_ms()
+        self._heard_ms = self._confirmed_ms = clock.now_ms()
 
     async def on_start(self) -> None:
         """Start to look."""
@@ -50,17 +54,26 @@
     @handles(LeaderKnown)
     async def _leader_known(self, message: LeaderKnown) -> None:
         self._leader_id = message.leader_id
-        self._heard_ms = self._clock.now_ms()
+        self._heard_ms = self._confirmed_ms = self._clock.now_ms()
 
     @handles(LeaderBeat)
     async def _beat(self, message: LeaderBeat) -> None:
         self._heard_ms = self._clock.now_ms()
+        self._confirmed_ms = self._heard_ms - message.confirmed_age_ms
 
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(POLL_MS / 1000)
-            unheard_ms = self._clock.now_ms() - self._heard_ms
-            ready = self._has_config and unheard_ms < UNHEARD_MS
+            now_ms = self._clock.now_ms()
+            unheard_ms = now_ms - self._heard_ms
+            unconfirmed_ms = now_ms - self._confirmed_ms
+            is_led = unheard_ms < UNHEARD_MS and unconfirmed_ms < UNCONFIRMED_MS
+            ready = self._has_config and is_led
             if ready != self._sign.is_ready:
                 self._sign.is_ready = ready
-                logs.state_change("ready" if ready else "not_ready", unheard=unheard_ms)
+                logs.state_change(
+                    "ready" if ready else "not_ready",
+                    leader=self._leader_id,
+                    unheard=unheard_ms,
+                    unconfirmed=unconfirmed_ms,
+                )
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -83,11 +83,14 @@
         epoch: Number of the leadership.
         leader_id: The instance that leads.
         clock_ms: The leader's clock, which its renewals in the store carry too.
+        confirmed_age_ms: How long ago the leader sent the newest write that the store
+            has confirmed.
     """
 
     epoch: int
     leader_id: str
     clock_ms: int = 0
+    confirmed_age_ms: int = 0
 
 
 @attrs.frozen
