Give a call to a leader up as soon as another instance leads

Ruled out: the takeover (lead taken 0.5 s after the loss, workers listed 0.08 s later). Change: the desk drops the call once it knows of another leader and asks that one; the successor has read whatever the former leader stored, and a repeated job is one job. Test: fails before, passes after.

--- a/marjoramgrade/controllers/desk.py
+++ b/marjoramgrade/controllers/desk.py
@@ -105,11 +105,14 @@
         self._store = store
         self._clock = clock
         self._leader_id = ""
+        self._leader_changed = asyncio.Event()
         self._served_ms = clock.now_ms()
 
     @handles(LeaderKnown)
     async def _leader_known(self, message: LeaderKnown) -> None:
         self._leader_id = message.leader_id
+        self._leader_changed.set()
+        self._leader_changed = asyncio.Event()
 
     @handles(Forward)
     async def _forward(self, message: Forward) -> Any:
@@ -164,7 +167,7 @@
         if not leader_id:
             raise NoLeaderError("no instance leads")
         if leader_id != self._instance_id:
-            return await self._peers.ask(CallPeer(leader_id, message, timeout_ms))
+            return await self._ask_peer(leader_id, message, timeout_ms)
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 return await self._scheduler.ask(message)
@@ -173,6 +176,34 @@
         except ShuttingDownError:
             raise OutcomeUnknownError("the instance stops") from None
 
+    async def _ask_peer(
+        self, leader_id: str, message: Forwarded, timeout_ms: int
+    ) -> Any:
+        """Ask the leader, but give the call up once another instance leads.
+
+        A leader that lost its power or was cut off answers nobody, and whatever it
+        has stored its successor has read.
+
+        Raises:
+            OutcomeUnknownError: If another instance leads before the answer.
+        """
+        call = asyncio.ensure_future(
+            self._peers.ask(CallPeer(leader_id, message, timeout_ms))
+        )
+        replaced = asyncio.ensure_future(self._await_other_leader(leader_id))
+        try:
+            await asyncio.wait((call, replaced), return_when=asyncio.FIRST_COMPLETED)
+            if call.done():
+                return call.result()
+            raise OutcomeUnknownError("another instance leads")
+        finally:
+            call.cancel()
+            replaced.cancel()
+
+    async def _await_other_leader(self, leader_id: str) -> None:
+        while self._leader_id in ("", leader_id):
+            await self._leader_changed.wait()
+
     async def _read_state(self, message: GetStepJob) -> StepJobShown:
         """Return the state of a job as the store has it.
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -43,9 +43,12 @@
         self.clock = clock
         self.is_silent = False
         self.failures = []
+        self.dead = set()
 
     @handles(CallPeer)
     async def _call(self, message: CallPeer) -> object:
+        if message.instance_id in self.dead:
+            return asyncio.get_running_loop().create_future()
         if self.is_silent:
             self.clock.advance(message.timeout_ms)
             raise OutcomeUnknownError("no reply")
@@ -55,6 +58,10 @@
             raise self.failures.pop(0) if self.failures[1:] else self.failures[0]
         return StepJobAccepted(True)
 
+    @handles(SubmitStepJob)
+    async def _submit(self, message: SubmitStepJob) -> StepJobAccepted:
+        return StepJobAccepted(True)
+
 
 @contextlib.asynccontextmanager
 async def desk_to_a_leader():
@@ -127,3 +134,21 @@
             assert clock.now_ms() - began_ms <= NO_LEADER_MS + 400
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("successor", ["third", "own"])
+def test_job_goes_to_the_next_leader_once_the_first_is_replaced(successor):
+    # Guards against callers that wait for the answer of a leader without power although
+    # another instance leads (kbwb-arrears trouble-3: 1.4 s instead of 0.4 s).
+    async def run():
+        async with desk_to_a_leader() as (desk, leader, clock):
+            leader.dead = {"other"}
+            answer = asyncio.ensure_future(submit(desk, clock))
+            await asyncio.sleep(0.05)
+            assert not answer.done()
+            desk.tell(LeaderKnown("", 1))
+            desk.tell(LeaderKnown(successor, 2))
+            async with asyncio.timeout(1):
+                assert (await answer).created
+
+    asyncio.run(run())
