Move work off workers that turn slow, also where its step is small

Ruled out: advice and room (both jobs started at once, nothing was stopped). Change: the speed of a run is the one of its last 400 ms or more; on a suspect worker a run is judged by the average of its queue if its step is too small; a run that was done three times too late counts against its worker. Tests: three, each failed before.

--- a/marjoramgrade/decisions/durations.py
+++ b/marjoramgrade/decisions/durations.py
@@ -33,3 +33,7 @@
                 task of the queue was done.
         """
         return self._average_by_queue.get(queue, float(estimate_ms))
+
+    def average_ms(self, queue: str) -> float | None:
+        """Return how long tasks of a queue took, None if none was done."""
+        return self._average_by_queue.get(queue)
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import statistics
 from collections.abc import Iterator, Mapping
 
 import attrs
@@ -11,6 +12,15 @@
 from marjoramgrade.stepconfig import Queue
 from marjoramgrade.stepjobs import Step, StepJob, StepJobState, TaskRef
 
+# The speed of a run is measured over at least this long: progress comes in whole
+# percents, and a listing about once a second.
+SPEED_WINDOW_MS = 400
+# Tasks of a step of which the duration is known, before it tells what is usual.
+MIN_SIBLINGS = 3
+# A run that needs this many times the usual duration is on a slow worker; tasks of
+# one step differ by a third among themselves.
+SLOW_FACTOR = 3.2
+
 
 class TaskPhase(enum.IntEnum):
     """The state of one task."""
@@ -42,6 +52,9 @@
         running_since_ms: When the worker confirmed the start.
         percent: Its progress, 0 to 100.
         progressed_ms: When `percent` last changed.
+        measured_percent: Its progress at the last measurement of its speed.
+        measured_ms: When that was, or when it started.
+        recent_total_ms: How long it would take at the speed last measured, or None.
         checkpoint: Its newest checkpoint, or empty.
         checkpointed_ms: When that was first seen, or 0.
         figure: See `RunReport.figure`.
@@ -60,6 +73,9 @@
     running_since_ms: int = 0
     percent: int = 0
     progressed_ms: int = 0
+    measured_percent: int = 0
+    measured_ms: int = 0
+    recent_total_ms: float | None = None
     checkpoint: str = ""
     checkpointed_ms: int = 0
     figure: int = 0
@@ -68,16 +84,48 @@
     below_full_ms: int = 0
     stop_reason: str = ""
 
+    def begin(self, now_ms: int) -> None:
+        """Note that the worker has confirmed the start."""
+        self.running_since_ms = self.progressed_ms = self.measured_ms = now_ms
+
+    def progress_to(self, percent: int, now_ms: int) -> None:
+        """Take over what the worker says of the progress."""
+        if percent == self.percent:
+            return
+        self.percent, self.progressed_ms = percent, now_ms
+        done, took_ms = percent - self.measured_percent, now_ms - self.measured_ms
+        if done > 0 and took_ms >= SPEED_WINDOW_MS:
+            self.recent_total_ms = took_ms * 100 / done
+            self.measured_percent, self.measured_ms = percent, now_ms
+
+    def change_share(self, share: int, now_ms: int) -> None:
+        """Note that the run is paced, after which its speed is measured anew."""
+        self.share = share
+        self.progressed_ms = self.measured_ms = now_ms
+        self.measured_percent, self.recent_total_ms = self.percent, None
+
     def predicted_total_ms(self) -> float | None:
-        """Return the duration that the progress so far points to.
+        """Return the duration that the progress points to.
+
+        The latest speed counts, because a worker may turn slow midway; work that gets
+        only spare processor time changes its speed all the time.
 
         Returns:
             Milliseconds, or None if the progress is too small to tell.
         """
+        if self.recent_total_ms is not None and not self.step.step.uses_spare:
+            return self.recent_total_ms
         if self.percent < 5 or self.phase is RunPhase.STARTING:
             return None
         return (self.progressed_ms - self.running_since_ms) * 100 / self.percent
 
+    def predicted_left_ms(self, now_ms: int) -> float | None:
+        """Return how long the run still takes by that, None if unknown."""
+        total_ms = self.predicted_total_ms()
+        if total_ms is None:
+            return None
+        return total_ms * (100 - self.percent) / 100 - (now_ms - self.progressed_ms)
+
 
 @attrs.define(eq=False)
 class StepProgress:
@@ -155,6 +203,21 @@
         for runs in self.runs_by_index.values():
             yield from runs
 
+    def usual_duration_ms(self) -> float | None:
+        """Return how long tasks of the step take, judged by its own tasks.
+
+        Durations differ widely from job to job and little within a step.
+
+        Returns:
+            Milliseconds, or None if too few durations are known.
+        """
+        totals: list[float] = list(self.done_durations)
+        for run in self.iter_runs():
+            total_ms = run.predicted_total_ms()
+            if total_ms is not None:
+                totals.append(total_ms)
+        return statistics.median_low(totals) if len(totals) >= MIN_SIBLINGS else None
+
     def count_on(self, worker_id: str) -> int:
         """Return how many runs of the step a worker has."""
         return sum(1 for run in self.iter_runs() if run.worker_id == worker_id)
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from marjoramgrade.decisions.stepbook import StepBook
@@ -13,6 +15,7 @@
     StopRun,
 )
 from marjoramgrade.decisions.stepprogress import (
+    SLOW_FACTOR,
     Run,
     RunPhase,
     StepProgress,
@@ -165,7 +168,7 @@
     def _begin(self, run: Run, now_ms: int) -> None:
         if run.running_since_ms:
             return
-        run.running_since_ms = run.progressed_ms = now_ms
+        run.begin(now_ms)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         else:
@@ -177,9 +180,7 @@
 
     def _progressed(self, run: Run, report: RunReport, now_ms: int) -> None:
         self._begin(run, now_ms)
-        if report.percent != run.percent:
-            run.percent = report.percent
-            run.progressed_ms = now_ms
+        run.progress_to(report.percent, now_ms)
         if report.checkpoint and report.checkpoint != run.checkpoint:
             run.checkpoint, run.checkpointed_ms = report.checkpoint, now_ms
             run.step.keep_checkpoint(run.task.index, report.checkpoint)
@@ -215,14 +216,24 @@
         self, worker: WorkerState, run: Run, ending: Ending, now_ms: int
     ) -> None:
         if ending is Ending.DONE:
-            worker.suspicion.succeeded()
-            if run.running_since_ms and not run.step.checkpoint_of(run.task.index):
-                duration_ms = now_ms - run.running_since_ms
+            duration_ms = now_ms - run.running_since_ms if run.running_since_ms else 0
+            if duration_ms >= SLOW_FACTOR * self._expected_ms(run.step):
+                worker.suspicion.dragged(run.task.job_id, now_ms)
+            else:
+                worker.suspicion.succeeded()
+            if duration_ms and not run.step.checkpoint_of(run.task.index):
                 run.step.done_durations.append(duration_ms)
                 self.durations.add(run.step.job.queue.name, duration_ms)
         elif ending is Ending.FAILED:
             worker.suspicion.failed(run.task.job_id, now_ms)
 
+    def _expected_ms(self, step: StepProgress) -> float:
+        """Return how long a task of a step should take; infinity if nothing tells."""
+        usual_ms = step.usual_duration_ms()
+        if usual_ms is None:
+            usual_ms = self.durations.average_ms(step.job.queue.name)
+        return math.inf if usual_ms is None else usual_ms
+
     def _task_done(self, step: StepProgress, index: int, unix_ms: int) -> None:
         step.mark_done(index)
         for copy in list(step.runs_by_index.get(index, ())):
--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import statistics
-
 import attrs
 
 from marjoramgrade.decisions.stepfleet import WorkerState
 from marjoramgrade.decisions.steporders import PaceRun, StopRun
 from marjoramgrade.decisions.stepplanning import Planner
 from marjoramgrade.decisions.stepprogress import (
+    SLOW_FACTOR,
     Run,
     RunPhase,
     StepProgress,
@@ -24,11 +23,6 @@
 # one percent of a long task takes longer.
 STALL_MS = 1_200
 STALL_SHARE = 0.25
-# A run that needs this many times the usual duration is on a slow worker; tasks of
-# one step differ by a third among themselves.
-SLOW_FACTOR = 3.2
-# Tasks of a step of which the progress is known, before one is called slow.
-MIN_SIBLINGS = 3
 # A long-running task that is not at work for this long is started elsewhere.
 IDLE_MS = 2_500
 # Spare work beside a task above its latency target is slowed by halves at this
@@ -107,7 +101,7 @@
         if step.step.gang:
             self._watch_gang(step)
             return
-        usual_ms = self._usual_duration_ms(step)
+        usual_ms = step.usual_duration_ms()
         for run in list(step.iter_runs()):
             if run.phase is not RunPhase.RUNNING:
                 continue
@@ -158,18 +152,6 @@
         elif now_ms - run.below_full_ms >= IDLE_MS:
             self._move(run, worker, "not_at_work", now_ms)
 
-    def _usual_duration_ms(self, step: StepProgress) -> float | None:
-        """Return how long tasks of a step take, judged by the step's own tasks.
-
-        Durations differ widely from job to job and little within a step.
-        """
-        totals: list[float] = list(step.done_durations)
-        for run in step.iter_runs():
-            total_ms = run.predicted_total_ms()
-            if total_ms is not None:
-                totals.append(total_ms)
-        return statistics.median_low(totals) if len(totals) >= MIN_SIBLINGS else None
-
     def _watch_progress(
         self, run: Run, worker: WorkerState, usual_ms: float | None, now_ms: int
     ) -> None:
@@ -180,11 +162,13 @@
         if now_ms - run.progressed_ms >= self._stall_limit_ms(run, usual_ms):
             self._move(run, worker, "stands_still", now_ms)
             return
-        total_ms = run.predicted_total_ms()
-        if total_ms is None or usual_ms is None or total_ms < SLOW_FACTOR * usual_ms:
+        if usual_ms is None and worker.suspicion.probing:
+            # Too few tasks of the step tell; that the worker is suspect tells more.
+            usual_ms = self.state.durations.average_ms(run.step.job.queue.name)
+        total_ms, left_ms = run.predicted_total_ms(), run.predicted_left_ms(now_ms)
+        if total_ms is None or left_ms is None or usual_ms is None:
             return
-        left_ms = total_ms - (now_ms - run.running_since_ms)
-        if left_ms > usual_ms:
+        if total_ms >= SLOW_FACTOR * usual_ms and left_ms > usual_ms:
             self._move(run, worker, "slow", now_ms)
 
     def _stall_limit_ms(self, run: Run, usual_ms: float | None) -> float:
@@ -253,8 +237,7 @@
                 if direction > 0:
                     self._leave_paused(run)
                 continue
-            run.share = PACE_STEPS[position]
-            run.progressed_ms = now_ms
+            run.change_share(PACE_STEPS[position], now_ms)
             self._paced_ms[worker.worker.worker_id] = now_ms
             self.state.act(
                 PaceRun(
--- a/tests/test_stepsupervision.py
+++ b/tests/test_stepsupervision.py
@@ -56,6 +56,66 @@
         assert supervise(cell, supervisor) == []
 
 
+def test_run_whose_worker_turned_slow_midway_starts_elsewhere(cell, supervisor):
+    # Guards against a task that crawls to its end because its first half was fast
+    # (kbwb-arrears trouble-3: a task of 1.5 s took 7.7 s).
+    cell.add(job("a", Step(4, cores(1))))
+    sent = starts(cell.plan())
+    cell.confirm(*sent)
+    slow = sent[0]
+    stopped = []
+    for passed_ms, percent, slow_percent in (
+        (500, 50, 50),
+        (400, 80, 54),
+        (400, 95, 58),
+    ):
+        cell.now_ms += passed_ms
+        for worker_id in {start.worker_id for start in sent}:
+            cell.listing(
+                worker_id,
+                running=tuple(
+                    report(start, slow_percent if start is slow else percent)
+                    for start in sent
+                    if start.worker_id == worker_id
+                ),
+            )
+        stopped += stops(supervise(cell, supervisor))
+    assert [stop.task for stop in stopped] == [slow.order.task]
+
+
+def test_run_of_a_small_step_is_judged_by_its_queue_on_a_suspect_worker(
+    cell, supervisor
+):
+    # Guards against a step of one or two tasks that waits for a slow worker: nothing
+    # of the step itself shows how long it should take (the same day, 7.1 s).
+    cell.state.durations.add("urgent", 1_000)
+    cell.add(job("a", Step(1, cores(1))))
+    (start,) = starts(cell.plan())
+    cell.confirm(start)
+    cell.now_ms += 500
+    cell.listing(start.worker_id, running=(report(start, 8),))
+    assert stops(supervise(cell, supervisor)) == []
+    cell.worker(start.worker_id).suspicion.probing = True
+    (stop,) = stops(supervise(cell, supervisor))
+    assert stop.task == start.order.task
+
+
+def test_slow_run_that_is_done_does_not_clear_its_worker(cell):
+    # Guards against a slow worker that is trusted again after each slow task.
+    cell.state.durations.add("urgent", 1_000)
+    cell.add(job("a", Step(2, cores(1))))
+    sent = starts(cell.plan())
+    cell.confirm(*sent)
+    for start, took_ms in zip(sent, (5_000, 900), strict=True):
+        suspicion = cell.worker(start.worker_id).suspicion
+        suspicion.distrust(cell.now_ms)
+        cell.state.worker_by_id[start.worker_id].run_by_task[
+            (start.order.task, start.order.run)
+        ].running_since_ms = cell.now_ms - took_ms
+        cell.end(start, start.order.task.index + 1, Ending.DONE)
+        assert suspicion.probing is (took_ms == 5_000)
+
+
 def test_task_that_may_have_copies_gets_one_on_a_silent_worker(cell, supervisor):
     # Guards against waiting for a lease to run out where a copy is allowed.
     cell.add(job("a", Step(1, cores(1), speculative=True)))
