Sort the runs of a team once for all its steps that wait at its limit

Ruled out: fewer victims at a time (12 already). Change: one survey of the runs serves a whole plan. Test counts the runs that are compared (10 steps, 50 runs): 188 before, 50 after.

--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -41,6 +41,7 @@
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Order every start that is possible now."""
         self.waiting_by_reason.clear()
+        preemption = Preemption(self.state)
         for entry in self.order(self._collect(now_ms, unix_ms), now_ms):
             step = entry.step
             if step.step.gang:
@@ -53,7 +54,7 @@
             if reason in ("no_permitted_worker", "no_room"):
                 self._ask_advice(step, now_ms)
             if entry.is_on_time(now_ms):
-                self._make_room(step, reason, now_ms)
+                self._make_room(preemption, step, reason, now_ms)
 
     def advised(
         self, asked: AskAdvice, text_by_worker: Mapping[str, str], until_ms: int
@@ -203,8 +204,9 @@
         remaining_ms = progress.chain_length(step.index) * average_ms
         return Waiting(step, objective_ms, remaining_ms)
 
-    def _make_room(self, step: StepProgress, reason: str, now_ms: int) -> None:
-        preemption = Preemption(self.state)
+    def _make_room(
+        self, preemption: Preemption, step: StepProgress, reason: str, now_ms: int
+    ) -> None:
         if reason == "team_limit":
             preemption.make_team_room(step, now_ms)
         elif reason == "no_room":
--- a/marjoramgrade/decisions/steppreemption.py
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -22,11 +23,17 @@
 class Preemption:
     """Stops less urgent runs where a team's limit or a worker's room is used up.
 
+    It serves one plan, in which teams gain no runs that could make way.
+
     Attributes:
         state: Jobs and workers.
     """
 
     state: StepState
+    _is_surveyed: bool = False
+    _runs_by_team: dict[str, list[Run]] = attrs.field(factory=dict)
+    _leaving_by_team: dict[str, Resources] = attrs.field(factory=dict)
+    _victims_by_claim: dict[tuple[str, int], list[Run]] = attrs.field(factory=dict)
 
     def make_team_room(self, step: StepProgress, now_ms: int) -> None:
         """Stop less urgent runs of the same team until its limit leaves room."""
@@ -36,23 +43,24 @@
         policy = self.state.config.team_by_name.get(team)
         if policy is None:
             return
+        runs = self._runs_of(team)
         waiting = sum(1 for _ in step.iter_waiting())
         used = self.state.usage.used_by_team.get(team, NOTHING)
         missing = used + step.step.resources.scaled(waiting, 1)
-        missing = missing - self._leaving(team)
-        runs = [
+        missing = missing - self._leaving_by_team.get(team, NOTHING)
+        claim = (team, step.job.queue.priority)
+        if claim not in self._victims_by_claim:
+            self._victims_by_claim[claim] = self._victims(step, runs, now_ms)
+        victims = (
             run
-            for progress in self.state.open_by_id.values()
-            if progress.job.team == team
-            for victim_step in progress.iter_steps()
-            for run in victim_step.iter_runs()
-        ]
-        victims = self._victims(step, runs, now_ms)
-        for run in victims[:MAX_VICTIMS]:
+            for run in self._victims_by_claim[claim]
+            if run.phase is RunPhase.RUNNING
+        )
+        for run in itertools.islice(victims, MAX_VICTIMS):
             if is_within(missing, policy.limit):
                 return
             missing = missing - run.step.step.resources
-            self.state.stop_run(run, "makes_way_in_team")
+            self._stop(run, "makes_way_in_team")
 
     def make_worker_room(
         self, step: StepProgress, permitted: Iterable[WorkerState], now_ms: int
@@ -71,7 +79,7 @@
             if best is None or _loss(chosen, now_ms) < _loss(best, now_ms):
                 best = chosen
         for run in best or ():
-            self.state.stop_run(run, "makes_way_on_worker")
+            self._stop(run, "makes_way_on_worker")
 
     def _is_due(self, step: StepProgress, now_ms: int) -> bool:
         if step.job.beyond_weight or step.ready_ms is None:
@@ -116,14 +124,30 @@
         ]
         return sorted(candidates, key=lambda run: _loss((run,), now_ms))
 
-    def _leaving(self, team: str) -> Resources:
-        """Return what the runs of a team that are being stopped take."""
-        total = NOTHING
+    def _runs_of(self, team: str) -> list[Run]:
+        self._survey()
+        return self._runs_by_team.get(team, [])
+
+    def _survey(self) -> None:
+        """Sort the runs of all workers by team, once for the whole plan."""
+        if self._is_surveyed:
+            return
+        self._is_surveyed = True
         for worker in self.state.worker_by_id.values():
             for run in worker.run_by_task.values():
-                if run.phase is RunPhase.STOPPING and run.step.job.job.team == team:
-                    total = total + run.step.step.resources
-        return total
+                self._runs_by_team.setdefault(run.step.job.job.team, []).append(run)
+                if run.phase is RunPhase.STOPPING:
+                    self._note_leaving(run)
+
+    def _note_leaving(self, run: Run) -> None:
+        team = run.step.job.job.team
+        leaving = self._leaving_by_team.get(team, NOTHING)
+        self._leaving_by_team[team] = leaving + run.step.step.resources
+
+    def _stop(self, run: Run, reason: str) -> None:
+        self._survey()
+        self.state.stop_run(run, reason)
+        self._note_leaving(run)
 
 
 def _loss(runs: Iterable[Run], now_ms: int) -> float:
--- a/tests/test_steppreemption.py
+++ b/tests/test_steppreemption.py
@@ -56,3 +56,22 @@
     cell.plan()
     cell.now_ms += 100
     assert stops(cell.plan()) == []
+
+
+def test_steps_of_one_team_at_its_limit_sort_its_runs_once(monkeypatch):
+    # Guards against a leader that sorts all runs of a team for each of its waiting
+    # steps: 20 steps and 1,000 runs took 78 ms a plan.
+    cell = Cell.make(worker("w", 60), limit=Resources(cpu_millis=50_000))
+    cell.add(job("r", Step(50, cores(1)), queue=REPORTS), REPORTS)
+    cell.confirm(*starts(cell.plan()))
+    for index in range(10):
+        cell.add(job(f"u{index}", Step(4, cores(10))))
+    cell.plan()
+    cell.now_ms += 100
+    looks = []
+    monkeypatch.setattr(
+        "marjoramgrade.decisions.steppreemption._unsaved_ms",
+        lambda run, now_ms: looks.append(run) or 0,
+    )
+    assert len(stops(cell.plan())) == 40
+    assert len(looks) == 50
