Let a task run that is slow on two workers

Change: a task that did badly on two workers is not moved for its speed again; one that stands still still is. Test: failed before with five moves, now two.

--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -23,6 +23,9 @@
 # one percent of a long task takes longer.
 STALL_MS = 1_200
 STALL_SHARE = 0.25
+# A task that was bad on this many workers takes long by itself; each move throws its
+# work away.
+MAX_SLOW_WORKERS = 2
 # A long-running task that is not at work for this long is started elsewhere.
 IDLE_MS = 2_500
 # Spare work beside a task above its latency target is slowed by halves at this
@@ -168,7 +171,10 @@
         total_ms, left_ms = run.predicted_total_ms(), run.predicted_left_ms(now_ms)
         if total_ms is None or left_ms is None or usual_ms is None:
             return
-        if total_ms >= SLOW_FACTOR * usual_ms and left_ms > usual_ms:
+        if total_ms < SLOW_FACTOR * usual_ms or left_ms <= usual_ms:
+            return
+        bad = run.step.bad_workers_by_index.get(run.task.index, ())
+        if len(bad) < MAX_SLOW_WORKERS:
             self._move(run, worker, "slow", now_ms)
 
     def _stall_limit_ms(self, run: Run, usual_ms: float | None) -> float:
--- a/tests/test_stepsupervision.py
+++ b/tests/test_stepsupervision.py
@@ -83,6 +83,26 @@
     assert [stop.task for stop in stopped] == [slow.order.task]
 
 
+def test_task_that_is_slow_everywhere_is_let_run():
+    # Guards against a task that is longer than its siblings and starts anew on one
+    # worker after the other (kbwb-arrears trouble-3: nine times, 18 s instead of 3 s).
+    cell = Cell.make(*(worker(f"w{index}", 4) for index in range(6)))
+    supervisor = Supervisor(cell.state, cell.planner)
+    progress = cell.add(job("a", Step(1, cores(1))))
+    progress.open_occurrence(0)[0].done_durations += [500, 500, 500]
+    moves = 0
+    for _ in range(5):
+        (start,) = starts(cell.plan())
+        cell.confirm(start)
+        cell.now_ms += 600
+        cell.listing(start.worker_id, running=(report(start, 20),))
+        if not stops(supervise(cell, supervisor)):
+            break
+        moves += 1
+        cell.end(start, 1, Ending.STOPPED)
+    assert moves == 2
+
+
 def test_run_of_a_small_step_is_judged_by_its_queue_on_a_suspect_worker(
     cell, supervisor
 ):
