Know the workers of a cut zone at the first call that goes unanswered

Ruled out: shorter leases (they would not outlast all power lost), and two failures before a worker counts as silent (that stays for fences and copies). Change: the first unanswered call makes every link list at once; a worker that leaves a listing unanswered gets no work until it answers one; a listing waits 0.6 s, not 1 s. Tests: one for the link, one for the planner.

--- a/marjoramgrade/controllers/leadreports.py
+++ b/marjoramgrade/controllers/leadreports.py
@@ -253,8 +253,13 @@
 
     @handles(CallUnanswered)
     async def _call_unanswered(self, message: CallUnanswered) -> None:
-        if self._lead is not None:
-            self._alert(self._lead)
+        lead = self._lead
+        if lead is None:
+            return
+        worker = lead.state.worker_by_id.get(message.worker_id)
+        if worker is not None:
+            worker.is_unanswered = True
+        self._alert(lead)
 
     def _alert(self, lead: Lead) -> None:
         """Let all links look more often; what one worker loses others lose too."""
--- a/marjoramgrade/controllers/workerlink.py
+++ b/marjoramgrade/controllers/workerlink.py
@@ -34,8 +34,9 @@
 )
 from marjoramgrade.stepjobs import StepWorker, WorkerListing
 
-# A listing waits this long for an end; then it reports progress.
-LISTING_WAIT_MS = 1_000
+# A listing waits this long for an end; then it reports progress. A worker that is cut
+# off is noticed only at the end of that time.
+LISTING_WAIT_MS = 600
 # The same while calls go unanswered: an end that comes during a lost call is seen
 # only after the next one.
 ALERT_WAIT_MS = 200
@@ -102,7 +103,11 @@
 
     @handles(LinkAlert)
     async def _alert(self, message: LinkAlert) -> None:
+        is_first = self._clock.now_ms() >= self._alert_until_ms
         self._alert_until_ms = message.until_ms
+        if is_first:
+            # The listing on its way would show only at its end that nobody answers.
+            self.spawn(self._list(0))
 
     @handles(LinkAcknowledge)
     async def _acknowledge(self, message: LinkAcknowledge) -> None:
--- a/marjoramgrade/decisions/stepfleet.py
+++ b/marjoramgrade/decisions/stepfleet.py
@@ -90,6 +90,7 @@
         spare_used: What tasks take that use only spare processor time.
         stray_by_task: Runs that are present and belong to no task that waits for
             them; they are being stopped.
+        is_unanswered: Whether it left the last listing without an answer.
         last_end: Highest number of an end that was taken over.
         silent_since_ms: Since when it gives no answer, or 0.
     """
@@ -101,6 +102,7 @@
     suspicion: WorkerSuspicion = attrs.field(factory=WorkerSuspicion)
     run_by_task: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
     stray_by_task: dict[tuple[TaskRef, int], RunReport] = attrs.field(factory=dict)
+    is_unanswered: bool = False
     used: Resources = NOTHING
     spare_used: Resources = NOTHING
     last_end: int = 0
@@ -111,6 +113,7 @@
         return (
             self.listed
             and self.synced
+            and not self.is_unanswered
             and not self.stray_by_task
             and not self.worker.draining
             and self.suspicion.allows(now_ms, len(self.run_by_task))
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -88,6 +88,7 @@
                 worker.worker, born_unix_ms=listing.born_unix_ms
             )
         worker.silent_since_ms = 0
+        worker.is_unanswered = False
         for end in listing.ended:
             if end.number > worker.last_end:
                 worker.last_end = end.number
--- a/tests/test_stepplanning.py
+++ b/tests/test_stepplanning.py
@@ -312,3 +312,14 @@
     assert not cell.state.may_send_start(run, ticket, cell.now_ms)
     cell.state.start_refused("w", start.order.task, start.order.run)
     assert len(asked(cell.plan())) == 1
+
+
+def test_worker_that_left_a_call_unanswered_gets_nothing_until_it_answers():
+    # Guards against placing more work in a zone that is being cut off: two calls had to
+    # go unanswered before a worker counted as silent.
+    cell = Cell.make(worker("w", 8))
+    cell.worker("w").is_unanswered = True
+    cell.add(job("a"))
+    assert starts(cell.plan()) == []
+    cell.listing("w")
+    assert len(starts(cell.plan())) == 1
--- a/tests/test_workerlink.py
+++ b/tests/test_workerlink.py
@@ -17,6 +17,7 @@
 from marjoramgrade.messages.steps import (
     CallUnanswered,
     LinkAcknowledge,
+    LinkAlert,
     LinkGrant,
     LinkStart,
     LinkSync,
@@ -83,7 +84,7 @@
 
     @handles(CallUnanswered)
     async def _unanswered(self, message: CallUnanswered) -> None:
-        return None
+        self.heard.append(message)
 
     def of(self, kind):
         return [message for message in self.heard if isinstance(message, kind)]
@@ -210,3 +211,32 @@
                     await asyncio.sleep(0.01)
 
     asyncio.run(run())
+
+
+def test_alert_shows_at_once_that_a_worker_is_cut_off():
+    # Guards against starts that go to the workers of a zone that is cut off until the
+    # listings on their way have run out, up to 1.9 s after the cut.
+    class Waiting(Port):
+        async def renew(self, fence, expires_clock_ms, acknowledged, wait_ms):
+            if wait_ms:
+                self.calls.append(("wait",))
+                await asyncio.sleep(60)
+            return await super().renew(fence, expires_clock_ms, acknowledged, wait_ms)
+
+    async def run():
+        port, scheduler, clock = Waiting(), Scheduler(), SystemClock()
+        link = WorkerLink(worker("w"), port, scheduler, clock, HOLD_MS, 10, 0)
+        async with contextlib.AsyncExitStack() as stack:
+            for actor in (scheduler, link):
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+            async with asyncio.timeout(3):
+                while ("wait",) not in port.calls:
+                    await asyncio.sleep(0.005)
+            port.error = WorkerSilentError("cut off")
+            for ahead_ms in (1_000, 2_000):
+                link.tell(LinkAlert(clock.now_ms() + ahead_ms))
+                await asyncio.sleep(0.05)
+            assert len(scheduler.of(CallUnanswered)) == 1
+
+    asyncio.run(run())
