Let a repeated job wait for its own row only

The repetition of a job that was not stored yet waited until everything in the queue was written, so it was later than the first call and ended as unknown at the caller's deadline. Ruled out: refusing it (it may have been stored). Change: calls with the same id share one acceptance; the two paths for a repetition that came while the first was waiting are gone.

--- a/marjoramgrade/controllers/lead.py
+++ b/marjoramgrade/controllers/lead.py
@@ -42,6 +42,7 @@
     LinkSync,
     RequestAdvice,
     StepAdvice,
+    StepJobAccepted,
 )
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.stepconfig import StepConfig
@@ -97,6 +98,7 @@
         planner: Gives tasks to workers.
         supervisor: Watches runs.
         link_by_worker: The connections to the workers.
+        accepting_by_job: The jobs that are being stored.
         roster: Workers that the store knows as possible holders of runs.
         inherited: Those of them that an earlier leader has used.
         reachable: Whether writes reach the store.
@@ -115,6 +117,9 @@
     planner: Planner
     supervisor: Supervisor
     link_by_worker: dict[str, WorkerLink] = attrs.field(factory=dict)
+    accepting_by_job: dict[str, asyncio.Task[StepJobAccepted]] = attrs.field(
+        factory=dict
+    )
     roster: frozenset[str] = frozenset()
     inherited: frozenset[str] = frozenset()
     reachable: bool = True
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -59,23 +59,23 @@
 
     @handles(SubmitStepJob)
     async def _submit(self, message: SubmitStepJob) -> Any:
-        lead = self._current()
-        return self.spawn(self._accept(lead, message))
+        lead, job_id = self._current(), message.job.job_id
+        # The same id again is the same job, so a repetition waits for the first call.
+        accepting = lead.accepting_by_job.get(job_id)
+        if accepting is None:
+            accepting = self.spawn(self._accept(lead, message))
+            lead.accepting_by_job[job_id] = accepting
+            accepting.add_done_callback(
+                lambda _: lead.accepting_by_job.pop(job_id, None)
+            )
+        return accepting
 
     async def _accept(self, lead: Lead, message: SubmitStepJob) -> StepJobAccepted:
         job = message.job
-        known = lead.state.job_by_id.get(job.job_id)
-        if known is not None:
-            # The same id again is a repetition, which can arrive much later.
-            if not known.stored:
-                await self._settle(lead)
-            if known.stored:
-                return StepJobAccepted(False)
-            # The first call was refused meanwhile, so this one hands the job in.
-        queue = await self._find_queue(job.queue, message.config_version)
         if job.job_id in lead.state.job_by_id:
-            # A repetition came first while this call waited for the configuration.
-            return await self._accept(lead, message)
+            # A repetition can arrive much later.
+            return StepJobAccepted(False)
+        queue = await self._find_queue(job.queue, message.config_version)
         if not lead.reachable:
             raise TableRefusedError("the store cannot be reached")
         if len(lead.state.open_by_id) >= MAX_OPEN_JOBS:
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -11,6 +11,7 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers import commits
+from marjoramgrade.controllers.commits import SaveRows
 from marjoramgrade.controllers.stepscheduling import LeaseTerms, StepSchedulerController
 from marjoramgrade.controllers.workerport import WorkerPort
 from marjoramgrade.errors import (
@@ -40,7 +41,7 @@
     StepJobState,
     WorkerListing,
 )
-from marjoramgrade.steprows import EPOCH_ROW, job_row
+from marjoramgrade.steprows import EPOCH_ROW, job_row, progress_row
 from tests.rowstore import MemoryRows
 from tests.steps import URGENT, cores, job, worker
 
@@ -216,6 +217,34 @@
     asyncio.run(run())
 
 
+def test_repeated_job_waits_only_for_its_own_row():
+    # Guards against callers whose job is stored but who wait for the progress of all
+    # others, on a slow store until their deadline (kbwb-arrears-grown trouble-2).
+    class Slow(MemoryRows):
+        @handles(CommitRows)
+        async def _commit(self, message: CommitRows) -> object:
+            async def answer():
+                await asyncio.sleep(0.05)
+                return self.apply(message)
+
+            return self.spawn(answer())
+
+    async def run():
+        async with leading(Slow()) as (_, scheduler, _):
+            first = asyncio.ensure_future(scheduler.ask(SubmitStepJob(job("a"))))
+            await asyncio.sleep(0.01)
+            for number in range(400):
+                row = RowWrite(progress_row(f"other{number}"), b"x")
+                scheduler._lead.commits.tell(SaveRows((row,)))
+            again = asyncio.ensure_future(scheduler.ask(SubmitStepJob(job("a"))))
+            await first
+            # The rows of the others take nine transactions of 50 ms.
+            await asyncio.sleep(0.1)
+            assert again.done()
+
+    asyncio.run(run())
+
+
 def test_unanswered_start_runs_once():
     # Guards against a task that waits for ever, or runs twice, after a lost answer.
     async def run():
