Replace a leader whose process has ended at once

Ruled out: a shorter standstill (a slow leader would be replaced in vain). Change: when a connection that the leader dialled ends, every instance calls the leader back; if its port refuses within 0.1 s, the process has ended and the standstill is not waited for. A reset connection of a live leader changes nothing, and one without power does not answer and is replaced as before. What asks other instances about the leader moved to a module of its own. Tests: takeover within 0.25 s of the lost connection (it waited before), none if the leader answers, and the end of a connection is told.

--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import struct
 from collections.abc import Awaitable
 from typing import Any
@@ -33,8 +34,15 @@
     OutcomeUnknownError,
     OwnerUnreachableError,
     ProtocolError,
+    ShuttingDownError,
+)
+from marjoramgrade.messages.peers import (
+    Inbound,
+    Member,
+    PeerCall,
+    PeerLost,
+    PeerTell,
 )
-from marjoramgrade.messages.peers import Inbound, Member, PeerCall, PeerTell
 
 CONNECT_TIMEOUT_MS = 1_000
 # Bytes that may wait in one connection before further calls are refused.
@@ -192,11 +200,13 @@
 
     Args:
         receiver: The actor that handles `Inbound` messages.
+        watcher: Told with `PeerLost` of connections that end, or None.
     """
 
-    def __init__(self, receiver: Actor) -> None:
+    def __init__(self, receiver: Actor, watcher: Actor | None = None) -> None:
         super().__init__()
         self._receiver = receiver
+        self._watcher = watcher
         self._streams: set[IOStream] = set()
         self._running: set[asyncio.Task[None]] = set()
 
@@ -208,9 +218,7 @@
             hello = (await read_frame(stream)).body
             if not isinstance(hello, Hello):
                 raise ProtocolError("the first frame must be a hello")
-            while True:
-                frame = await read_frame(stream)
-                self._spawn(self._serve(stream, hello.instance_id, frame))
+            await self._serve_frames(stream, hello.instance_id)
         except StreamClosedError:
             return
         except ProtocolError:
@@ -218,6 +226,16 @@
         finally:
             self._streams.discard(stream)
 
+    async def _serve_frames(self, stream: IOStream, peer_id: str) -> None:
+        try:
+            while True:
+                frame = await read_frame(stream)
+                self._spawn(self._serve(stream, peer_id, frame))
+        finally:
+            if self._watcher is not None:
+                with contextlib.suppress(ShuttingDownError):
+                    self._watcher.tell(PeerLost(peer_id))
+
     async def close(self) -> None:
         """Stop accepting, let running calls end, and close every connection."""
         self.stop()
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -14,6 +14,7 @@
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.leaderprobe import LeaderProbe
 from marjoramgrade.decisions.leadwatch import HeardBeat, LeaderRow, LeadWatch
 from marjoramgrade.errors import (
     InvalidInputError,
@@ -21,7 +22,12 @@
     TableError,
     WriteOutcomeUnknownError,
 )
-from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged, TellPeers
+from marjoramgrade.messages.peers import (
+    Member,
+    MembersChanged,
+    PeerLost,
+    TellPeers,
+)
 from marjoramgrade.messages.rows import (
     ABSENT,
     CommitRows,
@@ -66,7 +72,6 @@
 # A leader that most instances have not heard for this long is replaced even if it
 # still writes: it cannot serve them.
 UNHEARD_MS = 2_500
-ASK_TIMEOUT_MS = 300
 # A leader that only others have reached the store for all this time gives the lead to
 # one of them. After an outage of the whole store a relay may answer before the direct
 # way is tried again, which takes up to 400 ms.
@@ -112,6 +117,7 @@
         self._peers = peers
         self._scheduler = scheduler
         self._clock = clock
+        self._probe = LeaderProbe(peers, clock)
         self._subscribers = subscribers
         self._members: tuple[Member, ...] = ()
         self._watch = LeadWatch()
@@ -121,6 +127,7 @@
         self._heard_clock_ms = 0
         self._own_epoch = 0
         self._attempted_epoch = 0
+        self._ended_epoch = 0
         self._led_from_ms = 0
         self._confirmed_ms = 0
         self._looked_for_stronger = False
@@ -161,6 +168,20 @@
             self._heard_ms = 0
             self._wake.set()
 
+    @handles(PeerLost)
+    async def _peer_lost(self, message: PeerLost) -> None:
+        if message.instance_id == self._leader.leader_id and not self._own_epoch:
+            self.spawn(self._check_process(self._leader))
+
+    async def _check_process(self, leader: LeaderRow) -> None:
+        if await self._probe.has_ended(leader.leader_id) and leader == self._leader:
+            logs.state_change(
+                "leader_ended", leader=leader.leader_id, epoch=leader.epoch
+            )
+            self._ended_epoch = leader.epoch
+            self._heard_ms = 0
+            self._wake.set()
+
     @handles(AskLeaderAge)
     async def _leader_age(self, message: AskLeaderAge) -> LeaderAge:
         return LeaderAge(self._leader.epoch, self._clock.now_ms() - self._heard_ms)
@@ -278,7 +299,9 @@
             await self._begin(row.epoch, self._watch.row_version)
             return
         if row.leader_id and not is_own:
-            is_gone = self._watch.is_gone(self._heard(), now_ms)
+            is_gone = row.epoch == self._ended_epoch or self._watch.is_gone(
+                self._heard(), now_ms
+            )
             if not is_gone and not await self._is_unheard():
                 return
         await asyncio.sleep(self._rank() * RANK_DELAY_MS / 1000)
@@ -329,24 +352,8 @@
             for member in self._members
             if member.instance_id not in (self._instance_id, self._leader.leader_id)
         ]
-        ages = await asyncio.gather(*(self._ask_age(other) for other in others))
-        unheard = 1 + sum(
-            1
-            for answer in ages
-            if answer is not None
-            and answer.epoch <= self._leader.epoch
-            and answer.age_ms >= UNHEARD_MS
-        )
-        return 2 * unheard > len(self._members)
-
-    async def _ask_age(self, instance_id: str) -> LeaderAge | None:
-        try:
-            answer = await self._peers.ask(
-                CallPeer(instance_id, AskLeaderAge(), ASK_TIMEOUT_MS)
-            )
-        except MarjoramgradeError:
-            return None
-        return answer if isinstance(answer, LeaderAge) else None
+        unheard = await self._probe.count_unheard(others, self._leader, UNHEARD_MS)
+        return 2 * (1 + unheard) > len(self._members)
 
     def _rank(self) -> int:
         """Return how many instances try before this one."""
@@ -375,7 +382,7 @@
         best = max((self._own, *self._members), key=lambda member: member.strength)
         if self._own.strength >= WEAK_SHARE * best.strength:
             return
-        if await self._ask_age(best.instance_id) is not None:
+        if await self._probe.ask_age(best.instance_id) is not None:
             await self._release("a stronger instance answers")
 
     async def _take(self) -> None:
--- a/marjoramgrade/messages/peers.py
+++ b/marjoramgrade/messages/peers.py
@@ -68,6 +68,13 @@
     message: Message[Any]
 
 
+@attrs.frozen
+class PeerLost(Message[None]):
+    """A connection that another entry instance had dialled has ended."""
+
+    instance_id: str
+
+
 @attrs.frozen
 class Inbound(Message[Any]):
     """A message that arrived from another entry instance."""
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -165,7 +165,7 @@
         )
         for actor in actors:
             await self._stack.add(actor)
-        server = PeerServer(inbound)
+        server = PeerServer(inbound, leadership)
         server.listen(settings.peer_port, settings.host)
         self._stack.push_async_callback(server.close)
         self._listen(directory, desk)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,9 +10,16 @@
 from marjoramgrade.controllers.leadership import LeadershipController
 from marjoramgrade.decisions.leadwatch import LeaderRow
 from marjoramgrade.errors import OwnerUnreachableError
-from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged, TellPeers
+from marjoramgrade.messages.peers import (
+    CallPeer,
+    Member,
+    MembersChanged,
+    PeerLost,
+    TellPeers,
+)
 from marjoramgrade.messages.rows import CommitRows, ReadRows, RowsPage, RowWrite
 from marjoramgrade.messages.steps import (
+    LeaderAge,
     LeaderBeat,
     LeaderKnown,
     LeaderLeft,
@@ -36,6 +43,7 @@
     def __init__(self):
         super().__init__()
         self.heard = []
+        self.alive = set()
 
     @handles(TakeLead)
     async def _take(self, message: TakeLead) -> None:
@@ -62,7 +70,9 @@
         self.heard.append(message.message)
 
     @handles(CallPeer)
-    async def _call(self, message: CallPeer) -> None:
+    async def _call(self, message: CallPeer) -> object:
+        if message.instance_id in self.alive:
+            return LeaderAge(1, 0)
         raise OwnerUnreachableError("nobody answers")
 
 
@@ -340,3 +350,31 @@
             await until(lambda: any(isinstance(m, StepDown) for m in recorder.heard))
 
     asyncio.run(run())
+
+
+def lose_connection_to_a_leader(alive):
+    """Return what an instance does in 0.25 s after a connection of its leader ends."""
+
+    async def run():
+        store = MemoryRows()
+        write_leader(store, 1, "b")
+        async with instance(store) as (leadership, recorder):
+            recorder.alive = alive
+            leadership.tell(LeaderBeat(1, "b", 10))
+            await asyncio.sleep(0.05)
+            leadership.tell(PeerLost("b"))
+            await asyncio.sleep(0.25)
+            return took(recorder, 2)
+
+    return asyncio.run(run())
+
+
+def test_leader_whose_process_has_ended_is_replaced_at_once():
+    # Guards against waiting for a standstill of a leader that refuses connections, on a
+    # slow store 1.6 s (kbwb-arrears-grown trouble-2).
+    assert lose_connection_to_a_leader(alive=set())
+
+
+def test_leader_whose_connections_were_reset_stays():
+    # Guards against a takeover for each connection that the network resets.
+    assert not lose_connection_to_a_leader(alive={"b"})
--- /dev/null
+++ b/tests/test_peerlink.py
@@ -0,0 +1,55 @@
+"""Connections between entry instances."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from tornado.testing import bind_unused_port
+
+import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.adapters.peerlink import PeerLink, PeerServer
+from marjoramgrade.messages.peers import Inbound, Member, PeerLost, PeerTell
+from marjoramgrade.messages.steps import LeaderBeat
+
+
+class Receiver(Actor):
+    def __init__(self):
+        super().__init__()
+        self.heard = []
+
+    @handles(Inbound)
+    async def _inbound(self, message: Inbound) -> None:
+        self.heard.append(message.message)
+
+    @handles(PeerLost)
+    async def _lost(self, message: PeerLost) -> None:
+        self.heard.append(message)
+
+
+async def until(condition):
+    async with asyncio.timeout(4):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_end_of_a_connection_that_a_peer_dialled_is_told():
+    # Guards against a leader whose end is noticed only by its silence.
+    async def run():
+        receiver = Receiver()
+        socket, port = bind_unused_port()
+        server = PeerServer(receiver, receiver)
+        link = PeerLink("b", "127.0.0.1", Member("a", "north", "127.0.0.1", port))
+        async with contextlib.AsyncExitStack() as stack:
+            await receiver.start()
+            stack.push_async_callback(receiver.stop)
+            server.add_socket(socket)
+            stack.push_async_callback(server.close)
+            await link.start()
+            link.tell(PeerTell(LeaderBeat(1, "b")))
+            await until(lambda: receiver.heard == [LeaderBeat(1, "b")])
+            await link.stop()
+            await until(lambda: PeerLost("b") in receiver.heard)
+
+    asyncio.run(run())
