Call a leader back only if its address is known

Cause: read of the change: an instance that is not in the list of members is answered as unreachable at once, which looks like a refused connection, so a leader that has just registered could be replaced in vain when its connection is reset. Fences make that safe; it would cost every worker a fence. Ruled out: telling the two errors apart by their text. Change: only members are called back. The page of `may_refuse` says what it does now.

--- a/marjoramgrade/controllers/commits.py
+++ b/marjoramgrade/controllers/commits.py
@@ -53,9 +53,10 @@
 
     Attributes:
         writes: The rows.
-        may_refuse: Whether a caller waits who can be refused. Such rows go before
-            others, and if the store turns out to be out of reach before they were ever
-            sent, the request is given up with `TableRefusedError`.
+        may_refuse: Whether a caller waits who can be refused. Such rows go before the
+            others and are answered by themselves. If the store turns out to be out of
+            reach before they were ever sent, the request is given up with
+            `TableRefusedError`.
     """
 
     writes: tuple[RowWrite, ...]
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -170,10 +170,14 @@
 
     @handles(PeerLost)
     async def _peer_lost(self, message: PeerLost) -> None:
-        if message.instance_id == self._leader.leader_id and not self._own_epoch:
+        # An instance that is not in the list could not be called back.
+        known = {member.instance_id for member in self._members}
+        is_leader = message.instance_id == self._leader.leader_id
+        if is_leader and message.instance_id in known and not self._own_epoch:
             self.spawn(self._check_process(self._leader))
 
     async def _check_process(self, leader: LeaderRow) -> None:
+        """Wait for nothing more if the process of the leader has ended."""
         if await self._probe.has_ended(leader.leader_id) and leader == self._leader:
             logs.state_change(
                 "leader_ended", leader=leader.leader_id, epoch=leader.epoch
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -352,13 +352,13 @@
     asyncio.run(run())
 
 
-def lose_connection_to_a_leader(alive):
-    """Return what an instance does in 0.25 s after a connection of its leader ends."""
+def lose_connection_to_a_leader(alive, known=None):
+    """Return whether an instance leads 0.25 s after a connection of its leader ends."""
 
     async def run():
         store = MemoryRows()
         write_leader(store, 1, "b")
-        async with instance(store) as (leadership, recorder):
+        async with instance(store, known=known) as (leadership, recorder):
             recorder.alive = alive
             leadership.tell(LeaderBeat(1, "b", 10))
             await asyncio.sleep(0.05)
@@ -378,3 +378,8 @@
 def test_leader_whose_connections_were_reset_stays():
     # Guards against a takeover for each connection that the network resets.
     assert not lose_connection_to_a_leader(alive={"b"})
+
+
+def test_leader_that_cannot_be_called_back_stays():
+    # Guards against taking an instance for ended whose address is not known yet.
+    assert not lose_connection_to_a_leader(set(), members(a=1_000, c=1_000))
