Look at the entries of workers every 150 ms at most

Ruled out: the instances' watches of the configuration (38 a second, and a change must be in force within 2 s). Change: the leader waits 150 ms between two looks at the workers' entries; a worker that leaves says so 2 s before work must stop going there.

--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -32,6 +32,10 @@
 # noticed, well inside the two seconds in which a change must be in force.
 WATCH_MS = 1_000
 RETRY_MS = 100
+# Every worker changes its entry with each heartbeat, 120 times a second in a fleet of
+# 176. Looking this long after the last look costs a call for many of them; a worker
+# that leaves says so two seconds before work must stop going there.
+WORKER_PAUSE_MS = 150
 
 
 @attrs.frozen
@@ -89,7 +93,7 @@
     async def on_start(self) -> None:
         """Start to watch the operators' table."""
         self.keep_running(
-            self._watch(self._format.operator_table, self._operators_wrote)
+            self._watch(self._format.operator_table, self._operators_wrote, 0)
         )
 
     @handles(WatchWorkers)
@@ -100,7 +104,9 @@
         if message.enabled:
             self._worker_by_id = {}
             self._worker_watch = self.spawn(
-                self._watch(self._format.worker_table, self._workers_wrote)
+                self._watch(
+                    self._format.worker_table, self._workers_wrote, WORKER_PAUSE_MS
+                )
             )
 
     @handles(GetConfiguration)
@@ -124,7 +130,10 @@
         return self._config
 
     async def _watch(
-        self, table: str, changed: Callable[[tuple[StoredRow, ...], bool], None]
+        self,
+        table: str,
+        changed: Callable[[tuple[StoredRow, ...], bool], None],
+        pause_ms: int,
     ) -> None:
         """Read a table whole, then its changes, and again whole after a gap."""
         after: int | None = None
@@ -137,6 +146,7 @@
                 after = page.version
                 if page.rows:
                     changed(page.rows, False)
+                    await asyncio.sleep(pause_ms / 1000)
             except HistoryLostError:
                 logs.state_change("history_lost", table=table, after=after or 0)
                 after = None
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,92 @@
+"""What operators and workers write to the store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.controllers.directory import (
+    WORKER_PAUSE_MS,
+    DirectoryController,
+    DirectoryFormat,
+)
+from marjoramgrade.messages.rows import (
+    ReadRows,
+    RowId,
+    RowsPage,
+    StoredRow,
+    WatchRows,
+)
+from marjoramgrade.messages.steps import WatchWorkers, WorkersListed
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.stepconfig import StepConfig
+from tests.steps import worker
+
+
+class BusyStore(Actor):
+    """A store in which a worker has always just written."""
+
+    def __init__(self):
+        super().__init__()
+        self.version = 0
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> RowsPage:
+        return RowsPage((), self.version)
+
+    @handles(WatchRows)
+    async def _watch(self, message: WatchRows) -> object:
+        return self.spawn(self._answer(message.table))
+
+    async def _answer(self, table):
+        if table != "workers":
+            await asyncio.sleep(60)
+        await asyncio.sleep(0.005)
+        self.version += 1
+        row = StoredRow(RowId(table, "", f"w{self.version % 9}"), b"", self.version)
+        return RowsPage((row,), self.version)
+
+
+class Scheduler(Actor):
+    def __init__(self):
+        super().__init__()
+        self.listed = ()
+
+    @handles(WorkersListed)
+    async def _listed(self, message: WorkersListed) -> None:
+        self.listed = message.workers
+
+
+def test_heartbeats_of_a_large_fleet_share_calls():
+    # Guards against a call to the store for each heartbeat of each worker, 100 a second
+    # and half of all calls (kbwb-arrears-grown quiet-1).
+    async def run():
+        store, scheduler = BusyStore(), Scheduler()
+        directory = DirectoryController(
+            store,
+            DirectoryFormat(
+                "operators",
+                "workers",
+                "config",
+                "evacuate/",
+                lambda data: StepConfig(),
+                lambda worker_id, data: worker(worker_id),
+            ),
+            MemoryMetrics(),
+            (),
+            scheduler,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            for actor in (store, scheduler, directory):
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+            directory.tell(WatchWorkers(True))
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            async with asyncio.timeout(10):
+                while len(scheduler.listed) < 5:
+                    await asyncio.sleep(0.01)
+            assert loop.time() - began_s >= 4 * WORKER_PAUSE_MS / 1000
+
+    asyncio.run(run())
