Give a run of a task a module of its own

Ruled out: moving the records, which belong to the jobs. Change: Run and RunPhase are in steprun.py. Nothing else changes; tests of the steps pass.

--- a/marjoramgrade/decisions/stepbook.py
+++ b/marjoramgrade/decisions/stepbook.py
@@ -18,13 +18,8 @@
     StopRun,
     SyncWorker,
 )
-from marjoramgrade.decisions.stepprogress import (
-    JobProgress,
-    JobRecord,
-    Run,
-    RunPhase,
-    StepProgress,
-)
+from marjoramgrade.decisions.stepprogress import JobProgress, JobRecord, StepProgress
+from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.teamusage import TeamUsage
 from marjoramgrade.stepconfig import Queue, StepConfig
 from marjoramgrade.stepjobs import (
--- a/marjoramgrade/decisions/stepfleet.py
+++ b/marjoramgrade/decisions/stepfleet.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from marjoramgrade.decisions.stepprogress import Run
+from marjoramgrade.decisions.steprun import Run
 from marjoramgrade.resources import NOTHING, Resources
 from marjoramgrade.stepjobs import RunReport, StepWorker, TaskRef
 
--- a/marjoramgrade/decisions/steppreemption.py
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -8,7 +8,8 @@
 import attrs
 
 from marjoramgrade.decisions.stepfleet import WorkerState
-from marjoramgrade.decisions.stepprogress import Run, RunPhase, StepProgress
+from marjoramgrade.decisions.stepprogress import StepProgress
+from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.decisions.teamusage import is_within
 from marjoramgrade.resources import NOTHING, Resources
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -14,13 +14,8 @@
 from marjoramgrade.decisions.steporders import (
     StopRun,
 )
-from marjoramgrade.decisions.stepprogress import (
-    SLOW_FACTOR,
-    Run,
-    RunPhase,
-    StepProgress,
-    TaskPhase,
-)
+from marjoramgrade.decisions.stepprogress import SLOW_FACTOR, StepProgress, TaskPhase
+from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.stepjobs import (
     Ending,
     RunEnd,
--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -7,12 +7,8 @@
 from marjoramgrade.decisions.stepfleet import WorkerState
 from marjoramgrade.decisions.steporders import PaceRun, StopRun
 from marjoramgrade.decisions.stepplanning import Planner
-from marjoramgrade.decisions.stepprogress import (
-    SLOW_FACTOR,
-    Run,
-    RunPhase,
-    StepProgress,
-)
+from marjoramgrade.decisions.stepprogress import SLOW_FACTOR, StepProgress
+from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.stepstate import StepState
 
 # A stop that brought no end within this time is sent again.
