Stop the runs of ended jobs after a takeover

Cause: the wish to stop a run was held in the memory of one leader. A successor restored each placed run as starting, the next listing made it a running one, and nothing looked at the runs of a job with a final state again. Ruled out: a lost stop (a marked run is stopped again every 600 ms) and a cancelling that was not stored (GET shows it).

Whether a run must not go on now follows from stored state alone. A successor marks such runs as it restores a job, and the supervisor checks all runs, also those of failed jobs and of speculative copies whose task is done.

--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -51,6 +51,7 @@
         """Repeat stops, adjust paces and move runs where needed."""
         for worker in self.state.worker_by_id.values():
             if worker.synced:
+                self._stop_unwanted(worker)
                 self._repeat_stops(worker, now_ms)
                 self._enforce_latency_targets(worker, now_ms)
         for progress in list(self.state.open_job_by_id.values()):
@@ -60,6 +61,12 @@
 
     # Stops
 
+    def _stop_unwanted(self, worker: WorkerState) -> None:
+        """Stop the runs that must not go on, whatever became of earlier stops."""
+        for run in worker.run_by_task.values():
+            if reason := self.state.stop_reason_of(run):
+                self.state.stop_run(run, reason)
+
     def _repeat_stops(self, worker: WorkerState, now_ms: int) -> None:
         for key, run in worker.run_by_task.items():
             is_stopping = run.phase is RunPhase.STOPPING and run.running_since_ms
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -17,7 +17,12 @@
     StopRun,
     SyncWorker,
 )
-from marjoramgrade.decisions.stepprogress import JobProgress, JobRecord, StepProgress
+from marjoramgrade.decisions.stepprogress import (
+    JobProgress,
+    JobRecord,
+    StepProgress,
+    TaskPhase,
+)
 from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.stepworkers import WorkerState
 from marjoramgrade.decisions.teamheadroom import URGENT_PRIORITY, TeamHeadroom
@@ -119,6 +124,9 @@
                 )
                 # The worker's next listing shows whether the run is present.
                 self._attach(run, worker)
+                if reason := self.stop_reason_of(run):
+                    # The stop that an earlier leader owed may not have been sent.
+                    self.stop_run(run, reason)
         self._register_job(progress)
         return progress
 
@@ -165,8 +173,8 @@
 
     def _register_job(self, progress: JobProgress) -> None:
         self.job_by_id[progress.job.job_id] = progress
-        if not progress.state.is_final:
-            self.open_job_by_id[progress.job.job_id] = progress
+        self.open_job_by_id[progress.job.job_id] = progress
+        self._close_if_finished(progress)
 
     def _close_if_finished(self, progress: JobProgress) -> None:
         if progress.state.is_final and not any(
@@ -290,6 +298,19 @@
             first, *(step.last_run_by_index.get(other, 0) for other in indexes)
         )
 
+    @staticmethod
+    def stop_reason_of(run: Run) -> str:
+        """Return why a run must not go on, or an empty string if it may.
+
+        Depends only on what is stored, so that each leader decides alike. The members
+        of a gang that is done end together, by themselves.
+        """
+        step, state = run.step, run.step.job.state
+        if state in (StepJobState.CANCELLED, StepJobState.FAILED):
+            return f"job_{state.value}"
+        is_done = step.phases[run.task.index] is TaskPhase.DONE
+        return "copy_was_done" if is_done and not step.step.gang else ""
+
     def stop_run(self, run: Run, reason: str) -> None:
         """Order the stop of a run; its resources are freed when its end is listed."""
         if run.phase is RunPhase.STOPPING:
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -7,7 +7,7 @@
 from marjoramgrade.decisions.advisorchannels import AdvisorChannels
 from marjoramgrade.decisions.stepactions import StartRun, StepAction, StopRun
 from marjoramgrade.decisions.stepplanning import Planner
-from marjoramgrade.decisions.stepprogress import JobProgress
+from marjoramgrade.decisions.stepprogress import JobProgress, JobRecord
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.decisions.stepworkers import WorkerState
 from marjoramgrade.resources import Resources
@@ -22,6 +22,7 @@
     TaskRef,
     WorkerListing,
 )
+from marjoramgrade.steprows import parse_row, serialize_row
 
 URGENT = Queue("urgent", "host", "/urgent/", "pool", 0, 3, 1.5, 250)
 REPORTS = Queue("reports", "host", "/reports/", "pool", 2, 2, 2.2, 1_200)
@@ -67,6 +68,25 @@
         harness.collect_actions()
         return harness
 
+    def take_over(self, *workers: StepWorker) -> StepHarness:
+        """Return a successor that has read the stored jobs and workers.
+
+        The workers have not answered it yet.
+        """
+        state = StepState(self.state.epoch + 1, self.state.config)
+        for found in workers:
+            state.add_worker(found)
+        successor = StepHarness(
+            state, attrs.evolve(self.planner, state=state), self.now_ms
+        )
+        for progress in self.state.job_by_id.values():
+            record = parse_row(serialize_row(progress.record()), JobRecord)
+            state.restore_job(
+                progress.job, progress.queue, record, self.now_ms, self.now_ms
+            )
+        successor.collect_actions()
+        return successor
+
     def add(self, new: StepJob, queue: Queue = URGENT) -> JobProgress:
         """Add a job and mark it stored."""
         progress = self.state.add_job(new, queue, self.now_ms)
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from marjoramgrade.decisions.stepactions import SyncWorker
 from marjoramgrade.decisions.stepprogress import JobRecord, TaskPhase
@@ -187,6 +188,63 @@
     assert not harness.worker("w").accepts_work(harness.now_ms)
 
 
+@pytest.mark.parametrize("ending", ["cancelled", "failed"])
+def test_runs_of_an_ended_job_are_stopped_after_a_takeover(ending):
+    # Guards against runs that go on for good because the leader that owed their stops
+    # ended before their worker was reachable again (review/3).
+    workers = (worker("w"), worker("v"))
+    harness = StepHarness.make(*workers)
+    progress = harness.add(job("a", Step(2, cores(1), max_per_worker=1)))
+    lost, other = starts(harness.plan())
+    harness.confirm(lost, other)
+    if ending == "cancelled":
+        harness.state.cancel_job(progress, harness.now_ms)
+    else:
+        harness.end(other, 1, RunEndStatus.FAILED)
+        harness.state.finish_job(progress, StepJobState.FAILED, harness.now_ms)
+    successor = harness.take_over(*workers)
+    successor.report_listing(lost.worker_id, running=(report(lost),))
+    (stop,) = stops(successor.collect_actions())
+    assert (stop.worker_id, stop.task) == (lost.worker_id, lost.order.task)
+
+
+def test_copy_of_a_done_task_is_stopped_after_a_takeover():
+    # Guards against a speculative copy that outlives its task because the leader that
+    # owed its stop ended.
+    workers = (worker("w"), worker("v"))
+    harness = StepHarness.make(*workers)
+    progress = harness.add(job("a", Step(2, cores(1), speculative=True)))
+    first, other = starts(harness.plan())
+    harness.confirm(first, other)
+    step = progress.open_occurrence(0)[0]
+    elsewhere = [w for w in workers if w.worker_id != first.worker_id]
+    assert harness.planner.place_task(
+        step,
+        first.order.task.index,
+        [harness.worker(w.worker_id) for w in elsewhere],
+        harness.now_ms,
+    )
+    (second,) = starts(harness.collect_actions())
+    harness.confirm(second)
+    harness.end(first, 1)
+    successor = harness.take_over(*workers)
+    successor.report_listing(second.worker_id, running=(report(second),))
+    assert second.order.task in {s.task for s in stops(successor.collect_actions())}
+
+
+def test_members_of_a_gang_that_is_done_end_by_themselves_after_a_takeover():
+    # Guards against stops of members that end together with a done one.
+    workers = (worker("w"),)
+    harness = StepHarness.make(*workers)
+    harness.add(job("a", Step(2, cores(1), gang=True)))
+    first, second = starts(harness.plan())
+    harness.confirm(first, second)
+    harness.end(first, 1)
+    successor = harness.take_over(*workers)
+    successor.report_listing("w", running=(report(second),))
+    assert stops(successor.collect_actions()) == []
+
+
 def test_cancelled_start_is_stopped_once_it_is_confirmed():
     # Guards against a stop that arrives before the start of its run.
     harness = StepHarness.make(worker("w"))
--- a/tests/test_stepsupervision.py
+++ b/tests/test_stepsupervision.py
@@ -7,7 +7,7 @@
 from marjoramgrade.decisions.stepactions import PaceRun
 from marjoramgrade.decisions.stepsupervision import Supervisor
 from marjoramgrade.resources import Resources
-from marjoramgrade.stepjobs import RunEndStatus, Step
+from marjoramgrade.stepjobs import RunEndStatus, Step, StepJobState
 from tests.steps import REPORTS, StepHarness, cores, job, report, starts, stops, worker
 
 
@@ -186,6 +186,18 @@
     assert len(stops(supervise(harness, supervisor))) == 1
 
 
+def test_run_of_an_ended_job_is_stopped_whatever_its_history(harness, supervisor):
+    # Guards against a run that goes on because the one place that should have ordered
+    # its stop did not.
+    progress = harness.add(job("a", Step(1, cores(1), long_running=True)))
+    (start,) = starts(harness.plan())
+    harness.confirm(start)
+    progress.state = StepJobState.CANCELLED
+    supervisor.supervise(harness.now_ms)
+    (stop,) = stops(harness.collect_actions())
+    assert stop.task == start.order.task
+
+
 def test_spare_work_slows_down_beside_a_task_above_its_target():
     # Guards against best-effort work that keeps a task above its latency target.
     harness = StepHarness.make(worker("w", 8))
