Bound the work that one job causes in a plan

Cause: the length of a dependency chain was computed by recursion without keeping results, so that its time grew with the number of paths; the planner asked for it for each step of the job in each plan.

Chain lengths are computed once a job and visit each dependency once; runs are counted by worker; a plan orders at most 256 starts and is followed by another one. A predecessor that is named twice counts once.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -251,6 +251,9 @@
             self._perform_actions(lead)
             lead.pacer.took_ms = self._clock.now_ms() - began_ms
             self._metrics.timing("plan", lead.pacer.took_ms)
+            lead.pacer.was_cut = lead.planner.is_cut
+            if lead.planner.is_cut:
+                self._schedule_plan(lead)
 
     def _perform_actions(self, lead: LeaderState) -> None:
         """Store the changed jobs and execute the actions that the state requests."""
--- a/marjoramgrade/decisions/planpacing.py
+++ b/marjoramgrade/decisions/planpacing.py
@@ -20,12 +20,15 @@
     Attributes:
         took_ms: Duration of the last plan, with the actions that it ordered, in
             milliseconds.
+        was_cut: Whether the last plan could have ordered more starts. The next one then
+            follows after as much time as the last one took.
     """
 
     took_ms: int = 0
+    was_cut: bool = False
 
     @property
     def delay_ms(self) -> int:
         """Time from an event to the plan that answers it, in milliseconds."""
-        pause_ms = PAUSE_MULTIPLE * self.took_ms
+        pause_ms = self.took_ms if self.was_cut else PAUSE_MULTIPLE * self.took_ms
         return min(max(MIN_PLAN_DELAY_MS, pause_ms), MAX_PLAN_DELAY_MS)
--- a/marjoramgrade/decisions/stepplacement.py
+++ b/marjoramgrade/decisions/stepplacement.py
@@ -29,7 +29,7 @@
     """
     return (
         _rack_penalty(step, worker),
-        float(count_latency_bound(worker)),
+        float(worker.latency_bound_runs),
         -worker.free_cpu_millis,
     )
 
@@ -38,7 +38,7 @@
 def spread(step: StepProgress, worker: WorkerState) -> tuple[float, ...]:
     """Prefer workers with few latency-bound tasks and little best-effort work."""
     capacity = worker.worker.capacity.cpu_millis or 1
-    bound = count_latency_bound(worker)
+    bound = worker.latency_bound_runs
     return (
         _rack_penalty(step, worker),
         float(bound),
@@ -56,13 +56,6 @@
     return STEP_PLACEMENTS.get("batch")
 
 
-def count_latency_bound(worker: WorkerState) -> int:
-    """Return how many runs of a worker have a latency target."""
-    return sum(
-        1 for run in worker.run_by_task.values() if run.step.step.latency_target_ms
-    )
-
-
 def choose_worker(
     step: StepProgress, candidates: Iterable[WorkerState]
 ) -> WorkerState | None:
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -33,6 +33,10 @@
 # Once this many steps of a pool found no capacity, a plan looks at what its workers
 # have free before it searches them for each further step.
 BACKLOG_STEPS = 16
+# Starts that one plan orders. A job of many small tasks is started over several plans,
+# so that the leader sends heartbeats and answers callers between them. A gang is
+# started whole.
+MAX_STARTS_PER_PLAN = 256
 # Advice for capacity that is held is asked for this long before its answer is needed.
 ADVICE_LEAD_MS = 400
 
@@ -47,12 +51,16 @@
         channels: Calls to the placement advisor.
         waiting_by_reason: Number of steps that the last plan left waiting, by
             "queue:reason".
+        is_cut: Whether the last plan ordered as many starts as it may, so that another
+            one is due at once.
     """
 
     state: StepState
     channels: AdvisorChannels
     order: StepOrder = STEP_ORDERS.get("worth")
     waiting_by_reason: Counter[str] = attrs.field(factory=Counter)
+    is_cut: bool = False
+    _starts: int = 0
     _holds: CapacityHolds = attrs.field(init=False)
     # Average capacity of the workers of each pool, computed when a plan first needs it.
     _usual_capacity_by_pool: dict[str, Resources] = attrs.field(factory=dict)
@@ -67,6 +75,8 @@
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Order all starts that are possible now."""
         self.waiting_by_reason.clear()
+        self.is_cut = False
+        self._starts = 0
         preemption = Preemption(self.state)
         self._holds = CapacityHolds(preemption, self.state.durations)
         self._usual_capacity_by_pool.clear()
@@ -75,6 +85,9 @@
         self.state.headroom.observe(now_ms)
         room_made_by_queue: Counter[str] = Counter()
         for entry in self.order(self._collect_waiting(now_ms, unix_ms), now_ms):
+            if self._starts >= MAX_STARTS_PER_PLAN:
+                self.is_cut = True
+                return
             step = entry.step
             headroom = self._headroom_beside(entry, now_ms)
             if step.step.gang:
@@ -301,17 +314,13 @@
         progress = step.job
         queue = progress.queue
         task_ms = self.state.durations.expected_ms(queue.name, step.step.estimate_ms)
-        chain_steps = max(
-            progress.chain_length(i) for i in range(len(progress.job.steps))
-        )
         due_unix_ms = progress.due_unix_ms(step.occurrence)
         began_ms = progress.accepted_ms
         if due_unix_ms:
             began_ms = max(began_ms, now_ms - (unix_ms - due_unix_ms))
-        objective_ms = (
-            began_ms + queue.stretch * chain_steps * task_ms + queue.objective_ms
-        )
-        remaining_ms = progress.chain_length(step.index) * task_ms
+        stretched_ms = queue.stretch * progress.longest_chain * task_ms
+        objective_ms = began_ms + stretched_ms + queue.objective_ms
+        remaining_ms = progress.chain_by_step[step.index] * task_ms
         return WaitingStep(step, objective_ms, remaining_ms)
 
     def _headroom_beside(self, entry: WaitingStep, now_ms: int) -> Resources:
@@ -355,8 +364,12 @@
         for index in list(step.iter_waiting()):
             if not self.is_within_team_limit(step, 1, headroom):
                 return "team_limit"
+            if self._starts >= MAX_STARTS_PER_PLAN:
+                self.is_cut = True
+                return "plan_cut"
             if not self.place_task(step, index, permitted, now_ms):
                 return "no_room"
+            self._starts += 1
         return ""
 
     def _place_gang(self, step: StepProgress, headroom: Resources, now_ms: int) -> str:
@@ -374,6 +387,7 @@
         run = self.state.next_run_number(step, 0)
         for index, worker in enumerate(chosen):
             self.state.place(step, index, worker, run, now_ms)
+        self._starts += len(chosen)
         return ""
 
     def _choose_gang_workers(
@@ -387,9 +401,8 @@
             if worker.suspicion.probing or not self._holds.allows(step, worker, now_ms):
                 continue
             trial = attrs.evolve(worker)
-            while len(slots) < step.step.count:
-                taken = sum(1 for slot in slots if slot is worker)
-                if taken >= max_runs or not trial.has_capacity(need, uses_spare=spare):
+            for _ in range(min(max_runs, step.step.count - len(slots))):
+                if not trial.has_capacity(need, uses_spare=spare):
                     break
                 if spare:
                     trial.spare_used = trial.spare_used + need
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -48,6 +48,7 @@
         avoided_workers_by_index: Workers on which a run of the task failed or was
             found unhealthy, by task.
         last_run_by_index: Highest run number by task.
+        run_count_by_worker: Number of present runs by worker id.
         tickets: Advice on which workers may run the step.
         ready_ms: When the step was first found ready to run, or None.
         done_count: Number of tasks that are done.
@@ -67,6 +68,7 @@
     checkpoint_by_index: dict[int, str] = attrs.field(factory=dict)
     avoided_workers_by_index: dict[int, set[str]] = attrs.field(factory=dict)
     last_run_by_index: dict[int, int] = attrs.field(factory=dict)
+    run_count_by_worker: Counter[str] = attrs.field(factory=Counter)
     tickets: TicketCache = attrs.field(factory=TicketCache)
     ready_ms: int | None = None
     done_count: int = 0
@@ -133,7 +135,7 @@
 
     def count_runs_on(self, worker_id: str) -> int:
         """Return the number of runs of the step on a worker."""
-        return sum(1 for run in self.iter_runs() if run.worker_id == worker_id)
+        return self.run_count_by_worker.get(worker_id, 0)
 
     def shared_index(self, index: int) -> int:
         """Return the task index under which failures and checkpoints are stored."""
@@ -176,6 +178,7 @@
         """Add a run; its task is placed."""
         index = run.task.index
         self.runs_by_index.setdefault(index, []).append(run)
+        self.run_count_by_worker[run.worker_id] += 1
         self.last_run_by_index[index] = max(
             run.number, self.last_run_by_index.get(index, 0)
         )
@@ -188,6 +191,9 @@
         runs = self.runs_by_index.get(index, [])
         if run in runs:
             runs.remove(run)
+            self.run_count_by_worker[run.worker_id] -= 1
+            if not self.run_count_by_worker[run.worker_id]:
+                del self.run_count_by_worker[run.worker_id]
         if not runs:
             self.runs_by_index.pop(index, None)
             if self.phases[index] is TaskPhase.PLACED:
@@ -261,6 +267,8 @@
         ended_unix_ms: When the job reached a final state, or 0.
         visible_state: The state that clients see; a final state only once it is stored.
         waited_ms_by_reason: Time that steps waited for a worker, by the reason.
+        chain_by_step: Length in steps of the longest dependency chain that begins with
+            each step.
     """
 
     job: StepJob
@@ -275,6 +283,15 @@
     ended_unix_ms: int = 0
     visible_state: StepJobState = StepJobState.QUEUED
     waited_ms_by_reason: Counter[str] = attrs.field(factory=Counter)
+    chain_by_step: tuple[int, ...] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.chain_by_step = self.job.chain_lengths()
+
+    @property
+    def longest_chain(self) -> int:
+        """Length in steps of the longest dependency chain of the job."""
+        return max(self.chain_by_step)
 
     def open_occurrence(self, occurrence: int) -> list[StepProgress]:
         """Return the steps of an occurrence, created on first use."""
@@ -330,14 +347,6 @@
                 return
             self.open_occurrence(occurrence)
 
-    def chain_length(self, index: int) -> int:
-        """Return the length in steps of the longest dependency chain from a step."""
-        length = 1
-        for later in range(index + 1, len(self.job.steps)):
-            if index in self.job.steps[later].after:
-                length = max(length, 1 + self.chain_length(later))
-        return length
-
     def close_done_occurrences(self) -> None:
         """Discard the steps of the earliest occurrences once done and without runs."""
         while self.occurrences_done < self.job.occurrences:
--- a/marjoramgrade/decisions/stepworkers.py
+++ b/marjoramgrade/decisions/stepworkers.py
@@ -91,6 +91,7 @@
         orphan_by_task: Runs on the worker that belong to no open task and are being
             stopped, by task and run number.
         has_unanswered_call: Whether the worker's last listing call got no response.
+        latency_bound_runs: Number of runs with a latency target.
         last_end_number: Highest `RunEnd.number` that was applied.
         unresponsive_since_ms: Time since which the worker does not respond, or 0.
     """
@@ -105,6 +106,7 @@
     has_unanswered_call: bool = False
     used: Resources = ZERO_RESOURCES
     spare_used: Resources = ZERO_RESOURCES
+    latency_bound_runs: int = 0
     last_end_number: int = 0
     unresponsive_since_ms: int = 0
 
@@ -154,11 +156,13 @@
     def add(self, run: Run) -> None:
         """Add a run and allocate its resources."""
         self.run_by_task[(run.task, run.number)] = run
+        self.latency_bound_runs += bool(run.step.step.latency_target_ms)
         self._adjust_usage(run, 1)
 
     def remove(self, run: Run) -> None:
         """Remove a run and free its resources."""
         if self.run_by_task.pop((run.task, run.number), None) is not None:
+            self.latency_bound_runs -= bool(run.step.step.latency_target_ms)
             self._adjust_usage(run, -1)
 
     def release(self, run: Run) -> None:
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -248,7 +248,10 @@
         # A task may need more than any worker has; such a job waits or fails.
         resources=get_total_resources(fields),
         estimate_ms=get_integer(fields, "estMs"),
-        after=tuple(to_integer(index, "after") for index in get_list(fields, "after")),
+        # A repeated predecessor means the same as one.
+        after=tuple(
+            sorted({to_integer(index, "after") for index in get_list(fields, "after")})
+        ),
         gang=get_flag(fields, "gang"),
         same_rack=get_flag(fields, "sameRack"),
         required_label=get_text(fields, "constraints"),
--- a/marjoramgrade/stepjobs.py
+++ b/marjoramgrade/stepjobs.py
@@ -139,12 +139,28 @@
         """Number of times that the steps run."""
         return self.schedule.times or 1
 
+    def chain_lengths(self) -> tuple[int, ...]:
+        """Return the length of the longest dependency chain that begins with each step.
+
+        Visits each dependency once: the number of chains can be exponential.
+
+        Returns:
+            Lengths in steps, by index of the step; a step that no other depends on has
+            length 1.
+        """
+        lengths = [1] * len(self.steps)
+        for index in range(len(self.steps) - 1, -1, -1):
+            for predecessor in self.steps[index].after:
+                lengths[predecessor] = max(lengths[predecessor], 1 + lengths[index])
+        return tuple(lengths)
+
     def check(self) -> None:
         """Check the constraints that the types do not express.
 
         Raises:
             InvalidInputError: If the number of steps or of tasks in a step is out of
-                range, or a step does not come after its predecessors.
+                range, a step does not come after its predecessors, or it names one of
+                them twice.
         """
         if not 0 < len(self.steps) <= MAX_STEPS:
             raise InvalidInputError(f"a job must have 1 to {MAX_STEPS} steps")
@@ -157,6 +173,8 @@
                 raise InvalidInputError(
                     f"step {index} may depend only on earlier steps"
                 )
+            if len(set(step.after)) != len(step.after):
+                raise InvalidInputError(f"step {index} names a predecessor twice")
 
 
 @attrs.frozen(cache_hash=True)
