Take no run for lost by a list of ends that is cut

Cause: a worker lists 500 unacknowledged ends at a time. While nothing could be stored each listing repeated the first 500, and a run whose end came behind them was in no listing. It was taken for lost, both by the comparison with a synced worker and by the one after a silence or a takeover.

A listing now tells whether it holds all ends. Until one does, runs that it lacks stay as they are and the worker is not synced.

--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -102,6 +102,10 @@
             run = worker.run_by_task.get((report.task, report.run))
             if run is not None:
                 self._apply_report(run, report, now_ms)
+        if not listing.has_all_ends:
+            # A run that the listing lacks may have ended. The ends behind those that it
+            # holds follow once these are acknowledged.
+            return
         if fence == worker.fence and not worker.synced:
             self._reconcile(worker, listing.running, now_ms)
         elif fence == worker.fence:
--- a/marjoramgrade/platform/workers.py
+++ b/marjoramgrade/platform/workers.py
@@ -50,6 +50,8 @@
 MAX_CONNECTIONS = 5
 # Length up to which an id that another program chose is repeated in a message.
 MAX_ID_LENGTH = 100
+# A runner lists at most this many ends at a time.
+MAX_LISTED_ENDS = 500
 # Digits of the numbers in the name of a task.
 MAX_NUMBER_DIGITS = 15
 
@@ -196,11 +198,13 @@
         InvalidInputError: If a field is missing, out of range or has the wrong type.
     """
     with reports_invalid("a listing of runs"):
+        ended = tuple(_parse_run_end(entry) for entry in get_list(document, "ended"))
         return WorkerListing(
             get_integer(document, "born"),
             to_integer(document["clockMs"], "clockMs"),
             tuple(_parse_run_report(entry) for entry in get_list(document, "running")),
-            tuple(_parse_run_end(entry) for entry in get_list(document, "ended")),
+            ended,
+            len(ended) < MAX_LISTED_ENDS,
         )
 
 
--- a/marjoramgrade/stepjobs.py
+++ b/marjoramgrade/stepjobs.py
@@ -235,13 +235,16 @@
             1970.
         clock_ms: The worker's own monotonic clock.
         running: The runs that the worker has.
-        ended: The run ends that have not been acknowledged.
+        ended: The run ends that have not been acknowledged, from the lowest number.
+        has_all_ends: Whether `ended` holds all of them. If not, a run that is listed
+            nowhere may have ended.
     """
 
     born_unix_ms: int
     clock_ms: int
     running: tuple[RunReport, ...] = ()
     ended: tuple[RunEnd, ...] = ()
+    has_all_ends: bool = True
 
 
 @attrs.frozen
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -117,12 +117,13 @@
         fence: int | None = None,
         born_ms: int = BORN_MS,
         asked_ms: int | None = None,
+        has_all_ends: bool = True,
     ) -> None:
         """Apply a worker's response to a listing call."""
         worker = self.worker(worker_id)
         self.state.apply_listing(
             worker,
-            WorkerListing(born_ms, self.now_ms, running, ended),
+            WorkerListing(born_ms, self.now_ms, running, ended, has_all_ends),
             worker.fence if fence is None else fence,
             self.now_ms if asked_ms is None else asked_ms,
             self.now_ms,
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -203,6 +203,15 @@
         parse_listing({"clockMs": 1, "ended": [[1, name, 1, "vanished", ""]]})
 
 
+def test_full_list_of_ends_may_be_cut():
+    # Guards against taking a run for lost whose end is behind those that are listed.
+    name = "00000000000000aa.0.0.0"
+    ends = [[number, name, 1, "done", ""] for number in range(1, 501)]
+    listing = {"born": 1, "clockMs": 1, "running": []}
+    assert parse_listing({**listing, "ended": ends[:-1]}).has_all_ends
+    assert not parse_listing({**listing, "ended": ends}).has_all_ends
+
+
 @pytest.mark.parametrize(
     ("error", "status"),
     [
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -298,6 +298,41 @@
     assert step.phases == [TaskPhase.WAITING]
 
 
+def done(start, number):
+    return RunEnd(number, start.order.task, start.order.run, RunEndStatus.DONE, "")
+
+
+def test_run_that_a_cut_list_of_ends_lacks_is_not_lost():
+    # Guards against a second run of a task whose end is behind the ends that a worker
+    # lists at a time (review/2).
+    harness = StepHarness.make(worker("w"))
+    progress = harness.add(job("a", Step(2, cores(1))))
+    first, second = starts(harness.plan())
+    harness.confirm(first, second)
+    harness.now_ms += 10_000
+    harness.report_listing("w", ended=(done(first, 1),), has_all_ends=False)
+    harness.report_listing("w", ended=(done(first, 1),), has_all_ends=False)
+    assert starts(harness.plan()) == []
+    harness.report_listing("w", ended=(done(second, 2),))
+    assert progress.state is StepJobState.COMPLETED
+
+
+def test_sync_waits_for_the_last_of_the_ends():
+    # Guards against the same after a worker was silent, and under a new leader.
+    harness = StepHarness.make(worker("w"))
+    harness.add(job("a", Step(2, cores(1))))
+    first, second = starts(harness.plan())
+    harness.confirm(first, second)
+    harness.state.request_sync(harness.worker("w"))
+    for leader in (harness, harness.take_over(worker("w"))):
+        leader.report_listing("w", ended=(done(first, 1),), has_all_ends=False)
+        assert not leader.worker("w").synced
+        assert starts(leader.plan()) == []
+        leader.report_listing("w", ended=(done(second, 2),))
+        assert leader.worker("w").synced
+        assert leader.state.job_by_id["a"].state is StepJobState.COMPLETED
+
+
 def test_gang_is_done_when_one_member_is():
     # Guards against restarting the other members of a gang that ended together.
     harness = StepHarness.make(worker("w"))
