Read all pages of the list of instances

An instance whose row lies behind the first 500 got neither heartbeats nor forwarded requests. The other tables were read to their end; the code for that is now shared.

Not seen on a site: the largest has 97 instances.

--- a/marjoramgrade/controllers/leaderrecovery.py
+++ b/marjoramgrade/controllers/leaderrecovery.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import TypeVar
 
 import attrs
 
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor
+from marjoramgrade.controllers.tablereader import read_all_rows
 from marjoramgrade.decisions.stepprogress import JobRecord
 from marjoramgrade.errors import InvalidInputError, TableError
-from marjoramgrade.messages.rows import ReadRows, RowId, StoredRow
+from marjoramgrade.messages.rows import RowId, StoredRow
 from marjoramgrade.stepjobs import StepWorker
 from marjoramgrade.steprows import (
     JOBS_TABLE,
@@ -62,10 +63,10 @@
 
 async def _read(store: Actor) -> RecoveredState:
     leadership, roster, jobs, progress = await asyncio.gather(
-        _read_all(store, LEADERSHIP_TABLE),
-        _read_all(store, ROSTER_TABLE),
-        _read_all(store, JOBS_TABLE),
-        _read_all(store, PROGRESS_TABLE),
+        read_all_rows(store, LEADERSHIP_TABLE, LEADER_PART),
+        read_all_rows(store, ROSTER_TABLE, LEADER_PART),
+        read_all_rows(store, JOBS_TABLE, LEADER_PART),
+        read_all_rows(store, PROGRESS_TABLE, LEADER_PART),
     )
     versions = {
         row.row: row.version for row in (*leadership, *roster, *jobs, *progress)
@@ -103,20 +104,3 @@
             unreadable.add(row.row.key)
             logs.log_event("row_unreadable", row=row.row.key, reason=error.message)
     return value_by_key, unreadable
-
-
-async def _read_all(store: Actor, table: str) -> list[StoredRow]:
-    return [row async for row in _iter_rows(store, table)]
-
-
-async def _iter_rows(store: Actor, table: str) -> AsyncIterator[StoredRow]:
-    first = ""
-    while True:
-        page = await store.ask(ReadRows(table, LEADER_PART, first))
-        for row in page.rows:
-            # Each further page begins with the last row of the previous page.
-            if row.row.key != first:
-                yield row
-        if not page.more or not page.rows:
-            return
-        first = page.rows[-1].row.key
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -8,6 +8,7 @@
 
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, handles
+from marjoramgrade.controllers.tablereader import read_all_rows
 from marjoramgrade.errors import (
     InvalidInputError,
     OwnerUnreachableError,
@@ -25,10 +26,8 @@
 from marjoramgrade.messages.rows import (
     ABSENT,
     CommitRows,
-    ReadRows,
     RowCheck,
     RowId,
-    RowsPage,
     RowWrite,
 )
 from marjoramgrade.steprows import (
@@ -123,10 +122,10 @@
         self._registered = True
 
     async def _refresh(self) -> None:
-        page: RowsPage = await self._store.ask(ReadRows(MEMBERS_TABLE, ""))
+        rows = await read_all_rows(self._store, MEMBERS_TABLE, "")
         found: dict[str, Member] = {self._own.instance_id: self._own}
         # The row version distinguishes the incarnations of an instance.
-        for row in page.rows:
+        for row in rows:
             try:
                 member = parse_row(row.value, MemberRow)
             except InvalidInputError as error:
