Soak: show refused jobs that run

A run of real processes for the users' REFUSED: many small jobs are handed in, again after an attempt without an answer, while instances are killed, stopped, frozen and cut from the store. A job that was never accepted, and whose last attempt got 429 or 503, must not be started; the stand-in of the workers lists the jobs that were.

--- a/soak/cell.py
+++ b/soak/cell.py
@@ -200,13 +200,14 @@
     path: str,
     body: Any = None,
     headers: dict[str, str] | None = None,
+    timeout_ms: int = DEADLINE_MS,
 ) -> HttpResponse | None:
     """Send a request on a new connection; return None if no full response arrives."""
     pool = HttpPool(address, 1)
     data = b"" if body is None else json.dumps(body).encode()
     try:
         return await pool.request(
-            method, path, body=data, headers=headers, timeout_ms=DEADLINE_MS
+            method, path, body=data, headers=headers, timeout_ms=timeout_ms
         )
     except (HttpNotSentError, HttpNoResponseError):
         return None
--- /dev/null
+++ b/soak/refusals.py
@@ -0,0 +1,120 @@
+"""Checks that a refused job never runs while instances are restarted in series.
+
+    python -m soak.refusals --seeds 5 [--first 1] [--seconds 12] [--keep FOLDER]
+
+Clients hand in many small jobs, also again after an attempt without an answer, while
+instances are killed, stopped, frozen and cut from the store. A job breaks the promise
+if it was never accepted, its last attempt was refused with 429 or 503, and a worker
+started one of its tasks.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import functools
+import pathlib
+import sys
+import time
+
+from soak.cell import INSTANCES, Soak, send_request
+from soak.faults import FAULTS
+from soak.run import run_in_folder, wait_until_ready
+
+REFUSED = (429, 503)
+# Time between two jobs; the mean of the cell.
+SUBMISSION_INTERVAL_MS = 20
+# Shorter than the deadline that the instances are told of, as of clients that leave.
+CLIENT_TIMEOUT_MS = 1_200
+MAX_ATTEMPTS = 4
+RETRY_MS = 250
+# Share of the refused clients that don't try again.
+GIVE_UP_SHARE = 0.7
+# Late writes, and orders to workers, take effect within this time after the faults.
+SETTLING_S = 6.0
+DISRUPTIONS = ("kill", "terminate", "freeze", "cut_store", "store")
+
+
+async def submit(soak: Soak, number: int) -> None:
+    """Hand a job in as a client does, until it is accepted or the client gives up."""
+    job_id = f"{number:016x}"
+    step = {"count": 1, "cpu": 100, "estMs": 50}
+    body = {"spec": "100:50", "steps": [step]}
+    headers = {"Host": "jobs.example", "X-Deadline-Ms": str(CLIENT_TIMEOUT_MS)}
+    statuses = soak.statuses_by_job.setdefault(job_id, [])
+    for _ in range(MAX_ATTEMPTS):
+        name = soak.rng.choice(INSTANCES)
+        answer = await send_request(
+            soak.front_by_name[name],
+            "POST",
+            f"/q/{job_id}",
+            body,
+            headers,
+            CLIENT_TIMEOUT_MS,
+        )
+        statuses.append(answer.status if answer is not None else 0)
+        if statuses[-1] == 200:
+            soak.accepted[job_id] = time.monotonic()
+            return
+        if statuses[-1] in REFUSED and soak.rng.random() < GIVE_UP_SHARE:
+            return
+        await asyncio.sleep(RETRY_MS / 1000)
+
+
+async def run_refusals(soak: Soak, seconds: float) -> list[str]:
+    """Run one seed and return the violations."""
+    await soak.start()
+    await wait_until_ready(soak)
+    tasks: list[asyncio.Task[None]] = []
+    end = time.monotonic() + seconds
+    next_fault = time.monotonic() + 0.5
+    number = 0
+    while time.monotonic() < end:
+        number += 1
+        tasks.append(asyncio.create_task(submit(soak, number)))
+        if time.monotonic() >= next_fault:
+            name = soak.rng.choice(DISRUPTIONS)
+            tasks.append(asyncio.create_task(FAULTS.get(name)(soak)))
+            next_fault = time.monotonic() + soak.rng.uniform(0.3, 1.5)
+        await asyncio.sleep(SUBMISSION_INTERVAL_MS / 1000)
+    await asyncio.gather(*tasks)
+    soak.record_event("all faults are over")
+    await asyncio.sleep(SETTLING_S)
+    audit = await soak.control_fleet(list_jobs=True)
+    started = set(audit["started_jobs"])
+    refused = {
+        job_id: statuses
+        for job_id, statuses in soak.statuses_by_job.items()
+        if job_id not in soak.accepted and statuses[-1] in REFUSED
+    }
+    soak.record_event(
+        f"{number} jobs, {len(soak.accepted)} accepted, {len(refused)} refused"
+    )
+    broken = [
+        f"REFUSED: job {job_id} got {statuses} and was started"
+        for job_id, statuses in refused.items()
+        if job_id in started
+    ]
+    return [*broken, *audit["violations"]]
+
+
+def main() -> int:
+    """Run the seeds that the command line selects."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=3, help="number of seeds")
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seconds", type=float, default=12.0, help="length of a seed")
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for the logs")
+    arguments = parser.parse_args()
+    failed = []
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        play = functools.partial(run_refusals, seconds=arguments.seconds)
+        if not asyncio.run(run_in_folder(seed, play, arguments.keep)):
+            failed.append(seed)
+    passed = arguments.seeds - len(failed)
+    print(f"{passed} of {arguments.seeds} seeds passed; failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,12 +14,14 @@
 import argparse
 import asyncio
 import contextlib
+import functools
 import json
 import pathlib
 import random
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from soak.cell import DEADLINE_MS, INSTANCES, Soak, send_request
@@ -80,7 +82,7 @@
 async def run_soak(soak: Soak, seconds: float) -> list[str]:
     """Run one seed and return the violations."""
     await soak.start()
-    await _wait_until_ready(soak)
+    await wait_until_ready(soak)
     tasks: list[asyncio.Task[None]] = []
     end = time.monotonic() + seconds
     next_fault = time.monotonic() + 0.5
@@ -103,7 +105,12 @@
     return [*broken, *audit["violations"]]
 
 
-async def _wait_until_ready(soak: Soak) -> None:
+async def wait_until_ready(soak: Soak) -> None:
+    """Wait until an instance answers for the leader.
+
+    Raises:
+        RuntimeError: If none does within `READY_TIMEOUT_S`.
+    """
     end = time.monotonic() + READY_TIMEOUT_S
     while time.monotonic() < end:
         if await state_of(soak, "f" * 16) == "410":
@@ -133,7 +140,23 @@
 
 
 async def run_seed(seed: int, seconds: float, log_folder: pathlib.Path | None) -> bool:
-    """Run a seed in its own folder; return whether all guarantees held."""
+    """Run a seed of all faults; return whether all guarantees held."""
+    play = functools.partial(run_soak, seconds=seconds)
+    return await run_in_folder(seed, play, log_folder)
+
+
+async def run_in_folder(
+    seed: int,
+    play: Callable[[Soak], Awaitable[list[str]]],
+    log_folder: pathlib.Path | None,
+) -> bool:
+    """Run a seed in its own folder; return whether all guarantees held.
+
+    Args:
+        seed: Seed of the random generator.
+        play: Starts the processes, disturbs them and returns the violations.
+        log_folder: Where to keep settings and logs, or None to remove them.
+    """
     with contextlib.ExitStack() as stack:
         if log_folder is None:
             folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -142,7 +165,7 @@
             folder.mkdir(parents=True, exist_ok=True)
         soak = Soak(folder, random.Random(seed))
         try:
-            broken = await run_soak(soak, seconds)
+            broken = await play(soak)
         finally:
             await soak.stop()
         print(f"seed {seed}: {'ok' if not broken else 'BROKEN'}; {soak.events[-1]}")
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,7 +4,8 @@
 checks that the starts on the workers break no invariant. The control handler accepts
 `mode` of the store (`ok`, `busy`, `slow`, `lost`), `crash` (index of a worker to
 restart) and `late` (share of the orders to workers that get no response and are
-executed later), and returns the violations found.
+executed later), and returns the violations found; with `list_jobs` also the ids of the
+jobs that were started.
 """
 
 from __future__ import annotations
@@ -232,16 +233,19 @@
         starts: Number of starts so far.
         done: Tasks whose successful end was acknowledged.
         running: Worker id and run number by task.
+        started_jobs: Ids of the jobs of which a task was started.
     """
 
     violations: list[str] = attrs.field(factory=list)
     starts: int = 0
     done: set[str] = attrs.field(factory=set)
     running: dict[str, tuple[str, int]] = attrs.field(factory=dict)
+    started_jobs: set[str] = attrs.field(factory=set)
 
     def started(self, worker: Worker, task: str, run: int, used_cpu: int) -> None:
         """Record a start and check that it is allowed."""
         self.starts += 1
+        self.started_jobs.add(task.partition(".")[0])
         subject = f"{task} run {run} on {worker.worker_id}"
         if used_cpu > worker.cpu:
             self.violations.append(f"overcommitted: {subject} uses {used_cpu}")
@@ -392,7 +396,10 @@
             fleet.workers[body["crash"]].crash()
         for worker in fleet.workers:
             worker.end_due_runs()
-        self.write({"violations": fleet.audit.violations, "starts": fleet.audit.starts})
+        answer = {"violations": fleet.audit.violations, "starts": fleet.audit.starts}
+        if body.get("list_jobs"):
+            answer["started_jobs"] = sorted(fleet.audit.started_jobs)
+        self.write(answer)
 
 
 async def main(plan: dict[str, Any]) -> None:
