Report work that was cancelled midway as unknown, not as refused

A call on its way to the leader was cancelled when its link or an actor stopped; its sender got ShuttingDownError, which promises that nothing has begun, and passed it on. A link stops whenever the row of an instance changes, which is within 4 s after each restart under its name, while calls to the new process are on their way over it. The same error in place of an unknown outcome let a relayed write count as not sent.

Work that had begun now ends with WorkCancelledError, whose outcome is unknown. The forwarder goes by what an error says of its attempt: whatever the refusal, it is held back once an earlier attempt may have been accepted. A link that is replaced first waits for its replies, 3 s at most.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -19,10 +19,13 @@
     MarjoramgradeError,
     OverloadedError,
     ShuttingDownError,
+    WorkCancelledError,
 )
 
 R = TypeVar("R")
 MAILBOX_SIZE = 10_000
+# Replies of an actor that has stopped, before or after it began with a message.
+STOPPED_ERRORS = (ShuttingDownError, WorkCancelledError)
 
 Handler = Callable[[Any, Any], Awaitable[Any]]
 _HANDLED_TYPE = "__handled_message_type__"
@@ -109,7 +112,7 @@
         if task.cancelled():
             return
         error = task.exception()
-        if error is not None and not isinstance(error, ShuttingDownError):
+        if error is not None and not isinstance(error, STOPPED_ERRORS):
             self.on_fatal(error)
 
     async def stop(self) -> None:
@@ -140,6 +143,7 @@
         Raises:
             OverloadedError: If the mailbox is full.
             ShuttingDownError: If the actor has stopped.
+            WorkCancelledError: If the actor stops while it works on the message.
             MarjoramgradeError: Whatever the handler raises.
         """
         reply: asyncio.Future[R] = asyncio.get_running_loop().create_future()
@@ -212,7 +216,7 @@
             source.exception()
         return
     if source.cancelled():
-        target.set_exception(ShuttingDownError("the work was cancelled"))
+        target.set_exception(WorkCancelledError("the work was cancelled"))
     elif (error := source.exception()) is not None:
         target.set_exception(error)
     else:
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -38,6 +38,7 @@
 )
 from marjoramgrade.messages.peers import (
     CallOverLink,
+    FinishCalls,
     InboundMessage,
     Member,
     PeerDisconnected,
@@ -93,6 +94,7 @@
         self._correlation = 0
         self._frames_read = 0
         self._reply_by_correlation: dict[int, asyncio.Future[Any]] = {}
+        self._exchanges: set[asyncio.Task[Any]] = set()
 
     async def on_stop(self) -> None:
         """Close the connection."""
@@ -101,12 +103,23 @@
 
     @handles(CallOverLink)
     async def _call(self, message: CallOverLink) -> Any:
-        return self.spawn(self._exchange(message))
+        exchange = self.spawn(self._exchange(message))
+        self._exchanges.add(exchange)
+        exchange.add_done_callback(self._exchanges.discard)
+        return exchange
 
     @handles(TellOverLink)
     async def _tell(self, message: TellOverLink) -> None:
         self.spawn(self._send_without_reply(message))
 
+    @handles(FinishCalls)
+    async def _finish_calls(self, message: FinishCalls) -> Any:
+        return self.spawn(self._await_replies(message.timeout_ms))
+
+    async def _await_replies(self, timeout_ms: int) -> None:
+        if self._exchanges:
+            await asyncio.wait(self._exchanges, timeout=timeout_ms / 1000)
+
     async def _send_without_reply(self, message: TellOverLink) -> None:
         try:
             write_frame(await self._get_stream(), PeerFrame(0, message.message))
--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -12,20 +12,19 @@
 from marjoramgrade.clock import Clock
 from marjoramgrade.decisions.stepprogress import JobRecord
 from marjoramgrade.errors import (
+    ForbiddenError,
     InvalidInputError,
     JobNotFoundError,
     MarjoramgradeError,
     NoLeaderError,
     NotOwnerError,
     OutcomeUnknownError,
-    OverloadedError,
     OwnerUnreachableError,
     QueueNotFoundError,
+    Ran,
     ShuttingDownError,
-    StaleAuthorityError,
     StoredRowError,
     TableError,
-    TableRequiredError,
 )
 from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.rows import ReadRows, RowsPage
@@ -60,14 +59,10 @@
 # Time before the client's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_MS = 60
 
-# Refusals by the leader. They are passed on only if no earlier attempt may have reached
-# a leader, which may have accepted the request.
-_REFUSALS = (
-    InvalidInputError,
-    OverloadedError,
-    StaleAuthorityError,
-    TableRequiredError,
-)
+# Answers of the leader that no further attempt changes.
+_ANSWERS = (ForbiddenError, JobNotFoundError, StoredRowError)
+# The attempt reached no leader, so another one may.
+_NOT_TAKEN = (NoLeaderError, NotOwnerError, OwnerUnreachableError, ShuttingDownError)
 
 LeaderRequest = SubmitStepJob | GetStepJob | CancelStepJob | CountPending
 
@@ -149,23 +144,15 @@
                 answer = await self._attempt(message, min(left_ms, ATTEMPT_TIMEOUT_MS))
                 self._last_contact_ms = self._clock.now_ms()
                 return answer
-            except (NotOwnerError, OwnerUnreachableError, NoLeaderError) as error:
-                failure = error
-            except OutcomeUnknownError as error:
-                may_be_accepted, failure = True, error
-            except QueueNotFoundError as error:
-                self._last_contact_ms = self._clock.now_ms()
-                if not may_be_accepted:
-                    raise
-                raise OutcomeUnknownError(
-                    "the queue was removed after an attempt without a reply"
-                ) from error
-            except JobNotFoundError:
+            except _ANSWERS:
                 self._last_contact_ms = self._clock.now_ms()
                 raise
-            except _REFUSALS:
-                if not may_be_accepted:
-                    raise
+            except MarjoramgradeError as error:
+                failure = error
+                if error.ran is not Ran.NO:
+                    may_be_accepted = True
+                elif not isinstance(error, _NOT_TAKEN):
+                    self._check_refusal(error, may_be_accepted)
             if isinstance(message, GetStepJob):
                 return await self._read_state(message)
             unresponsive_ms = self._clock.now_ms() - self._last_contact_ms
@@ -177,6 +164,21 @@
         logs.log_event("request_refused", code=failure.code, leader=self._leader_id)
         raise NoLeaderError(f"no leader accepted the request: {failure.message}")
 
+    def _check_refusal(
+        self, refusal: MarjoramgradeError, may_be_accepted: bool
+    ) -> None:
+        """Pass the leader's refusal on, unless an earlier attempt may be accepted.
+
+        Whatever the refusal, it concerns only the attempt that it answers.
+        """
+        self._last_contact_ms = self._clock.now_ms()
+        if not may_be_accepted:
+            raise refusal
+        if isinstance(refusal, QueueNotFoundError):
+            raise OutcomeUnknownError(
+                "the queue was removed after an attempt without a reply"
+            ) from refusal
+
     async def _attempt(self, message: LeaderRequest, timeout_ms: int) -> Any:
         leader_id = self._leader_id
         if not leader_id:
@@ -188,8 +190,6 @@
                 return await self._scheduler.ask(message)
         except TimeoutError:
             raise OutcomeUnknownError("the leader did not reply in time") from None
-        except ShuttingDownError:
-            raise OutcomeUnknownError("the instance is shutting down") from None
 
     async def _ask_peer(
         self, leader_id: str, message: LeaderRequest, timeout_ms: int
--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -10,7 +10,7 @@
 import attrs
 
 from marjoramgrade import logs
-from marjoramgrade.actor import Actor
+from marjoramgrade.actor import STOPPED_ERRORS, Actor
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.commits import CommitController, SaveRows
 from marjoramgrade.controllers.stepworkerlink import ConnectWorker, StepWorkerLink
@@ -224,7 +224,7 @@
 
         def check(done: asyncio.Task[None]) -> None:
             error = None if done.cancelled() else done.exception()
-            if error is not None and not isinstance(error, ShuttingDownError):
+            if error is not None and not isinstance(error, STOPPED_ERRORS):
                 self._fail_lead(epoch, error)
 
         task.add_done_callback(check)
@@ -361,7 +361,7 @@
             and roster_row_number(worker_id) == number
         )
         write = RowWrite(roster_row_id(number), serialize_row(RosterRow(workers)))
-        with contextlib.suppress(NotOwnerError, ShuttingDownError):
+        with contextlib.suppress(NotOwnerError, *STOPPED_ERRORS):
             await lead.commits.ask(SaveRows((write,)))
 
     def _save_changed_jobs(
@@ -404,7 +404,7 @@
     ) -> None:
         try:
             rejected = await lead.commits.ask(SaveRows(writes))
-        except (NotOwnerError, ShuttingDownError):
+        except (NotOwnerError, *STOPPED_ERRORS):
             return
         if self._lead is not lead:
             return
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from marjoramgrade import logs
-from marjoramgrade.actor import handles
+from marjoramgrade.actor import STOPPED_ERRORS, handles
 from marjoramgrade.controllers.commits import (
     AdoptRowVersions,
     CommitController,
@@ -192,7 +192,7 @@
         value = str(self._clock.now_ms()).encode()
         try:
             await writes.commits.ask(SaveRows((RowWrite(RENEWAL_ROW, value),)))
-        except (NotOwnerError, ShuttingDownError):
+        except (NotOwnerError, *STOPPED_ERRORS):
             return
         finally:
             writes.is_renewing = False
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,7 @@
 from marjoramgrade.controllers.tablereader import read_all_rows
 from marjoramgrade.errors import (
     InvalidInputError,
+    MarjoramgradeError,
     OwnerUnreachableError,
     RowCheckFailedError,
     TableError,
@@ -18,6 +20,7 @@
 from marjoramgrade.messages.peers import (
     CallOverLink,
     CallPeer,
+    FinishCalls,
     Member,
     MembersChanged,
     TellOverLink,
@@ -42,6 +45,9 @@
 REFRESH_MS = 4_000
 FIRST_REFRESH_MS = 400
 FIRST_REFRESHES = 8
+# Longest time for which a link that is replaced waits for replies. An instance that has
+# restarted at the address of the earlier one may have received calls over it.
+RETIREMENT_MS = 3_000
 
 
 class PeersController(Actor):
@@ -62,6 +68,7 @@
         self._make_link = make_link
         self._member_by_id: dict[str, Member] = {own.instance_id: own}
         self._link_by_id: dict[str, Actor] = {}
+        self._retired_links: set[Actor] = set()
         self._subscribers: tuple[Actor, ...] = ()
         self._own_version = ABSENT
         self._registered = False
@@ -76,7 +83,8 @@
 
     async def on_stop(self) -> None:
         """Close the links."""
-        await asyncio.gather(*(link.stop() for link in self._link_by_id.values()))
+        links = (*self._link_by_id.values(), *self._retired_links)
+        await asyncio.gather(*(link.stop() for link in links))
 
     @handles(CallPeer)
     async def _call(self, message: CallPeer) -> Any:
@@ -142,10 +150,18 @@
         if found != self._member_by_id:
             await self._apply_members(found)
 
+    async def _retire(self, link: Actor) -> None:
+        """Stop a link once the calls that it has sent are answered."""
+        self._retired_links.add(link)
+        with contextlib.suppress(MarjoramgradeError):
+            await link.ask(FinishCalls(RETIREMENT_MS))
+        await link.stop()
+        self._retired_links.discard(link)
+
     async def _apply_members(self, found: dict[str, Member]) -> None:
         for instance_id, member in self._member_by_id.items():
             if found.get(instance_id) != member and instance_id in self._link_by_id:
-                self.spawn(self._link_by_id.pop(instance_id).stop())
+                self.spawn(self._retire(self._link_by_id.pop(instance_id)))
         for instance_id, member in found.items():
             if instance_id == self._own.instance_id:
                 continue
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from marjoramgrade import logs
-from marjoramgrade.actor import handles
+from marjoramgrade.actor import STOPPED_ERRORS, handles
 from marjoramgrade.controllers.commits import SaveRows
 from marjoramgrade.controllers.leaderactions import LeaderBounds, LeaderState
 from marjoramgrade.controllers.leaderevents import LeaderEventHandler
@@ -19,7 +19,6 @@
     OverloadedError,
     QueueNotFoundError,
     RowsRejectedError,
-    ShuttingDownError,
     StoredRowError,
     TableRequiredError,
     UnsatisfiableError,
@@ -144,7 +143,7 @@
         """
         try:
             rejected = await lead.commits.ask(SaveRows(writes, is_refusable))
-        except (NotOwnerError, ShuttingDownError):
+        except (NotOwnerError, *STOPPED_ERRORS):
             raise OutcomeUnknownError(
                 "the leadership ended before the store responded"
             ) from None
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -220,7 +220,7 @@
 
 
 class ShuttingDownError(RefusedError):
-    """The instance is shutting down and accepts no new work."""
+    """The instance is shutting down and accepts no new work; nothing has begun."""
 
     code = "shutting_down"
 
@@ -239,6 +239,14 @@
     ran = Ran.UNKNOWN
 
 
+class WorkCancelledError(OutcomeUnknownError):
+    """Work was cancelled after it had begun, as its actor stopped.
+
+    What it had sent to others may still take effect, unlike work that
+    `ShuttingDownError` kept from beginning.
+    """
+
+
 class AnswerTimeoutError(OutcomeUnknownError):
     """No response arrived before the deadline; the connection did not break."""
 
--- a/marjoramgrade/messages/peers.py
+++ b/marjoramgrade/messages/peers.py
@@ -62,6 +62,13 @@
     timeout_ms: int
 
 
+@attrs.frozen
+class FinishCalls(Message[None]):
+    """Waits until the calls on a link have their replies, at most for `timeout_ms`."""
+
+    timeout_ms: int
+
+
 @attrs.frozen
 class TellOverLink(Message[None]):
     """Asks the link to one peer to send a message, or to drop it if sending fails."""
--- a/tests/test_actor.py
+++ b/tests/test_actor.py
@@ -1,12 +1,18 @@
 import asyncio
 import pathlib
 import re
+from typing import Any
 
 import attrs
 import pytest
 
 from marjoramgrade.actor import Actor, ActorGroup, Message, handles
-from marjoramgrade.errors import NotFoundError, ShuttingDownError
+from marjoramgrade.errors import (
+    NotFoundError,
+    Ran,
+    ShuttingDownError,
+    WorkCancelledError,
+)
 
 
 @attrs.frozen
@@ -97,6 +103,33 @@
         raise RuntimeError("a bug in the loop")
 
 
+class Waiting(Actor):
+    """Works on each message until it is stopped."""
+
+    @handles(Double)
+    async def _double(self, message: Double) -> Any:
+        return self.spawn(asyncio.sleep(3_600))
+
+
+def test_work_that_a_stop_cuts_off_has_an_unknown_outcome() -> None:
+    """Guards against a sender that takes work that had begun for never begun."""
+
+    async def run() -> None:
+        actor = Waiting()
+        await actor.start()
+        reply = asyncio.ensure_future(actor.ask(Double(1)))
+        await asyncio.sleep(0.01)
+        await actor.stop()
+        with pytest.raises(WorkCancelledError) as cancelled:
+            await reply
+        assert cancelled.value.ran is Ran.UNKNOWN
+        with pytest.raises(ShuttingDownError) as refused:
+            await actor.ask(Double(1))
+        assert refused.value.ran is Ran.NO
+
+    asyncio.run(run())
+
+
 def test_a_loop_that_fails_is_reported_to_the_group() -> None:
     """Guards against an instance that holds leases but has lost a critical task."""
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,13 +15,19 @@
     ForwardRequest,
 )
 from marjoramgrade.errors import (
+    ForbiddenError,
+    JobNotFoundError,
+    MarjoramgradeError,
     NoLeaderError,
     OutcomeUnknownError,
     OverloadedError,
     OwnerUnreachableError,
     QueueNotFoundError,
+    Ran,
     StaleAuthorityError,
     TableRequiredError,
+    from_code,
+    iter_error_types,
 )
 from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.steps import (
@@ -30,6 +36,7 @@
     StepJobAccepted,
     SubmitStepJob,
 )
+from marjoramgrade.platform.frontend import status_of
 from tests.rowstore import MemoryRowStore
 from tests.steps import job
 
@@ -49,7 +56,7 @@
     @handles(CallPeer)
     async def _call(self, message: CallPeer) -> object:
         if message.instance_id in self.unresponsive_ids:
-            return asyncio.get_running_loop().create_future()
+            return self.spawn(asyncio.sleep(3_600))
         if self.is_unresponsive:
             self.clock.advance(message.timeout_ms)
             raise OutcomeUnknownError("no reply")
@@ -107,6 +114,56 @@
     asyncio.run(run())
 
 
+def refusals():
+    """Return the types of the errors that say that a request has not run."""
+    answers = (ForbiddenError, JobNotFoundError)
+    return [
+        kind
+        for kind in iter_error_types()
+        if kind.ran is Ran.NO and not issubclass(kind, answers)
+    ]
+
+
+def make_error(kind):
+    return from_code(kind.code, "not now", {})
+
+
+@pytest.mark.parametrize("kind", refusals())
+def test_no_error_after_an_attempt_that_may_have_succeeded_is_a_refusal(kind):
+    # Guards against a job that is refused as not run, for whatever reason, although an
+    # earlier attempt of the same request was accepted.
+    async def run():
+        async with forwarder_to_leader() as (forwarder, leader, clock):
+            leader.failures = [OutcomeUnknownError("no reply"), make_error(kind)]
+            with pytest.raises(MarjoramgradeError) as caught:
+                await submit(forwarder, clock)
+            assert caught.value.ran is Ran.UNKNOWN
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("stopped", ["forwarder", "leader"])
+def test_call_that_is_cancelled_on_its_way_is_no_refusal(stopped):
+    # Guards against a job that is refused because the link or the actor that waits for
+    # its leader stops, while the leader accepts it (rule REFUSED of the users' runs).
+    async def run():
+        async with forwarder_to_leader() as (forwarder, leader, clock):
+            leader.unresponsive_ids = {"other"}
+            message = SubmitStepJob(job("aa"))
+            answer = asyncio.ensure_future(
+                forwarder.ask(ForwardRequest(message, clock.now_ms() + DEADLINE_MS))
+            )
+            await asyncio.sleep(0.05)
+            clock.advance(DEADLINE_MS)
+            await {"forwarder": forwarder, "leader": leader}[stopped].stop()
+            with pytest.raises(MarjoramgradeError) as caught:
+                await answer
+            assert caught.value.ran is Ran.UNKNOWN
+            assert status_of(caught.value) == 504
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     "refusal",
     [TableRequiredError, StaleAuthorityError, OverloadedError, QueueNotFoundError],
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,8 +7,15 @@
 from marjoramgrade.actor import Actor, ActorGroup, handles
 from marjoramgrade.controllers.peers import PeersController
 from marjoramgrade.controllers.tablereader import read_all_rows
-from marjoramgrade.messages.peers import Member, MembersChanged
+from marjoramgrade.messages.peers import (
+    CallOverLink,
+    CallPeer,
+    FinishCalls,
+    Member,
+    MembersChanged,
+)
 from marjoramgrade.messages.rows import RowId, StoredRow
+from marjoramgrade.messages.steps import GetStepJob
 from marjoramgrade.steprows import MEMBERS_TABLE, MemberRow, serialize_row
 from tests.rowstore import MemoryRowStore
 
@@ -40,6 +47,65 @@
     return store
 
 
+class Link(Actor):
+    """A link whose calls are answered when the test says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.answer = asyncio.get_running_loop().create_future()
+        self.called = asyncio.Event()
+
+    async def _wait(self):
+        return await asyncio.shield(self.answer)
+
+    @handles(CallOverLink)
+    async def _call(self, message):
+        self.called.set()
+        return self.spawn(self._wait())
+
+    @handles(FinishCalls)
+    async def _finish(self, message):
+        return self.spawn(self._wait())
+
+
+def test_link_that_is_replaced_delivers_its_replies():
+    # Guards against a job whose submission is cut off, and was then refused, because
+    # the leader registered itself anew while the call was on its way.
+    asyncio.run(check_replacement())
+
+
+async def check_replacement():
+    links = []
+
+    def make_link(member):
+        links.append(Link())
+        return links[-1]
+
+    async with ActorGroup() as group:
+        store = MemoryRowStore()
+        row = RowId(MEMBERS_TABLE, "", "other")
+        value = serialize_row(MemberRow("other", "north", "127.0.0.1", 1, 1))
+        store.rows[row] = StoredRow(row, value, 1)
+        peers = PeersController(
+            Member("own", "north", "127.0.0.1", 1), store, make_link
+        )
+        for actor in (store, peers):
+            await group.add(actor)
+        async with asyncio.timeout(10):
+            while not links:
+                await asyncio.sleep(0.01)
+            call = CallPeer("other", GetStepJob("aa"), 2_000)
+            reply = asyncio.ensure_future(peers.ask(call))
+            await links[0].called.wait()
+            store.rows[row] = StoredRow(row, value, store.version + 5)
+            while len(links) < 2:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            links[0].answer.set_result("accepted")
+            assert await reply == "accepted"
+            assert not links[1].called.is_set()
+
+
 def test_all_pages_of_a_table_are_read_once():
     # Guards against rows that are left out or read twice at the edge of a page.
     asyncio.run(check_pages())
