Refuse a job only where it is known that it never runs

Clients got 503 for a job that ran (REFUSED): an attempt through one instance had got no answer, or 504, and the next one reached an instance that could not know of it.

Only the leader knows the earlier attempts: those stored, and those on their way to the store. An instance that reaches no leader, or has no configuration, now answers a submission as soon as before, but with 504, after which the same id comes again; other requests are refused as before.

--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -51,10 +51,9 @@
 # Timeout of one request to the leader. Commits usually take 20 ms, or 1 s on a slow
 # store.
 ATTEMPT_TIMEOUT_MS = 1_500
-# A job that reached no leader is refused once no leader has sent a reply or heartbeat
+# A job that reached no leader is given up once no leader has sent a reply or heartbeat
 # for this long; a takeover usually completes within this time. A job that may have been
-# accepted is retried until the deadline: otherwise its client could retry at an
-# instance that knows of no leader and refuses the job as not run, while the job runs.
+# accepted is retried until the deadline.
 NO_LEADER_TIMEOUT_MS = 1_500
 # Time before the client's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_MS = 60
@@ -133,8 +132,10 @@
             deadline_ms: The client's deadline on this instance's clock.
 
         Raises:
-            RefusedError: If the request was not accepted.
-            OutcomeUnknownError: If the request may have been accepted.
+            RefusedError: If the leader refused the request, or nothing was submitted.
+            OutcomeUnknownError: If the request may have been accepted. That holds for
+                every submission that no leader answered: only the leader knows what
+                became of earlier attempts through other instances.
         """
         may_be_accepted = False
         failure: MarjoramgradeError = NoLeaderError("no instance leads")
@@ -162,7 +163,11 @@
         if may_be_accepted:
             raise OutcomeUnknownError("the leader did not reply in time")
         logs.log_event("request_refused", code=failure.code, leader=self._leader_id)
-        raise NoLeaderError(f"no leader accepted the request: {failure.message}")
+        reason = f"no leader accepted the request: {failure.message}"
+        if isinstance(message, SubmitStepJob):
+            # Another instance may have passed on an earlier attempt of the client.
+            raise OutcomeUnknownError(reason)
+        raise NoLeaderError(reason)
 
     def _check_refusal(
         self, refusal: MarjoramgradeError, may_be_accepted: bool
--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -14,8 +14,10 @@
     ForbiddenError,
     InvalidInputError,
     JobNotFoundError,
+    OutcomeUnknownError,
     ProtocolError,
     QueueNotFoundError,
+    StaleAuthorityError,
     UnauthenticatedError,
 )
 from marjoramgrade.filters.chain import Filter, Proceed
@@ -91,9 +93,20 @@
     """Finds the queue by the host and path of the request."""
 
     async def apply(self, context: RequestContext, proceed: Proceed) -> Any:
-        """Set the queue of the request and pass the request on."""
+        """Set the queue of the request and pass the request on.
+
+        Raises:
+            OutcomeUnknownError: If this instance has no configuration yet and the
+                request hands a job in. An earlier attempt through another instance
+                may have been accepted, so the job can't be refused.
+        """
         request = _request_of(context)
-        config = await self._get_config()
+        try:
+            config = await self._get_config()
+        except StaleAuthorityError as error:
+            if request.verb is QueueVerb.SUBMIT:
+                raise OutcomeUnknownError(error.message) from None
+            raise
         queue = config.find_queue(request.host, request.path)
         if queue is None:
             raise QueueNotFoundError(f"no queue at {request.host}{request.path}")
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -175,9 +175,9 @@
         )
         if status in (429, 503):
             headers["Retry-After"] = str(RETRY_AFTER_S)
-        # A refused client then retries on a new connection, for which the load balancer
-        # can choose an instance that is ready.
-        if self.is_draining or status == 503:
+        # The client then retries on a new connection, for which the load balancer can
+        # choose an instance that is ready.
+        if self.is_draining or status in (503, 504):
             headers["Connection"] = "close"
         write_future = connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, ""), headers, body
--- a/tests/test_filters_queues.py
+++ b/tests/test_filters_queues.py
@@ -13,6 +13,7 @@
 from marjoramgrade.controllers.forwarding import ForwardRequest
 from marjoramgrade.errors import (
     JobNotFoundError,
+    OutcomeUnknownError,
     QueueNotFoundError,
     StaleAuthorityError,
     UnauthenticatedError,
@@ -33,7 +34,7 @@
 )
 from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.stepconfig import StepConfig
-from tests.steps import URGENT
+from tests.steps import URGENT, job
 
 JOB_ID = "00112233445566aa"
 CONFIG = StepConfig(3, {URGENT.name: URGENT}, {}, {})
@@ -110,6 +111,19 @@
         run(FakeDirectory(StepConfig()), URGENT.path_prefix + JOB_ID)
 
 
+def test_instance_without_a_configuration_does_not_refuse_a_job():
+    # Guards against the refusal of a job that another instance had passed on before
+    # (seed 17 of soak/refusals.py).
+    async def send():
+        async with running_chain(FakeDirectory(StepConfig())) as chain:
+            path = URGENT.path_prefix + JOB_ID
+            request = QueueRequest(QueueVerb.SUBMIT, URGENT.host, path, job(JOB_ID))
+            await chain.handle(RequestContext(request, "", "", 1_000))
+
+    with pytest.raises(OutcomeUnknownError):
+        asyncio.run(send())
+
+
 def test_unknown_queue_and_missing_key_are_told_apart():
     # Guards against a 401 for a queue that does not exist.
     with pytest.raises(QueueNotFoundError):
