Log every answer about a job so that its id finds it

Jobs beyond the limit are written 80 to a line, with the code of their answer, 200 ms later at most; a new leader logs the open jobs that it has read. The new test of tests/test_logs.py failed before by the missing interface.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -446,9 +446,9 @@
             progress.visible_state = state
             self._metrics.count(f"ended.{state.value}")
             self._metrics.timing("job", self._clock.now_ms() - progress.accepted_ms)
-            logs.log_event(
+            logs.log_job_event(
                 "job_ended",
-                job=progress.job.job_id,
+                progress.job.job_id,
                 queue=progress.job.queue,
                 state=state.value,
                 age_ms=self._clock.now_ms() - progress.accepted_ms,
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -150,10 +150,14 @@
             # configuration; the job's row then supplies the queue.
             queue = self._config.queue_by_name.get(job.queue, row.queue)
             try:
-                lead.state.restore_job(job, queue, record, now_ms, unix_ms)
+                progress = lead.state.restore_job(job, queue, record, now_ms, unix_ms)
             except InvalidInputError as error:
                 lead.unreadable_job_ids |= {job.job_id}
                 logs.log_event("row_unreadable", row=job.job_id, reason=error.message)
+                continue
+            if not progress.state.is_final:
+                # The leader that stored the job may not have come to say so.
+                logs.log_job_event("job_restored", job.job_id, epoch=lead.epoch)
 
     @handles(LeadershipEnded)
     async def _leadership_ended(self, message: LeadershipEnded) -> None:
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -101,9 +101,9 @@
             lead.state.remove_job(job.job_id)
             raise
         progress.stored = True
-        logs.log_event(
+        logs.log_job_event(
             "job_accepted",
-            job=job.job_id,
+            job.job_id,
             queue=job.queue,
             team=job.team,
             steps=len(job.steps),
@@ -169,7 +169,7 @@
     ) -> StepJobShown:
         if not progress.state.is_final:
             lead.state.cancel_job(progress, self._clock.unix_ms())
-            logs.log_event("job_cancelled", job=progress.job.job_id)
+            logs.log_job_event("job_cancelled", progress.job.job_id)
             write = self._save_changed_jobs(lead, None)
             self._perform_actions(lead)
             self._schedule_plan(lead)
--- a/marjoramgrade/logs.py
+++ b/marjoramgrade/logs.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import os
 import time
@@ -20,6 +21,10 @@
 # Limit for the lines of each event. Without it, logging a fault that affects every job
 # or worker would cost more than the work itself.
 MAX_LINES_PER_S = 40
+# Jobs in one line beyond that limit, and the longest time that they wait for it. The
+# line stays shorter than `MAX_LINE_BYTES`.
+JOBS_PER_LINE = 80
+JOBS_FLUSH_MS = 200
 # A write of up to this size to a pipe is atomic: all or nothing.
 MAX_LINE_BYTES = 4_000
 
@@ -126,21 +131,87 @@
     _route_library_errors()
 
 
-def log_event(event: str, **fields: object) -> None:
+def log_event(event: str, **fields: object) -> bool:
     """Write a line about a decision or state change, within the limit of its event.
 
     Args:
         event: Name of the decision or change in lower case, such as `shard_taken`.
         fields: Details as texts, numbers or booleans.
+
+    Returns:
+        Whether the event was within its limit.
     """
     suppressed = _budget.spend(event)
     if suppressed is None:
-        return
+        return False
     logger = structlog.get_logger()
     if suppressed:
         text = ",".join(f"{name}={count}" for name, count in suppressed.items())
         logger.info("lines_left_out", counts=text)
     logger.info(event, **fields)
+    return True
+
+
+@attrs.define
+class _JobOverflow:
+    """Jobs of lines beyond the limit of their event, to be written many to a line.
+
+    Attributes:
+        entries_by_event: The id of each job, with the code of the event if it has one.
+        is_scheduled: Whether a flush is due.
+    """
+
+    entries_by_event: dict[str, list[str]] = attrs.field(factory=dict)
+    is_scheduled: bool = False
+
+    def add(self, event: str, entry: str) -> None:
+        """Add a job, and write the line of its event once it is full."""
+        entries = self.entries_by_event.setdefault(event, [])
+        entries.append(entry)
+        if len(entries) >= JOBS_PER_LINE:
+            del self.entries_by_event[event]
+            self._write(event, entries)
+        if not self.is_scheduled:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.flush()
+            return
+        self.is_scheduled = True
+        loop.call_later(JOBS_FLUSH_MS / 1000, self.flush)
+
+    def flush(self) -> None:
+        """Write what has been added."""
+        self.is_scheduled = False
+        entries_by_event, self.entries_by_event = self.entries_by_event, {}
+        for event, entries in entries_by_event.items():
+            self._write(event, entries)
+
+    @staticmethod
+    def _write(event: str, entries: list[str]) -> None:
+        structlog.get_logger().info(f"{event}_more", jobs=" ".join(entries))
+
+
+_overflow = _JobOverflow()
+
+
+def log_job_event(event: str, job: str, **fields: object) -> None:
+    """Write a line about a job, from which the job can be found by its id.
+
+    Beyond the limit of the event, lines named `<event>_more` hold only the ids, each
+    followed by a colon and the field `code` if there is one.
+
+    Args:
+        event: Name of the event, as for `log_event`.
+        job: Id of the job.
+        fields: Details as texts, numbers or booleans.
+    """
+    if not log_event(event, job=job, **fields):
+        code = fields.get("code")
+        _overflow.add(event, f"{job}:{code}" if code else job)
 
 
 def _serialize(value: Any, **_: Any) -> str:
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -137,8 +137,9 @@
             return 200, serialize_response(await self.chain.handle(context))
         except MarjoramgradeError as error:
             status = status_of(error)
-            logs.log_event(
+            logs.log_job_event(
                 "request_failed",
+                _id_in_path(request.path),
                 method=request.method or "",
                 path=request.path[-40:],
                 status=status,
@@ -211,6 +212,12 @@
     return b"{}"
 
 
+def _id_in_path(path: str) -> str:
+    """Return the last part of a path if it can be the id of a job, else ""."""
+    text = path.rpartition("/")[2]
+    return text if text.isascii() and text.isalnum() and len(text) <= 16 else ""
+
+
 def _parse_deadline_ms(headers: HTTPHeaders) -> int:
     text = headers.get("X-Deadline-Ms", "")
     if not (text.isascii() and text.isdigit() and 0 < len(text) <= 6):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,9 +1,11 @@
+import asyncio
 import io
 import json
 import logging
 import os
 import pathlib
 import re
+import sys
 
 from marjoramgrade import logs
 
@@ -68,6 +70,37 @@
     assert "start_refused=25" in stream.getvalue()
 
 
+class FrozenTime:
+    """Stands in for the module, of which only the log's own reading stops."""
+
+    @staticmethod
+    def monotonic():
+        return sys.maxsize
+
+
+def test_every_job_can_be_found_by_its_id(monkeypatch):
+    # Guards against an answer of which the log has no trace because many other callers
+    # got the same in that second.
+    stream = io.StringIO()
+    logs.configure(stream)
+    used = logs._LineBudget(sys.maxsize, {"request_failed": logs.MAX_LINES_PER_S})
+    monkeypatch.setattr(logs, "_budget", used)
+    monkeypatch.setattr(logs, "time", FrozenTime())
+    jobs = [f"{number:016x}" for number in range(500)]
+
+    async def run():
+        for job in jobs:
+            logs.log_job_event("request_failed", job, code="table_unavailable")
+        await asyncio.sleep(2 * logs.JOBS_FLUSH_MS / 1000)
+
+    asyncio.run(run())
+    lines = stream.getvalue().splitlines()
+    assert not [job for job in jobs if job not in stream.getvalue()]
+    assert f"{jobs[-1]}:table_unavailable" in lines[-1]
+    assert max(map(len, lines)) < logs.MAX_LINE_BYTES
+    assert len(lines) <= len(jobs) // logs.JOBS_PER_LINE + 1
+
+
 def test_line_is_dropped_rather_than_waited_for():
     # Guards against a process that blocks because nobody reads its log.
     reader, writer = os.pipe()
