Hand no job in whose client has left

Before a submission is read into a job the front end looks whether the connection has been closed, and the forwarder stops its attempts when that happens later. Cancels go on.

Not covered: a submission that is on its way between two instances when its client leaves.

--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -30,6 +30,7 @@
 from marjoramgrade.messages.rows import ReadRows, RowsPage
 from marjoramgrade.messages.steps import (
     CancelStepJob,
+    ClientPresence,
     CountPending,
     GetStepJob,
     LeaderBeat,
@@ -73,10 +74,13 @@
     Attributes:
         request: The request.
         deadline_ms: The client's deadline on this instance's clock.
+        presence: Whether the client still waits. A job whose client has left is not
+            sent to a leader again: the client may meanwhile be refused elsewhere.
     """
 
     request: LeaderRequest
     deadline_ms: int
+    presence: ClientPresence = attrs.field(factory=ClientPresence)
 
 
 class ForwardingController(Actor):
@@ -118,18 +122,23 @@
 
     @handles(ForwardRequest)
     async def _forward(self, message: ForwardRequest) -> Any:
-        return self.spawn(self._request_until(message.request, message.deadline_ms))
+        return self.spawn(
+            self._request_until(message.request, message.deadline_ms, message.presence)
+        )
 
     @handles(LeaderBeat)
     async def _heartbeat_received(self, message: LeaderBeat) -> None:
         self._last_contact_ms = self._clock.now_ms()
 
-    async def _request_until(self, message: LeaderRequest, deadline_ms: int) -> Any:
+    async def _request_until(
+        self, message: LeaderRequest, deadline_ms: int, presence: ClientPresence
+    ) -> Any:
         """Send a request to the leader until it replies or the deadline is near.
 
         Args:
             message: The request.
             deadline_ms: The client's deadline on this instance's clock.
+            presence: Whether the client still waits.
 
         Raises:
             RefusedError: If the leader refused the request, or nothing was submitted.
@@ -140,6 +149,8 @@
         may_be_accepted = False
         failure: MarjoramgradeError = NoLeaderError("no instance leads")
         while self._clock.now_ms() + RESPONSE_MARGIN_MS < deadline_ms:
+            if presence.has_left and isinstance(message, SubmitStepJob):
+                raise OutcomeUnknownError("the client has left")
             left_ms = deadline_ms - self._clock.now_ms() - RESPONSE_MARGIN_MS
             try:
                 answer = await self._attempt(message, min(left_ms, ATTEMPT_TIMEOUT_MS))
--- a/marjoramgrade/filters/context.py
+++ b/marjoramgrade/filters/context.py
@@ -7,6 +7,7 @@
 import attrs
 
 from marjoramgrade.actor import Message
+from marjoramgrade.messages.steps import ClientPresence
 from marjoramgrade.stepconfig import Queue
 
 
@@ -41,6 +42,7 @@
         principal: The sender; set by the `authenticate` filter.
         queue: The queue addressed; set by the `find_queue` filter.
         config_version: Version of the configuration that the filters used.
+        presence: Whether the client still waits.
     """
 
     message: Message[Any]
@@ -50,3 +52,4 @@
     principal: Principal = ANONYMOUS
     queue: Queue | None = None
     config_version: int = 0
+    presence: ClientPresence = attrs.field(factory=ClientPresence)
--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -182,7 +182,7 @@
         """
         message: Any = context.message
         answer = await self._environment.forwarder.ask(
-            ForwardRequest(message, context.deadline_ms)
+            ForwardRequest(message, context.deadline_ms, context.presence)
         )
         team = getattr(answer, "team", "")
         if team and context.principal.team and team != context.principal.team:
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -41,6 +41,21 @@
     config_version: int = 0
 
 
+@attrs.define
+class ClientPresence:
+    """Whether the client of a request still waits for the response.
+
+    Attributes:
+        has_left: Whether the client has closed its connection.
+    """
+
+    has_left: bool = False
+
+    def mark_left(self) -> None:
+        """Record that the client has closed its connection."""
+        self.has_left = True
+
+
 @attrs.frozen
 class StepJobShown:
     """The state of a job.
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import Any
 
 import attrs
@@ -29,6 +30,7 @@
 from marjoramgrade.filters.chain import FilterChain
 from marjoramgrade.filters.context import RequestContext
 from marjoramgrade.messages.steps import (
+    ClientPresence,
     PendingCount,
     QueueRequest,
     QueueVerb,
@@ -157,7 +159,16 @@
             raise InvalidInputError(f"the method {request.method} is not supported")
         if verb is QueueVerb.STATE and request.path.endswith("/"):
             verb = QueueVerb.COUNT
-        job = parse_job(request.body) if verb is QueueVerb.SUBMIT else None
+        presence = ClientPresence()
+        job = None
+        if verb is QueueVerb.SUBMIT:
+            if _has_left(request):
+                # The request waited while this instance was paused. Its client may have
+                # been refused by another one since.
+                raise OutcomeUnknownError("the client left before the request was read")
+            job = parse_job(request.body)
+            connection: Any = request.connection
+            connection.set_close_callback(presence.mark_left)
         host = request.host.rpartition(":")[0] or request.host
         secret = request.headers.get("Authorization", "")
         return RequestContext(
@@ -165,6 +176,7 @@
             secret.removeprefix(BEARER) if secret.startswith(BEARER) else "",
             "",
             started_ms + _parse_deadline_ms(request.headers),
+            presence=presence,
         )
 
     def _write(self, request: HTTPServerRequest, status: int, body: bytes) -> None:
@@ -212,6 +224,21 @@
     return b"{}"
 
 
+def _has_left(request: HTTPServerRequest) -> bool:
+    """Return whether the client has closed the connection of a request."""
+    connection: Any = request.connection
+    if connection.stream is None or connection.stream.closed():
+        return True
+    try:
+        data = connection.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except ConnectionResetError:
+        return True
+    except OSError:
+        # Nothing to read: the connection is open.
+        return False
+    return not data
+
+
 def _id_in_path(path: str) -> str:
     """Return the last part of a path if it can be the id of a job, else ""."""
     text = path.rpartition("/")[2]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -31,6 +31,7 @@
 )
 from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.steps import (
+    ClientPresence,
     CountPending,
     LeaderBeat,
     LeaderChanged,
@@ -197,6 +198,26 @@
             assert clock.now_ms() - began_ms <= NO_LEADER_TIMEOUT_MS + 400
 
 
+def test_job_whose_client_has_left_is_not_sent_again():
+    # Guards against a job that is accepted late, after its client was refused by
+    # another instance.
+    async def run():
+        async with forwarder_to_leader() as (forwarder, leader, clock):
+            leader.failures = [OutcomeUnknownError("no reply")]
+            presence = ClientPresence()
+            message = SubmitStepJob(job("aa"))
+            deadline_ms = clock.now_ms() + 60_000
+            answer = asyncio.ensure_future(
+                forwarder.ask(ForwardRequest(message, deadline_ms, presence))
+            )
+            await asyncio.sleep(0.1)
+            presence.mark_left()
+            with pytest.raises(OutcomeUnknownError, match="left"):
+                await asyncio.wait_for(answer, 5)
+
+    asyncio.run(run())
+
+
 def test_count_without_a_leader_is_refused_soon():
     # Guards against clients that wait until their deadline while there is no leader.
     async def run():
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -6,6 +6,7 @@
 import contextlib
 import pathlib
 import re
+import socket
 
 import msgspec
 import pytest
@@ -287,6 +288,60 @@
     asyncio.run(run())
 
 
+class PresenceFilter(Filter):
+    """Waits until the client of a request has left."""
+
+    def __init__(self):
+        self.contexts = []
+
+    @classmethod
+    def from_config(cls, environment):
+        return cls()
+
+    async def apply(self, context, proceed):
+        self.contexts.append(context)
+        while not context.presence.has_left:
+            await asyncio.sleep(0.01)
+        return StepJobShown(StepJobState.RUNNING)
+
+
+def post(path):
+    body = b'{"spec":"x","steps":[{"count":1,"cpu":1}]}'
+    head = f"POST {path} HTTP/1.1\r\nHost: a:80\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def test_job_whose_client_left_before_it_was_read_is_not_served():
+    # Guards against a job that an instance accepts after a pause, although its client
+    # was refused by another one meanwhile; and against a departure that is not seen.
+    async def run():
+        served = PresenceFilter()
+        front = ClientFrontend(
+            FilterChain([served], MemoryMetrics()), SystemClock(), MemoryMetrics()
+        )
+        server = front.make_server()
+        server.listen(0, "127.0.0.1")
+        (listening,) = server._sockets.values()
+        address = listening.getsockname()
+        # The event loop does not turn meanwhile, as in a paused process.
+        with socket.create_connection(address) as gone:
+            gone.sendall(post("/q/gone"))
+        with socket.create_connection(address) as present:
+            present.sendall(post("/q/present"))
+            while not served.contexts:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            assert [c.message.path for c in served.contexts] == ["/q/present"]
+            assert not served.contexts[0].presence.has_left
+        async with asyncio.timeout(5):
+            while not served.contexts[0].presence.has_left:
+                await asyncio.sleep(0.01)
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
+
+
 def test_settings_are_checked(tmp_path: pathlib.Path):
     # Guards against a process that starts with incomplete settings.
     path = tmp_path / "settings"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 import pytest
 
-from soak.run import run_seed
+from soak.refusals import run_refusals
+from soak.run import run_in_folder, run_seed
 
 SECONDS = 8.0
 
@@ -15,3 +17,10 @@
 def test_promises_hold_in_a_short_soak(seed):
     # Guards against lost or duplicate work and overcommitted workers under faults.
     assert asyncio.run(run_seed(seed, SECONDS, None))
+
+
+@pytest.mark.parametrize("seed", [17])
+def test_refused_jobs_do_not_run(seed):
+    # Guards against a 429 or 503 for a job that was accepted at an earlier attempt.
+    play = functools.partial(run_refusals, seconds=SECONDS)
+    assert asyncio.run(run_in_folder(seed, play, None))
