Start no task of a job that is not stored

By reading, on the paths of a refusal: a submission that failed with any error but two stayed planned, so that its tasks could start after its client was refused; the full mailbox of the writes is one such error (10,000 messages, not seen). Any error that says that nothing was stored now removes the job, and a start is sent only once its job is known to be stored, whatever went before.

The new test of tests/test_stepstate.py failed before.

--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -14,10 +14,12 @@
 from marjoramgrade.errors import (
     ForbiddenError,
     JobNotFoundError,
+    MarjoramgradeError,
     NotOwnerError,
     OutcomeUnknownError,
     OverloadedError,
     QueueNotFoundError,
+    Ran,
     RowsRejectedError,
     StoredRowError,
     TableRequiredError,
@@ -97,8 +99,9 @@
         self._schedule_plan(lead)
         try:
             await self._await_stored(lead, write, is_refusable=True)
-        except (TableRequiredError, RowsRejectedError):
-            lead.state.remove_job(job.job_id)
+        except MarjoramgradeError as error:
+            if error.ran is Ran.NO:
+                lead.state.remove_job(job.job_id)
             raise
         progress.stored = True
         logs.log_job_event(
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -270,8 +270,9 @@
     def may_send_start(self, run: Run, ticket: str, now_ms: int) -> bool:
         """Return whether a start may be sent now that its placement is stored.
 
-        During the write, the job may have been cancelled, the worker drained or its
-        zone evacuated. If the store was unavailable, the ticket may have expired.
+        The job must be stored too. During the write, the job may have been cancelled,
+        the worker drained or its zone evacuated. If the store was unavailable, the
+        ticket may have expired.
 
         Args:
             run: The placed run.
@@ -279,6 +280,9 @@
             now_ms: Current time.
         """
         worker = self.worker_by_id[run.worker_id].worker
+        if not run.step.job.stored:
+            # Its client may still be refused.
+            return False
         if run.phase is RunPhase.STOPPING or worker.draining:
             return False
         if worker.zone in self.evacuated_zones:
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -55,6 +55,17 @@
     assert harness.state.usage.used_by_team["red"] == ZERO_RESOURCES
 
 
+def test_task_of_a_job_that_is_not_stored_is_not_started():
+    # Guards against a task that runs although its job is refused later.
+    harness = StepHarness.make(worker("w"))
+    progress = harness.add(job("a"))
+    (start,) = starts(harness.plan())
+    (run,) = harness.worker("w").run_by_task.values()
+    assert harness.state.may_send_start(run, start.order.ticket, harness.now_ms)
+    progress.stored = False
+    assert not harness.state.may_send_start(run, start.order.ticket, harness.now_ms)
+
+
 def test_unanswered_start_is_resolved_by_a_listing_under_a_higher_fence():
     # Guards against a task that runs twice when an order is executed late.
     harness = StepHarness.make(worker("w"), worker("v"))
