Bound the occurrences of a job that are open at a time

At most 512 steps and 4,000 tasks are open at a time, and always one occurrence. Those that are due beyond that are caught up in their order; none is left out.

test_plan_of_a_job_with_a_year_of_due_occurrences_is_bounded and test_missed_occurrences_are_caught_up_in_order failed before.

--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -17,6 +17,9 @@
 
 # Known durations that a step needs before its usual duration is computed.
 MIN_DURATION_SAMPLES = 3
+# Bounds of the occurrences of one job that are open at a time; one always is.
+MAX_OPEN_STEPS = 512
+MAX_OPEN_TASKS = 4_000
 # A run that takes this many times the usual duration is taken to be on a slow worker;
 # durations within a step differ by a third.
 SLOW_FACTOR = 3.2
@@ -312,6 +315,9 @@
             return None
         if not 0 <= task.step < len(self.job.steps):
             return None
+        is_open = task.occurrence in self.steps_by_occurrence
+        if not is_open and task.occurrence >= self.open_until:
+            return None
         step = self.open_occurrence(task.occurrence)[task.step]
         return step if 0 <= task.index < step.step.count else None
 
@@ -342,11 +348,22 @@
         return schedule.due_unix_ms(occurrence) if schedule.times else 0
 
     def _open_due(self, unix_ms: int) -> None:
-        for occurrence in range(self.occurrences_done, self.job.occurrences):
+        for occurrence in range(self.occurrences_done, self.open_until):
             if unix_ms < self.due_unix_ms(occurrence):
                 return
             self.open_occurrence(occurrence)
 
+    @property
+    def open_until(self) -> int:
+        """All occurrences from this number on wait for earlier ones to be done.
+
+        Occurrences may overlap, but what is open at a time is bounded: a schedule can
+        have any number of occurrences that are due.
+        """
+        tasks = sum(step.count for step in self.job.steps)
+        open_count = min(MAX_OPEN_STEPS // len(self.job.steps), MAX_OPEN_TASKS // tasks)
+        return min(self.occurrences_done + max(open_count, 1), self.job.occurrences)
+
     def close_done_occurrences(self) -> None:
         """Discard the steps of the earliest occurrences once done and without runs."""
         while self.occurrences_done < self.job.occurrences:
--- a/tests/test_jobshapes.py
+++ b/tests/test_jobshapes.py
@@ -14,8 +14,15 @@
 from hypothesis import strategies as st
 
 from marjoramgrade.decisions.stepplanning import MAX_STARTS_PER_PLAN
+from marjoramgrade.decisions.stepprogress import MAX_OPEN_STEPS, MAX_OPEN_TASKS
 from marjoramgrade.errors import InvalidInputError
-from marjoramgrade.stepjobs import MAX_STEPS, MAX_TASKS_PER_STEP, Step, StepJob
+from marjoramgrade.stepjobs import (
+    MAX_STEPS,
+    MAX_TASKS_PER_STEP,
+    Schedule,
+    Step,
+    StepJob,
+)
 from tests.steps import StepHarness, cores, job, starts, worker
 
 WORKERS = 8
@@ -112,6 +119,45 @@
     assert len(starts(harness.sent)) == MAX_TASKS_PER_STEP
 
 
+def test_plan_of_a_job_with_a_year_of_due_occurrences_is_bounded():
+    # Guards against a schedule without a start, all of whose occurrences are due: it
+    # filled the memory of each leader and hung it.
+    minute_ms, times = 60_000, 525_600
+    schedule = Schedule(times, 0, minute_ms)
+    new = attrs.evolve(job("a", *[Step(1, TINY)] * 2), schedule=schedule)
+    harness = StepHarness.make(*(worker(f"w{i}") for i in range(WORKERS)))
+    harness.now_ms = times * minute_ms
+    with at_most_calls(MAX_CALLS):
+        harness.add(new)
+        ordered = starts(harness.plan())
+    assert len(ordered) == MAX_STARTS_PER_PLAN
+    with at_most_calls(MAX_CALLS):
+        harness.plan()
+    assert len(harness.state.job_by_id["a"].steps_by_occurrence) <= MAX_OPEN_STEPS // 2
+
+
+def test_missed_occurrences_are_caught_up_in_order():
+    # Guards against occurrences that are left out, or that wait for good behind others.
+    schedule = Schedule(5, 0, 1_000)
+    # Two occurrences together exceed `MAX_OPEN_TASKS`.
+    wide = (Step(MAX_TASKS_PER_STEP, TINY), Step(MAX_OPEN_TASKS // 4, TINY))
+    new = attrs.evolve(job("a", *wide), schedule=schedule)
+    harness = StepHarness.make(*(worker(f"w{i}") for i in range(WORKERS)))
+    progress = harness.add(new)
+    seen = []
+    while not progress.all_done:
+        harness.plan()
+        seen.append(tuple(progress.steps_by_occurrence))
+        for steps in list(progress.steps_by_occurrence.values()):
+            for step in steps:
+                for run in list(step.iter_runs()):
+                    harness.state._detach(run)
+                    step.mark_done(run.task.index)
+        progress.close_done_occurrences()
+    assert max(map(len, seen)) == 1
+    assert [occurrence for (occurrence,) in dict.fromkeys(seen)] == list(range(5))
+
+
 def test_gang_larger_than_a_plan_is_started_whole():
     # Guards against a part of a gang that waits for members that a later plan starts.
     new = make_job("independent", 1, MAX_TASKS_PER_STEP, gang=True)
