Cancel a job once its submission is settled

The leader showed a job only once it is stored, and forgot the cancel.

The cancel now waits for the submission that is on its way, and is carried out if the job is stored. The new test of tests/test_stepscheduling.py failed before.

--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -161,11 +161,36 @@
     @handles(CancelStepJob)
     async def _cancel(self, message: CancelStepJob) -> Any:
         lead = self._current_lead()
+        submission = lead.pending_submission_by_job.get(message.job_id)
+        if submission is not None:
+            return self.spawn(self._cancel_after(lead, message, submission))
+        return self.spawn(self._cancel_job(lead, self._find_cancelled(lead, message)))
+
+    async def _cancel_after(
+        self,
+        lead: LeaderState,
+        message: CancelStepJob,
+        submission: asyncio.Task[StepJobAccepted],
+    ) -> StepJobShown:
+        """Cancel a job once it is known whether it is stored."""
+        await asyncio.wait((submission,))
+        return await self._cancel_job(lead, self._find_cancelled(lead, message))
+
+    def _find_cancelled(self, lead: LeaderState, message: CancelStepJob) -> JobProgress:
+        """Return the job that a message cancels.
+
+        Raises:
+            ForbiddenError: If the job belongs to another team.
+            JobNotFoundError: If there is no such job.
+            OutcomeUnknownError: If the leadership ended while the job was stored.
+        """
+        if lead is not self._lead:
+            raise OutcomeUnknownError("the leadership ended while the job was stored")
         progress = self._find_job(lead, message.job_id)
         team = progress.job.team
         if message.team and team and message.team != team:
             raise ForbiddenError("the job belongs to another team")
-        return self.spawn(self._cancel_job(lead, progress))
+        return progress
 
     async def _cancel_job(
         self, lead: LeaderState, progress: JobProgress
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -329,6 +329,47 @@
     asyncio.run(run())
 
 
+class HeldStore(MemoryRowStore):
+    """A store that holds transactions while `is_held`."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_held = False
+
+    @handles(CommitRows)
+    async def _commit(self, message: CommitRows) -> object:
+        async def answer():
+            while self.is_held:
+                await asyncio.sleep(0.01)
+            return self.apply(message)
+
+        return self.spawn(answer())
+
+
+def test_job_that_is_cancelled_while_it_is_stored_does_not_run():
+    # Guards against a cancel that is answered as if there were no such job, which then
+    # is stored and runs to its end.
+    async def run():
+        store = HeldStore()
+        async with leading(store) as (_, scheduler, ports):
+            while len(ports) < 2:
+                await asyncio.sleep(0.01)
+            store.is_held = True
+            new = job("a", Step(1, cores(1), long_running=True))
+            submission = asyncio.ensure_future(scheduler.ask(SubmitStepJob(new)))
+            await asyncio.sleep(0.05)
+            cancel = asyncio.ensure_future(scheduler.ask(CancelStepJob("a")))
+            await asyncio.sleep(0.05)
+            assert not cancel.done()
+            store.is_held = False
+            await submission
+            assert (await cancel).state is StepJobState.CANCELLED
+            await asyncio.sleep(0.3)
+            assert not any(port.running for port in ports.values())
+
+    asyncio.run(run())
+
+
 def test_cancelled_job_is_stored_before_the_reply():
     # Guards against a cancelled job that continues to run after a change of leader.
     async def run():
