Leave a stored job of an invalid shape out

Found while reading the change of the chains: the lengths are computed when a job is restored, so a row whose steps name predecessors that don't exist would have ended each instance that takes the lead. Our rows are checked when a job is handed in; another writer's may not be. Such a row is now left out and logged like one that can't be decoded. A predecessor that is named twice is refused only when a job is handed in, since earlier versions accepted it.

The new tests failed before, but for the one about a predecessor named twice.

--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -112,7 +112,12 @@
         """Restore a job from the record that an earlier leader stored.
 
         The workers of its runs must have been added before.
+
+        Raises:
+            InvalidInputError: If the shape of the job is invalid, or the record does
+                not belong to it.
         """
+        job.check_shape()
         age_ms = max(unix_ms - job.accepted_unix_ms, 0)
         progress = JobProgress(job, queue, now_ms - age_ms)
         for step, placed in progress.restore(record):
--- a/marjoramgrade/stepjobs.py
+++ b/marjoramgrade/stepjobs.py
@@ -155,12 +155,23 @@
         return tuple(lengths)
 
     def check(self) -> None:
-        """Check the constraints that the types do not express.
+        """Check the constraints on a job that is handed in.
+
+        Raises:
+            InvalidInputError: If the shape is invalid, or a step names a predecessor
+                twice.
+        """
+        self.check_shape()
+        for index, step in enumerate(self.steps):
+            if len(set(step.after)) != len(step.after):
+                raise InvalidInputError(f"step {index} names a predecessor twice")
+
+    def check_shape(self) -> None:
+        """Check the constraints that the types do not express, also of a stored job.
 
         Raises:
             InvalidInputError: If the number of steps or of tasks in a step is out of
-                range, a step does not come after its predecessors, or it names one of
-                them twice.
+                range, or a step does not come after its predecessors.
         """
         if not 0 < len(self.steps) <= MAX_STEPS:
             raise InvalidInputError(f"a job must have 1 to {MAX_STEPS} steps")
@@ -173,8 +184,6 @@
                 raise InvalidInputError(
                     f"step {index} may depend only on earlier steps"
                 )
-            if len(set(step.after)) != len(step.after):
-                raise InvalidInputError(f"step {index} names a predecessor twice")
 
 
 @attrs.frozen(cache_hash=True)
--- a/tests/test_jobshapes.py
+++ b/tests/test_jobshapes.py
@@ -14,7 +14,11 @@
 from hypothesis import strategies as st
 
 from marjoramgrade.decisions.stepplanning import MAX_STARTS_PER_PLAN
-from marjoramgrade.decisions.stepprogress import MAX_OPEN_STEPS, MAX_OPEN_TASKS
+from marjoramgrade.decisions.stepprogress import (
+    MAX_OPEN_STEPS,
+    MAX_OPEN_TASKS,
+    JobRecord,
+)
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.stepjobs import (
     MAX_STEPS,
@@ -23,7 +27,7 @@
     Step,
     StepJob,
 )
-from tests.steps import StepHarness, cores, job, starts, worker
+from tests.steps import URGENT, StepHarness, cores, job, starts, worker
 
 WORKERS = 8
 # A plan looks at each worker a few times for each start that it orders and for each
@@ -198,6 +202,28 @@
     assert lengths == tuple(longest(index) for index in range(count))
 
 
+@pytest.mark.parametrize(
+    "steps",
+    [(), (Step(0),), (Step(1, after=(5,)),), (Step(1), Step(1, after=(-1,)))],
+    ids=str,
+)
+def test_stored_job_of_an_invalid_shape_is_left_out(steps):
+    # Guards against one odd row that ends each instance that takes the lead.
+    harness = StepHarness.make(worker("w"))
+    odd = StepJob("a", "urgent", "red", "", steps)
+    with pytest.raises(InvalidInputError):
+        harness.state.restore_job(odd, URGENT, JobRecord(), 0, 0)
+    assert not harness.state.job_by_id
+
+
+def test_stored_job_that_names_a_predecessor_twice_goes_on():
+    # Guards against a job of an earlier version that nobody runs any more.
+    harness = StepHarness.make(worker("w"))
+    stored = job("a", Step(1, TINY), Step(1, TINY, after=(0, 0)))
+    restored = harness.state.restore_job(stored, URGENT, JobRecord(), 0, 0)
+    assert restored.chain_by_step == (2, 1)
+
+
 def test_predecessor_that_is_named_twice_is_refused():
     # Guards against a list of predecessors whose length nothing bounds.
     with pytest.raises(InvalidInputError, match="twice"):
