Let a submission wait for a leader before its outcome is called unknown

Suspected cause, from the code: an instance that had heard no leader for 1.5 s answered 504 at once, and a client comes again at once after a 504, where it waited for the Retry-After of a 503 before.

A submission now waits for a leader for up to 1.5 s from its own arrival, in which it is served if one appears, and 504 carries Retry-After too.

The new test of tests/test_forwarding.py failed before: the answer came without a wait.

--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -53,8 +53,8 @@
 # store.
 ATTEMPT_TIMEOUT_MS = 1_500
 # A job that reached no leader is given up once no leader has sent a reply or heartbeat
-# for this long; a takeover usually completes within this time. A job that may have been
-# accepted is retried until the deadline.
+# for this long, nor since it came; a takeover usually completes within this time. A job
+# that may have been accepted is retried until the deadline.
 NO_LEADER_TIMEOUT_MS = 1_500
 # Time before the client's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_MS = 60
@@ -147,6 +147,7 @@
                 became of earlier attempts through other instances.
         """
         may_be_accepted = False
+        began_ms = self._clock.now_ms()
         failure: MarjoramgradeError = NoLeaderError("no instance leads")
         while self._clock.now_ms() + RESPONSE_MARGIN_MS < deadline_ms:
             if presence.has_left and isinstance(message, SubmitStepJob):
@@ -167,7 +168,12 @@
                     self._check_refusal(error, may_be_accepted)
             if isinstance(message, GetStepJob):
                 return await self._read_state(message)
-            unresponsive_ms = self._clock.now_ms() - self._last_contact_ms
+            since_ms = self._last_contact_ms
+            if isinstance(message, SubmitStepJob):
+                # Its client comes again at once after an unknown outcome, so an answer
+                # without any wait would be asked for again and again.
+                since_ms = max(since_ms, began_ms)
+            unresponsive_ms = self._clock.now_ms() - since_ms
             if not may_be_accepted and unresponsive_ms > NO_LEADER_TIMEOUT_MS:
                 break
             await asyncio.sleep(RETRY_MS / 1000)
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -55,7 +55,7 @@
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 262_144
 IDLE_TIMEOUT_MS = 60_000
-# Delay after which a refused client may retry: takeovers and short outages of the
+# Delay after which a client may retry: takeovers and short outages of the
 # store end within 1 s.
 RETRY_AFTER_S = 1
 BEARER = "Bearer "
@@ -186,7 +186,7 @@
         headers = HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
         )
-        if status in (429, 503):
+        if status in (429, 503, 504):
             headers["Retry-After"] = str(RETRY_AFTER_S)
         # The client then retries on a new connection, for which the load balancer can
         # choose an instance that is ready.
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -218,6 +218,29 @@
     asyncio.run(run())
 
 
+def test_job_waits_for_a_leader_however_long_there_was_none():
+    # Guards against clients that hand a job in again and again without a pause, since
+    # an instance that has long heard no leader answers "unknown" at once.
+    async def run():
+        async with forwarder_to_leader() as (forwarder, leader, clock):
+            clock.advance(60_000)
+            leader.failures = [OwnerUnreachableError("gone")]
+            began_ms = clock.now_ms()
+            with pytest.raises(OutcomeUnknownError):
+                await submit(forwarder, clock)
+            assert clock.now_ms() - began_ms >= NO_LEADER_TIMEOUT_MS
+            leader.failures = [
+                OwnerUnreachableError("gone"),
+                OwnerUnreachableError("gone"),
+            ]
+            answer = asyncio.ensure_future(submit(forwarder, clock))
+            await asyncio.sleep(0.1)
+            leader.failures = []
+            assert (await answer).created
+
+    asyncio.run(run())
+
+
 def test_count_without_a_leader_is_refused_soon():
     # Guards against clients that wait until their deadline while there is no leader.
     async def run():
