--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -168,24 +168,27 @@
                     self._check_refusal(error, may_be_accepted)
             if isinstance(message, GetStepJob):
                 return await self._read_state(message)
-            since_ms = self._last_contact_ms
-            if isinstance(message, SubmitStepJob):
-                # Its client comes again at once after an unknown outcome, so an answer
-                # without any wait would be asked for again and again.
-                since_ms = max(since_ms, began_ms)
-            unresponsive_ms = self._clock.now_ms() - since_ms
-            if not may_be_accepted and unresponsive_ms > NO_LEADER_TIMEOUT_MS:
+            if not may_be_accepted and self._is_leader_missing(message, began_ms):
                 break
             await asyncio.sleep(RETRY_MS / 1000)
         if may_be_accepted:
             raise OutcomeUnknownError("the leader did not reply in time")
-        logs.log_event("request_refused", code=failure.code, leader=self._leader_id)
+        logs.log_event("leader_not_reached", code=failure.code, leader=self._leader_id)
         reason = f"no leader accepted the request: {failure.message}"
         if isinstance(message, SubmitStepJob):
             # Another instance may have passed on an earlier attempt of the client.
             raise OutcomeUnknownError(reason)
         raise NoLeaderError(reason)
 
+    def _is_leader_missing(self, message: LeaderRequest, began_ms: int) -> bool:
+        """Return whether to give a request up that has reached no leader so far."""
+        since_ms = self._last_contact_ms
+        if isinstance(message, SubmitStepJob):
+            # Its outcome is unknown, so the client submits it again. Each attempt
+            # waits, so that they don't follow each other without a pause.
+            since_ms = max(since_ms, began_ms)
+        return self._clock.now_ms() - since_ms > NO_LEADER_TIMEOUT_MS
+
     def _check_refusal(
         self, refusal: MarjoramgradeError, may_be_accepted: bool
     ) -> None:
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -153,8 +152,10 @@
     async def _retire(self, link: Actor) -> None:
         """Stop a link once the calls that it has sent are answered."""
         self._retired_links.add(link)
-        with contextlib.suppress(MarjoramgradeError):
+        try:
             await link.ask(FinishCalls(RETIREMENT_MS))
+        except MarjoramgradeError as error:
+            logs.log_event("link_cut_off", code=error.code, reason=error.message)
         await link.stop()
         self._retired_links.discard(link)
 
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -231,11 +231,12 @@
         return True
     try:
         data = connection.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except ConnectionResetError:
-        return True
-    except OSError:
-        # Nothing to read: the connection is open.
+    except BlockingIOError:
+        # There is nothing to read, and the connection is open.
         return False
+    except OSError:
+        # The connection has failed, so no answer can be sent over it.
+        return True
     return not data
 
 
--- a/soak/refusals.py
+++ b/soak/refusals.py
@@ -18,21 +18,20 @@
 import time
 
 from soak.cell import INSTANCES, Soak, send_request
-from soak.faults import FAULTS
-from soak.run import run_in_folder, wait_until_ready
+from soak.run import run_in_folder, submit_under_faults
 
 REFUSED = (429, 503)
-# Time between two jobs; the mean of the cell.
-SUBMISSION_INTERVAL_MS = 20
-# Shorter than the deadline that the instances are told of, as of clients that leave.
+JOB_GAP_S = (0.02, 0.02)
+FAULT_GAP_S = (0.3, 1.5)
+# How long a client waits for an answer, as it also tells the instances.
 CLIENT_TIMEOUT_MS = 1_200
 MAX_ATTEMPTS = 4
 RETRY_MS = 250
 # Share of the refused clients that don't try again.
 GIVE_UP_SHARE = 0.7
-# Late writes, and orders to workers, take effect within this time after the faults.
+# Late writes and late orders to workers take effect within this time after the faults.
 SETTLING_S = 6.0
-DISRUPTIONS = ("kill", "terminate", "freeze", "cut_store", "store")
+FAULT_NAMES = ("kill", "terminate", "freeze", "cut_store", "store")
 
 
 async def submit(soak: Soak, number: int) -> None:
@@ -63,22 +62,9 @@
 
 async def run_refusals(soak: Soak, seconds: float) -> list[str]:
     """Run one seed and return the violations."""
-    await soak.start()
-    await wait_until_ready(soak)
-    tasks: list[asyncio.Task[None]] = []
-    end = time.monotonic() + seconds
-    next_fault = time.monotonic() + 0.5
-    number = 0
-    while time.monotonic() < end:
-        number += 1
-        tasks.append(asyncio.create_task(submit(soak, number)))
-        if time.monotonic() >= next_fault:
-            name = soak.rng.choice(DISRUPTIONS)
-            tasks.append(asyncio.create_task(FAULTS.get(name)(soak)))
-            next_fault = time.monotonic() + soak.rng.uniform(0.3, 1.5)
-        await asyncio.sleep(SUBMISSION_INTERVAL_MS / 1000)
-    await asyncio.gather(*tasks)
-    soak.record_event("all faults are over")
+    number = await submit_under_faults(
+        soak, seconds, submit, FAULT_NAMES, JOB_GAP_S, FAULT_GAP_S
+    )
     await asyncio.sleep(SETTLING_S)
     audit = await soak.control_fleet(list_jobs=True)
     started = set(audit["started_jobs"])
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,7 +21,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any
 
 from soak.cell import DEADLINE_MS, INSTANCES, Soak, send_request
@@ -31,6 +31,7 @@
 # after the end of the traffic.
 COMPLETION_TIMEOUT_S = 14.0
 READY_TIMEOUT_S = 10.0
+FIRST_FAULT_S = 0.5
 
 # Seeds that have failed before, each with the cause.
 REGRESSIONS = {
@@ -79,24 +80,51 @@
     return "no response"
 
 
-async def run_soak(soak: Soak, seconds: float) -> list[str]:
-    """Run one seed and return the violations."""
+async def submit_under_faults(
+    soak: Soak,
+    seconds: float,
+    submit_job: Callable[[Soak, int], Coroutine[Any, Any, None]],
+    fault_names: Sequence[str],
+    job_gap_s: tuple[float, float],
+    fault_gap_s: tuple[float, float],
+) -> int:
+    """Start the cell, submit jobs while faults overlap, and wait until all is over.
+
+    Args:
+        soak: The soak run.
+        seconds: How long jobs are submitted and faults begin.
+        submit_job: Submits the job with a number as a client does.
+        fault_names: Faults to choose from.
+        job_gap_s: Shortest and longest time between two jobs, in seconds.
+        fault_gap_s: Shortest and longest time between two faults, in seconds.
+
+    Returns:
+        How many jobs were submitted; they are numbered from 1.
+    """
     await soak.start()
     await wait_until_ready(soak)
     tasks: list[asyncio.Task[None]] = []
     end = time.monotonic() + seconds
-    next_fault = time.monotonic() + 0.5
+    next_fault = time.monotonic() + FIRST_FAULT_S
     number = 0
     while time.monotonic() < end:
         number += 1
-        tasks.append(asyncio.create_task(submit(soak, number)))
+        tasks.append(asyncio.create_task(submit_job(soak, number)))
         if time.monotonic() >= next_fault:
-            name = soak.rng.choice(list(FAULTS.iter_names()))
+            name = soak.rng.choice(fault_names)
             tasks.append(asyncio.create_task(FAULTS.get(name)(soak)))
-            next_fault = time.monotonic() + soak.rng.uniform(0.2, 2.0)
-        await asyncio.sleep(soak.rng.uniform(0.1, 0.3))
+            next_fault = time.monotonic() + soak.rng.uniform(*fault_gap_s)
+        await asyncio.sleep(soak.rng.uniform(*job_gap_s))
     await asyncio.gather(*tasks)
     soak.record_event("all faults are over")
+    return number
+
+
+async def run_soak(soak: Soak, seconds: float) -> list[str]:
+    """Run one seed and return the violations."""
+    number = await submit_under_faults(
+        soak, seconds, submit, list(FAULTS.iter_names()), (0.1, 0.3), (0.2, 2.0)
+    )
     broken = await _await_completion(soak)
     audit = await soak.control_fleet()
     soak.record_event(
--- a/tests/test_jobshapes.py
+++ b/tests/test_jobshapes.py
@@ -117,7 +117,7 @@
     new = make_job("independent", 1, MAX_TASKS_PER_STEP, **fields)
     harness = StepHarness.make(*(worker(f"w{i}") for i in range(WORKERS)))
     harness.add(new)
-    while harness.state.job_by_id["a"].open_occurrence(0)[0].has_waiting:
+    for _ in range(MAX_TASKS_PER_STEP // MAX_STARTS_PER_PLAN + 1):
         with at_most_calls(MAX_CALLS):
             harness.plan()
     assert len(starts(harness.sent)) == MAX_TASKS_PER_STEP
@@ -149,7 +149,8 @@
     harness = StepHarness.make(*(worker(f"w{i}") for i in range(WORKERS)))
     progress = harness.add(new)
     seen = []
-    while not progress.all_done:
+    plans = schedule.times * (sum(s.count for s in wide) // MAX_STARTS_PER_PLAN + 1)
+    for _ in range(plans):
         harness.plan()
         seen.append(tuple(progress.steps_by_occurrence))
         for steps in list(progress.steps_by_occurrence.values()):
@@ -158,6 +159,8 @@
                     harness.state._detach(run)
                     step.mark_done(run.task.index)
         progress.close_done_occurrences()
+    assert progress.all_done
+    seen = [numbers for numbers in seen if numbers]
     assert max(map(len, seen)) == 1
     assert [occurrence for (occurrence,) in dict.fromkeys(seen)] == list(range(5))
 
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -44,6 +44,14 @@
     return attrs.evolve(plain, capacity=Resources(32_000, 131_072, 8))
 
 
+def test_plan_that_was_cut_is_followed_by_the_next_one_sooner():
+    # Guards against a job of many small tasks that starts slowly because each of its
+    # plans counts as one over a long backlog.
+    whole, cut = PlanPacer(60), PlanPacer(60, was_cut=True)
+    assert cut.delay_ms == 60
+    assert whole.delay_ms == 180
+
+
 @attrs.define
 class Simulation:
     """Workers that run what the planner starts, on a simulated clock.
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -256,12 +256,14 @@
     async def apply(self, context, proceed):
         if context.message.path == "/q/refused":
             raise NoLeaderError("nobody")
+        if context.message.path == "/q/unknown":
+            raise OutcomeUnknownError("nobody answered")
         return StepJobShown(StepJobState.RUNNING)
 
 
-def test_refusal_has_a_retry_after_header():
-    # Guards against clients that retry at once or not at all, and against responses
-    # that clients cannot read.
+def test_answer_without_a_result_tells_when_to_retry():
+    # Guards against clients that retry at once or not at all, or at an instance that
+    # reaches no leader, and against responses that clients cannot read.
     async def run():
         front = ClientFrontend(
             FilterChain([StubFilter()], MemoryMetrics()), SystemClock(), MemoryMetrics()
@@ -272,7 +274,10 @@
         port = socket.getsockname()[1]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         answers = []
-        for path in ("/q/0011", "/q/refused"):
+        for path in ("/q/0011", "/q/refused", "/q/unknown"):
+            if answers and "Connection: close" in answers[-1][0]:
+                writer.close()
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(f"GET {path} HTTP/1.1\r\nHost: a:80\r\n\r\n".encode())
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             length = int(head.lower().split("content-length: ")[1].split("\r\n")[0])
@@ -280,7 +285,10 @@
         assert answers[0][0].startswith("HTTP/1.1 200")
         assert msgspec.json.decode(answers[0][1]) == {"state": "running"}
         assert answers[1][0].startswith("HTTP/1.1 503")
-        assert "Retry-After: 1" in answers[1][0]
+        assert answers[2][0].startswith("HTTP/1.1 504")
+        for head, _ in answers[1:]:
+            assert "Retry-After: 1" in head
+            assert "Connection: close" in head
         writer.close()
         server.stop()
         await server.close_all_connections()
