Write the jobs that wait for a log line before the process ends

Found in reading the change: the ids beyond 40 lines a second of an event wait up to 200 ms for a line of their own, and an instance that stops in that time dropped them, so that an answer could still not be found by its id. A process that is killed loses them as before.

The new test failed before by the missing function.

--- a/marjoramgrade/logs.py
+++ b/marjoramgrade/logs.py
@@ -214,6 +214,11 @@
         _overflow.add(event, f"{job}:{code}" if code else job)
 
 
+def flush_jobs() -> None:
+    """Write the jobs that wait for their line; called before the process ends."""
+    _overflow.flush()
+
+
 def _serialize(value: Any, **_: Any) -> str:
     return jsontext.serialize_text(
         {key: _to_json_value(part) for key, part in value.items()}
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -236,6 +236,7 @@
         logs.log_event("stopping", failed=str(daemon.failed.is_set()))
         if not daemon.failed.is_set():
             await daemon.drain()
+    logs.flush_jobs()
     return 1 if daemon.failed.is_set() else 0
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -101,6 +101,23 @@
     assert len(lines) <= len(jobs) // logs.JOBS_PER_LINE + 1
 
 
+def test_jobs_are_logged_before_the_process_ends(monkeypatch):
+    # Guards against answers of the last moments of an instance that no line names.
+    stream = io.StringIO()
+    logs.configure(stream)
+    used = logs._LineBudget(sys.maxsize, {"request_failed": logs.MAX_LINES_PER_S})
+    monkeypatch.setattr(logs, "_budget", used)
+    monkeypatch.setattr(logs, "time", FrozenTime())
+
+    async def run():
+        logs.log_job_event("request_failed", "00000000000000aa")
+        assert not stream.getvalue()
+        logs.flush_jobs()
+
+    asyncio.run(run())
+    assert "00000000000000aa" in stream.getvalue()
+
+
 def test_line_is_dropped_rather_than_waited_for():
     # Guards against a process that blocks because nobody reads its log.
     reader, writer = os.pipe()
