--- /dev/null
+++ b/review/world/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of clients, runners and the platform for the scripted review cases."""
