--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A runner that holds a lasting task fails what it starts for some seconds."""
+"""A runner is cut off twice, the second time until its entry is removed."""
 
 import asyncio
 import pathlib
@@ -11,8 +11,8 @@
 
 BOUNDS = {"maxHoldMs": 6_000}
 RUNNERS = 12
-JOBS_IN_TROUBLE = 4
-JOB_INTERVAL_S = 1.2
+SHORT_CUT_S = 2.5
+LONG_CUT_S = 5.5
 
 
 async def case(cell: Cell) -> None:
@@ -24,31 +24,21 @@
     await cell.start_entries(3)
     clients = cell.followers()
     runner = cell.fleet.runners[0]
-    lasting = [
-        {
-            "count": RUNNERS,
-            "cpu": 4_000,
-            "memMb": 256,
-            "antiAffinity": 1,
-            "daemon": True,
-        }
-    ]
-    await cell.submit(clients, lasting, {"daemon": True, "cpu": 4_000})
     steps = [{"count": 2, "cpu": 4_000, "memMb": 256, "estMs": 500, "constraints": "b"}]
     spec = {"ms": 500, "cpu": 4_000}
     await asyncio.sleep(1.0)
     jobs = [await cell.submit(clients, steps, spec)]
-    await asyncio.sleep(1.5)
-    if cell.trouble:
-        cell.journal.add(f"runner {runner.runner_id} fails all that it starts")
-        runner.fails_all = True
-    for _ in range(JOBS_IN_TROUBLE):
+    for cut_s in (SHORT_CUT_S, LONG_CUT_S):
+        await asyncio.sleep(2.0)
+        if cell.trouble:
+            cell.journal.add(f"runner {runner.runner_id} is cut off")
+            runner.is_cut = runner.is_cut_from_store = True
+        await asyncio.sleep(cut_s)
+        if cell.trouble:
+            cell.journal.add(f"runner {runner.runner_id} is reached again")
+            runner.is_cut = runner.is_cut_from_store = False
+        await asyncio.sleep(2.0)
         jobs.append(await cell.submit(clients, steps, spec))
-        await asyncio.sleep(JOB_INTERVAL_S)
-    runner.fails_all = False
-    cell.journal.add(f"runner {runner.runner_id} is sound")
-    await asyncio.sleep(4.0)
-    jobs.append(await cell.submit(clients, steps, spec))
     await cell.check_lost(clients[0], jobs, runner, need_cpu=2 * 4_000)
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A runner starts again under its id, at another address."""
+"""A runner that holds a lasting task fails what it starts for some seconds."""
 
 import asyncio
 import pathlib
@@ -10,8 +10,9 @@
 from world.cell import Cell, run_case  # noqa: E402
 
 BOUNDS = {"maxHoldMs": 6_000}
-RUNNERS = 8
-RESTART_S = 2.0
+RUNNERS = 12
+JOBS_IN_TROUBLE = 4
+JOB_INTERVAL_S = 1.2
 
 
 async def case(cell: Cell) -> None:
@@ -23,16 +24,30 @@
     await cell.start_entries(3)
     clients = cell.followers()
     runner = cell.fleet.runners[0]
+    lasting = [
+        {
+            "count": RUNNERS,
+            "cpu": 4_000,
+            "memMb": 256,
+            "antiAffinity": 1,
+            "daemon": True,
+        }
+    ]
+    await cell.submit(clients, lasting, {"daemon": True, "cpu": 4_000})
     steps = [{"count": 2, "cpu": 4_000, "memMb": 256, "estMs": 500, "constraints": "b"}]
     spec = {"ms": 500, "cpu": 4_000}
     await asyncio.sleep(1.0)
     jobs = [await cell.submit(clients, steps, spec)]
     await asyncio.sleep(1.5)
     if cell.trouble:
-        await runner.crash()
-        await asyncio.sleep(RESTART_S)
-        await runner.start()
-    await asyncio.sleep(3.0)
+        cell.journal.add(f"runner {runner.runner_id} fails all that it starts")
+        runner.fails_all = True
+    for _ in range(JOBS_IN_TROUBLE):
+        jobs.append(await cell.submit(clients, steps, spec))
+        await asyncio.sleep(JOB_INTERVAL_S)
+    runner.fails_all = False
+    cell.journal.add(f"runner {runner.runner_id} is sound")
+    await asyncio.sleep(4.0)
     jobs.append(await cell.submit(clients, steps, spec))
     await cell.check_lost(clients[0], jobs, runner, need_cpu=2 * 4_000)
 
