--- a/review/world/cell.py
+++ b/review/world/cell.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -28,6 +29,8 @@
 from .store import Store
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+# Below the ports that the kernel gives to outgoing connections.
+PORTS = (15_000, 32_000)
 KEY = "key-of-team"
 DOMAIN = "jobs.example"
 DEADLINE_MS = 3_000
@@ -39,10 +42,12 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on the loopback address."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port that no outgoing connection takes meanwhile."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class Entry:
@@ -370,7 +375,9 @@
         async with asyncio.timeout(limit_s):
             await case(cell)
     except Exception:
-        cell.journal.add("the case could not run: " + traceback.format_exc())
+        reason = traceback.format_exc()
+        cell.journal.add("the case could not run: " + reason)
+        print(reason.strip().splitlines()[-1])
         return BROKEN if cell.journal.violations else UNABLE
     finally:
         await cell.close()
