Check the limit of the team for copies and moved runs too

Only the planner compared the use of a team with its limit, before it called the method that places a task. The supervisor called that method for copies of runs on unresponsive workers and for runs that it moves, and bypassed the check. Now `StepTracker.place` checks the limit and is the only way to order a start; it takes all tasks of a gang at once. A copy that does not fit is not started; a run that is to be moved without room for a copy is stopped and starts elsewhere once its end is listed.

Workers, zones, labels, tickets, capacity and runs per worker were checked for copies before, since these come from the same list of permitted workers.

--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -268,29 +268,14 @@
     def place_task(
         self, step: StepProgress, index: int, permitted: list[WorkerState], now_ms: int
     ) -> bool:
-        """Order the start of one task; return False if no worker has capacity."""
-        fitting = self.candidates(step, index, permitted, now_ms)
-        worker = choose_worker(step, fitting)
-        if worker is None:
-            return False
-        run = self.state.next_run_number(step, index)
-        self.state.place(step, index, worker, run, now_ms)
-        return True
-
-    def is_within_team_limit(
-        self, step: StepProgress, tasks: int = 1, headroom: Resources = ZERO_RESOURCES
-    ) -> bool:
-        """Whether the team's limit allows this many more tasks of a step.
+        """Order the start of one task.
 
-        Args:
-            step: The step.
-            tasks: Number of tasks.
-            headroom: Part of the limit that stays free.
+        Returns:
+            False if no worker has capacity or the team is at its limit.
         """
-        need = step.step.resources.scaled(tasks, 1) + headroom
-        return self.state.usage.has_capacity(
-            step.job.job.team, need, self.state.config.team_by_name
-        )
+        fitting = self.candidates(step, index, permitted, now_ms)
+        worker = choose_worker(step, fitting)
+        return worker is not None and self.state.place(step, {index: worker}, now_ms)
 
     def _collect_waiting(self, now_ms: int, unix_ms: int) -> list[WaitingStep]:
         return [
@@ -354,7 +339,7 @@
 
     def _place_tasks(self, step: StepProgress, headroom: Resources, now_ms: int) -> str:
         """Start as many tasks as possible; returns why the rest wait, or ""."""
-        if not self.is_within_team_limit(step, 1, headroom):
+        if not self.state.is_within_team_limit(step, 1, headroom):
             return "team_limit"
         if self._fits_nowhere(step, now_ms):
             return "no_room"
@@ -362,7 +347,7 @@
         if not permitted:
             return "no_permitted_worker"
         for index in list(step.iter_waiting()):
-            if not self.is_within_team_limit(step, 1, headroom):
+            if not self.state.is_within_team_limit(step, 1, headroom):
                 return "team_limit"
             if self._starts >= MAX_STARTS_PER_PLAN:
                 self.is_cut = True
@@ -376,7 +361,7 @@
         """Start all tasks of a gang or none; returns why it waits, or ""."""
         if step.runs_by_index:
             return "gang_ends"
-        if not self.is_within_team_limit(step, step.step.count, headroom):
+        if not self.state.is_within_team_limit(step, step.step.count, headroom):
             return "team_limit"
         permitted = self.permitted(step, now_ms)
         if not permitted:
@@ -384,9 +369,8 @@
         chosen = self._choose_gang_workers(step, permitted, now_ms)
         if chosen is None:
             return "no_room"
-        run = self.state.next_run_number(step, 0)
-        for index, worker in enumerate(chosen):
-            self.state.place(step, index, worker, run, now_ms)
+        if not self.state.place(step, dict(enumerate(chosen)), now_ms):
+            return "team_limit"
         self._starts += len(chosen)
         return ""
 
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
@@ -27,7 +27,7 @@
 from marjoramgrade.decisions.stepworkers import WorkerState
 from marjoramgrade.decisions.teamheadroom import URGENT_PRIORITY, TeamHeadroom
 from marjoramgrade.decisions.teamusage import TeamUsage
-from marjoramgrade.resources import ZERO_RESOURCES
+from marjoramgrade.resources import ZERO_RESOURCES, Resources
 from marjoramgrade.stepconfig import Queue, StepConfig
 from marjoramgrade.stepjobs import (
     StartOrder,
@@ -244,10 +244,50 @@
 
     # Runs
 
+    def is_within_team_limit(
+        self, step: StepProgress, tasks: int = 1, headroom: Resources = ZERO_RESOURCES
+    ) -> bool:
+        """Whether the team's limit allows this many more tasks of a step.
+
+        Args:
+            step: The step.
+            tasks: Number of tasks.
+            headroom: Part of the limit that stays free.
+        """
+        need = step.step.resources.scaled(tasks, 1) + headroom
+        return self.usage.has_capacity(
+            step.job.job.team, need, self.config.team_by_name
+        )
+
     def place(
+        self,
+        step: StepProgress,
+        worker_by_index: Mapping[int, WorkerState],
+        now_ms: int,
+    ) -> bool:
+        """Place tasks on workers and order their starts, if their team may run them.
+
+        All starts come from here, also those of speculative copies and of runs that
+        move, so that none bypasses the limit of the team.
+
+        Args:
+            step: The step.
+            worker_by_index: The worker of each task; those of a gang all at once.
+            now_ms: Current time.
+
+        Returns:
+            Whether the tasks were placed; all of them are or none.
+        """
+        if not self.is_within_team_limit(step, len(worker_by_index)):
+            return False
+        run = self._next_run_number(step, worker_by_index)
+        for index, worker in worker_by_index.items():
+            self._place_task(step, index, worker, run, now_ms)
+        return True
+
+    def _place_task(
         self, step: StepProgress, index: int, worker: WorkerState, run: int, now_ms: int
-    ) -> Run:
-        """Place a task on a worker and order its start."""
+    ) -> None:
         worker_id = worker.worker.worker_id
         task = step.task(index)
         checkpoint = step.checkpoint_of(index)
@@ -270,7 +310,6 @@
                 ),
             )
         )
-        return new_run
 
     def may_send_start(self, run: Run, ticket: str, now_ms: int) -> bool:
         """Return whether a start may be sent now that its placement is stored.
@@ -299,12 +338,11 @@
         )
         return valid is not None and valid.text == ticket
 
-    def next_run_number(self, step: StepProgress, index: int) -> int:
+    def _next_run_number(self, step: StepProgress, indexes: Iterable[int]) -> int:
         """Return a run number that no earlier leader can have used."""
         first = (self.epoch - 1) * RUNS_PER_EPOCH
-        indexes = range(step.step.count) if step.step.gang else (index,)
         return 1 + max(
-            first, *(step.last_run_by_index.get(other, 0) for other in indexes)
+            first, *(step.last_run_by_index.get(index, 0) for index in indexes)
         )
 
     @staticmethod
--- a/tests/test_stepsupervision.py
+++ b/tests/test_stepsupervision.py
@@ -151,6 +151,44 @@
     assert starts(supervise(harness, supervisor)) == []
 
 
+def test_copy_beyond_the_limit_of_the_team_is_not_started():
+    # Guards against a team that runs more than its limit because the copies of its
+    # tasks on an unresponsive worker are not counted (review/10).
+    harness = StepHarness.make(worker("w"), worker("v"), limit=cores(4, 400))
+    supervisor = Supervisor(harness.state, harness.planner)
+    harness.add(job("a", Step(4, cores(1), speculative=True)))
+    sent = starts(harness.plan())
+    harness.confirm(*sent)
+    assert {start.worker_id for start in sent} == {"w"}
+    cut_off = harness.worker("w")
+    cut_off.unresponsive_since_ms = harness.now_ms
+    harness.state.request_sync(cut_off)
+    harness.collect_actions()
+    harness.now_ms += 300
+    assert starts(supervise(harness, supervisor)) == []
+    harness.state.expire_worker(cut_off)
+    assert len(starts(harness.plan())) == 4
+
+
+def test_slow_run_of_a_team_at_its_limit_is_stopped_before_it_starts_elsewhere():
+    # Guards against a team that runs more than its limit because a run that is moved
+    # goes on beside its copy.
+    harness = StepHarness.make(worker("w"), worker("v"), limit=cores(1))
+    supervisor = Supervisor(harness.state, harness.planner)
+    harness.add(job("a", Step(1, cores(1), speculative=True)))
+    (start,) = starts(harness.plan())
+    harness.confirm(start)
+    harness.report_listing(start.worker_id, running=(report(start, 20),))
+    harness.now_ms += 2_000
+    harness.report_listing(start.worker_id, running=(report(start, 20),))
+    actions = supervise(harness, supervisor)
+    assert (starts(actions), len(stops(actions))) == ([], 1)
+    assert starts(harness.plan()) == []
+    harness.end(start, 1, RunEndStatus.STOPPED)
+    (again,) = starts(harness.plan())
+    assert again.worker_id != start.worker_id
+
+
 def test_non_speculative_task_stays_on_unresponsive_worker(harness, supervisor):
     # Guards against a task that runs twice while its worker is cut off.
     harness.add(job("a"))
