Start nothing before the configuration is known, nor without a limit

A leader without a configuration now starts nothing, since it knows neither the limits nor the evacuated zones. It still lists, adopts and stops runs.

A configuration that was read may lack the team of a stored job, because the team was removed. Such a team keeps the last limit that the leader has seen; a leader that has seen none starts one task, or one gang, of the team at a time. A single task is within any limit by the rule (one task more than the limit), and the team's jobs go on: starting nothing would leave accepted jobs open for ever. Jobs of public queues belong to no team and have no limit, as before.

Changes to existing tests: test_successor_without_a_configuration_knows_the_queue expected the job to run without any configuration, which is the fault. It now demands that nothing starts before, and that the job completes under a configuration without its queue. The configuration of `leading` in test_stepscheduling names the team of its jobs, which the product's configurations always do when a job is accepted.

--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -235,12 +235,7 @@
         lead = self._lead
         if lead is None:
             return
-        lead.state.config = message.config
-        lead.state.evacuated_zones = message.evacuated_zones
-        for progress in lead.state.open_job_by_id.values():
-            queue = message.config.queue_by_name.get(progress.job.queue)
-            if queue is not None:
-                progress.queue = queue
+        lead.state.apply_config(message.config, message.evacuated_zones)
         self._schedule_plan(lead)
 
     @handles(MembersChanged)
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -299,8 +299,8 @@
     """Return the processors in use and the limit, in thousandths, of each team."""
     parts = []
     for team, used in sorted(state.usage.used_by_team.items()):
-        policy = state.config.team_by_name.get(team)
-        limit = policy.limit.cpu_millis if policy is not None else "unknown"
+        known = state.usage.limit_of(team, state.config.team_by_name)
+        limit = known.cpu_millis if known is not None else "unknown"
         parts.append(f"{team}={used.cpu_millis}/{limit}")
     return ",".join(parts)[:MAX_USAGE_LENGTH]
 
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -76,6 +76,8 @@
         """Order all starts that are possible now."""
         self.waiting_by_reason.clear()
         self.is_cut = False
+        if not self.state.is_configured:
+            return
         self._starts = 0
         preemption = Preemption(self.state)
         self._holds = CapacityHolds(preemption, self.state.durations)
--- a/marjoramgrade/decisions/steppreemption.py
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -44,8 +44,8 @@
         if not self._may_preempt(step, now_ms):
             return
         team = step.job.job.team
-        policy = self.state.config.team_by_name.get(team)
-        if policy is None:
+        limit = self.state.usage.limit_of(team, self.state.config.team_by_name)
+        if limit is None:
             return
         runs = self._runs_of(team)
         waiting = sum(1 for _ in step.iter_waiting())
@@ -63,7 +63,7 @@
             if run.phase is RunPhase.RUNNING
         )
         for run in itertools.islice(victims, MAX_VICTIMS):
-            if is_within(demand, policy.limit):
+            if is_within(demand, limit):
                 return
             demand = demand - run.step.step.resources
             self._stop(run, "makes_way_in_team")
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -90,6 +90,23 @@
         """Queue an action for the next `pop_actions`."""
         self._actions.append(action)
 
+    # Configuration
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether a configuration was read; nothing may start before."""
+        return self.config.version > 0
+
+    def apply_config(self, config: StepConfig, evacuated_zones: frozenset[str]) -> None:
+        """Apply a newer configuration; its queues replace those of open jobs."""
+        self.usage.keep_limits(self.config.team_by_name)
+        self.config = config
+        self.evacuated_zones = evacuated_zones
+        for progress in self.open_job_by_id.values():
+            queue = config.queue_by_name.get(progress.job.queue)
+            if queue is not None:
+                progress.queue = queue
+
     # Jobs
 
     def add_job(self, job: StepJob, queue: Queue, now_ms: int) -> JobProgress:
@@ -268,7 +285,8 @@
         """Place tasks on workers and order their starts, if their team may run them.
 
         All starts come from here, also those of speculative copies and of runs that
-        move, so that none bypasses the limit of the team.
+        move, so that none bypasses the limit of the team. Without a configuration
+        neither limits nor evacuated zones are known, and nothing starts.
 
         Args:
             step: The step.
@@ -278,7 +296,8 @@
         Returns:
             Whether the tasks were placed; all of them are or none.
         """
-        if not self.is_within_team_limit(step, len(worker_by_index)):
+        is_within = self.is_within_team_limit(step, len(worker_by_index))
+        if not self.is_configured or not is_within:
             return False
         run = self._next_run_number(step, worker_by_index)
         for index, worker in worker_by_index.items():
--- a/marjoramgrade/decisions/teamusage.py
+++ b/marjoramgrade/decisions/teamusage.py
@@ -19,9 +19,11 @@
 
     Attributes:
         used_by_team: Resources of the runs that exist or may exist, by team.
+        earlier_limit_by_team: Limits that earlier configurations gave to teams.
     """
 
     used_by_team: dict[str, Resources] = attrs.field(factory=dict)
+    earlier_limit_by_team: dict[str, Resources] = attrs.field(factory=dict)
     # Tokens in the bucket of each team and the time of their last update.
     _tokens_by_team: dict[str, tuple[float, int]] = attrs.field(factory=dict)
 
@@ -36,12 +38,36 @@
     def has_capacity(
         self, team: str, amount: Resources, policies: Mapping[str, TeamPolicy]
     ) -> bool:
-        """Whether a team stays within its limit if it uses this much more."""
+        """Whether a team stays within its limit if it uses this much more.
+
+        A team of which no limit is known may start work only while it has nothing
+        running: any limit admits a single task, and the team's work goes on.
+        """
+        used = self.used_by_team.get(team, ZERO_RESOURCES)
+        limit = self.limit_of(team, policies)
+        if limit is None:
+            return used == ZERO_RESOURCES
+        return is_within(used + amount, limit)
+
+    def limit_of(
+        self, team: str, policies: Mapping[str, TeamPolicy]
+    ) -> Resources | None:
+        """Return the limit of a team, or None if no configuration gave it one.
+
+        A team that was removed keeps its last limit. Jobs of public queues belong to
+        no team and have no limit.
+        """
+        if not team:
+            return ZERO_RESOURCES
         policy = policies.get(team)
-        if policy is None:
-            return True
-        total = self.used_by_team.get(team, ZERO_RESOURCES) + amount
-        return is_within(total, policy.limit)
+        if policy is not None:
+            return policy.limit
+        return self.earlier_limit_by_team.get(team)
+
+    def keep_limits(self, policies: Mapping[str, TeamPolicy]) -> None:
+        """Remember the limits of a configuration that is being replaced."""
+        for name, policy in policies.items():
+            self.earlier_limit_by_team[name] = policy.limit
 
     def is_beyond_weight(self, policy: TeamPolicy | None, now_ms: int) -> bool:
         """Count a new job; returns whether it exceeds the team's weight.
--- a/tests/test_stepplanning.py
+++ b/tests/test_stepplanning.py
@@ -10,6 +10,7 @@
 from marjoramgrade.decisions.stepworkers import WorkerState
 from marjoramgrade.decisions.tickets import Ticket
 from marjoramgrade.resources import Resources
+from marjoramgrade.stepconfig import StepConfig
 from marjoramgrade.stepjobs import RunEnd, RunEndStatus, Step
 from tests.steps import (
     ADVISED,
@@ -106,6 +107,21 @@
     assert (start.worker_id, start.order.ticket) == ("v", "ticket-v")
 
 
+def test_leader_without_a_configuration_starts_nothing():
+    # Guards against a leader that knows neither limits nor evacuated zones yet and
+    # starts all work of a team at once, in any zone.
+    harness = StepHarness.make(
+        worker("w", zone="north"),
+        worker("v", zone="south"),
+        limit=Resources(cpu_millis=2_000),
+    )
+    known, harness.state.config = harness.state.config, StepConfig()
+    harness.add(job("a", Step(6, cores(1))))
+    assert harness.plan() == []
+    harness.state.apply_config(known, frozenset(("north",)))
+    assert [start.worker_id for start in starts(harness.plan())] == ["v", "v"]
+
+
 def test_advice_is_not_asked_for_a_team_at_its_limit():
     # Guards against filling the advisor's channels with calls whose tickets expire
     # unused, which delayed urgent jobs by seconds.
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -50,7 +50,7 @@
     WorkersChanged,
 )
 from marjoramgrade.metrics import MemoryMetrics
-from marjoramgrade.stepconfig import StepConfig
+from marjoramgrade.stepconfig import StepConfig, TeamPolicy
 from marjoramgrade.stepjobs import (
     MAX_TASKS_PER_STEP,
     RunEnd,
@@ -160,7 +160,9 @@
             if actor._runner is None:
                 await actor.start()
                 stack.push_async_callback(actor.stop)
-        config = config or StepConfig(1, {"urgent": URGENT})
+        if config is None:
+            teams = {"red": TeamPolicy("red")}
+            config = StepConfig(1, {"urgent": URGENT}, {}, teams)
         if config.version:
             scheduler.tell(StepConfigChanged(config, frozenset()))
         version = store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"1"),))).version
@@ -349,8 +351,14 @@
         await store.start()
         async with leading(store) as (_, scheduler, _):
             await scheduler.ask(SubmitStepJob(job("a", Step(40, cores(1)))))
-        async with leading(store, epoch=2, config=StepConfig()) as (_, successor, _):
+        unread = StepConfig()
+        async with leading(store, epoch=2, config=unread) as (_, successor, ports):
             assert successor._lead.state.job_by_id["a"].queue == URGENT
+            await asyncio.sleep(0.3)
+            assert ports and not any(port.started for port in ports.values())
+            # The configuration lacks the queue.
+            config = StepConfig(1, {}, {}, {"red": TeamPolicy("red")})
+            successor.tell(StepConfigChanged(config, frozenset()))
             await wait_for_state(successor, "a", StepJobState.COMPLETED)
         await store.stop()
 
