Count unwanted runs for their team until they have ended

A run that a worker lists and that no open task wants is stopped, but what it used no longer counted for its team, so that the team could have another task started beside it. QUOTA: what is being stopped still counts. A worker that left the platform's list while cut off was forgotten with such runs, though it may run on until its lease expires.

Such a run now has its team and its resources, which count until its end is listed, its worker starts again or the lease of its worker expires; the worker is kept as long. Preemption knows that the run is being stopped. If the leader knows no job for a run, it knows neither team nor resources, and the run does not count.

Other runs that exist were found to count: those of a worker that is not in sync, of an unanswered start and of a worker that left the list count until a listing under a higher fence lacks them or the lease has expired, and a new leader restores them from the stored placements.

The test that a run counts until its end is listed failed before; the other one needs the new method.

--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -272,9 +272,8 @@
             self._schedule_plan(lead)
 
     def _remove_departed_workers(self, lead: LeaderState) -> None:
-        for worker_id, state in list(lead.state.worker_by_id.items()):
-            if state.listed or state.run_by_task or state.synced:
-                continue
+        for state in list(lead.state.iter_departed_workers()):
+            worker_id = state.worker.worker_id
             lead.state.remove_worker(worker_id)
             if worker_id in lead.roster:
                 lead.roster -= {worker_id}
--- a/marjoramgrade/decisions/steppreemption.py
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -173,17 +173,20 @@
             for run in worker.run_by_task.values():
                 self._runs_by_team.setdefault(run.step.job.job.team, []).append(run)
                 if run.phase is RunPhase.STOPPING:
-                    self._record_stopping(run)
+                    self._record_stopping(
+                        run.step.job.job.team, run.step.step.resources
+                    )
+            for orphan in worker.orphan_by_task.values():
+                self._record_stopping(orphan.team, orphan.resources)
 
-    def _record_stopping(self, run: Run) -> None:
-        team = run.step.job.job.team
+    def _record_stopping(self, team: str, resources: Resources) -> None:
         leaving = self._stopping_resources_by_team.get(team, ZERO_RESOURCES)
-        self._stopping_resources_by_team[team] = leaving + run.step.step.resources
+        self._stopping_resources_by_team[team] = leaving + resources
 
     def _stop(self, run: Run, reason: str) -> None:
         self._index_runs()
         self.state.stop_run(run, reason)
-        self._record_stopping(run)
+        self._record_stopping(run.step.job.job.team, run.step.step.resources)
 
 
 def _loss(runs: Iterable[Run], now_ms: int) -> float:
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -10,9 +10,6 @@
 
 import attrs
 
-from marjoramgrade.decisions.stepactions import (
-    StopRun,
-)
 from marjoramgrade.decisions.stepprogress import SLOW_FACTOR, StepProgress, TaskPhase
 from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.steptracker import StepTracker
@@ -122,22 +119,12 @@
                 self.mark_run_lost(run)
             elif run.phase is RunPhase.STOPPING and run.running_since_ms:
                 self.send_stop(run)
-        worker.orphan_by_task = {}
+        self._remove_orphans(worker)
         for report in running:
-            key = (report.task, report.run)
-            if key in worker.run_by_task:
+            if (report.task, report.run) in worker.run_by_task:
                 continue
             if not self._adopt(worker, report, now_ms):
-                worker.orphan_by_task[key] = report
-                self.add_action(
-                    StopRun(
-                        worker.worker.worker_id,
-                        worker.fence,
-                        report.task,
-                        report.run,
-                        "not_wanted",
-                    )
-                )
+                self._add_orphan(worker, report.task, report.run)
 
     def _adopt(self, worker: WorkerState, report: RunReport, now_ms: int) -> bool:
         """Adopt a run that an earlier leader started; return whether it was adopted."""
@@ -197,7 +184,7 @@
     def _apply_end(
         self, worker: WorkerState, end: RunEnd, now_ms: int, unix_ms: int
     ) -> None:
-        worker.orphan_by_task.pop((end.task, end.run), None)
+        self._remove_orphan(worker, (end.task, end.run))
         run = worker.run_by_task.get((end.task, end.run))
         progress = self.job_by_id.get(end.task.job_id)
         step = progress.step_of(end.task) if progress is not None else None
--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from marjoramgrade.decisions.stepactions import PaceRun, StopRun
+from marjoramgrade.decisions.stepactions import PaceRun
 from marjoramgrade.decisions.stepplanning import Planner
 from marjoramgrade.decisions.stepprogress import SLOW_FACTOR, StepProgress
 from marjoramgrade.decisions.steprun import Run, RunPhase
@@ -72,17 +72,9 @@
             is_stopping = run.phase is RunPhase.STOPPING and run.running_since_ms
             if is_stopping and self._is_stop_due(key, now_ms):
                 self.state.send_stop(run)
-        for key, report in worker.orphan_by_task.items():
+        for key, orphan in worker.orphan_by_task.items():
             if self._is_stop_due(key, now_ms):
-                self.state.add_action(
-                    StopRun(
-                        worker.worker.worker_id,
-                        worker.fence,
-                        report.task,
-                        report.run,
-                        "not_wanted",
-                    )
-                )
+                self.state.send_orphan_stop(worker, orphan)
 
     def _is_stop_due(self, key: tuple[object, int], now_ms: int) -> bool:
         """Return whether to repeat a stop; the first call only records the time."""
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -24,7 +24,7 @@
     TaskPhase,
 )
 from marjoramgrade.decisions.steprun import Run, RunPhase
-from marjoramgrade.decisions.stepworkers import WorkerState
+from marjoramgrade.decisions.stepworkers import Orphan, WorkerState
 from marjoramgrade.decisions.teamheadroom import URGENT_PRIORITY, TeamHeadroom
 from marjoramgrade.decisions.teamusage import TeamUsage
 from marjoramgrade.resources import ZERO_RESOURCES, Resources
@@ -224,6 +224,13 @@
         """Yield the known workers that the platform does not list."""
         return (state for state in self.worker_by_id.values() if not state.listed)
 
+    def iter_departed_workers(self) -> Iterator[WorkerState]:
+        """Yield the workers that left and certainly have no runs any more."""
+        for worker in self.worker_by_id.values():
+            may_have_runs = worker.run_by_task or worker.orphan_by_task
+            if not (worker.listed or worker.synced or may_have_runs):
+                yield worker
+
     def add_worker(self, worker: StepWorker) -> WorkerState:
         """Add a worker; it gets work after a listing under its current token."""
         state = WorkerState(worker, fence=self.first_fence)
@@ -248,7 +255,7 @@
         incarnation may still arrive late and take effect. The next listing under a
         higher token shows which placed runs exist, as after any unanswered order.
         """
-        worker.orphan_by_task.clear()
+        self._remove_orphans(worker)
         worker.last_end_number = 0
         if worker.synced:
             self.request_sync(worker)
@@ -257,7 +264,7 @@
         """Mark all runs of an unresponsive worker as lost after its lease expired."""
         for run in list(worker.run_by_task.values()):
             self.mark_run_lost(run)
-        worker.orphan_by_task.clear()
+        self._remove_orphans(worker)
 
     # Runs
 
@@ -407,6 +414,42 @@
         run.step.record_checkpoint(run.task.index, run.checkpoint)
         self._detach(run)
 
+    def _add_orphan(self, worker: WorkerState, task: TaskRef, run: int) -> None:
+        """Stop a run that no open task wants; its team uses its resources until then.
+
+        The job may be final or its occurrence closed. Of an unknown job neither team
+        nor resources are known.
+        """
+        orphan = Orphan(task, run)
+        progress = self.job_by_id.get(task.job_id)
+        if progress is not None and 0 <= task.step < len(progress.job.steps):
+            resources = progress.job.steps[task.step].resources
+            orphan = Orphan(task, run, progress.job.team, resources)
+        worker.orphan_by_task[(task, run)] = orphan
+        self.usage.add(orphan.team, orphan.resources)
+        self.send_orphan_stop(worker, orphan)
+
+    def send_orphan_stop(self, worker: WorkerState, orphan: Orphan) -> None:
+        """Send the stop of an orphan; may be repeated if the response was lost."""
+        self.add_action(
+            StopRun(
+                worker.worker.worker_id,
+                worker.fence,
+                orphan.task,
+                orphan.run,
+                "not_wanted",
+            )
+        )
+
+    def _remove_orphan(self, worker: WorkerState, key: tuple[TaskRef, int]) -> None:
+        orphan = worker.orphan_by_task.pop(key, None)
+        if orphan is not None:
+            self.usage.remove(orphan.team, orphan.resources)
+
+    def _remove_orphans(self, worker: WorkerState) -> None:
+        for key in list(worker.orphan_by_task):
+            self._remove_orphan(worker, key)
+
     def _attach(self, run: Run, worker: WorkerState) -> None:
         worker.add(run)
         run.step.add_run(run)
--- a/marjoramgrade/decisions/stepworkers.py
+++ b/marjoramgrade/decisions/stepworkers.py
@@ -6,7 +6,7 @@
 
 from marjoramgrade.decisions.steprun import Run
 from marjoramgrade.resources import ZERO_RESOURCES, Resources
-from marjoramgrade.stepjobs import RunReport, StepWorker, TaskRef
+from marjoramgrade.stepjobs import StepWorker, TaskRef
 
 # Consecutive failures on different jobs after which a worker is suspect. One task in
 # twenty fails by itself, so three in a row on a healthy worker are rare.
@@ -75,6 +75,23 @@
         return not self.probing or present_runs == 0
 
 
+@attrs.frozen
+class Orphan:
+    """A run on a worker that no open task wants; it is being stopped.
+
+    Attributes:
+        task: The task.
+        run: Number of the run.
+        team: Team of the job, or empty if the job is unknown.
+        resources: Resources that the run uses; none if the job is unknown.
+    """
+
+    task: TaskRef
+    run: int
+    team: str = ""
+    resources: Resources = ZERO_RESOURCES
+
+
 @attrs.define(eq=False)
 class WorkerState:
     """A worker as the scheduler sees it.
@@ -102,7 +119,7 @@
     fence: int = 0
     suspicion: WorkerSuspicion = attrs.field(factory=WorkerSuspicion)
     run_by_task: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
-    orphan_by_task: dict[tuple[TaskRef, int], RunReport] = attrs.field(factory=dict)
+    orphan_by_task: dict[tuple[TaskRef, int], Orphan] = attrs.field(factory=dict)
     has_unanswered_call: bool = False
     used: Resources = ZERO_RESOURCES
     spare_used: Resources = ZERO_RESOURCES
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -55,6 +55,49 @@
     assert harness.state.usage.used_by_team["red"] == ZERO_RESOURCES
 
 
+def harness_with_an_orphan():
+    """Return a harness with a limit of 2 cores, one used by a run that is not wanted.
+
+    The worker `v` has a second run of a task that runs on the worker `w`.
+    """
+    harness = StepHarness.make(worker("w"), worker("v"), limit=cores(2, 0))
+    harness.add(job("a"))
+    (start,) = starts(harness.plan())
+    harness.confirm(start)
+    assert start.worker_id == "w"
+    harness.state.request_sync(harness.worker("v"))
+    harness.report_listing("v", running=(RunReport(ref("a"), 7, "", 50, 0),))
+    assert len(stops(harness.collect_actions())) == 1
+    return harness
+
+
+def test_run_that_is_not_wanted_counts_for_its_team_until_its_end_is_listed():
+    # Guards against a team that runs more than its limit beside runs that are being
+    # stopped because no open task wants them.
+    harness = harness_with_an_orphan()
+    harness.add(job("b"))
+    assert starts(harness.plan()) == []
+    ended = RunEnd(1, ref("a"), 7, RunEndStatus.STOPPED, "")
+    harness.report_listing("v", ended=(ended,))
+    assert len(starts(harness.plan())) == 1
+    assert harness.state.usage.used_by_team["red"] == cores(2, 200)
+
+
+def test_worker_that_left_with_an_unwanted_run_is_kept_until_its_lease_expires():
+    # Guards against a run that no longer counts for its team because its worker, which
+    # is cut off and runs on, has left the platform's list.
+    harness = harness_with_an_orphan()
+    gone = harness.worker("v")
+    harness.state.request_sync(gone)
+    harness.state.set_workers((harness.worker("w").worker,))
+    assert list(harness.state.iter_departed_workers()) == []
+    harness.add(job("b"))
+    assert starts(harness.plan()) == []
+    harness.state.expire_worker(gone)
+    assert list(harness.state.iter_departed_workers()) == [gone]
+    assert len(starts(harness.plan())) == 1
+
+
 def test_task_of_a_job_that_is_not_stored_is_not_started():
     # Guards against a task that runs although its job is refused later.
     harness = StepHarness.make(worker("w"))
