--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
@@ -24,10 +24,10 @@
     TaskPhase,
 )
 from marjoramgrade.decisions.steprun import Run, RunPhase
-from marjoramgrade.decisions.stepworkers import WorkerState
+from marjoramgrade.decisions.stepworkers import Orphan, WorkerState
 from marjoramgrade.decisions.teamheadroom import URGENT_PRIORITY, TeamHeadroom
 from marjoramgrade.decisions.teamusage import TeamUsage
-from marjoramgrade.resources import ZERO_RESOURCES
+from marjoramgrade.resources import ZERO_RESOURCES, Resources
 from marjoramgrade.stepconfig import Queue, StepConfig
 from marjoramgrade.stepjobs import (
     StartOrder,
@@ -90,6 +90,23 @@
         """Queue an action for the next `pop_actions`."""
         self._actions.append(action)
 
+    # Configuration
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether a configuration was read; nothing may start before."""
+        return self.config.version > 0
+
+    def apply_config(self, config: StepConfig, evacuated_zones: frozenset[str]) -> None:
+        """Apply a newer configuration; its queues replace those of open jobs."""
+        self.usage.keep_limits(self.config.team_by_name)
+        self.config = config
+        self.evacuated_zones = evacuated_zones
+        for progress in self.open_job_by_id.values():
+            queue = config.queue_by_name.get(progress.job.queue)
+            if queue is not None:
+                progress.queue = queue
+
     # Jobs
 
     def add_job(self, job: StepJob, queue: Queue, now_ms: int) -> JobProgress:
@@ -207,6 +224,13 @@
         """Yield the known workers that the platform does not list."""
         return (state for state in self.worker_by_id.values() if not state.listed)
 
+    def iter_departed_workers(self) -> Iterator[WorkerState]:
+        """Yield the workers that left and certainly have no runs any more."""
+        for worker in self.worker_by_id.values():
+            may_have_runs = worker.run_by_task or worker.orphan_by_task
+            if not (worker.listed or worker.synced or may_have_runs):
+                yield worker
+
     def add_worker(self, worker: StepWorker) -> WorkerState:
         """Add a worker; it gets work after a listing under its current token."""
         state = WorkerState(worker, fence=self.first_fence)
@@ -231,7 +255,7 @@
         incarnation may still arrive late and take effect. The next listing under a
         higher token shows which placed runs exist, as after any unanswered order.
         """
-        worker.orphan_by_task.clear()
+        self._remove_orphans(worker)
         worker.last_end_number = 0
         if worker.synced:
             self.request_sync(worker)
@@ -240,14 +264,56 @@
         """Mark all runs of an unresponsive worker as lost after its lease expired."""
         for run in list(worker.run_by_task.values()):
             self.mark_run_lost(run)
-        worker.orphan_by_task.clear()
+        self._remove_orphans(worker)
 
     # Runs
 
+    def is_within_team_limit(
+        self, step: StepProgress, tasks: int = 1, headroom: Resources = ZERO_RESOURCES
+    ) -> bool:
+        """Whether the team's limit allows this many more tasks of a step.
+
+        Args:
+            step: The step.
+            tasks: Number of tasks.
+            headroom: Part of the limit that stays free.
+        """
+        need = step.step.resources.scaled(tasks, 1) + headroom
+        return self.usage.has_capacity(
+            step.job.job.team, need, self.config.team_by_name
+        )
+
     def place(
+        self,
+        step: StepProgress,
+        worker_by_index: Mapping[int, WorkerState],
+        now_ms: int,
+    ) -> bool:
+        """Place tasks on workers and order their starts, if their team may run them.
+
+        All starts come from here, also those of speculative copies and of runs that
+        move, so that none bypasses the limit of the team. Without a configuration
+        neither limits nor evacuated zones are known, and nothing starts.
+
+        Args:
+            step: The step.
+            worker_by_index: The worker of each task; those of a gang all at once.
+            now_ms: Current time.
+
+        Returns:
+            Whether the tasks were placed; all of them are or none.
+        """
+        is_within = self.is_within_team_limit(step, len(worker_by_index))
+        if not self.is_configured or not is_within:
+            return False
+        run = self._next_run_number(step, worker_by_index)
+        for index, worker in worker_by_index.items():
+            self._place_task(step, index, worker, run, now_ms)
+        return True
+
+    def _place_task(
         self, step: StepProgress, index: int, worker: WorkerState, run: int, now_ms: int
-    ) -> Run:
-        """Place a task on a worker and order its start."""
+    ) -> None:
         worker_id = worker.worker.worker_id
         task = step.task(index)
         checkpoint = step.checkpoint_of(index)
@@ -270,7 +336,6 @@
                 ),
             )
         )
-        return new_run
 
     def may_send_start(self, run: Run, ticket: str, now_ms: int) -> bool:
         """Return whether a start may be sent now that its placement is stored.
@@ -299,12 +364,11 @@
         )
         return valid is not None and valid.text == ticket
 
-    def next_run_number(self, step: StepProgress, index: int) -> int:
+    def _next_run_number(self, step: StepProgress, indexes: Iterable[int]) -> int:
         """Return a run number that no earlier leader can have used."""
         first = (self.epoch - 1) * RUNS_PER_EPOCH
-        indexes = range(step.step.count) if step.step.gang else (index,)
         return 1 + max(
-            first, *(step.last_run_by_index.get(other, 0) for other in indexes)
+            first, *(step.last_run_by_index.get(index, 0) for index in indexes)
         )
 
     @staticmethod
@@ -350,6 +414,42 @@
         run.step.record_checkpoint(run.task.index, run.checkpoint)
         self._detach(run)
 
+    def _add_orphan(self, worker: WorkerState, task: TaskRef, run: int) -> None:
+        """Stop a run that no open task wants; its team uses its resources until then.
+
+        The job may be final or its occurrence closed. Of an unknown job neither team
+        nor resources are known.
+        """
+        orphan = Orphan(task, run)
+        progress = self.job_by_id.get(task.job_id)
+        if progress is not None and 0 <= task.step < len(progress.job.steps):
+            resources = progress.job.steps[task.step].resources
+            orphan = Orphan(task, run, progress.job.team, resources)
+        worker.orphan_by_task[(task, run)] = orphan
+        self.usage.add(orphan.team, orphan.resources)
+        self.send_orphan_stop(worker, orphan)
+
+    def send_orphan_stop(self, worker: WorkerState, orphan: Orphan) -> None:
+        """Send the stop of an orphan; may be repeated if the response was lost."""
+        self.add_action(
+            StopRun(
+                worker.worker.worker_id,
+                worker.fence,
+                orphan.task,
+                orphan.run,
+                "not_wanted",
+            )
+        )
+
+    def _remove_orphan(self, worker: WorkerState, key: tuple[TaskRef, int]) -> None:
+        orphan = worker.orphan_by_task.pop(key, None)
+        if orphan is not None:
+            self.usage.remove(orphan.team, orphan.resources)
+
+    def _remove_orphans(self, worker: WorkerState) -> None:
+        for key in list(worker.orphan_by_task):
+            self._remove_orphan(worker, key)
+
     def _attach(self, run: Run, worker: WorkerState) -> None:
         worker.add(run)
         run.step.add_run(run)
