Send the starts of a gang together or not at all

After its placement was stored, each start of a gang was checked by itself. If the last worker had begun to drain, its zone was evacuated, it had gone out of sync or its ticket had lapsed meanwhile, the earlier members were sent all the same. They hold capacity and the limit of their team, and wait for a member that does not come.

A start of a gang is now sent only if that of every member may be. The first refusal leaves a task of the gang without a run, so that the starts behind it are refused too; no event comes between the checks of one write.

--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -342,27 +342,41 @@
 
         The job must be stored too. During the write, the job may have been cancelled,
         the worker drained or its zone evacuated. If the store was unavailable, the
-        ticket may have expired.
+        ticket may have expired. A gang starts only whole.
 
         Args:
             run: The placed run.
             ticket: The ticket in the order, or empty.
             now_ms: Current time.
         """
-        worker = self.worker_by_id[run.worker_id].worker
-        if not run.step.job.stored:
+        step = run.step
+        if not step.job.stored:
             # Its client may still be refused.
             return False
-        if run.phase is RunPhase.STOPPING or worker.draining:
+        if step.step.gang and step.has_waiting:
+            # Another member has been refused.
             return False
-        if worker.zone in self.evacuated_zones:
+        members = tuple(step.iter_runs()) if step.step.gang else (run,)
+        if not all(map(self._may_still_start, members)):
             return False
         if not ticket:
             return True
-        valid = run.step.tickets.ticket_for(
+        has_tickets = all(self._ticket_of(member, now_ms) for member in members)
+        return has_tickets and self._ticket_of(run, now_ms) == ticket
+
+    def _may_still_start(self, run: Run) -> bool:
+        state = self.worker_by_id[run.worker_id]
+        is_evacuated = state.worker.zone in self.evacuated_zones
+        is_leaving = state.worker.draining or is_evacuated
+        return state.synced and not is_leaving and run.phase is not RunPhase.STOPPING
+
+    def _ticket_of(self, run: Run, now_ms: int) -> str:
+        """Return the valid ticket for a run on its worker, or an empty string."""
+        worker = self.worker_by_id[run.worker_id].worker
+        ticket = run.step.tickets.ticket_for(
             worker.worker_id, worker.born_unix_ms, now_ms
         )
-        return valid is not None and valid.text == ticket
+        return ticket.text if ticket is not None else ""
 
     def _next_run_number(self, step: StepProgress, indexes: Iterable[int]) -> int:
         """Return a run number that no earlier leader can have used."""
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -109,6 +109,33 @@
     assert not harness.state.may_send_start(run, start.order.ticket, harness.now_ms)
 
 
+def send_or_refuse(harness, sent):
+    """Treat starts whose placement is stored as the leader does; return those sent."""
+    allowed = []
+    for start in sent:
+        key = (start.order.task, start.order.run)
+        run = harness.worker(start.worker_id).run_by_task[key]
+        if harness.state.may_send_start(run, start.order.ticket, harness.now_ms):
+            allowed.append(start)
+        else:
+            harness.state.record_start_refused(start.worker_id, *key)
+    return allowed
+
+
+@pytest.mark.parametrize("drains", [True, False])
+def test_gang_whose_last_worker_is_lost_while_it_is_stored_is_not_sent_in_part(drains):
+    # Guards against members that wait for one whose start is not sent.
+    harness = StepHarness.make(worker("w", 1), worker("v", 1))
+    harness.add(job("a", Step(2, cores(1), gang=True)))
+    sent = starts(harness.plan())
+    last = harness.worker(sent[-1].worker_id)
+    if drains:
+        last.worker = attrs.evolve(last.worker, draining=True)
+    else:
+        harness.state.request_sync(last)
+    assert (len(sent), send_or_refuse(harness, sent)) == (2, [])
+
+
 def test_unanswered_start_is_resolved_by_a_listing_under_a_higher_fence():
     # Guards against a task that runs twice when an order is executed late.
     harness = StepHarness.make(worker("w"), worker("v"))
