Check the limit of a team again before a start is sent

The limit was checked when a task was placed, and the start is sent once the placement is stored. While the store is slow or silent that takes seconds, in which a newer configuration may lower the limit: the starts were sent all the same.

`may_send_start` now withholds starts while the team uses more than its limit. Each one withheld frees what it had reserved, so that as many are sent as fit; those of a gang are withheld together.

--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -341,8 +341,8 @@
         """Return whether a start may be sent now that its placement is stored.
 
         The job must be stored too. During the write, the job may have been cancelled,
-        the worker drained or its zone evacuated. If the store was unavailable, the
-        ticket may have expired. A gang starts only whole.
+        the worker drained, its zone evacuated or the limit of the team lowered. If the
+        store was unavailable, the ticket may have expired. A gang starts only whole.
 
         Args:
             run: The placed run.
@@ -353,6 +353,8 @@
         if not step.job.stored:
             # Its client may still be refused.
             return False
+        if self.usage.is_above_limit(step.job.job.team, self.config.team_by_name):
+            return False
         if step.step.gang and step.has_waiting:
             # Another member has been refused.
             return False
--- a/marjoramgrade/decisions/teamusage.py
+++ b/marjoramgrade/decisions/teamusage.py
@@ -49,6 +49,12 @@
             return used == ZERO_RESOURCES
         return is_within(used + amount, limit)
 
+    def is_above_limit(self, team: str, policies: Mapping[str, TeamPolicy]) -> bool:
+        """Whether a team uses more than its limit, which may have been lowered."""
+        limit = self.limit_of(team, policies)
+        used = self.used_by_team.get(team, ZERO_RESOURCES)
+        return limit is not None and not is_within(used, limit)
+
     def limit_of(
         self, team: str, policies: Mapping[str, TeamPolicy]
     ) -> Resources | None:
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -122,6 +122,24 @@
     return allowed
 
 
+def lower_limit(harness, limit):
+    config = harness.state.config
+    teams = {"red": attrs.evolve(config.team_by_name["red"], limit=limit)}
+    lowered = attrs.evolve(config, version=2, team_by_name=teams)
+    harness.state.apply_config(lowered, frozenset())
+
+
+@pytest.mark.parametrize(("gang", "expected"), [(False, 2), (True, 0)])
+def test_limit_that_was_lowered_while_a_start_was_stored_holds(gang, expected):
+    # Guards against starts that were planned under a higher limit and are sent once the
+    # store responds again; a gang starts whole or not at all.
+    harness = StepHarness.make(worker("w"), limit=cores(4, 0))
+    harness.add(job("a", Step(4, cores(1), gang=gang)))
+    sent = starts(harness.plan())
+    lower_limit(harness, cores(2, 0))
+    assert (len(sent), len(send_or_refuse(harness, sent))) == (4, expected)
+
+
 @pytest.mark.parametrize("drains", [True, False])
 def test_gang_whose_last_worker_is_lost_while_it_is_stored_is_not_sent_in_part(drains):
     # Guards against members that wait for one whose start is not sent.
