Play random histories with missing configurations; describe the limit

The histories of tests/test_stepstate_machine.py change the configuration, take over before one was read, and under one that lacks the team.

--- a/tests/test_stepstate_machine.py
+++ b/tests/test_stepstate_machine.py
@@ -33,6 +33,8 @@
 WORKER_IDS = ("w0", "w1", "w2")
 CPU = 4
 LIMIT = Resources(cpu_millis=8_000)
+CONFIG = StepConfig(1, {}, {}, {"red": TeamPolicy("red", weight=1e6, limit=LIMIT)})
+WITHOUT_TEAM = StepConfig(2)
 
 
 @attrs.define
@@ -89,15 +91,12 @@
 
     @initialize()
     def first_leader(self):
-        self.take_over()
+        self.take_over(CONFIG)
 
-    @rule()
-    def take_over(self):
+    @rule(config=st.sampled_from((CONFIG, CONFIG, StepConfig(), WITHOUT_TEAM)))
+    def take_over(self, config):
         """Start a new leader from the store; actions of the old leader are lost."""
         self.epoch += 1
-        config = StepConfig(
-            1, {}, {}, {"red": TeamPolicy("red", weight=1e6, limit=LIMIT)}
-        )
         self.state = StepState(self.epoch, config)
         self.planner = Planner(self.state, AdvisorChannels("own"))
         self.supervisor = Supervisor(self.state, self.planner)
@@ -126,6 +125,10 @@
         progress.stored = True
         self.plan()
 
+    @rule(config=st.sampled_from((CONFIG, WITHOUT_TEAM)))
+    def configuration_changes(self, config):
+        self.state.apply_config(config, frozenset())
+
     @rule()
     def plan(self):
         self.now_ms += 50
