Bound the lease of a worker by all that any call may have granted

Cause: a worker that restarts under its id has a new clock, numbers its ends anew and has seen no fence, and calls to its earlier incarnation can still reach it. They were repeated while the worker was silent, with a deadline and a number of ends of the earlier life, and under the fence under which the next listing was accepted. The lease that the leader then believed in had forgotten them and the leases of earlier leaders. The response to a start, which does not name its incarnation, could set the clock of the next one.

Fix: a call to a worker that did not answer the last one carries neither a deadline nor a number of ends. The clock is taken from listings only. Each restart raises the fence, also that of a worker that is not in sync, and a worker that was removed and is back gets a higher fence than it has seen. After a first listing the lease may last maxHoldMs, the longest that a worker grants; while calls to an earlier incarnation may still take effect, maxHoldMs from the latest of them.

Ruled out: late calls with a deadline by the same clock, since an absolute deadline grants no more when it is late.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -73,11 +73,13 @@
 
     Attributes:
         worker_lease_ms: Duration of the leases that a leader grants to workers.
+        longest_lease_ms: Longest lease that a worker grants, whatever is asked for.
         status_retention_ms: How long the state of an ended job can be queried.
         max_row_bytes: Largest row that the store accepts.
     """
 
     worker_lease_ms: int
+    longest_lease_ms: int
     status_retention_ms: int
     max_row_bytes: int = 65_536
 
@@ -325,7 +327,12 @@
         if action.worker_id not in lead.roster:
             lead.roster = lead.roster | {action.worker_id}
             await self._save_roster(lead, roster_row_number(action.worker_id))
-        if self._lead is not lead or action.worker_id in lead.link_by_worker:
+        if self._lead is not lead:
+            return
+        link = lead.link_by_worker.get(action.worker_id)
+        if link is not None:
+            # The fence was raised again while the roster was being stored.
+            link.tell(RaiseFence(action.fence))
             return
         await self._add_link(lead, state.worker, action.fence, is_recovered)
 
@@ -347,6 +354,7 @@
             self,
             self._clock,
             self._bounds.worker_lease_ms,
+            self._bounds.longest_lease_ms,
             fence,
             earliest_expiry_ms,
         )
--- a/marjoramgrade/controllers/stepworkerlink.py
+++ b/marjoramgrade/controllers/stepworkerlink.py
@@ -45,6 +45,9 @@
 ACKNOWLEDGEMENT_WAIT_MS = 120
 # Pause after a listing that failed.
 RETRY_DELAY_MS = 150
+# A call without a response may be carried out this much later. After a restart, a call
+# to the earlier incarnation may extend the lease until a higher fence has been listed.
+LATE_CALL_MS = 12_000
 # A worker counts as unresponsive after this many consecutive failed listings.
 FAILURES_TO_UNRESPONSIVE = 2
 
@@ -58,6 +61,7 @@
         scheduler: Told of listings, start results and failed calls.
         clock: Monotonic time.
         worker_lease_ms: Duration of the leases that are granted.
+        longest_lease_ms: Longest lease that any order can make a worker grant.
         fence: The first fencing token.
         earliest_expiry_ms: Time on this instance's clock after which leases of earlier
             leaders have expired.
@@ -70,6 +74,7 @@
         scheduler: Actor,
         clock: Clock,
         worker_lease_ms: int,
+        longest_lease_ms: int,
         fence: int,
         earliest_expiry_ms: int,
     ) -> None:
@@ -79,10 +84,14 @@
         self._scheduler = scheduler
         self._clock = clock
         self._worker_lease_ms = worker_lease_ms
+        self._longest_lease_ms = longest_lease_ms
         self._fence = fence
         self._lease = WorkerLease(earliest_expiry_ms=earliest_expiry_ms)
         self._acknowledged_number = 0
         self._born_unix_ms = 0
+        # Calls up to this fence may have been sent to an earlier incarnation.
+        self._earlier_fence = 0
+        self._is_lease_known = False
         self._last_end_number = 0
         self._failures = 0
         self._grant_until_ms = 0
@@ -154,12 +163,13 @@
     async def _try_start(self, message: SendRunStart) -> tuple[StartOutcome, str]:
         if not self._may_grant():
             return StartOutcome.REFUSED, "no_authority"
-        if not self._lease.clock_received_ms:
+        expiry = self._next_expiry() or self._lease.granted_until_clock_ms
+        if not expiry:
             return StartOutcome.REFUSED, "not_heard"
         try:
-            clock_ms = await self._port.start(
-                message.order, message.fence, self._next_expiry()
-            )
+            # The response does not name the incarnation whose clock it shows, so the
+            # clock is taken from listings only.
+            await self._port.start(message.order, message.fence, expiry)
         except WorkerRefusedError as error:
             return StartOutcome.REFUSED, error.reason
         except (WorkerUnreachableError, WorkerReplacedError) as error:
@@ -172,7 +182,6 @@
                 reason=error.message,
             )
             return StartOutcome.UNKNOWN, error.code
-        self._lease.record_clock(clock_ms, self._clock.now_ms())
         return StartOutcome.STARTED, ""
 
     async def _send_stop(self, message: SendRunStop) -> None:
@@ -208,10 +217,12 @@
         """Return when the lease is to expire on the worker's clock; 0 for no change.
 
         The lease of an unresponsive worker is not extended: an order that is carried
-        out late must not keep runs alive that count as lost.
+        out late must not keep runs alive that count as lost. The expiry is not repeated
+        either, since the worker may have restarted: on the clock of the next
+        incarnation it would be a far longer lease.
         """
         if not self._lease.clock_received_ms or self._failures or not self._may_grant():
-            return self._lease.granted_until_clock_ms
+            return 0
         now_ms = self._clock.now_ms()
         expiry = self._lease.earliest_clock_ms(now_ms) + self._worker_lease_ms
         self._lease.granted_until_clock_ms = max(
@@ -255,9 +266,11 @@
     async def _list(self, wait_ms: int) -> bool:
         """List the runs once; return whether the worker responded."""
         fence, asked_ms = self._fence, self._clock.now_ms()
+        # A worker that did not respond may have restarted, and numbers its ends anew.
+        acknowledged = 0 if self._failures else self._acknowledged_number
         try:
             listing = await self._port.renew(
-                fence, self._next_expiry(), self._acknowledged_number, wait_ms
+                fence, self._next_expiry(), acknowledged, wait_ms
             )
         except WorkerRefusedError as error:
             if error.reason == "fence" and fence < self._fence:
@@ -265,20 +278,24 @@
             return self._record_failure(error)
         except (WorkerError, InvalidInputError) as error:
             return self._record_failure(error)
-        self._record_listing(listing)
+        self._record_listing(listing, fence)
         self._scheduler.tell(
             WorkerListingReceived(self._worker_id, listing, fence, asked_ms)
         )
         return True
 
-    def _record_listing(self, listing: WorkerListing) -> None:
+    def _record_listing(self, listing: WorkerListing, fence: int) -> None:
         if listing.born_unix_ms > self._born_unix_ms:
+            self._earlier_fence = self._fence if self._born_unix_ms else 0
+            self._is_lease_known = False
             self._born_unix_ms = listing.born_unix_ms
             self._acknowledged_number = self._last_end_number = 0
             self._lease = WorkerLease()
         elif listing.born_unix_ms < self._born_unix_ms:
             return
         self._lease.record_clock(listing.clock_ms, self._clock.now_ms())
+        if not self._is_lease_known:
+            self._bound_unknown_grants(listing, fence)
         for end in listing.ended:
             self._last_end_number = max(self._last_end_number, end.number)
         if self._failures >= FAILURES_TO_UNRESPONSIVE:
@@ -286,6 +303,18 @@
         self._failures = 0
         self._has_reported_expiry = False
 
+    def _bound_unknown_grants(self, listing: WorkerListing, fence: int) -> None:
+        """Bound the lease that calls which this link cannot measure have granted.
+
+        Once the worker has seen a higher fence than those calls carry, none of them has
+        an effect any more. Until then each may still be carried out.
+        """
+        self._is_lease_known = fence > self._earlier_fence
+        late_ms = 0 if self._is_lease_known else LATE_CALL_MS
+        self._lease.unknown_until_clock_ms = (
+            listing.clock_ms + late_ms + self._longest_lease_ms
+        )
+
     def _record_failure(self, error: WorkerError | InvalidInputError) -> bool:
         self._failures += 1
         self._scheduler.tell(WorkerCallUnanswered(self._worker_id))
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -85,11 +85,7 @@
         """
         if listing.born_unix_ms < worker.worker.born_unix_ms:
             return
-        if listing.born_unix_ms != worker.worker.born_unix_ms:
-            self._mark_restarted(worker)
-            worker.worker = attrs.evolve(
-                worker.worker, born_unix_ms=listing.born_unix_ms
-            )
+        self._record_incarnation(worker, listing.born_unix_ms)
         worker.unresponsive_since_ms = 0
         worker.has_unanswered_call = False
         for end in listing.ended:
@@ -111,6 +107,18 @@
         elif fence == worker.fence:
             self._mark_vanished_lost(worker, reported, asked_ms)
 
+    def _record_incarnation(self, worker: WorkerState, born_unix_ms: int) -> None:
+        """Record which incarnation of a worker has returned a listing.
+
+        A listing under a fence that earlier calls carried does not settle anything for
+        a next incarnation: they may still be carried out there.
+        """
+        known = {worker.worker.born_unix_ms, worker.heard_born_unix_ms or born_unix_ms}
+        worker.heard_born_unix_ms = born_unix_ms
+        if known != {born_unix_ms}:
+            self._mark_restarted(worker)
+            worker.worker = attrs.evolve(worker.worker, born_unix_ms=born_unix_ms)
+
     def _reconcile(
         self, worker: WorkerState, running: tuple[RunReport, ...], now_ms: int
     ) -> None:
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -57,6 +57,8 @@
         usage: Resources in use by team.
         headroom: Urgent use by team, for which a part of each limit stays free.
         durations: Average task durations by queue.
+        fence_by_removed_worker: Last fencing tokens of the workers that were removed; a
+            worker that is back may have seen them.
     """
 
     epoch: int
@@ -68,6 +70,7 @@
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     headroom: TeamHeadroom = attrs.field(factory=TeamHeadroom)
     durations: QueueDurations = attrs.field(factory=QueueDurations)
+    fence_by_removed_worker: dict[str, int] = attrs.field(factory=dict)
     _actions: list[StepAction] = attrs.field(factory=list)
     _changed_job_by_id: dict[str, JobProgress] = attrs.field(factory=dict)
 
@@ -209,14 +212,18 @@
 
     def add_worker(self, worker: StepWorker) -> WorkerState:
         """Add a worker; it gets work after a listing under its current token."""
-        state = WorkerState(worker, fence=self.first_fence)
+        earlier_fence = self.fence_by_removed_worker.pop(
+            worker.worker_id, self.first_fence - 1
+        )
+        state = WorkerState(worker, fence=earlier_fence + 1)
         self.worker_by_id[worker.worker_id] = state
         self.add_action(SyncWorker(worker.worker_id, state.fence))
         return state
 
     def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has left; it must have no runs."""
-        del self.worker_by_id[worker_id]
+        worker = self.worker_by_id.pop(worker_id)
+        self.fence_by_removed_worker[worker_id] = worker.fence
 
     def request_sync(self, worker: WorkerState) -> None:
         """Raise a worker's fencing token, so that unanswered orders have no effect."""
@@ -233,8 +240,7 @@
         """
         worker.orphan_by_task.clear()
         worker.last_end_number = 0
-        if worker.synced:
-            self.request_sync(worker)
+        self.request_sync(worker)
 
     def expire_worker(self, worker: WorkerState) -> None:
         """Mark all runs of an unresponsive worker as lost after its lease expired."""
--- a/marjoramgrade/decisions/stepworkers.py
+++ b/marjoramgrade/decisions/stepworkers.py
@@ -92,6 +92,8 @@
             stopped, by task and run number.
         has_unanswered_call: Whether the worker's last listing call got no response.
         latency_bound_runs: Number of runs with a latency target.
+        heard_born_unix_ms: Start time of the incarnation that returned the last
+            listing, or 0 if there was none.
         last_end_number: Highest `RunEnd.number` that was applied.
         unresponsive_since_ms: Time since which the worker does not respond, or 0.
     """
@@ -107,6 +109,7 @@
     used: Resources = ZERO_RESOURCES
     spare_used: Resources = ZERO_RESOURCES
     latency_bound_runs: int = 0
+    heard_born_unix_ms: int = 0
     last_end_number: int = 0
     unresponsive_since_ms: int = 0
 
--- a/marjoramgrade/decisions/workerlease.py
+++ b/marjoramgrade/decisions/workerlease.py
@@ -19,8 +19,11 @@
         clock_ms: Latest known reading of the worker's clock.
         clock_received_ms: Time of that reading on this instance's clock, or 0 if there
             is none.
-        granted_until_clock_ms: Latest expiry sent with any order, on the worker's
-            clock.
+        granted_until_clock_ms: Latest expiry that was asked for by this clock of the
+            worker.
+        unknown_until_clock_ms: Latest expiry, on the worker's clock, that other calls
+            may have granted: those of earlier leaders, and those to an earlier
+            incarnation, whose clock is another one.
         earliest_expiry_ms: Earliest possible expiry on this instance's clock; the only
             bound while the worker's clock is unknown.
     """
@@ -28,6 +31,7 @@
     clock_ms: int = 0
     clock_received_ms: int = 0
     granted_until_clock_ms: int = 0
+    unknown_until_clock_ms: int = 0
     earliest_expiry_ms: int = 0
 
     def record_clock(self, clock_ms: int, now_ms: int) -> None:
@@ -44,8 +48,8 @@
         """Whether the lease has expired even on the slowest permitted clock."""
         if not self.clock_received_ms:
             return now_ms >= self.earliest_expiry_ms
+        until_clock_ms = max(self.granted_until_clock_ms, self.unknown_until_clock_ms)
         return (
             now_ms >= self.earliest_expiry_ms
-            and self.earliest_clock_ms(now_ms)
-            > self.granted_until_clock_ms + EXPIRY_MARGIN_MS
+            and self.earliest_clock_ms(now_ms) > until_clock_ms + EXPIRY_MARGIN_MS
         )
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -115,6 +115,7 @@
         router = StoreRouter(own_member.instance_id, store_client, peers)
         bounds = LeaderBounds(
             min(MAX_WORKER_LEASE_MS, settings.longest_lease_ms),
+            settings.longest_lease_ms,
             settings.status_s * 1_000,
             settings.row_bytes,
         )
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -151,7 +151,7 @@
         peers,
         peers,
         connect,
-        LeaderBounds(3_000, 120_000),
+        LeaderBounds(3_000, 6_000, 120_000),
         SystemClock(),
         MemoryMetrics(),
     )
@@ -426,7 +426,7 @@
             UnusedPeers(),
             UnusedPeers(),
             FakePort,
-            LeaderBounds(3_000, 120_000),
+            LeaderBounds(3_000, 6_000, 120_000),
             SystemClock(),
             MemoryMetrics(),
         )
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -407,6 +407,43 @@
     assert not starts(harness.plan())
 
 
+def test_restart_of_a_silent_worker_raises_the_fence():
+    # Guards against a call to the earlier incarnation that takes effect at the next one
+    # after that was listed: sent while the worker was silent, it has the same fence. It
+    # makes the worker forget ends that nobody has seen, so that their tasks run again.
+    harness = StepHarness.make(worker("w"))
+    state = harness.worker("w")
+    harness.state.request_sync(state)
+    silent_fence = state.fence
+    harness.report_listing("w", born_ms=5_000)
+    assert state.fence > silent_fence
+    assert not state.synced
+    harness.report_listing("w", born_ms=5_000)
+    assert state.synced
+
+
+def test_restart_that_the_platform_lists_first_raises_the_fence_once_more():
+    # Guards against the same fault if the platform's list shows the restart before the
+    # worker does: calls between the two still go by the earlier incarnation.
+    harness = StepHarness.make(worker("w"))
+    state = harness.worker("w")
+    harness.state.set_workers((attrs.evolve(worker("w"), born_unix_ms=5_000),))
+    listed_fence = state.fence
+    harness.report_listing("w", born_ms=5_000)
+    assert state.fence > listed_fence
+    assert not state.synced
+
+
+def test_worker_that_was_removed_and_is_back_has_a_higher_fence():
+    # Guards against calls to a worker before it was removed from the list that take
+    # effect after it is back, and against a worker that refuses all orders then.
+    harness = StepHarness.make(worker("w"))
+    harness.state.request_sync(harness.worker("w"))
+    fence = harness.worker("w").fence
+    harness.state.remove_worker("w")
+    assert harness.state.add_worker(worker("w")).fence > fence
+
+
 def test_order_that_the_next_incarnation_has_not_executed_never_will_be():
     # Guards against a task that waits forever for an order to an earlier incarnation.
     harness = StepHarness.make(worker("w1", 1), worker("w2", 1))
--- a/tests/test_stepworkerlink.py
+++ b/tests/test_stepworkerlink.py
@@ -7,7 +7,10 @@
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import SystemClock
-from marjoramgrade.controllers.stepworkerlink import StepWorkerLink
+from marjoramgrade.controllers.stepworkerlink import (
+    RETRY_DELAY_MS,
+    StepWorkerLink,
+)
 from marjoramgrade.controllers.workerport import WorkerPort
 from marjoramgrade.errors import (
     WorkerReplacedError,
@@ -30,6 +33,7 @@
 from tests.steps import ref, worker
 
 WORKER_LEASE_MS = 300
+LONGEST_LEASE_MS = 900
 
 
 class Port(WorkerPort):
@@ -37,9 +41,16 @@
         self.error = None
         self.ended = ()
         self.calls = []
+        self.born_unix_ms = 1_000
+        self.clock_offset_ms = 0
 
     def clock(self):
-        return SystemClock().now_ms()
+        return SystemClock().now_ms() - self.clock_offset_ms
+
+    def restart(self):
+        """Become the next incarnation, whose clock starts anew at 100."""
+        self.born_unix_ms += 1_000
+        self.clock_offset_ms = SystemClock().now_ms() - 100
 
     async def _respond(self, *call):
         self.calls.append(call)
@@ -59,7 +70,7 @@
 
     async def renew(self, fence, expires_clock_ms, acknowledged, wait_ms):
         clock = await self._respond("renew", fence, expires_clock_ms, acknowledged)
-        return WorkerListing(1_000, clock, (), self.ended)
+        return WorkerListing(self.born_unix_ms, clock, (), self.ended)
 
     def close(self):
         self.calls.append(("close",))
@@ -93,7 +104,9 @@
 @contextlib.asynccontextmanager
 async def link_to_worker(granted=True):
     port, scheduler, clock = Port(), Scheduler(), SystemClock()
-    link = StepWorkerLink(worker("w"), port, scheduler, clock, WORKER_LEASE_MS, 10, 0)
+    link = StepWorkerLink(
+        worker("w"), port, scheduler, clock, WORKER_LEASE_MS, LONGEST_LEASE_MS, 10, 0
+    )
     async with contextlib.AsyncExitStack() as stack:
         for actor in (scheduler, link):
             await actor.start()
@@ -234,7 +247,14 @@
     async def run():
         port, scheduler, clock = Waiting(), Scheduler(), SystemClock()
         link = StepWorkerLink(
-            worker("w"), port, scheduler, clock, WORKER_LEASE_MS, 10, 0
+            worker("w"),
+            port,
+            scheduler,
+            clock,
+            WORKER_LEASE_MS,
+            LONGEST_LEASE_MS,
+            10,
+            0,
         )
         async with contextlib.AsyncExitStack() as stack:
             for actor in (scheduler, link):
@@ -250,3 +270,120 @@
             assert len(scheduler.received_of(WorkerCallUnanswered)) == 1
 
     asyncio.run(run())
+
+
+async def wait_until_expired(scheduler):
+    """Return how long it takes until the worker is reported as expired."""
+    began_ms = SystemClock().now_ms()
+    async with asyncio.timeout(5):
+        while not any(m.expired for m in scheduler.received_of(WorkerUnresponsive)):
+            await asyncio.sleep(0.01)
+    return SystemClock().now_ms() - began_ms
+
+
+def test_call_to_a_silent_worker_carries_nothing_of_an_earlier_incarnation():
+    # Guards against an incarnation that gets a lease by the clock of the one before it,
+    # and that forgets ends which nobody has seen (review/6).
+    async def run():
+        async with link_to_worker() as (link, port, scheduler):
+            port.ended = (RunEnd(1, ref("a"), 1, RunEndStatus.DONE, ""),)
+            link.tell(AcknowledgeRunEnds(1_000, 1))
+            await asyncio.sleep(0.1)
+            port.error = WorkerUnresponsiveError("crashed")
+            while len(scheduler.received_of(WorkerCallUnanswered)) < 2:
+                await asyncio.sleep(0.01)
+            port.ended = ()
+            port.restart()
+            port.error = None
+            port.calls.clear()
+            await asyncio.sleep(RETRY_DELAY_MS / 1000 + 0.1)
+            assert port.calls[0][2:] == (0, 0)
+            assert port.calls[-1][2] > 0
+
+    asyncio.run(run())
+
+
+def test_lease_of_a_restarted_worker_may_be_as_long_as_any_order_can_make_it():
+    # Guards against a task that starts elsewhere while a restarted worker runs it under
+    # a lease that a call to its earlier incarnation granted (review/6).
+    async def run():
+        async with link_to_worker() as (link, port, scheduler):
+            port.restart()
+            while scheduler.received[-1].listing.born_unix_ms != port.born_unix_ms:
+                await asyncio.sleep(0.005)
+            link.tell(RaiseFence(11))
+            while scheduler.received[-1].fence != 11:
+                await asyncio.sleep(0.005)
+            port.error = WorkerUnresponsiveError("cut off")
+            assert await wait_until_expired(scheduler) >= LONGEST_LEASE_MS
+
+    asyncio.run(run())
+
+
+def test_calls_to_an_earlier_incarnation_may_extend_a_lease_until_they_are_fenced_off():
+    # Guards against a worker that counts as expired while a late call to its earlier
+    # incarnation, under the fence of its last listing, may still extend its lease.
+    async def run():
+        async with link_to_worker() as (_, port, scheduler):
+            port.restart()
+            while scheduler.received[-1].listing.born_unix_ms != port.born_unix_ms:
+                await asyncio.sleep(0.005)
+            port.error = WorkerUnresponsiveError("cut off")
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(2.5):
+                    await wait_until_expired(scheduler)
+            assert not any(m.expired for m in scheduler.received_of(WorkerUnresponsive))
+
+    asyncio.run(run())
+
+
+def test_lease_that_an_earlier_leader_granted_counts_after_the_first_listing():
+    # Guards against a new leader that takes the lease of a worker for expired because
+    # it has itself granted none.
+    async def run():
+        async with link_to_worker(granted=False) as (_, port, scheduler):
+            port.error = WorkerUnresponsiveError("cut off")
+            assert await wait_until_expired(scheduler) >= LONGEST_LEASE_MS / 2
+
+    asyncio.run(run())
+
+
+def test_start_of_an_earlier_incarnation_does_not_set_the_clock():
+    # Guards against a restarted worker whose clock is taken from the late response to a
+    # start: its lease counted as expired at once.
+    class SlowStart(Port):
+        async def start(self, order, fence, expires_clock_ms):
+            clock_ms = self.clock()
+            await asyncio.sleep(0.2)
+            return clock_ms
+
+    async def run():
+        port, scheduler, clock = SlowStart(), Scheduler(), SystemClock()
+        link = StepWorkerLink(
+            worker("w"),
+            port,
+            scheduler,
+            clock,
+            WORKER_LEASE_MS,
+            LONGEST_LEASE_MS,
+            10,
+            0,
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            for actor in (scheduler, link):
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+            link.tell(AllowLeaseRenewal(clock.now_ms() + 60_000))
+            while not scheduler.received_of(WorkerListingReceived):
+                await asyncio.sleep(0.005)
+            link.tell(start())
+            await asyncio.sleep(0.05)
+            port.restart()
+            await asyncio.sleep(0.05)
+            link.tell(RaiseFence(11))
+            while not scheduler.received_of(RunStartResult):
+                await asyncio.sleep(0.005)
+            port.error = WorkerUnresponsiveError("cut off")
+            assert await wait_until_expired(scheduler) >= WORKER_LEASE_MS
+
+    asyncio.run(run())
