Acknowledge a run end only when the row that holds it is stored

Cause: the acknowledgement was held back only for the write that the store refused. The worker lists the end again, that listing changes nothing, its write is empty and so succeeds, and the end was acknowledged although no row held it. A start whose placement was written by an earlier request than its own had the same fault.

Fix: the leader keeps the jobs whose progress the store has refused since it was last stored. A row holds all of a job, and writes are confirmed in order, so an end is stored once every write up to its listing is confirmed and its job is not among those. Ends are acknowledged up to the first that is not stored, since an acknowledgement covers all lower numbers. Starts and final states use the same set. Ends of a listing that was not applied, of an incarnation before the registered one, are not acknowledged.

Ruled out: the order of confirmations. Requests are answered in the order of the queue, and only rows of new jobs go first.

A worker now keeps the ends behind one that is never stored, also those of other jobs. FakePort in tests/test_stepscheduling.py records the number that it is told.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine, Sequence
+from collections.abc import Container, Coroutine, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -86,17 +86,29 @@
 
 @attrs.frozen
 class EndsToAcknowledge:
-    """Run ends of one incarnation of a worker that can be acknowledged.
+    """Run ends of one incarnation of a worker, to acknowledge once they are stored.
 
     Attributes:
         worker_id: The worker.
         born_unix_ms: Start time of the incarnation, which identifies it.
-        number: Number of the last run end; all up to it can be acknowledged.
+        job_id_by_number: Jobs of the ends that a listing holds, by number of the end.
     """
 
     worker_id: str
     born_unix_ms: int
-    number: int
+    job_id_by_number: Mapping[int, str]
+
+    def last_stored(self, unstored_job_ids: Container[str]) -> int:
+        """Return the number up to which all ends are stored; 0 if the first is not.
+
+        An acknowledgement covers all ends up to its number.
+        """
+        last = 0
+        for number, job_id in sorted(self.job_id_by_number.items()):
+            if job_id in unstored_job_ids:
+                break
+            last = number
+        return last
 
 
 @attrs.define
@@ -135,6 +147,8 @@
         roster: Ids of the workers that are stored as possible holders of runs.
         recovered_workers: Ids of the workers in the roster of an earlier leader.
         unreadable_job_ids: Stored jobs whose rows cannot be decoded.
+        unstored_job_ids: Jobs whose progress the store has refused since it was last
+            stored. A write without a row of such a job does not store its progress.
         is_store_reachable: Whether writes reach the store.
         grant_until_ms: Until when leases of workers may be extended.
         plan_scheduled: Whether the planner is about to run.
@@ -156,6 +170,7 @@
     roster: frozenset[str] = frozenset()
     recovered_workers: frozenset[str] = frozenset()
     unreadable_job_ids: frozenset[str] = frozenset()
+    unstored_job_ids: set[str] = attrs.field(factory=set)
     is_store_reachable: bool = True
     grant_until_ms: int = 0
     plan_scheduled: bool = False
@@ -419,33 +434,51 @@
             return
         if self._lead is not lead:
             return
-        if rejected:
-            states = [
-                (progress, state)
-                for progress, state in states
-                if progress_row_id(progress.job.job_id) not in rejected
-            ]
-            starts = self._withhold_starts(lead, starts, rejected)
+        self._record_stored(lead, states, rejected)
         self._publish_states(lead, states)
-        if ends is not None and not rejected:
-            link = lead.link_by_worker.get(ends.worker_id)
-            if link is not None:
-                link.tell(AcknowledgeRunEnds(ends.born_unix_ms, ends.number))
-                logs.log_batched(
-                    "ends_acknowledged",
-                    f"{ends.worker_id}#{ends.number}@{ends.born_unix_ms}",
-                )
+        if ends is not None:
+            self._acknowledge_ends(lead, ends)
         if starts:
-            self._send_starts(lead, starts)
+            self._send_starts(lead, self._withhold_starts(lead, starts))
+
+    @staticmethod
+    def _record_stored(
+        lead: LeaderState,
+        states: Sequence[tuple[JobProgress, StepJobState]],
+        rejected: frozenset[RowId],
+    ) -> None:
+        """Record which jobs of a write are stored; each row holds all of a job."""
+        for progress, _ in states:
+            job_id = progress.job.job_id
+            if progress_row_id(job_id) in rejected:
+                lead.unstored_job_ids.add(job_id)
+            else:
+                lead.unstored_job_ids.discard(job_id)
+
+    @staticmethod
+    def _acknowledge_ends(lead: LeaderState, ends: EndsToAcknowledge) -> None:
+        """Let a worker forget the ends whose rows are stored.
 
+        Writes are stored in order, so what earlier listings held has been written too.
+        """
+        link = lead.link_by_worker.get(ends.worker_id)
+        number = ends.last_stored(lead.unstored_job_ids)
+        if link is None or not number:
+            return
+        link.tell(AcknowledgeRunEnds(ends.born_unix_ms, number))
+        logs.log_batched(
+            "ends_acknowledged", f"{ends.worker_id}#{number}@{ends.born_unix_ms}"
+        )
+
+    @staticmethod
     def _withhold_starts(
-        self, lead: LeaderState, starts: Sequence[StartRun], rejected: frozenset[RowId]
+        lead: LeaderState, starts: Sequence[StartRun]
     ) -> list[StartRun]:
         """Drop the starts whose placement could not be stored; return the others."""
         stored = []
         for action in starts:
             task = action.order.task
-            if progress_row_id(task.job_id) in rejected:
+            if task.job_id in lead.unstored_job_ids:
                 run = action.order.run
                 lead.state.record_start_refused(action.worker_id, task, run)
             else:
@@ -458,6 +491,8 @@
         for progress, state in states:
             if progress.visible_state.is_final or not state.is_final:
                 continue
+            if progress.job.job_id in lead.unstored_job_ids:
+                continue
             progress.visible_state = state
             self._metrics.count(f"ended.{state.value}")
             self._metrics.timing("job", self._clock.now_ms() - progress.accepted_ms)
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -316,14 +316,15 @@
                 runs=len(worker.run_by_task),
                 strays=len(worker.orphan_by_task),
             )
-        if message.listing.ended:
+        listing = message.listing
+        # The listing of an earlier incarnation was not applied.
+        if listing.ended and listing.born_unix_ms == worker.worker.born_unix_ms:
             self._schedule_plan(lead)
+            job_id_by_number = {end.number: end.task.job_id for end in listing.ended}
             self._save_changed_jobs(
                 lead,
                 EndsToAcknowledge(
-                    message.worker_id,
-                    message.listing.born_unix_ms,
-                    worker.last_end_number,
+                    message.worker_id, listing.born_unix_ms, job_id_by_number
                 ),
             )
         self._perform_actions(lead)
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -17,6 +17,7 @@
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers import commits, leaderevents
 from marjoramgrade.controllers.commits import SaveRows
+from marjoramgrade.controllers.leaderactions import EndsToAcknowledge
 from marjoramgrade.controllers.leaderrecovery import read_recovered_state
 from marjoramgrade.controllers.stepscheduling import (
     LeaderBounds,
@@ -31,6 +32,7 @@
     JobNotFoundError,
     NotOwnerError,
     OutcomeUnknownError,
+    RowsRejectedError,
     StoredRowError,
     TableRequiredError,
     UnsatisfiableError,
@@ -87,6 +89,7 @@
         self.started = []
         self.lose_next = False
         self.fence = 0
+        self.acknowledged = 0
 
     def clock(self):
         return SystemClock().now_ms()
@@ -113,6 +116,7 @@
 
     async def renew(self, fence, expires_clock_ms, acknowledged, wait_ms):
         self.fence = max(self.fence, fence)
+        self.acknowledged = max(self.acknowledged, acknowledged)
         await asyncio.sleep(0.01)
         for key, due_ms in list(self.running.items()):
             if due_ms <= self.clock():
@@ -589,6 +593,56 @@
     assert parse_row(value, JobRecord) == progress.record()
 
 
+class RefusingStore(MemoryRowStore):
+    """A store that refuses transactions with certain rows, as a whole."""
+
+    def __init__(self):
+        super().__init__()
+        self.refused = set()
+
+    @handles(CommitRows)
+    async def _commit(self, message: CommitRows) -> object:
+        if any(write.row in self.refused for write in message.writes):
+            raise RowsRejectedError("a row is invalid")
+        return self.apply(message)
+
+
+def test_end_whose_row_was_refused_is_not_acknowledged_by_a_later_write():
+    # Guards against a task that runs again after it was done: the next listing repeated
+    # the end, its write was empty, and the end was acknowledged although no row held it.
+    async def run():
+        store = RefusingStore()
+        async with leading(store, listed=(worker("w"),)) as (_, scheduler, ports):
+            new = job("a", Step(1, cores(1)), Step(1, cores(1), after=(0,)))
+            await scheduler.ask(SubmitStepJob(new))
+            async with asyncio.timeout(3):
+                while not (ports and ports["w"].started):
+                    await asyncio.sleep(0.002)
+            store.refused = {progress_row_id("a")}
+            async with asyncio.timeout(3):
+                while not ports["w"].ended:
+                    await asyncio.sleep(0.002)
+            await asyncio.sleep(0.5)
+            assert ports["w"].acknowledged == 0
+            assert len(ports["w"].started) == 1
+            store.refused = set()
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            async with asyncio.timeout(3):
+                while ports["w"].acknowledged < 2:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_ends_are_acknowledged_in_order_up_to_the_first_that_is_not_stored():
+    # Guards against an end that is forgotten with a later one of another job: a worker
+    # forgets all ends up to the number that it is told.
+    ends = EndsToAcknowledge("w", 1_000, {3: "b", 1: "a", 2: "c", 4: "a"})
+    assert ends.last_stored(frozenset()) == 4
+    assert ends.last_stored({"b"}) == 2
+    assert ends.last_stored({"a"}) == 0
+
+
 def test_leader_whose_writes_fail_unexpectedly_ends_its_lead():
     # Guards against a leader that is heard, plans and stores nothing, so that nobody
     # replaces it (seen for 25 s in kbwb-arrears-large scale-1).
