Let a leader work only on state that is as new as its takeover

What callers saw: nothing that is known.

Cause: the rows were taken as they were read, whatever version the response named, and a commit that found another version of a row than it expected took that version over and wrote its own content. So nothing noticed that the knowledge of a leader was old, and its first write replaced the newer row.

Fix: a page that is older than the takeover is read again, for as long as the recovery may take. Former leaders write nothing after the takeover, so tables that are read at its version or later belong together. Once the versions of all rows are known, a row that changed without a write of this leadership ends the lead (foreign_row in the log); the next leader reads again. A write whose response was lost is still recognised by its content. A response that does not hold the row that names the leader proves nothing and is followed by another attempt.

Ruled out: reads of different tables at different moments, as far as both are as new as the takeover.

Evidence: test_successor_reads_again_what_is_older_than_its_takeover (jobs, progress, roster) and the two tests of rows that this leader has not written failed before: the job was unknown or queued again, 0 of 2 workers were recovered, and the newer row was replaced. test_renewal_row_is_taken_over_before_the_state_is_recovered passed before as well; it guards the exception. read_recovered_state takes the version as an argument, which two tests now pass.

--- a/marjoramgrade/controllers/commits.py
+++ b/marjoramgrade/controllers/commits.py
@@ -75,9 +75,10 @@
 
 @attrs.frozen
 class AdoptRowVersions(Message[None]):
-    """Adds the versions of rows that were read after the leadership began.
+    """Adds the versions of all rows, read after the leadership began.
 
-    A version that a write of this leadership has set meanwhile is newer and stays.
+    A version that a write of this leadership has set meanwhile is newer and stays. From
+    then on only this leadership changes the rows.
     """
 
     version_by_row: Mapping[RowId, int]
@@ -132,6 +133,8 @@
         self._wake = asyncio.Event()
         self._waiting_since_ms = 0
         self._reachable = True
+        # Whether the versions of all rows are known.
+        self._is_recovered = False
 
     async def on_start(self) -> None:
         """Start writing rows and watching the store."""
@@ -146,6 +149,7 @@
     async def _adopt_versions(self, message: AdoptRowVersions) -> None:
         for row, version in message.version_by_row.items():
             self._version_by_row.setdefault(row, version)
+        self._is_recovered = True
 
     @handles(SaveRows)
     async def _save(self, message: SaveRows) -> Any:
@@ -215,8 +219,10 @@
                 self._reject(write.row, reason, rejected)
             else:
                 write_by_row[write.row] = write
-        if not await self._write(write_by_row, rejected):
-            self._end_leadership()
+        try:
+            await self._write(write_by_row, rejected)
+        except NotOwnerError as error:
+            self._end_leadership(error)
             return False
         self._waiting_since_ms = 0
         self._metrics.timing("commit", self._clock.now_ms() - began_ms)
@@ -228,35 +234,33 @@
 
     async def _write(
         self, write_by_row: dict[RowId, RowWrite], rejected: set[RowId]
-    ) -> bool:
+    ) -> None:
         """Write rows, halving a batch that the store rejects to find the cause.
 
         Args:
             write_by_row: The rows.
             rejected: Receives the rows that the store rejects.
 
-        Returns:
-            Whether this instance still leads.
+        Raises:
+            NotOwnerError: If this instance leads no more or must not go on.
         """
         try:
-            return await self._write_together(write_by_row)
+            await self._write_together(write_by_row)
+            return
         except RowsRejectedError as error:
             rows = list(write_by_row)
             if len(rows) == 1:
                 self._reject(rows[0], error.message, rejected)
-                return True
+                return
         middle = len(rows) // 2
         for half in (rows[:middle], rows[middle:]):
-            if not await self._write(
-                {row: write_by_row[row] for row in half}, rejected
-            ):
-                return False
-        return True
+            await self._write({row: write_by_row[row] for row in half}, rejected)
 
-    async def _write_together(self, write_by_row: dict[RowId, RowWrite]) -> bool:
-        """Write rows in one transaction; return whether this instance still leads.
+    async def _write_together(self, write_by_row: dict[RowId, RowWrite]) -> None:
+        """Write rows in one transaction.
 
         Raises:
+            NotOwnerError: If this instance leads no more or must not go on.
             RowsRejectedError: If the store refuses the transaction as invalid.
         """
         while write_by_row:
@@ -267,19 +271,17 @@
                     self._transaction(write_by_row)
                 )
             except RowCheckFailedError as error:
-                leads = self._still_leads(error)
-                if leads is False:
-                    return False
+                if not self._names_leader(error):
+                    await asyncio.sleep(RETRY_MS / 1000)
+                    continue
                 self._reconcile(write_by_row, error)
-                if leads:
-                    self._record_response(asked_ms)
+                self._record_response(asked_ms)
                 continue
             except (TableUnavailableError, WriteOutcomeUnknownError):
                 await asyncio.sleep(RETRY_MS / 1000)
                 continue
             self._record_success(write_by_row, answer, asked_ms)
             break
-        return True
 
     def _reject(self, row: RowId, reason: str, rejected: set[RowId]) -> None:
         rejected.add(row)
@@ -297,12 +299,18 @@
         )
         return CommitRows((self._epoch_check, *checks), writes)
 
-    def _still_leads(self, error: RowCheckFailedError) -> bool | None:
-        """Return whether this instance leads, or None if the response doesn't tell."""
+    def _names_leader(self, error: RowCheckFailedError) -> bool:
+        """Return whether a response holds the row that names the leader.
+
+        Raises:
+            NotOwnerError: If the row names another leadership.
+        """
         for row in error.rows:
             if isinstance(row, StoredRow) and row.row == self._epoch_check.row:
-                return row.version == self._epoch_check.version
-        return None
+                if row.version != self._epoch_check.version:
+                    raise NotOwnerError("another instance leads")
+                return True
+        return False
 
     def _reconcile(
         self, write_by_row: dict[RowId, RowWrite], error: RowCheckFailedError
@@ -310,12 +318,17 @@
         """Update the versions and drop the writes that took effect unconfirmed.
 
         A write takes effect unconfirmed if the response to its transaction was lost.
+
+        Raises:
+            NotOwnerError: If a row changed that this leadership has not written. Only
+                the leader writes these rows, so it has recovered an older state, which
+                must not replace the newer one.
         """
         current = {row.row: row for row in error.rows if isinstance(row, StoredRow)}
         for row, write in list(write_by_row.items()):
             found = current.get(row)
             version = ABSENT if found is None or found.deleted else found.version
-            self._version_by_row[row] = version
+            has_changed = version != self._version_by_row.get(row, ABSENT)
             has_taken_effect = (
                 write.remove
                 if version == ABSENT
@@ -325,6 +338,14 @@
                     and found.value == write.value
                 )
             )
+            if has_changed and not has_taken_effect and self._is_recovered:
+                logs.log_event(
+                    "foreign_row", table=row.table, row=row.key, version=version
+                )
+                raise NotOwnerError(
+                    "a row was changed that this leader has not written"
+                )
+            self._version_by_row[row] = version
             if has_taken_effect:
                 del write_by_row[row]
 
@@ -369,9 +390,9 @@
         logs.log_event("store_reachable" if reachable else "store_unreachable")
         self._tell_subscribers(StoreReachability(reachable))
 
-    def _end_leadership(self) -> None:
-        self._fail_all(NotOwnerError("another instance leads"))
-        self._tell_subscribers(LeadershipEnded(self._epoch, "another instance leads"))
+    def _end_leadership(self, error: NotOwnerError) -> None:
+        self._fail_all(error)
+        self._tell_subscribers(LeadershipEnded(self._epoch, error.message))
 
     def _fail_all(self, error: MarjoramgradeError) -> None:
         for request in (*self._batch, *self._queue):
--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -117,6 +117,7 @@
 
     Attributes:
         epoch: Number of the leadership.
+        row_version: Version of the row that records the leadership.
         commits: Writes rows to the store.
         stack: Stops the commit controller when the leadership ends.
         recovery: Reads the state that earlier leaders stored; None before it began.
@@ -124,6 +125,7 @@
     """
 
     epoch: int
+    row_version: int
     commits: CommitController
     stack: contextlib.AsyncExitStack
     recovery: asyncio.Task[None] | None = None
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -92,7 +92,9 @@
         )
         commits.on_fatal = functools.partial(self._fail_lead, message.epoch)
         stack = contextlib.AsyncExitStack()
-        self._writes = writes = LeaderWrites(message.epoch, commits, stack)
+        self._writes = writes = LeaderWrites(
+            message.epoch, message.row_version, commits, stack
+        )
         await commits.start()
         stack.push_async_callback(commits.stop)
         self._worker_list = None
@@ -103,7 +105,7 @@
     async def _begin_lead(self, writes: LeaderWrites) -> None:
         try:
             async with asyncio.timeout(RECOVERY_TIMEOUT_MS / 1000):
-                recovered = await read_recovered_state(self._store)
+                recovered = await read_recovered_state(self._store, writes.row_version)
         except TimeoutError:
             reason = "the stored state could not be read in time"
             self.tell(LeadershipEnded(writes.epoch, reason))
--- a/marjoramgrade/controllers/leaderrecovery.py
+++ b/marjoramgrade/controllers/leaderrecovery.py
@@ -51,22 +51,28 @@
     unreadable_job_ids: frozenset[str] = frozenset()
 
 
-async def read_recovered_state(store: Actor) -> RecoveredState:
-    """Read the stored state, retrying until the store responds."""
+async def read_recovered_state(store: Actor, oldest_version: int) -> RecoveredState:
+    """Read the stored state, retrying until the store responds.
+
+    Args:
+        store: Reads and writes rows.
+        oldest_version: Version of the takeover. Former leaders write nothing after it,
+            so tables that are read at this version or later belong together.
+    """
     while True:
         try:
-            return await _read(store)
+            return await _read(store, oldest_version)
         except TableError as error:
             logs.log_event("takeover_waits", reason=error.message)
             await asyncio.sleep(RETRY_MS / 1000)
 
 
-async def _read(store: Actor) -> RecoveredState:
+async def _read(store: Actor, oldest_version: int) -> RecoveredState:
     leadership, roster, jobs, progress = await asyncio.gather(
-        read_all_rows(store, LEADERSHIP_TABLE, LEADER_PART),
-        read_all_rows(store, ROSTER_TABLE, LEADER_PART),
-        read_all_rows(store, JOBS_TABLE, LEADER_PART),
-        read_all_rows(store, PROGRESS_TABLE, LEADER_PART),
+        *(
+            read_all_rows(store, table, LEADER_PART, oldest_version)
+            for table in (LEADERSHIP_TABLE, ROSTER_TABLE, JOBS_TABLE, PROGRESS_TABLE)
+        )
     )
     versions = {
         row.row: row.version for row in (*leadership, *roster, *jobs, *progress)
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -10,7 +10,11 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers import commits
-from marjoramgrade.controllers.commits import CommitController, SaveRows
+from marjoramgrade.controllers.commits import (
+    AdoptRowVersions,
+    CommitController,
+    SaveRows,
+)
 from marjoramgrade.errors import (
     NotOwnerError,
     RowsRejectedError,
@@ -24,7 +28,7 @@
     StoreReachability,
 )
 from marjoramgrade.metrics import MemoryMetrics
-from marjoramgrade.steprows import EPOCH_ROW
+from marjoramgrade.steprows import EPOCH_ROW, RENEWAL_ROW
 from tests.rowstore import MemoryRowStore
 
 ROW = RowId("jobs", "p0", "a")
@@ -36,6 +40,9 @@
         super().__init__()
         self.received = []
 
+    def received_of(self, kind):
+        return [message for message in self.received if isinstance(message, kind)]
+
     @handles(LeadershipConfirmed)
     async def _confirmed(self, message: LeadershipConfirmed) -> None:
         self.received.append(message)
@@ -163,6 +170,47 @@
     asyncio.run(run())
 
 
+def test_row_that_this_leader_has_not_written_ends_its_lead():
+    # Guards against a leader that has recovered an older state and overwrites newer
+    # rows with it, so that tasks which were done run again.
+    async def run():
+        async with leading() as (store, controller, listener):
+            store.apply(CommitRows((), (RowWrite(ROW, b"newer"),)))
+            controller.tell(AdoptRowVersions({ROW: 1}))
+            with pytest.raises(NotOwnerError):
+                await controller.ask(save(b"older"))
+            await asyncio.sleep(0.01)
+            assert store.rows[ROW].value == b"newer"
+            assert [m.epoch for m in listener.received_of(LeadershipEnded)] == [1]
+
+    asyncio.run(run())
+
+
+def test_row_that_this_leader_believes_to_be_absent_ends_its_lead():
+    # Guards against the same fault with a job that the older state does not have.
+    async def run():
+        async with leading() as (store, controller, _):
+            store.apply(CommitRows((), (RowWrite(ROW, b"newer"),)))
+            controller.tell(AdoptRowVersions({}))
+            with pytest.raises(NotOwnerError):
+                await controller.ask(save(b"older"))
+            assert store.rows[ROW].value == b"newer"
+
+    asyncio.run(run())
+
+
+def test_renewal_row_is_taken_over_before_the_state_is_recovered():
+    # Guards against a new leader that ends its lead with its first renewal: the version
+    # of that row is not known before the rows of the leadership have been read.
+    async def run():
+        async with leading() as (store, controller, _):
+            store.apply(CommitRows((), (RowWrite(RENEWAL_ROW, b"1"),)))
+            await controller.ask(save(b"2", RENEWAL_ROW))
+            assert store.rows[RENEWAL_ROW].value == b"2"
+
+    asyncio.run(run())
+
+
 def test_unsent_job_is_refused_while_the_store_does_not_answer(monkeypatch):
     # Guards against clients that wait until their deadline for an unreachable store.
     monkeypatch.setattr(commits, "UNREACHABLE_MS", 50)
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -39,7 +39,7 @@
     WorkerUnresponsiveError,
 )
 from marjoramgrade.messages.peers import CallPeer, TellPeers
-from marjoramgrade.messages.rows import CommitRows, ReadRows, RowWrite
+from marjoramgrade.messages.rows import CommitRows, ReadRows, RowsPage, RowWrite
 from marjoramgrade.messages.steps import (
     CancelStepJob,
     GetStepJob,
@@ -64,7 +64,9 @@
 )
 from marjoramgrade.steprows import (
     EPOCH_ROW,
+    JOBS_TABLE,
     LEGACY_ROSTER_ROW,
+    PROGRESS_TABLE,
     ROSTER_ROWS,
     ROSTER_TABLE,
     RosterRow,
@@ -344,6 +346,56 @@
     asyncio.run(run())
 
 
+class StaleStore(MemoryRowStore):
+    """A store that answers some reads with the state of an earlier version."""
+
+    def __init__(self):
+        super().__init__()
+        self.stale_reads = 0
+        self.stale_table = ""
+        self.earlier = {}
+        self.earlier_version = 0
+
+    def keep_state(self):
+        """Keep the present state for the stale reads."""
+        self.earlier, self.earlier_version = dict(self.rows), self.version
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> RowsPage:
+        if not self.stale_reads or message.table != self.stale_table:
+            return await super()._read(message)
+        self.stale_reads -= 1
+        rows, version = self.rows, self.version
+        self.rows, self.version = self.earlier, self.earlier_version
+        try:
+            return await super()._read(message)
+        finally:
+            self.rows, self.version = rows, version
+
+
+@pytest.mark.parametrize("table", [JOBS_TABLE, PROGRESS_TABLE, ROSTER_TABLE])
+def test_successor_reads_again_what_is_older_than_its_takeover(table):
+    # Guards against a leader that recovers an older state than was stored: the tasks of
+    # a job that is done would run again.
+    async def run():
+        store = StaleStore()
+        await store.start()
+        store.keep_state()
+        async with leading(store) as (_, scheduler, _):
+            await scheduler.ask(SubmitStepJob(job("a")))
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+        store.stale_table, store.stale_reads = table, 2
+        async with leading(store, epoch=2) as (_, scheduler, ports):
+            shown = await scheduler.ask(GetStepJob("a"))
+            assert shown.state is StepJobState.COMPLETED
+            assert len(scheduler._lead.recovered_workers) == 2
+            await asyncio.sleep(0.2)
+            assert not any(port.started for port in ports.values())
+        await store.stop()
+
+    asyncio.run(run())
+
+
 def test_successor_without_a_configuration_knows_the_queue():
     # Guards against a job that fails after one attempt of three, or never runs, because
     # the new leader has not read the configuration or the queue was removed from it
@@ -505,7 +557,7 @@
             ]
             assert len(sizes) == ROSTER_ROWS
             assert max(sizes) < 8_000
-            recovered = await read_recovered_state(store)
+            recovered = await read_recovered_state(store, 0)
             assert len(recovered.roster) == len(fleet)
 
     asyncio.run(run())
@@ -522,7 +574,7 @@
             async with asyncio.timeout(5):
                 while LEGACY_ROSTER_ROW in store.rows:
                     await asyncio.sleep(0.01)
-            roster = (await read_recovered_state(store)).roster
+            roster = (await read_recovered_state(store, 0)).roster
             assert {found.worker_id for found in roster} == {"w", "v"}
         await store.stop()
 
@@ -608,8 +660,8 @@
 
 
 def test_end_whose_row_was_refused_is_not_acknowledged_by_a_later_write():
-    # Guards against a task that runs again after it was done: the next listing repeated
-    # the end, its write was empty, and the end was acknowledged although no row held it.
+    # Guards against a task that runs again after it was done: the next listing held the
+    # same end, its write was empty, and the end was acknowledged, but no row held it.
     async def run():
         store = RefusingStore()
         async with leading(store, listed=(worker("w"),)) as (_, scheduler, ports):
