Grant leases from the call that confirmed a takeover

What callers saw: nothing that is known.

Cause: a successor waits for the leases of a worker that it cannot reach as if a former leader granted none later than 3.5 s after its last write that the store confirmed. A new leader granted for 3.5 s from the moment at which it had read the stored state, however old the response to its takeover was by then. One that was frozen in between could still extend leases which its successor took for expired, and a worker that only it reaches goes on.

Fix: LeadershipAcquired names when the call was sent that confirmed the takeover, and leases are granted for 3.5 s from that or from a later confirmed write. The confirmed age in heartbeats counts from the same time.

Evidence: test_leases_are_granted_from_the_call_that_confirmed_the_takeover failed before (a grant until 8.5 s after the call in place of 3.5 s).

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -118,6 +118,9 @@
     Attributes:
         epoch: Number of the leadership.
         row_version: Version of the row that records the leadership.
+        confirmed_ms: When the last call was sent to which the store responded that this
+            instance leads. Leases of workers may be granted for `GRANT_LIMIT_MS` from
+            then on, whenever the response was handled.
         commits: Writes rows to the store.
         stack: Stops the commit controller when the leadership ends.
         recovery: Reads the state that earlier leaders stored; None before it began.
@@ -126,6 +129,7 @@
 
     epoch: int
     row_version: int
+    confirmed_ms: int
     commits: CommitController
     stack: contextlib.AsyncExitStack
     recovery: asyncio.Task[None] | None = None
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -93,7 +93,7 @@
         commits.on_fatal = functools.partial(self._fail_lead, message.epoch)
         stack = contextlib.AsyncExitStack()
         self._writes = writes = LeaderWrites(
-            message.epoch, message.row_version, commits, stack
+            message.epoch, message.row_version, message.asked_ms, commits, stack
         )
         await commits.start()
         stack.push_async_callback(commits.stop)
@@ -116,7 +116,7 @@
         lead = LeaderState(
             writes.epoch, writes.commits, state, planner, Supervisor(state, planner)
         )
-        lead.grant_until_ms = self._clock.now_ms() + GRANT_LIMIT_MS
+        lead.grant_until_ms = writes.confirmed_ms + GRANT_LIMIT_MS
         self._restore(lead, recovered)
         self._lead = lead
         logs.log_event(
@@ -208,6 +208,7 @@
     async def _leadership_confirmed(self, message: LeadershipConfirmed) -> None:
         if self._writes is None or self._writes.epoch != message.epoch:
             return
+        self._writes.confirmed_ms = max(self._writes.confirmed_ms, message.asked_ms)
         if self._leadership is not None:
             self._leadership.tell(message)
         lead = self._lead
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -338,7 +338,9 @@
         is_own = row.leader_id == self._instance_id
         if is_own and row.epoch == self._attempted_epoch:
             # The takeover took effect although its response was lost.
-            await self._begin_lead(row.epoch, self._monitor.row_version)
+            await self._begin_lead(
+                row.epoch, self._monitor.row_version, self._checked_ms
+            )
             return
         if row.leader_id and not is_own:
             is_leader_down = (
@@ -438,7 +440,7 @@
             await self._release("a stronger instance is available")
 
     async def _take_over(self) -> None:
-        epoch = self._monitor.row.epoch + 1
+        epoch, asked_ms = self._monitor.row.epoch + 1, self._clock.now_ms()
         self._attempted_epoch = epoch
         row = serialize_row(LeaderRow(epoch, self._instance_id))
         transaction = CommitRows(
@@ -453,20 +455,21 @@
         except TableError as error:
             logs.log_event("lead_not_taken", epoch=epoch, code=error.code)
             return
-        await self._begin_lead(epoch, answer.version)
+        await self._begin_lead(epoch, answer.version, asked_ms)
 
-    async def _begin_lead(self, epoch: int, row_version: int) -> None:
+    async def _begin_lead(self, epoch: int, row_version: int, asked_ms: int) -> None:
         self._monitor.row = LeaderRow(epoch, self._instance_id)
         self._monitor.row_version = row_version
         self._attempted_epoch = 0
         self._own_epoch = epoch
-        self._leading_since_ms = self._confirmed_ms = self._clock.now_ms()
+        self._leading_since_ms = self._clock.now_ms()
+        self._confirmed_ms = asked_ms
         self._has_checked_strength = False
         self._renewal_sent_ms = self._clock.now_ms()
         self._heartbeat_sent_ms = 0
         self._follow(self._monitor.row)
         # The scheduler recovers the stored state while heartbeats and renewals go on.
-        self._scheduler.tell(LeadershipAcquired(epoch, row_version))
+        self._scheduler.tell(LeadershipAcquired(epoch, row_version, asked_ms))
         await self._maintain_lead()
 
     def _follow(self, row: LeaderRow) -> None:
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -268,10 +268,12 @@
     Attributes:
         epoch: Number of the leadership.
         row_version: Version of the row that records the leadership.
+        asked_ms: When the call was sent to which the store responded with that row.
     """
 
     epoch: int
     row_version: int
+    asked_ms: int
 
 
 @attrs.frozen
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -17,7 +17,10 @@
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers import commits, leaderevents
 from marjoramgrade.controllers.commits import SaveRows
-from marjoramgrade.controllers.leaderactions import EndsToAcknowledge
+from marjoramgrade.controllers.leaderactions import (
+    GRANT_LIMIT_MS,
+    EndsToAcknowledge,
+)
 from marjoramgrade.controllers.leaderrecovery import read_recovered_state
 from marjoramgrade.controllers.stepscheduling import (
     LeaderBounds,
@@ -170,7 +173,8 @@
         if config.version:
             scheduler.tell(StepConfigChanged(config, frozenset()))
         version = store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"1"),))).version
-        await scheduler.ask(LeadershipAcquired(epoch, version))
+        asked_ms = SystemClock().now_ms()
+        await scheduler.ask(LeadershipAcquired(epoch, version, asked_ms))
         if listed is None:
             listed = (worker("w"), worker("v"))
         if listed:
@@ -695,6 +699,20 @@
     assert ends.last_stored({"a"}) == 0
 
 
+def test_leases_are_granted_from_the_call_that_confirmed_the_takeover():
+    # Guards against a leader that stood still while it took over: it granted leases for
+    # 3.5 s from when it went on, which its successor believes to have expired.
+    async def run():
+        async with leading() as (store, scheduler, _):
+            row = RowWrite(EPOCH_ROW, b"2")
+            version = store.apply(CommitRows((), (row,))).version
+            asked_ms = SystemClock().now_ms() - 5_000
+            await scheduler.ask(LeadershipAcquired(2, version, asked_ms))
+            assert scheduler._lead.grant_until_ms <= asked_ms + GRANT_LIMIT_MS
+
+    asyncio.run(run())
+
+
 def test_leader_whose_writes_fail_unexpectedly_ends_its_lead():
     # Guards against a leader that is heard, plans and stores nothing, so that nobody
     # replaces it (seen for 25 s in kbwb-arrears-large scale-1).
@@ -773,7 +791,8 @@
             leadership = Leadership()
             await leadership.start()
             scheduler._leadership = leadership
-            await scheduler.ask(LeadershipAcquired(2, 1))
+            asked_ms = SystemClock().now_ms()
+            await scheduler.ask(LeadershipAcquired(2, 1, asked_ms))
             async with asyncio.timeout(2):
                 while 2 not in leadership.ended:
                     await asyncio.sleep(0.01)
