Tell the incarnations of a worker apart without the time of day

Cause: an incarnation with a lower start time counted as an earlier one. Its listings were ignored, but the worker stayed in use: it got starts, leases by the clock of the incarnation before it, and `lastSeen` of that one, so that it forgot ends which nobody had applied. Their runs neither ended nor vanished for the leader.

Fix: a listing with another start time is that of a new incarnation, unless its call was sent before the first listing of the present one was received; a worker does not answer for an incarnation that has ended. Registrations only raise the fence, once for each change, and the listings tell which incarnation runs.

A call that was pending at the crash fails, and then the worker gets no start until one of its listings is applied.

Evidence: test_incarnation_that_was_born_earlier_is_a_new_one, test_odd_registration_under_the_id_of_a_worker_does_not_hide_its_listings and test_incarnation_that_was_born_earlier_forgets_no_end_that_nobody_has_seen failed before (the worker stayed in sync, did not come into sync, and was told `lastSeen` 1). test_outdated_registration_does_not_raise_the_fence_again_and_again passed before as well. test_listing_of_an_earlier_incarnation_is_ignored now gives the time of the call, which is what makes a listing old; its check is unchanged.

--- a/marjoramgrade/controllers/stepworkerlink.py
+++ b/marjoramgrade/controllers/stepworkerlink.py
@@ -89,6 +89,8 @@
         self._lease = WorkerLease(earliest_expiry_ms=earliest_expiry_ms)
         self._acknowledged_number = 0
         self._born_unix_ms = 0
+        # When the first listing of this incarnation was received.
+        self._heard_ms = 0
         # Calls up to this fence may have been sent to an earlier incarnation.
         self._earlier_fence = 0
         self._is_lease_known = False
@@ -278,21 +280,26 @@
             return self._record_failure(error)
         except (WorkerError, InvalidInputError) as error:
             return self._record_failure(error)
-        self._record_listing(listing, fence)
+        self._record_listing(listing, fence, asked_ms)
         self._scheduler.tell(
             WorkerListingReceived(self._worker_id, listing, fence, asked_ms)
         )
         return True
 
-    def _record_listing(self, listing: WorkerListing, fence: int) -> None:
-        if listing.born_unix_ms > self._born_unix_ms:
+    def _record_listing(
+        self, listing: WorkerListing, fence: int, asked_ms: int
+    ) -> None:
+        if listing.born_unix_ms != self._born_unix_ms:
+            if asked_ms < self._heard_ms:
+                # The late response of an earlier incarnation. The time of day does not
+                # tell which is the earlier one, since it can be set back.
+                return
+            self._heard_ms = self._clock.now_ms()
             self._earlier_fence = self._fence if self._born_unix_ms else 0
             self._is_lease_known = False
             self._born_unix_ms = listing.born_unix_ms
             self._acknowledged_number = self._last_end_number = 0
             self._lease = WorkerLease()
-        elif listing.born_unix_ms < self._born_unix_ms:
-            return
         self._lease.record_clock(listing.clock_ms, self._clock.now_ms())
         if not self._is_lease_known:
             self._bound_unknown_grants(listing, fence)
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -83,9 +83,12 @@
             now_ms: Current time.
             unix_ms: Current time, in Unix time.
         """
-        if listing.born_unix_ms < worker.worker.born_unix_ms:
-            return
-        self._record_incarnation(worker, listing.born_unix_ms)
+        if listing.born_unix_ms != worker.heard_born_unix_ms:
+            if asked_ms < worker.heard_ms:
+                # The late response of an earlier incarnation. The time of day does not
+                # tell which is the earlier one, since it can be set back.
+                return
+            self._record_incarnation(worker, listing.born_unix_ms, now_ms)
         worker.unresponsive_since_ms = 0
         worker.has_unanswered_call = False
         for end in listing.ended:
@@ -107,17 +110,18 @@
         elif fence == worker.fence:
             self._mark_vanished_lost(worker, reported, asked_ms)
 
-    def _record_incarnation(self, worker: WorkerState, born_unix_ms: int) -> None:
-        """Record which incarnation of a worker has returned a listing.
+    def _record_incarnation(
+        self, worker: WorkerState, born_unix_ms: int, now_ms: int
+    ) -> None:
+        """Record the first listing of an incarnation of a worker.
 
         A listing under a fence that earlier calls carried does not settle anything for
         a next incarnation: they may still be carried out there.
         """
-        known = {worker.worker.born_unix_ms, worker.heard_born_unix_ms or born_unix_ms}
-        worker.heard_born_unix_ms = born_unix_ms
-        if known != {born_unix_ms}:
+        if worker.heard_born_unix_ms or born_unix_ms != worker.worker.born_unix_ms:
             self._mark_restarted(worker)
-            worker.worker = attrs.evolve(worker.worker, born_unix_ms=born_unix_ms)
+        worker.heard_born_unix_ms, worker.heard_ms = born_unix_ms, now_ms
+        worker.worker = attrs.evolve(worker.worker, born_unix_ms=born_unix_ms)
 
     def _reconcile(
         self, worker: WorkerState, running: tuple[RunReport, ...], now_ms: int
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -201,10 +201,23 @@
             state = self.worker_by_id.get(worker_id)
             if state is None:
                 self.add_worker(worker)
-            elif worker.born_unix_ms >= state.worker.born_unix_ms:
-                if worker.born_unix_ms != state.worker.born_unix_ms:
-                    self._mark_restarted(state)
-                state.worker = worker
+            else:
+                self._update_registration(state, worker)
+
+    def _update_registration(self, state: WorkerState, worker: StepWorker) -> None:
+        """Apply the registration of a known worker.
+
+        The worker's own listings tell which incarnation is running; a registration can
+        be older, or of another writer.
+        """
+        if worker.born_unix_ms not in (
+            state.registered_born_unix_ms,
+            state.worker.born_unix_ms,
+        ):
+            self.request_sync(state)
+        state.registered_born_unix_ms = worker.born_unix_ms
+        born_unix_ms = state.heard_born_unix_ms or worker.born_unix_ms
+        state.worker = attrs.evolve(worker, born_unix_ms=born_unix_ms)
 
     def iter_unlisted_workers(self) -> Iterator[WorkerState]:
         """Yield the known workers that the platform does not list."""
@@ -215,7 +228,11 @@
         earlier_fence = self.fence_by_removed_worker.pop(
             worker.worker_id, self.first_fence - 1
         )
-        state = WorkerState(worker, fence=earlier_fence + 1)
+        state = WorkerState(
+            worker,
+            fence=earlier_fence + 1,
+            registered_born_unix_ms=worker.born_unix_ms,
+        )
         self.worker_by_id[worker.worker_id] = state
         self.add_action(SyncWorker(worker.worker_id, state.fence))
         return state
--- a/marjoramgrade/decisions/stepworkers.py
+++ b/marjoramgrade/decisions/stepworkers.py
@@ -94,6 +94,8 @@
         latency_bound_runs: Number of runs with a latency target.
         heard_born_unix_ms: Start time of the incarnation that returned the last
             listing, or 0 if there was none.
+        heard_ms: When its first listing was received.
+        registered_born_unix_ms: Start time in the last registration that was applied.
         last_end_number: Highest `RunEnd.number` that was applied.
         unresponsive_since_ms: Time since which the worker does not respond, or 0.
     """
@@ -110,6 +112,8 @@
     spare_used: Resources = ZERO_RESOURCES
     latency_bound_runs: int = 0
     heard_born_unix_ms: int = 0
+    heard_ms: int = 0
+    registered_born_unix_ms: int = 0
     last_end_number: int = 0
     unresponsive_since_ms: int = 0
 
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -290,10 +290,57 @@
     harness.report_listing("w", born_ms=5_000)
     harness.report_listing("w", born_ms=5_000)
     end = RunEnd(1, ref("a"), 1, RunEndStatus.DONE, "")
-    harness.report_listing("w", ended=(end,), born_ms=FIRST_BORN_MS)
+    harness.report_listing(
+        "w", ended=(end,), born_ms=FIRST_BORN_MS, asked_ms=harness.now_ms - 1
+    )
     assert harness.worker("w").last_end_number == 0
 
 
+def test_incarnation_that_was_born_earlier_is_a_new_one():
+    # Guards against ends that are acknowledged but not applied: the time of day of a
+    # worker was set back before it restarted, so that its listings looked old. It got
+    # work on, and its tasks ran again after they were done.
+    harness = StepHarness.make(worker("w"))
+    harness.report_listing("w", born_ms=5_000)
+    harness.report_listing("w", born_ms=5_000)
+    harness.now_ms += 100
+    harness.add(job("a"))
+    (start,) = starts(harness.plan())
+    harness.confirm(start)
+    harness.now_ms += 100
+    harness.report_listing("w", born_ms=4_000)
+    assert not harness.worker("w").synced
+    harness.report_listing("w", born_ms=4_000)
+    assert harness.worker("w").synced
+    assert harness.worker("w").used == ZERO_RESOURCES
+    assert len(starts(harness.plan())) == 1
+
+
+def test_odd_registration_under_the_id_of_a_worker_does_not_hide_its_listings():
+    # Guards against a worker that is ignored for good after an entry of another writer
+    # under its id, born in the far future (review/REPORT-2.md).
+    harness = StepHarness.make(worker("w"))
+    harness.add(job("a"))
+    odd = attrs.evolve(worker("w"), born_unix_ms=2**53 - 1)
+    harness.state.set_workers((odd,))
+    harness.state.set_workers((worker("w"),))
+    harness.report_listing("w")
+    assert harness.worker("w").synced
+    assert len(starts(harness.plan())) == 1
+
+
+def test_outdated_registration_does_not_raise_the_fence_again_and_again():
+    # Guards against a restarted worker that gets no work as long as the platform's list
+    # names its earlier incarnation.
+    harness = StepHarness.make(worker("w"))
+    harness.report_listing("w", born_ms=5_000)
+    harness.report_listing("w", born_ms=5_000)
+    harness.state.set_workers((worker("w"),))
+    assert harness.worker("w").synced
+    harness.state.set_workers((attrs.evolve(worker("w"), born_unix_ms=5_000),))
+    assert harness.worker("w").synced
+
+
 def test_vanished_run_is_lost_only_after_a_later_listing():
     # Guards against marking a run lost because of a listing from before its start.
     harness = StepHarness.make(worker("w"))
--- a/tests/test_stepworkerlink.py
+++ b/tests/test_stepworkerlink.py
@@ -47,9 +47,9 @@
     def clock(self):
         return SystemClock().now_ms() - self.clock_offset_ms
 
-    def restart(self):
+    def restart(self, later_ms=1_000):
         """Become the next incarnation, whose clock starts anew at 100."""
-        self.born_unix_ms += 1_000
+        self.born_unix_ms += later_ms
         self.clock_offset_ms = SystemClock().now_ms() - 100
 
     async def _respond(self, *call):
@@ -303,6 +303,26 @@
     asyncio.run(run())
 
 
+def test_incarnation_that_was_born_earlier_forgets_no_end_that_nobody_has_seen():
+    # Guards against a worker whose time of day was set back before it restarted: it was
+    # told to forget its ends up to a number of the incarnation before it, and got the
+    # lease of that one.
+    async def run():
+        async with link_to_worker() as (link, port, _):
+            port.ended = (RunEnd(1, ref("a"), 1, RunEndStatus.DONE, ""),)
+            link.tell(AcknowledgeRunEnds(1_000, 1))
+            await asyncio.sleep(0.1)
+            port.ended = ()
+            port.restart(-500)
+            await asyncio.sleep(0.1)
+            port.calls.clear()
+            await asyncio.sleep(0.1)
+            assert {call[3] for call in port.calls} == {0}
+            assert max(call[2] for call in port.calls) <= port.clock() + WORKER_LEASE_MS
+
+    asyncio.run(run())
+
+
 def test_lease_of_a_restarted_worker_may_be_as_long_as_any_order_can_make_it():
     # Guards against a task that starts elsewhere while a restarted worker runs it under
     # a lease that a call to its earlier incarnation granted (review/6).
