Store progress that outgrows its row without checkpoints

Cause: the row held the checkpoints of all tasks, also of those that are done.

Fix: checkpoints of done tasks are not stored. If the row is still longer than the store accepts, it is stored without any. A checkpoint only spares work: a task whose checkpoint a new leader does not know starts from the beginning.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -55,6 +55,7 @@
     progress_row_id,
     roster_row_id,
     roster_row_number,
+    serialize_progress,
     serialize_row,
 )
 
@@ -417,7 +418,8 @@
             return None
         writes = tuple(
             RowWrite(
-                progress_row_id(progress.job.job_id), serialize_row(progress.record())
+                progress_row_id(progress.job.job_id),
+                serialize_progress(progress, self._bounds.max_row_bytes),
             )
             for progress in changed
         )
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -385,8 +385,13 @@
                 return False
         return True
 
-    def record(self) -> JobRecord:
-        """Return the persistent part of the progress."""
+    def record(self, *, with_checkpoints: bool = True) -> JobRecord:
+        """Return the persistent part of the progress.
+
+        Args:
+            with_checkpoints: Whether the checkpoints of tasks that are not done are
+                included.
+        """
         record_by_name = {}
         for step in self.iter_steps():
             if not (step.done_count or step.failed_runs_by_index or step.runs_by_index):
@@ -394,7 +399,11 @@
             record_by_name[f"{step.occurrence}.{step.index}"] = StepRecord(
                 "".join("1" if p is TaskPhase.DONE else "0" for p in step.phases),
                 {str(i): sorted(r) for i, r in step.failed_runs_by_index.items()},
-                {str(i): text for i, text in step.checkpoint_by_index.items()},
+                {
+                    str(index): text
+                    for index, text in step.checkpoint_by_index.items()
+                    if with_checkpoints and step.phases[index] is not TaskPhase.DONE
+                },
                 tuple(
                     PlacedRun(run.task.index, run.number, run.worker_id)
                     for run in step.iter_runs()
--- a/marjoramgrade/steprows.py
+++ b/marjoramgrade/steprows.py
@@ -10,6 +10,7 @@
 import msgspec
 from attrs import validators
 
+from marjoramgrade.decisions.stepprogress import JobProgress
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.messages.rows import RowId
 from marjoramgrade.stepconfig import Queue
@@ -99,6 +100,18 @@
     return zlib.compress(data) if len(data) > COMPRESSED_FROM_BYTES else data
 
 
+def serialize_progress(progress: JobProgress, max_bytes: int) -> bytes:
+    """Return the content of a job's progress row.
+
+    Checkpoints, which only spare work, are left out of a row that would be longer than
+    the store accepts. Without a row the ends of the job could not be acknowledged.
+    """
+    value = serialize_row(progress.record())
+    if len(value) > max_bytes:
+        value = serialize_row(progress.record(with_checkpoints=False))
+    return value
+
+
 def parse_row(data: bytes, kind: type[T]) -> T:
     """Return the value that the content of a row stores.
 
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -76,6 +76,7 @@
     job_row_id,
     parse_row,
     progress_row_id,
+    serialize_progress,
     serialize_row,
 )
 from tests.rowstore import MemoryRowStore
@@ -649,6 +650,46 @@
     assert parse_row(value, JobRecord) == progress.record()
 
 
+def long_progress(step_count):
+    """Return the progress of a job whose tasks all run and have checkpoints."""
+    steps = [Step(500, cores(1), checkpoints=True) for _ in range(step_count)]
+    progress = JobProgress(job("0123456789abcdef", *steps), URGENT, 0)
+    noise = random.Random(1)
+    for step in progress.open_occurrence(0):
+        for index in range(step.step.count):
+            number = noise.randrange(8)
+            step.add_run(
+                Run(step.task(index), 1, f"w{number}", step, RunPhase.RUNNING, 0)
+            )
+            step.checkpoint_by_index[index] = noise.randbytes(8).hex()
+    return progress
+
+
+def test_checkpoints_of_done_tasks_are_not_stored():
+    # Guards against progress that outgrows its row with the number of done tasks.
+    progress = long_progress(2)
+    step, later = progress.open_occurrence(0)
+    for index in range(499):
+        step.mark_done(index)
+    record = progress.record()
+    assert list(record.step_by_name["0.0"].checkpoints) == ["499"]
+    assert len(record.step_by_name["0.1"].checkpoints) == later.step.count
+
+
+def test_progress_that_outgrows_its_row_is_stored_without_checkpoints():
+    # Guards against ends that can't be stored, and so are never acknowledged, because
+    # of checkpoints, which only spare work.
+    progress = long_progress(16)
+    assert len(serialize_row(progress.record())) > 65_536
+    value = serialize_progress(progress, 65_536)
+    assert len(value) <= 65_536
+    record = parse_row(value, JobRecord)
+    assert sum(len(step.placed) for step in record.step_by_name.values()) == 8_000
+    assert not any(step.checkpoints for step in record.step_by_name.values())
+    small = long_progress(1)
+    assert serialize_progress(small, 65_536) == serialize_row(small.record())
+
+
 class RefusingStore(MemoryRowStore):
     """A store that refuses transactions with certain rows, as a whole."""
 
