--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Coroutine, Sequence
+from collections.abc import Container, Coroutine, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -55,6 +55,7 @@
     progress_row_id,
     roster_row_id,
     roster_row_number,
+    serialize_progress,
     serialize_row,
 )
 
@@ -73,28 +74,42 @@
 
     Attributes:
         worker_lease_ms: Duration of the leases that a leader grants to workers.
+        longest_lease_ms: Longest lease that a worker grants, whatever is asked for.
         status_retention_ms: How long the state of an ended job can be queried.
         max_row_bytes: Largest row that the store accepts.
     """
 
     worker_lease_ms: int
+    longest_lease_ms: int
     status_retention_ms: int
     max_row_bytes: int = 65_536
 
 
 @attrs.frozen
 class EndsToAcknowledge:
-    """Run ends of one incarnation of a worker that can be acknowledged.
+    """Run ends of one incarnation of a worker, to acknowledge once they are stored.
 
     Attributes:
         worker_id: The worker.
         born_unix_ms: Start time of the incarnation, which identifies it.
-        number: Number of the last run end; all up to it can be acknowledged.
+        job_id_by_number: Jobs of the ends that a listing holds, by number of the end.
     """
 
     worker_id: str
     born_unix_ms: int
-    number: int
+    job_id_by_number: Mapping[int, str]
+
+    def last_stored(self, unstored_job_ids: Container[str]) -> int:
+        """Return the number up to which all ends are stored; 0 if the first is not.
+
+        An acknowledgement covers all ends up to its number.
+        """
+        last = 0
+        for number, job_id in sorted(self.job_id_by_number.items()):
+            if job_id in unstored_job_ids:
+                break
+            last = number
+        return last
 
 
 @attrs.define
@@ -103,6 +118,10 @@
 
     Attributes:
         epoch: Number of the leadership.
+        row_version: Version of the row that records the leadership.
+        confirmed_ms: When the last call was sent to which the store responded that this
+            instance leads. Leases of workers may be granted for `GRANT_LIMIT_MS` from
+            then on, whenever the response was handled.
         commits: Writes rows to the store.
         stack: Stops the commit controller when the leadership ends.
         recovery: Reads the state that earlier leaders stored; None before it began.
@@ -110,6 +129,8 @@
     """
 
     epoch: int
+    row_version: int
+    confirmed_ms: int
     commits: CommitController
     stack: contextlib.AsyncExitStack
     recovery: asyncio.Task[None] | None = None
@@ -133,6 +154,8 @@
         roster: Ids of the workers that are stored as possible holders of runs.
         recovered_workers: Ids of the workers in the roster of an earlier leader.
         unreadable_job_ids: Stored jobs whose rows cannot be decoded.
+        unstored_job_ids: Jobs whose progress the store has refused since it was last
+            stored. A write without a row of such a job does not store its progress.
         is_store_reachable: Whether writes reach the store.
         grant_until_ms: Until when leases of workers may be extended.
         plan_scheduled: Whether the planner is about to run.
@@ -154,6 +177,7 @@
     roster: frozenset[str] = frozenset()
     recovered_workers: frozenset[str] = frozenset()
     unreadable_job_ids: frozenset[str] = frozenset()
+    unstored_job_ids: set[str] = attrs.field(factory=set)
     is_store_reachable: bool = True
     grant_until_ms: int = 0
     plan_scheduled: bool = False
@@ -325,7 +349,12 @@
         if action.worker_id not in lead.roster:
             lead.roster = lead.roster | {action.worker_id}
             await self._save_roster(lead, roster_row_number(action.worker_id))
-        if self._lead is not lead or action.worker_id in lead.link_by_worker:
+        if self._lead is not lead:
+            return
+        link = lead.link_by_worker.get(action.worker_id)
+        if link is not None:
+            # The fence was raised again while the roster was being stored.
+            link.tell(RaiseFence(action.fence))
             return
         await self._add_link(lead, state.worker, action.fence, is_recovered)
 
@@ -347,6 +376,7 @@
             self,
             self._clock,
             self._bounds.worker_lease_ms,
+            self._bounds.longest_lease_ms,
             fence,
             earliest_expiry_ms,
         )
@@ -388,7 +418,8 @@
             return None
         writes = tuple(
             RowWrite(
-                progress_row_id(progress.job.job_id), serialize_row(progress.record())
+                progress_row_id(progress.job.job_id),
+                serialize_progress(progress, self._bounds.max_row_bytes),
             )
             for progress in changed
         )
@@ -411,33 +442,51 @@
             return
         if self._lead is not lead:
             return
-        if rejected:
-            states = [
-                (progress, state)
-                for progress, state in states
-                if progress_row_id(progress.job.job_id) not in rejected
-            ]
-            starts = self._withhold_starts(lead, starts, rejected)
+        self._record_stored(lead, states, rejected)
         self._publish_states(lead, states)
-        if ends is not None and not rejected:
-            link = lead.link_by_worker.get(ends.worker_id)
-            if link is not None:
-                link.tell(AcknowledgeRunEnds(ends.born_unix_ms, ends.number))
-                logs.log_batched(
-                    "ends_acknowledged",
-                    f"{ends.worker_id}#{ends.number}@{ends.born_unix_ms}",
-                )
+        if ends is not None:
+            self._acknowledge_ends(lead, ends)
         if starts:
-            self._send_starts(lead, starts)
+            self._send_starts(lead, self._withhold_starts(lead, starts))
 
+    @staticmethod
+    def _record_stored(
+        lead: LeaderState,
+        states: Sequence[tuple[JobProgress, StepJobState]],
+        rejected: frozenset[RowId],
+    ) -> None:
+        """Record which jobs of a write are stored; each row holds all of a job."""
+        for progress, _ in states:
+            job_id = progress.job.job_id
+            if progress_row_id(job_id) in rejected:
+                lead.unstored_job_ids.add(job_id)
+            else:
+                lead.unstored_job_ids.discard(job_id)
+
+    @staticmethod
+    def _acknowledge_ends(lead: LeaderState, ends: EndsToAcknowledge) -> None:
+        """Let a worker forget the ends whose rows are stored.
+
+        Writes are stored in order, so what earlier listings held has been written too.
+        """
+        link = lead.link_by_worker.get(ends.worker_id)
+        number = ends.last_stored(lead.unstored_job_ids)
+        if link is None or not number:
+            return
+        link.tell(AcknowledgeRunEnds(ends.born_unix_ms, number))
+        logs.log_batched(
+            "ends_acknowledged", f"{ends.worker_id}#{number}@{ends.born_unix_ms}"
+        )
+
+    @staticmethod
     def _withhold_starts(
-        self, lead: LeaderState, starts: Sequence[StartRun], rejected: frozenset[RowId]
+        lead: LeaderState, starts: Sequence[StartRun]
     ) -> list[StartRun]:
         """Drop the starts whose placement could not be stored; return the others."""
         stored = []
         for action in starts:
             task = action.order.task
-            if progress_row_id(task.job_id) in rejected:
+            if task.job_id in lead.unstored_job_ids:
                 run = action.order.run
                 lead.state.record_start_refused(action.worker_id, task, run)
             else:
@@ -450,6 +499,8 @@
         for progress, state in states:
             if progress.visible_state.is_final or not state.is_final:
                 continue
+            if progress.job.job_id in lead.unstored_job_ids:
+                continue
             progress.visible_state = state
             self._metrics.count(f"ended.{state.value}")
             self._metrics.timing("job", self._clock.now_ms() - progress.accepted_ms)
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -92,7 +92,9 @@
         )
         commits.on_fatal = functools.partial(self._fail_lead, message.epoch)
         stack = contextlib.AsyncExitStack()
-        self._writes = writes = LeaderWrites(message.epoch, commits, stack)
+        self._writes = writes = LeaderWrites(
+            message.epoch, message.row_version, message.asked_ms, commits, stack
+        )
         await commits.start()
         stack.push_async_callback(commits.stop)
         self._worker_list = None
@@ -103,7 +105,7 @@
     async def _begin_lead(self, writes: LeaderWrites) -> None:
         try:
             async with asyncio.timeout(RECOVERY_TIMEOUT_MS / 1000):
-                recovered = await read_recovered_state(self._store)
+                recovered = await read_recovered_state(self._store, writes.row_version)
         except TimeoutError:
             reason = "the stored state could not be read in time"
             self.tell(LeadershipEnded(writes.epoch, reason))
@@ -114,7 +116,7 @@
         lead = LeaderState(
             writes.epoch, writes.commits, state, planner, Supervisor(state, planner)
         )
-        lead.grant_until_ms = self._clock.now_ms() + GRANT_LIMIT_MS
+        lead.grant_until_ms = writes.confirmed_ms + GRANT_LIMIT_MS
         self._restore(lead, recovered)
         self._lead = lead
         logs.log_event(
@@ -206,6 +208,7 @@
     async def _leadership_confirmed(self, message: LeadershipConfirmed) -> None:
         if self._writes is None or self._writes.epoch != message.epoch:
             return
+        self._writes.confirmed_ms = max(self._writes.confirmed_ms, message.asked_ms)
         if self._leadership is not None:
             self._leadership.tell(message)
         lead = self._lead
@@ -310,14 +313,15 @@
                 runs=len(worker.run_by_task),
                 strays=len(worker.orphan_by_task),
             )
-        if message.listing.ended:
+        listing = message.listing
+        # The listing of an earlier incarnation was not applied.
+        if listing.ended and listing.born_unix_ms == worker.worker.born_unix_ms:
             self._schedule_plan(lead)
+            job_id_by_number = {end.number: end.task.job_id for end in listing.ended}
             self._save_changed_jobs(
                 lead,
                 EndsToAcknowledge(
-                    message.worker_id,
-                    message.listing.born_unix_ms,
-                    worker.last_end_number,
+                    message.worker_id, listing.born_unix_ms, job_id_by_number
                 ),
             )
         self._perform_actions(lead)
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -41,6 +41,8 @@
 # rise with the epoch and don't overlap.
 RUNS_PER_EPOCH = 1_000
 FENCES_PER_EPOCH = 10_000
+# Workers that left come back within seconds or under another id.
+MAX_REMEMBERED_FENCES = 1_000
 
 
 @attrs.define(eq=False)
@@ -57,6 +59,8 @@
         usage: Resources in use by team.
         headroom: Urgent use by team, for which a part of each limit stays free.
         durations: Average task durations by queue.
+        fence_by_removed_worker: Last fencing tokens of the workers that were removed; a
+            worker that is back may have seen them.
     """
 
     epoch: int
@@ -68,6 +72,7 @@
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     headroom: TeamHeadroom = attrs.field(factory=TeamHeadroom)
     durations: QueueDurations = attrs.field(factory=QueueDurations)
+    fence_by_removed_worker: dict[str, int] = attrs.field(factory=dict)
     _actions: list[StepAction] = attrs.field(factory=list)
     _changed_job_by_id: dict[str, JobProgress] = attrs.field(factory=dict)
 
@@ -215,10 +220,23 @@
             state = self.worker_by_id.get(worker_id)
             if state is None:
                 self.add_worker(worker)
-            elif worker.born_unix_ms >= state.worker.born_unix_ms:
-                if worker.born_unix_ms != state.worker.born_unix_ms:
-                    self._mark_restarted(state)
-                state.worker = worker
+            else:
+                self._update_registration(state, worker)
+
+    def _update_registration(self, state: WorkerState, worker: StepWorker) -> None:
+        """Apply the registration of a known worker.
+
+        The worker's own listings tell which incarnation is running; a registration can
+        be older, or of another writer.
+        """
+        if worker.born_unix_ms not in (
+            state.registered_born_unix_ms,
+            state.worker.born_unix_ms,
+        ):
+            self.request_sync(state)
+        state.registered_born_unix_ms = worker.born_unix_ms
+        born_unix_ms = state.heard_born_unix_ms or worker.born_unix_ms
+        state.worker = attrs.evolve(worker, born_unix_ms=born_unix_ms)
 
     def iter_unlisted_workers(self) -> Iterator[WorkerState]:
         """Yield the known workers that the platform does not list."""
@@ -233,14 +251,24 @@
 
     def add_worker(self, worker: StepWorker) -> WorkerState:
         """Add a worker; it gets work after a listing under its current token."""
-        state = WorkerState(worker, fence=self.first_fence)
+        earlier_fence = self.fence_by_removed_worker.pop(
+            worker.worker_id, self.first_fence - 1
+        )
+        state = WorkerState(
+            worker,
+            fence=earlier_fence + 1,
+            registered_born_unix_ms=worker.born_unix_ms,
+        )
         self.worker_by_id[worker.worker_id] = state
         self.add_action(SyncWorker(worker.worker_id, state.fence))
         return state
 
     def remove_worker(self, worker_id: str) -> None:
         """Remove a worker that has left; it must have no runs."""
-        del self.worker_by_id[worker_id]
+        worker = self.worker_by_id.pop(worker_id)
+        self.fence_by_removed_worker[worker_id] = worker.fence
+        if len(self.fence_by_removed_worker) > MAX_REMEMBERED_FENCES:
+            del self.fence_by_removed_worker[next(iter(self.fence_by_removed_worker))]
 
     def request_sync(self, worker: WorkerState) -> None:
         """Raise a worker's fencing token, so that unanswered orders have no effect."""
@@ -257,8 +285,7 @@
         """
         self._remove_orphans(worker)
         worker.last_end_number = 0
-        if worker.synced:
-            self.request_sync(worker)
+        self.request_sync(worker)
 
     def expire_worker(self, worker: WorkerState) -> None:
         """Mark all runs of an unresponsive worker as lost after its lease expired."""
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -17,6 +17,10 @@
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers import commits, leaderevents
 from marjoramgrade.controllers.commits import SaveRows
+from marjoramgrade.controllers.leaderactions import (
+    GRANT_LIMIT_MS,
+    EndsToAcknowledge,
+)
 from marjoramgrade.controllers.leaderrecovery import read_recovered_state
 from marjoramgrade.controllers.stepscheduling import (
     LeaderBounds,
@@ -31,13 +35,14 @@
     JobNotFoundError,
     NotOwnerError,
     OutcomeUnknownError,
+    RowsRejectedError,
     StoredRowError,
     TableRequiredError,
     UnsatisfiableError,
     WorkerUnresponsiveError,
 )
 from marjoramgrade.messages.peers import CallPeer, TellPeers
-from marjoramgrade.messages.rows import CommitRows, ReadRows, RowWrite
+from marjoramgrade.messages.rows import CommitRows, ReadRows, RowsPage, RowWrite
 from marjoramgrade.messages.steps import (
     CancelStepJob,
     GetStepJob,
@@ -62,13 +67,16 @@
 )
 from marjoramgrade.steprows import (
     EPOCH_ROW,
+    JOBS_TABLE,
     LEGACY_ROSTER_ROW,
+    PROGRESS_TABLE,
     ROSTER_ROWS,
     ROSTER_TABLE,
     RosterRow,
     job_row_id,
     parse_row,
     progress_row_id,
+    serialize_progress,
     serialize_row,
 )
 from tests.rowstore import MemoryRowStore
@@ -87,6 +95,7 @@
         self.started = []
         self.lose_next = False
         self.fence = 0
+        self.acknowledged = 0
 
     def clock(self):
         return SystemClock().now_ms()
@@ -113,6 +122,7 @@
 
     async def renew(self, fence, expires_clock_ms, acknowledged, wait_ms):
         self.fence = max(self.fence, fence)
+        self.acknowledged = max(self.acknowledged, acknowledged)
         await asyncio.sleep(0.01)
         for key, due_ms in list(self.running.items()):
             if due_ms <= self.clock():
@@ -151,7 +161,7 @@
         peers,
         peers,
         connect,
-        LeaderBounds(3_000, 120_000),
+        LeaderBounds(3_000, 6_000, 120_000),
         SystemClock(),
         MemoryMetrics(),
     )
@@ -166,7 +176,8 @@
         if config.version:
             scheduler.tell(StepConfigChanged(config, frozenset()))
         version = store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"1"),))).version
-        await scheduler.ask(LeadershipAcquired(epoch, version))
+        asked_ms = SystemClock().now_ms()
+        await scheduler.ask(LeadershipAcquired(epoch, version, asked_ms))
         if listed is None:
             listed = (worker("w"), worker("v"))
         if listed:
@@ -342,6 +353,56 @@
     asyncio.run(run())
 
 
+class StaleStore(MemoryRowStore):
+    """A store that answers some reads with the state of an earlier version."""
+
+    def __init__(self):
+        super().__init__()
+        self.stale_reads = 0
+        self.stale_table = ""
+        self.earlier = {}
+        self.earlier_version = 0
+
+    def keep_state(self):
+        """Keep the present state for the stale reads."""
+        self.earlier, self.earlier_version = dict(self.rows), self.version
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> RowsPage:
+        if not self.stale_reads or message.table != self.stale_table:
+            return await super()._read(message)
+        self.stale_reads -= 1
+        rows, version = self.rows, self.version
+        self.rows, self.version = self.earlier, self.earlier_version
+        try:
+            return await super()._read(message)
+        finally:
+            self.rows, self.version = rows, version
+
+
+@pytest.mark.parametrize("table", [JOBS_TABLE, PROGRESS_TABLE, ROSTER_TABLE])
+def test_successor_reads_again_what_is_older_than_its_takeover(table):
+    # Guards against a leader that recovers an older state than was stored: the tasks of
+    # a job that is done would run again.
+    async def run():
+        store = StaleStore()
+        await store.start()
+        store.keep_state()
+        async with leading(store) as (_, scheduler, _):
+            await scheduler.ask(SubmitStepJob(job("a")))
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+        store.stale_table, store.stale_reads = table, 2
+        async with leading(store, epoch=2) as (_, scheduler, ports):
+            shown = await scheduler.ask(GetStepJob("a"))
+            assert shown.state is StepJobState.COMPLETED
+            assert len(scheduler._lead.recovered_workers) == 2
+            await asyncio.sleep(0.2)
+            assert not any(port.started for port in ports.values())
+        await store.stop()
+
+    asyncio.run(run())
+
+
 def test_successor_without_a_configuration_knows_the_queue():
     # Guards against a job that fails after one attempt of three, or never runs, because
     # the new leader has not read the configuration or the queue was removed from it
@@ -434,7 +495,7 @@
             UnusedPeers(),
             UnusedPeers(),
             FakePort,
-            LeaderBounds(3_000, 120_000),
+            LeaderBounds(3_000, 6_000, 120_000),
             SystemClock(),
             MemoryMetrics(),
         )
@@ -509,7 +570,7 @@
             ]
             assert len(sizes) == ROSTER_ROWS
             assert max(sizes) < 8_000
-            recovered = await read_recovered_state(store)
+            recovered = await read_recovered_state(store, 0)
             assert len(recovered.roster) == len(fleet)
 
     asyncio.run(run())
@@ -526,7 +587,7 @@
             async with asyncio.timeout(5):
                 while LEGACY_ROSTER_ROW in store.rows:
                     await asyncio.sleep(0.01)
-            roster = (await read_recovered_state(store)).roster
+            roster = (await read_recovered_state(store, 0)).roster
             assert {found.worker_id for found in roster} == {"w", "v"}
         await store.stop()
 
@@ -597,6 +658,110 @@
     assert parse_row(value, JobRecord) == progress.record()
 
 
+def long_progress(step_count):
+    """Return the progress of a job whose tasks all run and have checkpoints."""
+    steps = [Step(500, cores(1), checkpoints=True) for _ in range(step_count)]
+    progress = JobProgress(job("0123456789abcdef", *steps), URGENT, 0)
+    noise = random.Random(1)
+    for step in progress.open_occurrence(0):
+        for index in range(step.step.count):
+            number = noise.randrange(8)
+            step.add_run(
+                Run(step.task(index), 1, f"w{number}", step, RunPhase.RUNNING, 0)
+            )
+            step.checkpoint_by_index[index] = noise.randbytes(8).hex()
+    return progress
+
+
+def test_checkpoints_of_done_tasks_are_not_stored():
+    # Guards against progress that outgrows its row with the number of done tasks.
+    progress = long_progress(2)
+    step, later = progress.open_occurrence(0)
+    for index in range(499):
+        step.mark_done(index)
+    record = progress.record()
+    assert list(record.step_by_name["0.0"].checkpoints) == ["499"]
+    assert len(record.step_by_name["0.1"].checkpoints) == later.step.count
+
+
+def test_progress_that_outgrows_its_row_is_stored_without_checkpoints():
+    # Guards against ends that can't be stored, and so are never acknowledged, because
+    # of checkpoints, which only spare work.
+    progress = long_progress(16)
+    assert len(serialize_row(progress.record())) > 65_536
+    value = serialize_progress(progress, 65_536)
+    assert len(value) <= 65_536
+    record = parse_row(value, JobRecord)
+    assert sum(len(step.placed) for step in record.step_by_name.values()) == 8_000
+    assert not any(step.checkpoints for step in record.step_by_name.values())
+    small = long_progress(1)
+    assert serialize_progress(small, 65_536) == serialize_row(small.record())
+
+
+class RefusingStore(MemoryRowStore):
+    """A store that refuses transactions with certain rows, as a whole."""
+
+    def __init__(self):
+        super().__init__()
+        self.refused = set()
+
+    @handles(CommitRows)
+    async def _commit(self, message: CommitRows) -> object:
+        if any(write.row in self.refused for write in message.writes):
+            raise RowsRejectedError("a row is invalid")
+        return self.apply(message)
+
+
+def test_end_whose_row_was_refused_is_not_acknowledged_by_a_later_write():
+    # Guards against a task that runs again after it was done: the next listing held the
+    # same end, its write was empty, and the end was acknowledged, but no row held it.
+    async def run():
+        store = RefusingStore()
+        async with leading(store, listed=(worker("w"),)) as (_, scheduler, ports):
+            new = job("a", Step(1, cores(1)), Step(1, cores(1), after=(0,)))
+            await scheduler.ask(SubmitStepJob(new))
+            async with asyncio.timeout(3):
+                while not (ports and ports["w"].started):
+                    await asyncio.sleep(0.002)
+            store.refused = {progress_row_id("a")}
+            async with asyncio.timeout(3):
+                while not ports["w"].ended:
+                    await asyncio.sleep(0.002)
+            await asyncio.sleep(0.5)
+            assert ports["w"].acknowledged == 0
+            assert len(ports["w"].started) == 1
+            store.refused = set()
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            async with asyncio.timeout(3):
+                while ports["w"].acknowledged < 2:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_ends_are_acknowledged_in_order_up_to_the_first_that_is_not_stored():
+    # Guards against an end that is forgotten with a later one of another job: a worker
+    # forgets all ends up to the number that it is told.
+    ends = EndsToAcknowledge("w", 1_000, {3: "b", 1: "a", 2: "c", 4: "a"})
+    assert ends.last_stored(frozenset()) == 4
+    assert ends.last_stored({"b"}) == 2
+    assert ends.last_stored({"a"}) == 0
+
+
+def test_leases_are_granted_from_the_call_that_confirmed_the_takeover():
+    # Guards against a leader that stood still while it took over: it granted leases for
+    # 3.5 s from when it went on, which its successor believes to have expired.
+    async def run():
+        async with leading() as (store, scheduler, _):
+            row = RowWrite(EPOCH_ROW, b"2")
+            version = store.apply(CommitRows((), (row,))).version
+            asked_ms = SystemClock().now_ms() - 5_000
+            await scheduler.ask(LeadershipAcquired(2, version, asked_ms))
+            assert scheduler._lead.grant_until_ms <= asked_ms + GRANT_LIMIT_MS
+
+    asyncio.run(run())
+
+
 def test_leader_whose_writes_fail_unexpectedly_ends_its_lead():
     # Guards against a leader that is heard, plans and stores nothing, so that nobody
     # replaces it (seen for 25 s in kbwb-arrears-large scale-1).
@@ -675,7 +840,8 @@
             leadership = Leadership()
             await leadership.start()
             scheduler._leadership = leadership
-            await scheduler.ask(LeadershipAcquired(2, 1))
+            asked_ms = SystemClock().now_ms()
+            await scheduler.ask(LeadershipAcquired(2, 1, asked_ms))
             async with asyncio.timeout(2):
                 while 2 not in leadership.ended:
                     await asyncio.sleep(0.01)
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -378,10 +378,57 @@
     harness.report_listing("w", born_ms=5_000)
     harness.report_listing("w", born_ms=5_000)
     end = RunEnd(1, ref("a"), 1, RunEndStatus.DONE, "")
-    harness.report_listing("w", ended=(end,), born_ms=FIRST_BORN_MS)
+    harness.report_listing(
+        "w", ended=(end,), born_ms=FIRST_BORN_MS, asked_ms=harness.now_ms - 1
+    )
     assert harness.worker("w").last_end_number == 0
 
 
+def test_incarnation_that_was_born_earlier_is_a_new_one():
+    # Guards against ends that are acknowledged but not applied: the time of day of a
+    # worker was set back before it restarted, so that its listings looked old. It got
+    # work on, and its tasks ran again after they were done.
+    harness = StepHarness.make(worker("w"))
+    harness.report_listing("w", born_ms=5_000)
+    harness.report_listing("w", born_ms=5_000)
+    harness.now_ms += 100
+    harness.add(job("a"))
+    (start,) = starts(harness.plan())
+    harness.confirm(start)
+    harness.now_ms += 100
+    harness.report_listing("w", born_ms=4_000)
+    assert not harness.worker("w").synced
+    harness.report_listing("w", born_ms=4_000)
+    assert harness.worker("w").synced
+    assert harness.worker("w").used == ZERO_RESOURCES
+    assert len(starts(harness.plan())) == 1
+
+
+def test_odd_registration_under_the_id_of_a_worker_does_not_hide_its_listings():
+    # Guards against a worker that is ignored for good after an entry of another writer
+    # under its id, born in the far future (review/REPORT-2.md).
+    harness = StepHarness.make(worker("w"))
+    harness.add(job("a"))
+    odd = attrs.evolve(worker("w"), born_unix_ms=2**53 - 1)
+    harness.state.set_workers((odd,))
+    harness.state.set_workers((worker("w"),))
+    harness.report_listing("w")
+    assert harness.worker("w").synced
+    assert len(starts(harness.plan())) == 1
+
+
+def test_outdated_registration_does_not_raise_the_fence_again_and_again():
+    # Guards against a restarted worker that gets no work as long as the platform's list
+    # names its earlier incarnation.
+    harness = StepHarness.make(worker("w"))
+    harness.report_listing("w", born_ms=5_000)
+    harness.report_listing("w", born_ms=5_000)
+    harness.state.set_workers((worker("w"),))
+    assert harness.worker("w").synced
+    harness.state.set_workers((attrs.evolve(worker("w"), born_unix_ms=5_000),))
+    assert harness.worker("w").synced
+
+
 def test_vanished_run_is_lost_only_after_a_later_listing():
     # Guards against marking a run lost because of a listing from before its start.
     harness = StepHarness.make(worker("w"))
@@ -495,6 +542,43 @@
     assert not starts(harness.plan())
 
 
+def test_restart_of_a_silent_worker_raises_the_fence():
+    # Guards against a call to the earlier incarnation that takes effect at the next one
+    # after that was listed: sent while the worker was silent, it has the same fence. It
+    # makes the worker forget ends that nobody has seen, so that their tasks run again.
+    harness = StepHarness.make(worker("w"))
+    state = harness.worker("w")
+    harness.state.request_sync(state)
+    silent_fence = state.fence
+    harness.report_listing("w", born_ms=5_000)
+    assert state.fence > silent_fence
+    assert not state.synced
+    harness.report_listing("w", born_ms=5_000)
+    assert state.synced
+
+
+def test_restart_that_the_platform_lists_first_raises_the_fence_once_more():
+    # Guards against the same fault if the platform's list shows the restart before the
+    # worker does: calls between the two still go by the earlier incarnation.
+    harness = StepHarness.make(worker("w"))
+    state = harness.worker("w")
+    harness.state.set_workers((attrs.evolve(worker("w"), born_unix_ms=5_000),))
+    listed_fence = state.fence
+    harness.report_listing("w", born_ms=5_000)
+    assert state.fence > listed_fence
+    assert not state.synced
+
+
+def test_worker_that_was_removed_and_is_back_has_a_higher_fence():
+    # Guards against calls to a worker before it was removed from the list that take
+    # effect after it is back, and against a worker that refuses all orders then.
+    harness = StepHarness.make(worker("w"))
+    harness.state.request_sync(harness.worker("w"))
+    fence = harness.worker("w").fence
+    harness.state.remove_worker("w")
+    assert harness.state.add_worker(worker("w")).fence > fence
+
+
 def test_order_that_the_next_incarnation_has_not_executed_never_will_be():
     # Guards against a task that waits forever for an order to an earlier incarnation.
     harness = StepHarness.make(worker("w1", 1), worker("w2", 1))
