Flush log batches on the loop that runs

tests/test_logs.py failed after tests whose event loop had ended with a flush due: the batch counted as scheduled for good (seen once in a run of several files, and in each run of test_stepscheduling.py before test_logs.py). A process has one loop, so it could not happen there. The flush is now scheduled on the running loop. The new test fails without this.

--- a/marjoramgrade/logs.py
+++ b/marjoramgrade/logs.py
@@ -161,11 +161,11 @@
     Attributes:
         text_by_event: Entries that wait for the line of their event, with spaces
             between them.
-        is_scheduled: Whether a flush is due.
+        scheduled_loop: Event loop on which a flush is due, if any.
     """
 
     text_by_event: dict[str, str] = attrs.field(factory=dict)
-    is_scheduled: bool = False
+    scheduled_loop: asyncio.AbstractEventLoop | None = None
 
     def add(self, event: str, entry: str) -> None:
         """Add an entry, and write the line of its event before it would be too long."""
@@ -174,8 +174,7 @@
             self._write(event, text)
             text = ""
         self.text_by_event[event] = f"{text} {entry}" if text else entry
-        if not self.is_scheduled:
-            self._schedule()
+        self._schedule()
 
     def _schedule(self) -> None:
         try:
@@ -183,12 +182,15 @@
         except RuntimeError:
             self.flush()
             return
-        self.is_scheduled = True
+        if loop is self.scheduled_loop:
+            return
+        # A loop that has ended no longer makes its due calls.
+        self.scheduled_loop = loop
         loop.call_later(BATCH_FLUSH_MS / 1000, self.flush)
 
     def flush(self) -> None:
         """Write what has been added."""
-        self.is_scheduled = False
+        self.scheduled_loop = None
         text_by_event, self.text_by_event = self.text_by_event, {}
         for event, text in text_by_event.items():
             self._write(event, text)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -81,6 +81,7 @@
 def test_every_job_can_be_found_by_its_id(monkeypatch):
     # Guards against an answer of which the log has no trace because many other callers
     # got the same in that second.
+    logs.flush_batches()
     stream = io.StringIO()
     logs.configure(stream)
     used = logs._LineBudget(sys.maxsize, {"request_failed": logs.MAX_LINES_PER_S})
@@ -101,8 +102,24 @@
     assert len(lines) <= len(jobs) // 80 + 1
 
 
+def test_entries_are_written_although_an_earlier_event_loop_has_ended():
+    # Guards against a batch that waits for good for the flush of a loop that has ended.
+    logs.flush_batches()
+    stream = io.StringIO()
+    logs.configure(stream)
+
+    async def log(entry, wait_s):
+        logs.log_batched("answered", entry)
+        await asyncio.sleep(wait_s)
+
+    asyncio.run(log("first", 0))
+    asyncio.run(log("second", 2 * logs.BATCH_FLUSH_MS / 1000))
+    assert "first second" in stream.getvalue()
+
+
 def test_jobs_are_logged_before_the_process_ends(monkeypatch):
     # Guards against answers of the last moments of an instance that no line names.
+    logs.flush_batches()
     stream = io.StringIO()
     logs.configure(stream)
     used = logs._LineBudget(sys.maxsize, {"request_failed": logs.MAX_LINES_PER_S})
