Send watches and reads of the store on several paths side by side

The store router used one path at a time. A watch whose connection broke was handed to up to three relays in turn, 1.8 s each, and was not taken back when the direct path worked again 10 ms later. A connection that had gone silent was noticed only after the wait of the watch and 1 s more, as long as a configuration may take.

Reads and watches change nothing, so they are now hedged: direct, then direct on another connection, then through up to three relays, each started while those before are unanswered. The first response counts. The direct path is used at once when it works again. A watch waits 0.5 s instead of 1 s. Relays that don't respond are asked last, and neighbours in the order are of different zones, so rows of instances that have left delay a watch only until they are known. The worker watch, the evacuations and the reads of the leadership go the same way. Writes stay on one path at a time.

--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -32,8 +32,9 @@
 from marjoramgrade.stepjobs import StepWorker
 
 # Longest time that a watch waits for a change. An unresponsive connection is detected
-# within this time, well within the two seconds in which a change must be in force.
-WATCH_WAIT_MS = 1_000
+# after this time, and the store confirms the configuration at this interval; both must
+# be well within the two seconds in which a change must be in force.
+WATCH_WAIT_MS = 500
 RETRY_MS = 100
 # Every worker updates its entry with each heartbeat: 120 updates a second in a fleet of
 # 176. Pausing this long after each page lets one call fetch many of them. The delay is
--- a/marjoramgrade/controllers/storerouter.py
+++ b/marjoramgrade/controllers/storerouter.py
@@ -7,10 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import Any
 
+import attrs
+
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.controllers.hedging import Attempt, ask_hedged
+from marjoramgrade.decisions.relayorder import RelayOrder
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -50,6 +55,26 @@
 RELAY_LEAD_MS = 150
 # Maximum number of instances that are asked to relay one request.
 MAX_RELAYS = 3
+# A response that is later than a slow store's makes the direct path doubtful; the
+# request is then sent on other paths, too.
+WATCH_OVERDUE_MS = 400
+READ_OVERDUE_MS = 500
+# Interval at which a request in doubt is sent on further paths.
+HEDGE_INTERVAL_MS = 100
+# Waiting time of a watch in doubt. Its response tells soon whether the path works.
+DOUBTFUL_WATCH_WAIT_MS = 150
+# A relay that works responds to a read, or after the wait of a watch, within this time.
+RELAY_OVERDUE_MS = 150
+# Time for a response after a request was sent on the last path. A slow store may take
+# longer for a read of many rows than for a watch.
+LAST_WATCH_LEAD_MS = 300
+LAST_READ_LEAD_MS = 800
+# Longest time that a read or watch waits for the direct path to work again, if it has
+# failed on all others.
+REGAIN_TIMEOUT_MS = 300
+# Longer than a relay waits for the store, because a connection to a peer that does not
+# reply in time is closed together with the calls of others on it.
+HEDGED_RELAY_TIMEOUT_MS = 1_500
 
 
 class StoreRouter(Actor):
@@ -67,8 +92,14 @@
         self._link = link
         self._peers = peers
         self._members: list[Member] = []
+        self._relay_order = RelayOrder()
         self._is_direct = True
-        self._relay_index = 0
+        # Set while the direct path counts as working.
+        self._direct_works = asyncio.Event()
+        self._direct_works.set()
+        # Whether a relay responded and the direct path, which counts as working, did
+        # not.
+        self._is_direct_doubtful = False
         self._overdue_ms = INITIAL_OVERDUE_MS
         self._subscribers: tuple[Actor, ...] = ()
 
@@ -83,6 +114,9 @@
             for member in message.members
             if member.instance_id != self._instance_id
         ]
+        self._relay_order.set_members(
+            {member.instance_id: member.zone for member in self._members}
+        )
 
     @handles(CommitRows)
     async def _commit(self, message: CommitRows) -> Any:
@@ -90,11 +124,11 @@
 
     @handles(ReadRows)
     async def _read(self, message: ReadRows) -> Any:
-        return self.spawn(self._send(message, 0))
+        return self.spawn(self._send_read(message))
 
     @handles(WatchRows)
     async def _watch(self, message: WatchRows) -> Any:
-        return self.spawn(self._send(message, message.wait_ms))
+        return self.spawn(self._send_watch(message))
 
     async def _send_write(self, message: CommitRows) -> Any:
         """Write, but abandon a lost write once the store responds to reads.
@@ -102,7 +136,7 @@
         Raises:
             WriteOutcomeUnknownError: If the write may have taken effect.
         """
-        write = asyncio.ensure_future(self._send(message, 0))
+        write = asyncio.ensure_future(self._send_once(message))
         overdue = asyncio.ensure_future(self._await_write_overdue())
         try:
             await asyncio.wait((write, overdue), return_when=asyncio.FIRST_COMPLETED)
@@ -212,7 +246,9 @@
             return None
         return loop.time() - began_s
 
-    async def _send(self, message: Message[Any], wait_ms: int) -> Any:
+    # Writes are sent on one path at a time.
+
+    async def _send_once(self, message: CommitRows) -> Any:
         if self._is_direct:
             try:
                 return await self._link.ask(message)
@@ -221,46 +257,165 @@
                 raise
             except TableUnavailableError as error:
                 self._mark_direct_lost(error.message)
-        return await self._send_relayed(message, wait_ms)
+        return await self._send_relayed(message)
 
-    async def _send_relayed(self, message: Message[Any], wait_ms: int) -> Any:
+    async def _send_relayed(self, message: CommitRows) -> Any:
         failure: MarjoramgradeError = TableUnavailableError(
             "no path to the store works"
         )
-        for _ in range(min(MAX_RELAYS, len(self._members))):
-            member = self._members[self._relay_index % len(self._members)]
+        for relay in self._relay_order.first(MAX_RELAYS):
             try:
                 answer = await self._peers.ask(
-                    CallPeer(member.instance_id, message, RELAY_TIMEOUT_MS + wait_ms)
+                    CallPeer(relay, message, RELAY_TIMEOUT_MS)
                 )
             except (TableUnavailableError, RefusedError) as error:
                 failure = TableUnavailableError(error.message)
-                self._log_relay_failure(message, member, error)
+                self._record_relay_failure(message, relay, error)
             except (WriteOutcomeUnknownError, OutcomeUnknownError) as error:
-                self._log_relay_failure(message, member, error)
-                self._relay_index += 1
-                if isinstance(message, CommitRows):
-                    raise WriteOutcomeUnknownError(error.message) from None
-                failure = TableUnavailableError(error.message)
-                continue
+                self._record_relay_failure(message, relay, error)
+                raise WriteOutcomeUnknownError(error.message) from None
             except TableError:
-                # A failed row check or lost history is a response of the store.
+                # A failed row check is a response of the store.
+                self._relay_order.move_to_front(relay)
                 self._tell_subscribers(StorePathStatus(self._is_direct, True))
                 raise
             else:
+                self._relay_order.move_to_front(relay)
                 self._tell_subscribers(StorePathStatus(self._is_direct, True))
                 return answer
-            self._relay_index += 1
         raise failure
 
-    @staticmethod
-    def _log_relay_failure(
-        message: Message[Any], member: Member, error: MarjoramgradeError
+    # Reads and watches change nothing, so they may be sent on several paths at once.
+
+    async def _send_read(self, message: ReadRows) -> Any:
+        return await self._send_hedged(
+            message,
+            message,
+            READ_OVERDUE_MS,
+            RELAY_OVERDUE_MS,
+            LAST_READ_LEAD_MS,
+        )
+
+    async def _send_watch(self, message: WatchRows) -> Any:
+        wait_ms = min(message.wait_ms, DOUBTFUL_WATCH_WAIT_MS)
+        return await self._send_hedged(
+            message,
+            attrs.evolve(message, wait_ms=wait_ms),
+            message.wait_ms + WATCH_OVERDUE_MS,
+            wait_ms + RELAY_OVERDUE_MS,
+            LAST_WATCH_LEAD_MS,
+        )
+
+    async def _send_hedged(
+        self,
+        message: Message[Any],
+        in_doubt: Message[Any],
+        direct_lead_ms: int,
+        relay_lead_ms: int,
+        last_lead_ms: int,
+    ) -> Any:
+        """Send a request on the path that worked last, then on others side by side.
+
+        Args:
+            message: The request.
+            in_doubt: The same as it is sent once the first path is in doubt.
+            direct_lead_ms: Time after which the direct path is in doubt.
+            relay_lead_ms: Time after which a relay is in doubt.
+            last_lead_ms: Time for a response after the request was sent on the last
+                path.
+        """
+        relays = [
+            Attempt(
+                functools.partial(self._ask_relay, relay, in_doubt, relay_lead_ms),
+                HEDGE_INTERVAL_MS,
+            )
+            for relay in self._relay_order.first(MAX_RELAYS)
+        ]
+        # Sent on another connection than an earlier attempt that is unanswered.
+        again = Attempt(
+            functools.partial(self._ask_directly_once_it_works, in_doubt),
+            HEDGE_INTERVAL_MS,
+        )
+        if self._is_direct and not self._is_direct_doubtful:
+            first = Attempt(
+                functools.partial(self._ask_directly, message), direct_lead_ms
+            )
+            attempts = [first, again, *relays]
+        else:
+            relays[:1] = [attrs.evolve(r, lead_ms=relay_lead_ms) for r in relays[:1]]
+            attempts = [*relays[:1], again, *relays[1:]]
+        attempts[-1] = attrs.evolve(
+            attempts[-1], lead_ms=max(last_lead_ms, attempts[-1].lead_ms)
+        )
+        return await ask_hedged(attempts)
+
+    async def _ask_directly_once_it_works(self, message: Message[Any]) -> Any:
+        try:
+            async with asyncio.timeout(REGAIN_TIMEOUT_MS / 1000):
+                await self._direct_works.wait()
+        except TimeoutError:
+            raise TableUnavailableError("the direct path does not work") from None
+        return await self._ask_directly(message)
+
+    async def _ask_directly(self, message: Message[Any]) -> Any:
+        try:
+            answer = await self._link.ask(message)
+        except TableUnavailableError as error:
+            self._mark_direct_lost(error.message)
+            raise
+        except TableError:
+            # Lost history is a response of the store.
+            self._is_direct_doubtful = False
+            raise
+        self._is_direct_doubtful = False
+        return answer
+
+    async def _ask_relay(
+        self, relay: str, message: Message[Any], overdue_ms: int
+    ) -> Any:
+        loop = asyncio.get_running_loop()
+        overdue_s = loop.time() + overdue_ms / 1000
+        try:
+            answer = await self._peers.ask(
+                CallPeer(relay, message, HEDGED_RELAY_TIMEOUT_MS)
+            )
+        except (TableUnavailableError, RefusedError, OutcomeUnknownError) as error:
+            self._record_relay_failure(message, relay, error)
+            raise TableUnavailableError(error.message) from None
+        except TableError:
+            # Lost history is a response of the store.
+            self._record_relay_response(relay)
+            raise
+        except asyncio.CancelledError:
+            # Another path was faster.
+            if loop.time() >= overdue_s:
+                self._relay_order.move_to_end(relay)
+            raise
+        self._record_relay_response(relay)
+        return answer
+
+    def _record_relay_response(self, relay: str) -> None:
+        self._relay_order.move_to_front(relay)
+        if not self._is_direct:
+            self._tell_subscribers(StorePathStatus(False, True))
+        elif not self._is_direct_doubtful:
+            self._is_direct_doubtful = True
+            self.spawn_critical(self._check_direct_path())
+
+    async def _check_direct_path(self) -> None:
+        """Find out whether the direct path is lost, which a relay is faster than."""
+        if await self._probe_s() is None:
+            self._mark_direct_lost("other instances reach the store, this one does not")
+        self._is_direct_doubtful = False
+
+    def _record_relay_failure(
+        self, message: Message[Any], relay: str, error: MarjoramgradeError
     ) -> None:
+        self._relay_order.move_to_end(relay)
         logs.log_event(
             "relay_failed",
             request=type(message).__name__,
-            relay=member.instance_id,
+            relay=relay,
             code=error.code,
         )
 
@@ -268,6 +423,7 @@
         if not self._is_direct:
             return
         self._is_direct = False
+        self._direct_works.clear()
         logs.log_event("store_lost", reason=reason)
         self._tell_subscribers(StorePathStatus(False, False))
         self.spawn_critical(self._await_direct_path())
@@ -281,6 +437,7 @@
         if self._is_direct:
             return
         self._is_direct = True
+        self._direct_works.set()
         logs.log_event("store_regained")
         self._tell_subscribers(StorePathStatus(True, False))
 
--- a/tests/test_storerouter.py
+++ b/tests/test_storerouter.py
@@ -11,6 +11,7 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.controllers.storerouter import StoreRouter
 from marjoramgrade.errors import (
+    HistoryLostError,
     OutcomeUnknownError,
     OwnerUnreachableError,
     RowCheckFailedError,
@@ -25,6 +26,7 @@
     RowId,
     RowsPage,
     RowWrite,
+    WatchRows,
 )
 from tests.rowstore import MemoryRowStore
 
@@ -306,3 +308,187 @@
             assert ROW in link.rows
 
     asyncio.run(run())
+
+
+WATCH = WatchRows("operators", 3, 500)
+CHANGED = RowsPage((), 4)
+# A configuration must be in force after two seconds.
+MAX_BLIND_S = 1.5
+
+
+class Path(Actor):
+    """A path to a store with a change for every watch.
+
+    Attributes:
+        script: The next responses: an error, `silent`, or `ok`; after them `mode`.
+    """
+
+    TIMEOUT_MS = 1_500
+
+    def __init__(self, mode, *script):
+        super().__init__()
+        self.mode = mode
+        self.script = list(script)
+        self.asked = 0
+
+    @handles(WatchRows)
+    async def _watch(self, message: WatchRows) -> object:
+        return self.respond()
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> object:
+        return self.respond()
+
+    def respond(self):
+        self.asked += 1
+        answer = self.script.pop(0) if self.script else self.mode
+        if isinstance(answer, Exception):
+            raise answer
+        return self.spawn(self._time_out()) if answer == "silent" else CHANGED
+
+    async def _time_out(self):
+        await asyncio.sleep(self.TIMEOUT_MS / 1000)
+        raise TableUnavailableError("no response in time")
+
+
+class RelayPaths(Actor):
+    """The other instances, by id."""
+
+    def __init__(self, paths):
+        super().__init__()
+        self.path_by_id = paths
+        self.asked = []
+
+    @handles(CallPeer)
+    async def _call(self, message: CallPeer) -> object:
+        self.asked.append(message.instance_id)
+        answer = self.path_by_id[message.instance_id].respond()
+        if isinstance(answer, asyncio.Future):
+            return self.spawn(self._time_out(answer, message.timeout_ms))
+        return answer
+
+    async def _time_out(self, answer, timeout_ms):
+        try:
+            return await asyncio.wait_for(answer, timeout_ms / 1000)
+        except TimeoutError:
+            raise OutcomeUnknownError("did not reply") from None
+
+
+@contextlib.asynccontextmanager
+async def router_over(link, **mode_by_id):
+    peers = RelayPaths({name: Path(mode) for name, mode in mode_by_id.items()})
+    router = StoreRouter("own", link, peers)
+    async with contextlib.AsyncExitStack() as stack:
+        for actor in (link, peers, *peers.path_by_id.values(), router):
+            await actor.start()
+            stack.push_async_callback(actor.stop)
+        members = [Member(name, "z", "127.0.0.1", 1) for name in ("own", *mode_by_id)]
+        router.tell(MembersChanged(tuple(members)))
+        yield router, peers
+
+
+async def ask_for_s(router, message):
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    assert await router.ask(message) is CHANGED
+    return loop.time() - began_s
+
+
+@pytest.mark.parametrize("message", [WATCH, ReadRows("operators", "")])
+def test_broken_watch_returns_to_the_direct_path_while_relays_are_silent(message):
+    # Guards against a watch that waits 5.4 s for relays behind a cut after the store
+    # has reset its connections (review/9): 404 for routes of the newest configuration.
+    async def run():
+        link = Path("ok", TableUnavailableError("reset"))
+        async with router_over(link, b="silent", c="silent", d="silent") as (router, _):
+            assert await ask_for_s(router, message) < 0.5
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("message", [WATCH, ReadRows("operators", "")])
+def test_silent_direct_path_blinds_no_watch(message):
+    # Guards against a watch that waits 2 s, as long as a configuration may take, for a
+    # direct path that has gone silent, while another instance reaches the store.
+    async def run():
+        async with router_over(Path("silent"), b="silent", c="ok", d="silent") as (
+            router,
+            _,
+        ):
+            assert await ask_for_s(router, message) < MAX_BLIND_S
+            # Later ones don't wait for the direct path first.
+            assert await ask_for_s(router, message) < 0.5
+            assert await ask_for_s(router, message) < 0.5
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("message", [WATCH, ReadRows("operators", "")])
+def test_silent_connection_blinds_no_watch(message):
+    # Guards against a watch that waits for its timeout on one dead connection.
+    async def run():
+        link = Path("ok", "silent")
+        async with router_over(link, b="silent", c="silent", d="silent") as (router, _):
+            assert await ask_for_s(router, message) < MAX_BLIND_S
+
+    asyncio.run(run())
+
+
+def test_instances_that_left_for_good_delay_watches_once():
+    # Guards against asking the instances that have left, whose rows remain, before
+    # those that work, each time anew.
+    async def run():
+        gone = dict.fromkeys("bcdef", "silent")
+        async with router_over(Path("silent"), **gone, g="ok") as (router, peers):
+            with contextlib.suppress(TableUnavailableError):
+                await router.ask(WATCH)
+            await router.ask(WATCH)
+            peers.asked.clear()
+            assert await ask_for_s(router, WATCH) < 0.2
+            assert peers.asked == ["g"]
+
+    asyncio.run(run())
+
+
+def test_lost_history_is_a_response_on_every_path():
+    # Guards against a watch that is sent on other paths until it times out, although
+    # the store has responded that the table must be read again.
+    async def run():
+        link = Path("ok", HistoryLostError("gone"))
+        async with router_over(link, b="ok") as (router, peers):
+            with pytest.raises(HistoryLostError):
+                await router.ask(WATCH)
+            assert peers.asked == []
+
+    asyncio.run(run())
+
+
+def test_reads_of_a_slow_store_are_not_relayed():
+    # Guards against a load that grows with the duration of the store's responses.
+    class SlowPath(Path):
+        def respond(self):
+            return self.spawn(self._respond())
+
+        async def _respond(self):
+            await asyncio.sleep(0.4)
+            return CHANGED
+
+    async def run():
+        async with router_over(SlowPath("ok"), b="ok") as (router, peers):
+            await router.ask(ReadRows("operators", ""))
+            await router.ask(WATCH)
+            assert peers.asked == []
+
+    asyncio.run(run())
+
+
+def test_store_that_no_path_reaches_is_reported_soon():
+    # Guards against a read that waits for each path in turn while the store is down.
+    async def run():
+        down = TableUnavailableError("down")
+        async with router_over(Path(down), b=down, c=down, d=down) as (router, _):
+            async with asyncio.timeout(0.6):
+                with pytest.raises(TableUnavailableError):
+                    await router.ask(ReadRows("operators", ""))
+
+    asyncio.run(run())
