Refuse by the configuration only if the store has confirmed it in time

A refusal says that the route or the key is not there, which an instance does not know once its configuration is unconfirmed for longer than a new one may take. Such a request (404, 401, 403) now waits up to 0.5 s for the confirmation and is decided by what is then in force. Without a confirmation it is answered 503 with Retry-After, or 504 if it hands a job in, since 503 promises that the job never ran. What the known configuration allows is served, so that an outage of the store for all instances ends no calls. The bound comes with the settings (config_apply_ms, bounds.configApplyMs).

Changed in an existing test: the stand-in of the directory answers the new message, and the builders of a chain and a request take a time and a key. No check has changed.

--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -20,6 +20,7 @@
 )
 from marjoramgrade.messages.rows import ReadRows, RowsPage, StoredRow, WatchRows
 from marjoramgrade.messages.steps import (
+    AwaitConfirmedConfig,
     AwaitStepConfig,
     GetStepConfig,
     KnownConfig,
@@ -96,6 +97,7 @@
         self._confirmed_ms_by_table: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._config_changed = asyncio.Event()
+        self._config_confirmed = asyncio.Event()
         self._worker_by_id: dict[str, StepWorker] = {}
         self._worker_watch: asyncio.Task[None] | None = None
 
@@ -122,9 +124,28 @@
 
     @handles(GetStepConfig)
     async def _get_config(self, message: GetStepConfig) -> KnownConfig:
+        return self._known_config()
+
+    @handles(AwaitConfirmedConfig)
+    async def _await_confirmed_config(self, message: AwaitConfirmedConfig) -> Any:
+        return self.spawn(self._await_confirmation(message))
+
+    def _known_config(self) -> KnownConfig:
         confirmed_ms = self._confirmed_ms_by_table.get(self._format.operator_table, 0)
         return KnownConfig(self._config, confirmed_ms)
 
+    async def _await_confirmation(self, message: AwaitConfirmedConfig) -> KnownConfig:
+        try:
+            async with asyncio.timeout(message.timeout_ms / 1000):
+                while self._known_config().confirmed_ms < message.since_ms:
+                    await self._config_confirmed.wait()
+        except TimeoutError:
+            raise StaleAuthorityError(
+                f"the store has not confirmed configuration version "
+                f"{self._config.version}"
+            ) from None
+        return self._known_config()
+
     @handles(AwaitStepConfig)
     async def _await_config(self, message: AwaitStepConfig) -> Any:
         return self.spawn(self._await_version(message))
@@ -161,13 +182,13 @@
                 if after is None:
                     rows, after = await self._read_table(table)
                     changed(rows, True)
-                    self._confirmed_ms_by_table[table] = asked_ms
+                    self._confirm(table, asked_ms)
                     continue
                 page = await self._store.ask(WatchRows(table, after, WATCH_WAIT_MS))
                 after = page.version
                 if page.rows:
                     changed(page.rows, False)
-                self._confirmed_ms_by_table[table] = asked_ms
+                self._confirm(table, asked_ms)
                 if page.rows:
                     await asyncio.sleep(pause_ms / 1000)
             except HistoryLostError:
@@ -192,6 +213,12 @@
         )
         await asyncio.sleep(RETRY_MS / 1000)
 
+    def _confirm(self, table: str, asked_ms: int) -> None:
+        self._confirmed_ms_by_table[table] = asked_ms
+        if table == self._format.operator_table:
+            self._config_confirmed.set()
+            self._config_confirmed = asyncio.Event()
+
     async def _read_table(self, table: str) -> tuple[tuple[StoredRow, ...], int]:
         rows: dict[str, StoredRow] = {}
         version: int | None = None
--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -14,6 +14,7 @@
     ForbiddenError,
     InvalidInputError,
     JobNotFoundError,
+    MarjoramgradeError,
     OutcomeUnknownError,
     ProtocolError,
     QueueNotFoundError,
@@ -23,6 +24,7 @@
 from marjoramgrade.filters.chain import Filter, Proceed
 from marjoramgrade.filters.context import Principal, RequestContext
 from marjoramgrade.messages.steps import (
+    AwaitConfirmedConfig,
     AwaitStepConfig,
     CancelStepJob,
     CountPending,
@@ -35,7 +37,7 @@
 )
 from marjoramgrade.metrics import Metrics
 from marjoramgrade.registry import Registry
-from marjoramgrade.stepconfig import Queue, StepConfig
+from marjoramgrade.stepconfig import Queue, StepConfig, TeamPolicy
 
 DEFAULT_QUEUE_FILTERS = ("find_queue", "check_key", "check_job", "hand_over")
 
@@ -43,6 +45,10 @@
 # within some 50 ms, whereas a client that is refused retries only a second later.
 FIRST_CONFIG_TIMEOUT_MS = 400
 
+# Longest wait for the store's confirmation before a request can't be answered. Clients
+# wait some three seconds; a relayed watch responds within half a second.
+CONFIRMATION_TIMEOUT_MS = 500
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 
@@ -55,12 +61,15 @@
         metrics: Counters.
         directory: Actor that holds the configuration.
         forwarder: Actor that forwards requests to the leader.
+        config_apply_ms: Time within which a new configuration must be in force, in
+            milliseconds.
     """
 
     clock: Clock
     metrics: Metrics
     directory: Actor
     forwarder: Actor
+    config_apply_ms: int
 
 
 QUEUE_FILTERS: Registry[type[Filter]] = Registry("queue filter")
@@ -86,12 +95,39 @@
 
         Raises:
             StaleAuthorityError: If this instance has no configuration yet.
+            OutcomeUnknownError: The same, if the request hands a job in.
         """
         directory = self._environment.directory
         known: KnownConfig = await directory.ask(GetStepConfig())
         if not known.config.version:
-            await directory.ask(AwaitStepConfig(1, FIRST_CONFIG_TIMEOUT_MS))
+            try:
+                await directory.ask(AwaitStepConfig(1, FIRST_CONFIG_TIMEOUT_MS))
+            except StaleAuthorityError as error:
+                raise _make_undecided_error(context, error) from None
             known = await directory.ask(GetStepConfig())
+        return self._record_config(context, known)
+
+    async def _get_confirmed_config(self, context: RequestContext) -> StepConfig:
+        """Return the configuration, confirmed recently enough to refuse a request.
+
+        A newer configuration, which this instance does not know, may allow the request
+        if the store has not confirmed the known one for `config_apply_ms`.
+
+        Raises:
+            StaleAuthorityError: If the store does not confirm it soon.
+            OutcomeUnknownError: The same, if the request hands a job in.
+        """
+        now_ms = self._environment.clock.now_ms()
+        since_ms = now_ms - self._environment.config_apply_ms
+        try:
+            known = await self._environment.directory.ask(
+                AwaitConfirmedConfig(since_ms, CONFIRMATION_TIMEOUT_MS)
+            )
+        except StaleAuthorityError as error:
+            raise _make_undecided_error(context, error) from None
+        return self._record_config(context, known)
+
+    def _record_config(self, context: RequestContext, known: KnownConfig) -> StepConfig:
         context.config_version = known.config.version
         context.config_age_ms = self._environment.clock.now_ms() - known.confirmed_ms
         return known.config
@@ -102,23 +138,14 @@
     """Finds the queue by the host and path of the request."""
 
     async def apply(self, context: RequestContext, proceed: Proceed) -> Any:
-        """Set the queue of the request and pass the request on.
-
-        Raises:
-            OutcomeUnknownError: If this instance has no configuration yet and the
-                request hands a job in. An earlier attempt through another instance
-                may have been accepted, so the job can't be refused.
-        """
+        """Set the queue of the request and pass the request on."""
         request = _request_of(context)
+        config = await self._get_config(context)
         try:
-            config = await self._get_config(context)
-        except StaleAuthorityError as error:
-            if request.verb is QueueVerb.SUBMIT:
-                raise OutcomeUnknownError(error.message) from None
-            raise
-        queue = config.find_queue(request.host, request.path)
-        if queue is None:
-            raise QueueNotFoundError(f"no queue at {request.host}{request.path}")
+            queue = _find_queue(config, context)
+        except QueueNotFoundError:
+            config = await self._get_confirmed_config(context)
+            queue = _find_queue(config, context)
         context.queue = queue
         context.request_id = request.path.removeprefix(queue.path_prefix)
         return await proceed(context)
@@ -131,7 +158,11 @@
     async def apply(self, context: RequestContext, proceed: Proceed) -> Any:
         """Set the team of the request and pass the request on."""
         config = await self._get_config(context)
-        team = config.find_team(context.secret) if context.secret else None
+        team = _find_team(config, context)
+        if team is None and not _queue_of(context).public:
+            config = await self._get_confirmed_config(context)
+            team = _find_team(config, context)
+            context.queue = _find_queue(config, context)
         if team is not None:
             context.principal = Principal(team=team.name)
         elif not _queue_of(context).public:
@@ -194,10 +225,41 @@
         )
         team = getattr(answer, "team", "")
         if team and context.principal.team and team != context.principal.team:
+            config = await self._get_confirmed_config(context)
+            key_team = _find_team(config, context)
+            if key_team is not None and key_team.name == team:
+                return answer
             raise ForbiddenError("the job belongs to another team")
         return answer
 
 
+def _make_undecided_error(
+    context: RequestContext, error: StaleAuthorityError
+) -> MarjoramgradeError:
+    """Return the error for a request that can't be decided without the configuration.
+
+    A job can't be refused, since an earlier attempt to hand it in through another
+    instance may have been accepted.
+    """
+    message = context.message
+    is_submission = isinstance(message, SubmitStepJob) or (
+        isinstance(message, QueueRequest) and message.verb is QueueVerb.SUBMIT
+    )
+    return OutcomeUnknownError(error.message) if is_submission else error
+
+
+def _find_queue(config: StepConfig, context: RequestContext) -> Queue:
+    request = _request_of(context)
+    queue = config.find_queue(request.host, request.path)
+    if queue is None:
+        raise QueueNotFoundError(f"no queue at {request.host}{request.path}")
+    return queue
+
+
+def _find_team(config: StepConfig, context: RequestContext) -> TeamPolicy | None:
+    return config.find_team(context.secret) if context.secret else None
+
+
 def _request_of(context: RequestContext) -> QueueRequest:
     if not isinstance(context.message, QueueRequest):
         raise ProtocolError(
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -216,6 +216,19 @@
     confirmed_ms: int = 0
 
 
+@attrs.frozen
+class AwaitConfirmedConfig(Message[KnownConfig]):
+    """Asks for the configuration once the store has confirmed that it is the newest.
+
+    Attributes:
+        since_ms: Monotonic time since which the store must have confirmed it.
+        timeout_ms: Longest time to wait.
+    """
+
+    since_ms: int
+    timeout_ms: int
+
+
 @attrs.frozen
 class GetStepConfig(Message[KnownConfig]):
     """Asks for the newest configuration that this instance knows."""
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -179,7 +179,11 @@
 
     def _listen(self, directory: Actor, forwarder: Actor) -> None:
         environment = QueueFilterEnvironment(
-            self._clock, self._metrics, directory, forwarder
+            self._clock,
+            self._metrics,
+            directory,
+            forwarder,
+            self._settings.config_apply_ms,
         )
         filters = [
             QUEUE_FILTERS.get(name).from_config(environment)  # type: ignore[arg-type]
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -40,6 +40,8 @@
         longest_lease_ms: Longest lease that a worker grants, in milliseconds.
         status_s: How long clients can query the state of an ended job, in seconds.
         shutdown_s: Time between SIGTERM and SIGKILL, in seconds.
+        config_apply_ms: Time within which a new configuration must be in force, in
+            milliseconds.
     """
 
     instance_id: str
@@ -57,6 +59,7 @@
     status_s: int
     shutdown_s: float
     row_bytes: int = 65_536
+    config_apply_ms: int = 2_000
     advice: str = ""
 
     @property
--- a/tests/test_filters_queues.py
+++ b/tests/test_filters_queues.py
@@ -26,6 +26,7 @@
     QueueFilterEnvironment,
 )
 from marjoramgrade.messages.steps import (
+    AwaitConfirmedConfig,
     AwaitStepConfig,
     GetStepConfig,
     GetStepJob,
@@ -34,10 +35,11 @@
     QueueVerb,
 )
 from marjoramgrade.metrics import MemoryMetrics
-from marjoramgrade.stepconfig import StepConfig
+from marjoramgrade.stepconfig import StepConfig, TeamPolicy
 from tests.steps import URGENT, job
 
 JOB_ID = "00112233445566aa"
+CONFIG_APPLY_MS = 2_000
 CONFIG = StepConfig(3, {URGENT.name: URGENT}, {}, {})
 
 
@@ -60,6 +62,12 @@
         self.config = self.later_config
         return self.config
 
+    @handles(AwaitConfirmedConfig)
+    async def _await_confirmed(self, message: AwaitConfirmedConfig) -> KnownConfig:
+        if message.since_ms > 0 and self.later_config is None:
+            raise StaleAuthorityError("the store has not confirmed the configuration")
+        return KnownConfig(self.later_config or self.config, message.since_ms)
+
 
 class FakeForwarder(Actor):
     """Returns the forwarded request as the reply."""
@@ -70,10 +78,10 @@
 
 
 @contextlib.asynccontextmanager
-async def running_chain(directory):
+async def running_chain(directory, now_ms=0):
     forwarder = FakeForwarder()
     environment = QueueFilterEnvironment(
-        ManualClock(), MemoryMetrics(), directory, forwarder
+        ManualClock(now_ms), MemoryMetrics(), directory, forwarder, CONFIG_APPLY_MS
     )
     filters = [
         QUEUE_FILTERS.get(name).from_config(environment)
@@ -86,15 +94,15 @@
         yield FilterChain(filters, MemoryMetrics())
 
 
-async def request_state(chain, path, host=URGENT.host):
+async def request_state(chain, path, host=URGENT.host, secret=""):
     request = QueueRequest(QueueVerb.STATE, host, path, None)
-    return await chain.handle(RequestContext(request, "", "", 1_000))
+    return await chain.handle(RequestContext(request, secret, "", 1_000))
 
 
-def run(directory, path, host=URGENT.host):
+def run(directory, path, host=URGENT.host, secret="", now_ms=0):
     async def send():
-        async with running_chain(directory) as chain:
-            return await request_state(chain, path, host)
+        async with running_chain(directory, now_ms) as chain:
+            return await request_state(chain, path, host, secret)
 
     return asyncio.run(send())
 
@@ -139,3 +147,66 @@
     assert reply == GetStepJob(JOB_ID)
     with pytest.raises(JobNotFoundError):
         run(FakeDirectory(config), URGENT.path_prefix + "not-an-id")
+
+
+PUBLIC = attrs.evolve(URGENT, name="public", path_prefix="/public/", public=True)
+PUBLIC_CONFIG = StepConfig(4, {PUBLIC.name: PUBLIC, URGENT.name: URGENT}, {}, {})
+# The store confirmed the configuration last at 0 ms.
+LATE_MS = CONFIG_APPLY_MS + 1
+
+
+@pytest.mark.parametrize(
+    "path", ["/public/" + JOB_ID, URGENT.path_prefix + JOB_ID], ids=["404", "401"]
+)
+def test_refusal_by_an_unconfirmed_configuration_is_undecided(path):
+    # Guards against a 404 or 401 by a configuration that a newer one has replaced more
+    # than configApplyMs before (issue 29, CONFIG).
+    with pytest.raises(StaleAuthorityError):
+        run(FakeDirectory(CONFIG), path, now_ms=LATE_MS)
+
+
+@pytest.mark.parametrize(
+    "path", ["/public/" + JOB_ID, URGENT.path_prefix + JOB_ID], ids=["404", "401"]
+)
+def test_unconfirmed_configuration_does_not_refuse_a_job(path):
+    # Guards against the refusal of a job by an instance that does not know the newest
+    # configuration, while another instance has accepted it.
+    async def send():
+        async with running_chain(FakeDirectory(CONFIG), LATE_MS) as chain:
+            request = QueueRequest(QueueVerb.SUBMIT, URGENT.host, path, job(JOB_ID))
+            await chain.handle(RequestContext(request, "", "", 1_000))
+
+    with pytest.raises(OutcomeUnknownError):
+        asyncio.run(send())
+
+
+def test_configuration_that_is_confirmed_in_time_decides():
+    # Guards against refusing what the configuration allows that arrives while the
+    # request waits for the store's confirmation.
+    def run_late(path):
+        return run(FakeDirectory(CONFIG, PUBLIC_CONFIG), path, now_ms=LATE_MS)
+
+    assert run_late("/public/" + JOB_ID) == GetStepJob(JOB_ID)
+    with pytest.raises(QueueNotFoundError):
+        run_late("/other/" + JOB_ID)
+    with pytest.raises(UnauthenticatedError):
+        run_late(URGENT.path_prefix + JOB_ID)
+
+
+def test_key_that_a_confirmed_configuration_holds_is_accepted():
+    # Guards against a 401 for a key that was added while the watch was blind.
+    team = TeamPolicy("red", frozenset(("secret",)))
+    later = attrs.evolve(CONFIG, version=4, team_by_name={team.name: team})
+    reply = run(
+        FakeDirectory(CONFIG, later),
+        URGENT.path_prefix + JOB_ID,
+        secret="secret",
+        now_ms=LATE_MS,
+    )
+    assert reply == GetStepJob(JOB_ID)
+
+
+def test_unconfirmed_configuration_goes_on_serving_what_it_allows():
+    # Guards against an outage of the clients while the store is away for all.
+    reply = run(FakeDirectory(PUBLIC_CONFIG), "/public/" + JOB_ID, now_ms=LATE_MS)
+    assert reply == GetStepJob(JOB_ID)
