Use no response of the store that is older than one already seen

An older state dropped an evacuation that was known, so that an instance would start tasks in the evacuated zone, missed what lay between, and confirmed the configuration.

The directory now compares each response with the newest version that a response had named before it was asked for.

--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -16,6 +16,7 @@
     InvalidInputError,
     MarjoramgradeError,
     StaleAuthorityError,
+    StaleReadError,
     TableError,
 )
 from marjoramgrade.messages.rows import ReadRows, RowsPage, StoredRow, WatchRows
@@ -95,6 +96,9 @@
         self._config = StepConfig()
         # By table; times at which the store certainly had no newer rows.
         self._confirmed_ms_by_table: dict[str, int] = {}
+        # Newest version of the store that a response has named; one counter for all
+        # tables.
+        self._newest_version = 0
         self._evacuated: frozenset[str] = frozenset()
         self._config_changed = asyncio.Event()
         self._config_confirmed = asyncio.Event()
@@ -184,7 +188,7 @@
                     changed(rows, True)
                     self._confirm(table, asked_ms)
                     continue
-                page = await self._store.ask(WatchRows(table, after, WATCH_WAIT_MS))
+                page = await self._read_page(WatchRows(table, after, WATCH_WAIT_MS))
                 after = page.version
                 if page.rows:
                     changed(page.rows, False)
@@ -219,12 +223,29 @@
             self._config_confirmed.set()
             self._config_confirmed = asyncio.Event()
 
+    async def _read_page(self, message: ReadRows | WatchRows) -> RowsPage:
+        """Return a response of the store.
+
+        Raises:
+            StaleReadError: If it is older than the newest state that was known when
+                it was asked for. It lacks changes that may have been applied.
+        """
+        known_version = self._newest_version
+        page: RowsPage = await self._store.ask(message)
+        if page.version < known_version:
+            raise StaleReadError(
+                f"the store responded with version {page.version}, "
+                f"but had version {known_version} before"
+            )
+        self._newest_version = max(self._newest_version, page.version)
+        return page
+
     async def _read_table(self, table: str) -> tuple[tuple[StoredRow, ...], int]:
         rows: dict[str, StoredRow] = {}
         version: int | None = None
         first = ""
         while True:
-            page: RowsPage = await self._store.ask(ReadRows(table, "", first))
+            page = await self._read_page(ReadRows(table, "", first))
             version = page.version if version is None else version
             rows.update({row.row.key: row for row in page.rows})
             if not page.more or not page.rows:
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -327,6 +327,12 @@
     ran = Ran.UNKNOWN
 
 
+class StaleReadError(TableError):
+    """The store responded to a read with an older state than one already known."""
+
+    code = "stale_read"
+
+
 class HistoryLostError(TableError):
     """The store no longer has the changes after a version; a full read is needed."""
 
