--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -16,10 +16,12 @@
     InvalidInputError,
     MarjoramgradeError,
     StaleAuthorityError,
+    StaleReadError,
     TableError,
 )
 from marjoramgrade.messages.rows import ReadRows, RowsPage, StoredRow, WatchRows
 from marjoramgrade.messages.steps import (
+    AwaitConfirmedConfig,
     AwaitStepConfig,
     GetStepConfig,
     KnownConfig,
@@ -32,8 +34,9 @@
 from marjoramgrade.stepjobs import StepWorker
 
 # Longest time that a watch waits for a change. An unresponsive connection is detected
-# within this time, well within the two seconds in which a change must be in force.
-WATCH_WAIT_MS = 1_000
+# after this time, and the store confirms the configuration at this interval; both must
+# be well within the two seconds in which a change must be in force.
+WATCH_WAIT_MS = 500
 RETRY_MS = 100
 # Every worker updates its entry with each heartbeat: 120 updates a second in a fleet of
 # 176. Pausing this long after each page lets one call fetch many of them. The delay is
@@ -93,8 +96,12 @@
         self._config = StepConfig()
         # By table; times at which the store certainly had no newer rows.
         self._confirmed_ms_by_table: dict[str, int] = {}
+        # Newest version of the store that a response has named; one counter for all
+        # tables.
+        self._newest_version = 0
         self._evacuated: frozenset[str] = frozenset()
         self._config_changed = asyncio.Event()
+        self._config_confirmed = asyncio.Event()
         self._worker_by_id: dict[str, StepWorker] = {}
         self._worker_watch: asyncio.Task[None] | None = None
 
@@ -121,9 +128,28 @@
 
     @handles(GetStepConfig)
     async def _get_config(self, message: GetStepConfig) -> KnownConfig:
+        return self._known_config()
+
+    @handles(AwaitConfirmedConfig)
+    async def _await_confirmed_config(self, message: AwaitConfirmedConfig) -> Any:
+        return self.spawn(self._await_confirmation(message))
+
+    def _known_config(self) -> KnownConfig:
         confirmed_ms = self._confirmed_ms_by_table.get(self._format.operator_table, 0)
         return KnownConfig(self._config, confirmed_ms)
 
+    async def _await_confirmation(self, message: AwaitConfirmedConfig) -> KnownConfig:
+        try:
+            async with asyncio.timeout(message.timeout_ms / 1000):
+                while self._known_config().confirmed_ms < message.since_ms:
+                    await self._config_confirmed.wait()
+        except TimeoutError:
+            raise StaleAuthorityError(
+                f"the store has not confirmed configuration version "
+                f"{self._config.version}"
+            ) from None
+        return self._known_config()
+
     @handles(AwaitStepConfig)
     async def _await_config(self, message: AwaitStepConfig) -> Any:
         return self.spawn(self._await_version(message))
@@ -160,13 +186,13 @@
                 if after is None:
                     rows, after = await self._read_table(table)
                     changed(rows, True)
-                    self._confirmed_ms_by_table[table] = asked_ms
+                    self._confirm(table, asked_ms)
                     continue
-                page = await self._store.ask(WatchRows(table, after, WATCH_WAIT_MS))
+                page = await self._read_page(WatchRows(table, after, WATCH_WAIT_MS))
                 after = page.version
                 if page.rows:
                     changed(page.rows, False)
-                self._confirmed_ms_by_table[table] = asked_ms
+                self._confirm(table, asked_ms)
                 if page.rows:
                     await asyncio.sleep(pause_ms / 1000)
             except HistoryLostError:
@@ -191,12 +217,35 @@
         )
         await asyncio.sleep(RETRY_MS / 1000)
 
+    def _confirm(self, table: str, asked_ms: int) -> None:
+        self._confirmed_ms_by_table[table] = asked_ms
+        if table == self._format.operator_table:
+            self._config_confirmed.set()
+            self._config_confirmed = asyncio.Event()
+
+    async def _read_page(self, message: ReadRows | WatchRows) -> RowsPage:
+        """Return a response of the store.
+
+        Raises:
+            StaleReadError: If it is older than the newest state that was known when
+                it was asked for. It lacks changes that may have been applied.
+        """
+        known_version = self._newest_version
+        page: RowsPage = await self._store.ask(message)
+        if page.version < known_version:
+            raise StaleReadError(
+                f"the store responded with version {page.version}, "
+                f"but had version {known_version} before"
+            )
+        self._newest_version = max(self._newest_version, page.version)
+        return page
+
     async def _read_table(self, table: str) -> tuple[tuple[StoredRow, ...], int]:
         rows: dict[str, StoredRow] = {}
         version: int | None = None
         first = ""
         while True:
-            page: RowsPage = await self._store.ask(ReadRows(table, "", first))
+            page = await self._read_page(ReadRows(table, "", first))
             version = page.version if version is None else version
             rows.update({row.row.key: row for row in page.rows})
             if not page.more or not page.rows:
