Refuse jobs only with the store's confirmation of the leader

A leader that is cut off from the store and from all that would tell it of its successor refused on the authority of its memory; so did full mailboxes and stopping actors of the instance that took the request.

A refusal now carries the epoch of the leadership that gave it, and only if the store has answered a transaction that was sent after the attempt came. A commit that leaves a queued job behind confirms it for nothing; for other refusals (429, too large, no such queue) the leader writes its renewal with the next transaction, which all refusals of that moment share. Each attempt needs its own confirmation, also one that joins an earlier attempt. The filter check_refusal turns every other refusal of a job into an unknown outcome, whatever its type. So no successor can have accepted an earlier attempt: the check of the epoch row would have failed.

Weighed: a proof by all known instances that they still follow the epoch. It is not one, since rows of instances that have left stay and an instance that registers during the cut is unknown to the leader. While the store is away for all, callers therefore get 504 where they got 503, after the same time and with the same Retry-After; they lose the certainty that the job never runs, which nobody has then.

Ruled out: refusals of jobs whose rows had been sent; they end as unknown already. 400, 401 and 403 are untouched; the first depends on the body only.

--- a/marjoramgrade/controllers/commits.py
+++ b/marjoramgrade/controllers/commits.py
@@ -19,6 +19,7 @@
 from marjoramgrade.errors import (
     MarjoramgradeError,
     NotOwnerError,
+    RefusedError,
     RowCheckFailedError,
     RowsRejectedError,
     TableRequiredError,
@@ -66,7 +67,8 @@
         is_refusable: Whether a client waits for the write and can be refused. Such rows
             are written before the others and are replied to on their own. If the store
             turns out to be unreachable before they are first sent, the request fails
-            with `TableRequiredError`.
+            with `TableRequiredError`, which is confirmed if the store has answered a
+            transaction that was sent after the request came.
     """
 
     writes: tuple[RowWrite, ...]
@@ -87,6 +89,7 @@
 class _Request:
     writes: tuple[RowWrite, ...]
     is_refusable: bool
+    came_ms: int
     done: asyncio.Future[frozenset[RowId]]
 
 
@@ -131,6 +134,8 @@
         self._batch: list[_Request] = []
         self._wake = asyncio.Event()
         self._waiting_since_ms = 0
+        # When the newest transaction was sent that confirmed the leadership.
+        self._confirmed_ms = 0
         self._reachable = True
 
     async def on_start(self) -> None:
@@ -155,7 +160,9 @@
         done.add_done_callback(lambda f: f.cancelled() or f.exception())
         if message.is_refusable and not self._reachable:
             raise TableRequiredError("the store is unreachable")
-        self._queue.append(_Request(message.writes, message.is_refusable, done))
+        self._queue.append(
+            _Request(message.writes, message.is_refusable, self._clock.now_ms(), done)
+        )
         self._wake.set()
         return done
 
@@ -341,6 +348,7 @@
     def _record_response(self, asked_ms: int) -> None:
         """Record that the store has responded and still names this instance."""
         self._waiting_since_ms = 0
+        self._confirmed_ms = asked_ms
         self._tell_subscribers(LeadershipConfirmed(self._epoch, asked_ms))
         self._set_reachable(True)
 
@@ -357,9 +365,10 @@
         """Refuse refusable requests; none of those in the queue has been sent."""
         for request in self._queue:
             if request.is_refusable and not request.done.done():
-                request.done.set_exception(
-                    TableRequiredError("the store is unreachable")
-                )
+                refusal: RefusedError = TableRequiredError("the store is unreachable")
+                if self._confirmed_ms > request.came_ms:
+                    refusal = refusal.confirmed_by(self._epoch)
+                request.done.set_exception(refusal)
         self._queue = [r for r in self._queue if not r.done.done()]
 
     def _set_reachable(self, reachable: bool) -> None:
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -21,7 +21,9 @@
     OverloadedError,
     QueueNotFoundError,
     Ran,
+    RefusedError,
     RowsRejectedError,
+    StaleAuthorityError,
     StoredRowError,
     TableRequiredError,
     UnsatisfiableError,
@@ -39,6 +41,7 @@
 )
 from marjoramgrade.stepconfig import Queue
 from marjoramgrade.steprows import (
+    RENEWAL_ROW,
     JobRow,
     job_row_id,
     progress_row_id,
@@ -52,6 +55,9 @@
 REPORT_INTERVAL_MS = 1_000
 # How long a submission waits for a configuration version that its sender already has.
 CONFIG_WAIT_MS = 1_000
+# How long a refusal waits for the store to confirm the leadership. A slow store takes
+# about a second, and the instance that asked waits 1,500 ms.
+CONFIRMATION_TIMEOUT_MS = 1_000
 # Maximum number of open jobs; further submissions are refused.
 MAX_OPEN_JOBS = 5_000
 # Text of the use of all teams in the log; a line must stay below `MAX_LINE_BYTES`.
@@ -71,15 +77,67 @@
         # Submitting the same job id again is idempotent: the repeated request waits for
         # the result of the first.
         submission = lead.pending_submission_by_job.get(job_id)
+        is_first = submission is None
         if submission is None:
-            submission = self.spawn(self._accept(lead, message))
+            submission = self.spawn(self._store_job(lead, message))
             lead.pending_submission_by_job[job_id] = submission
             submission.add_done_callback(
                 lambda _: lead.pending_submission_by_job.pop(job_id, None)
             )
-        return submission
+        return self.spawn(self._answer_submission(lead, submission, is_first))
 
-    async def _accept(
+    async def _answer_submission(
+        self, lead: LeaderState, submission: asyncio.Task[StepJobAccepted], first: bool
+    ) -> StepJobAccepted:
+        """Return the result of a submission, a refusal once the lead is confirmed.
+
+        A leader that has been replaced does not know the attempts that its successor
+        has accepted. A refusal that the store does not confirm goes out at once, and
+        the instance that took the request answers that the outcome is unknown.
+
+        Args:
+            lead: The leadership under which the request came.
+            submission: Stores the job; other requests may wait for it as well.
+            first: Whether it began with this request. If it began earlier, what
+                confirmed its refusal may have happened before this request.
+
+        Raises:
+            RefusedError: If the job is refused.
+            QueueNotFoundError: If a confirmed leader knows no such queue.
+            OutcomeUnknownError: If the job may have been stored.
+        """
+        try:
+            return await asyncio.shield(submission)
+        except TableRequiredError as refusal:
+            if first:
+                raise
+            raise TableRequiredError(refusal.message) from refusal
+        except RefusedError as refusal:
+            if not await self._is_lead_confirmed(lead):
+                raise
+            raise refusal.confirmed_by(lead.epoch) from refusal
+        except QueueNotFoundError as refusal:
+            if await self._is_lead_confirmed(lead):
+                raise
+            raise StaleAuthorityError(refusal.message) from refusal
+
+    async def _is_lead_confirmed(self, lead: LeaderState) -> bool:
+        """Return whether the store confirms, from now on, that this instance leads.
+
+        The renewal joins the next transaction, so that all refusals of that time share
+        one confirmation.
+        """
+        if lead is not self._lead or not lead.is_store_reachable:
+            return False
+        renewal = RowWrite(RENEWAL_ROW, str(self._clock.now_ms()).encode())
+        try:
+            async with asyncio.timeout(CONFIRMATION_TIMEOUT_MS / 1000):
+                await lead.commits.ask(SaveRows((renewal,), is_refusable=True))
+        except (TimeoutError, MarjoramgradeError):
+            return False
+        return True
+
+    async def _store_job(
         self, lead: LeaderState, message: SubmitStepJob
     ) -> StepJobAccepted:
         job = message.job
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -4,9 +4,13 @@
 
 import enum
 from collections.abc import Mapping
+from typing import Self
 
 import attrs
 
+# Name of the detail that a confirmed refusal has, also between instances.
+_CONFIRMED_EPOCH = "confirmed_epoch"
+
 
 class Ran(enum.Enum):
     """Whether the work that a failure refers to has run."""
@@ -33,9 +37,7 @@
         self.details = details
 
     @classmethod
-    def from_report(
-        cls, message: str, details: Mapping[str, str]
-    ) -> MarjoramgradeError:
+    def from_report(cls, message: str, details: Mapping[str, str]) -> Self:
         """Rebuild an error of this type that another process reported.
 
         Args:
@@ -142,10 +144,24 @@
 
 
 class RefusedError(MarjoramgradeError):
-    """Work was refused and has not run."""
+    """Work was refused and has not run.
+
+    The refusal concerns one attempt. It holds for all attempts to hand a job in only if
+    a leader gave it that the store has confirmed since this attempt came.
+    """
 
     code = "refused"
 
+    @property
+    def confirmed_epoch(self) -> int:
+        """Number of the confirmed leadership that refused, 0 without confirmation."""
+        return _parse_version(self.details.get(_CONFIRMED_EPOCH, ""))
+
+    def confirmed_by(self, epoch: int) -> RefusedError:
+        """Return this refusal, given by a leadership that the store has confirmed."""
+        details = {**self.details, _CONFIRMED_EPOCH: str(epoch)}
+        return type(self).from_report(self.message, details)
+
 
 class UnauthenticatedError(RefusedError):
     """The key is missing, unknown or withdrawn."""
--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -17,7 +17,7 @@
     OutcomeUnknownError,
     ProtocolError,
     QueueNotFoundError,
-    StaleAuthorityError,
+    RefusedError,
     UnauthenticatedError,
 )
 from marjoramgrade.filters.chain import Filter, Proceed
@@ -37,7 +37,13 @@
 from marjoramgrade.registry import Registry
 from marjoramgrade.stepconfig import Queue, StepConfig
 
-DEFAULT_QUEUE_FILTERS = ("find_queue", "check_key", "check_job", "hand_over")
+DEFAULT_QUEUE_FILTERS = (
+    "check_refusal",
+    "find_queue",
+    "check_key",
+    "check_job",
+    "hand_over",
+)
 
 # Longest wait for the first configuration. An instance that has just started reads it
 # within some 50 ms, whereas a client that is refused retries only a second later.
@@ -97,25 +103,42 @@
         return known.config
 
 
-@QUEUE_FILTERS.register("find_queue")
-class FindQueueFilter(QueueFilter):
-    """Finds the queue by the host and path of the request."""
+@QUEUE_FILTERS.register("check_refusal")
+class CheckRefusalFilter(QueueFilter):
+    """Refuses a job only where no earlier attempt can have been accepted.
+
+    Only the leader knows the attempts through other instances, and one that has been
+    replaced without its knowledge doesn't know those that its successor has accepted.
+    """
 
     async def apply(self, context: RequestContext, proceed: Proceed) -> Any:
-        """Set the queue of the request and pass the request on.
+        """Pass the request on.
 
         Raises:
-            OutcomeUnknownError: If this instance has no configuration yet and the
-                request hands a job in. An earlier attempt through another instance
-                may have been accepted, so the job can't be refused.
+            OutcomeUnknownError: If a job is refused without the confirmation of the
+                leader that refuses it.
         """
-        request = _request_of(context)
+        verb = _request_of(context).verb
         try:
-            config = await self._get_config(context)
-        except StaleAuthorityError as error:
-            if request.verb is QueueVerb.SUBMIT:
-                raise OutcomeUnknownError(error.message) from None
+            return await proceed(context)
+        except (UnauthenticatedError, ForbiddenError):
             raise
+        except RefusedError as error:
+            if verb is not QueueVerb.SUBMIT or error.confirmed_epoch:
+                raise
+            raise OutcomeUnknownError(
+                f"refused without a confirmed leader, {error.code}: {error.message}"
+            ) from error
+
+
+@QUEUE_FILTERS.register("find_queue")
+class FindQueueFilter(QueueFilter):
+    """Finds the queue by the host and path of the request."""
+
+    async def apply(self, context: RequestContext, proceed: Proceed) -> Any:
+        """Set the queue of the request and pass the request on."""
+        request = _request_of(context)
+        config = await self._get_config(context)
         queue = config.find_queue(request.host, request.path)
         if queue is None:
             raise QueueNotFoundError(f"no queue at {request.host}{request.path}")
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,313 @@
+"""Tests of what callers are told about jobs by a leader that may have been replaced."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+
+from marjoramgrade.actor import Actor, handles
+from marjoramgrade.adapters.peercodec import PeerFrame, parse_frame, serialize_frame
+from marjoramgrade.clock import SystemClock
+from marjoramgrade.controllers import commits, stepscheduling
+from marjoramgrade.controllers.commits import SaveRows
+from marjoramgrade.controllers.forwarding import ForwardingController, ForwardRequest
+from marjoramgrade.errors import (
+    MarjoramgradeError,
+    OverloadedError,
+    RefusedError,
+    TableRequiredError,
+    iter_error_types,
+)
+from marjoramgrade.filters.chain import FilterChain
+from marjoramgrade.filters.context import RequestContext
+from marjoramgrade.filters.queues import (
+    DEFAULT_QUEUE_FILTERS,
+    QUEUE_FILTERS,
+    QueueFilterEnvironment,
+)
+from marjoramgrade.messages.rows import CommitRows, ReadRows, RowWrite
+from marjoramgrade.messages.steps import (
+    GetStepConfig,
+    KnownConfig,
+    LeaderBeat,
+    LeaderChanged,
+    QueueRequest,
+    QueueVerb,
+    SubmitStepJob,
+)
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.platform.frontend import status_of
+from marjoramgrade.stepconfig import StepConfig
+from marjoramgrade.steprows import EPOCH_ROW, JobRow, job_row_id, serialize_row
+from tests.rowstore import MemoryRowStore
+from tests.steps import URGENT, job
+from tests.test_stepscheduling import leading
+
+JOB_ID = "00112233445566aa"
+DEADLINE_MS = 3_000
+PUBLIC = attrs.evolve(URGENT, public=True)
+CONFIG = StepConfig(3, {PUBLIC.name: PUBLIC}, {}, {})
+
+
+class Directory(Actor):
+    """Holds the configuration."""
+
+    @handles(GetStepConfig)
+    async def _get(self, message: GetStepConfig) -> KnownConfig:
+        return KnownConfig(CONFIG)
+
+
+class OtherPath(Actor):
+    """Another instance's path to the same store, which is not cut off."""
+
+    def __init__(self, rows):
+        super().__init__()
+        self.rows = rows
+        self.mode = "ok"
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> object:
+        path = MemoryRowStore()
+        path.rows, path.mode = self.rows, self.mode
+        return await path._read(message)
+
+
+class Cell:
+    """A leader, and an instance that forwards the requests of clients to it."""
+
+    def __init__(self, chain, store, path, clock):
+        self.chain = chain
+        self.store = store
+        self.path = path
+        self.clock = clock
+
+    async def request(self, verb):
+        """Return the status of the answer to a request for the job."""
+        new = job(JOB_ID) if verb is QueueVerb.SUBMIT else None
+        path = PUBLIC.path_prefix + JOB_ID
+        request = QueueRequest(verb, PUBLIC.host, path, new)
+        deadline_ms = self.clock.now_ms() + DEADLINE_MS
+        try:
+            await self.chain.handle(RequestContext(request, "", "", deadline_ms))
+        except MarjoramgradeError as error:
+            return status_of(error)
+        return 200
+
+    def replace_leader(self, *, stores_job=True):
+        """Let a successor lead, and accept the job, without the leader's knowledge."""
+        row = RowWrite(job_row_id(JOB_ID), serialize_row(JobRow(job(JOB_ID), PUBLIC)))
+        writes = (row,) if stores_job else ()
+        self.store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"2"), *writes)))
+
+
+def make_chain(clock, directory, forwarder):
+    environment = QueueFilterEnvironment(clock, MemoryMetrics(), directory, forwarder)
+    filters = [
+        QUEUE_FILTERS.get(name).from_config(environment)
+        for name in DEFAULT_QUEUE_FILTERS
+    ]
+    return FilterChain(filters, MemoryMetrics())
+
+
+@contextlib.asynccontextmanager
+async def running_cell(monkeypatch):
+    monkeypatch.setattr(commits, "UNREACHABLE_MS", 100)
+    monkeypatch.setattr(commits, "WATCH_MS", 10)
+    clock = SystemClock()
+    async with contextlib.AsyncExitStack() as stack:
+        store, scheduler, _ = await stack.enter_async_context(leading(config=CONFIG))
+        directory, path = Directory(), OtherPath(store.rows)
+        forwarder = ForwardingController("own", scheduler, path, path, clock)
+        for actor in (directory, path, forwarder):
+            await actor.start()
+            stack.push_async_callback(actor.stop)
+        forwarder.tell(LeaderChanged("own", 1))
+        forwarder.tell(LeaderBeat(1, "own", clock.now_ms()))
+        yield Cell(make_chain(clock, directory, forwarder), store, path, clock)
+
+
+def test_leader_that_is_cut_off_does_not_refuse_a_job(monkeypatch):
+    # Guards against a refused job that runs: an earlier attempt was accepted by a
+    # successor that a leader without a path to the store doesn't know (rule REFUSED).
+    async def run():
+        async with running_cell(monkeypatch) as cell:
+            stuck = asyncio.ensure_future(cell.request(QueueVerb.SUBMIT))
+            cell.store.mode = "hang"
+            await asyncio.sleep(0.3)
+            stuck.cancel()
+            cell.replace_leader()
+            return await asyncio.wait_for(cell.request(QueueVerb.SUBMIT), 1)
+
+    assert asyncio.run(run()) == 504
+
+
+@pytest.mark.parametrize("store_mode", ["ok", "hang", "down"])
+def test_replaced_leader_with_too_many_jobs_does_not_refuse_one(
+    monkeypatch, store_mode
+):
+    # Guards against a 429 for a job that the leader's successor has accepted.
+    monkeypatch.setattr(stepscheduling, "MAX_OPEN_JOBS", 0)
+
+    async def run():
+        async with running_cell(monkeypatch) as cell:
+            cell.replace_leader()
+            cell.store.mode = store_mode
+            return await cell.request(QueueVerb.SUBMIT)
+
+    assert asyncio.run(run()) == 504
+
+
+def test_leader_that_the_store_confirms_refuses_at_once(monkeypatch):
+    # Guards against clients that are left without a true refusal by a leader that is
+    # in touch with the store.
+    monkeypatch.setattr(stepscheduling, "MAX_OPEN_JOBS", 0)
+
+    async def run():
+        async with running_cell(monkeypatch) as cell:
+            return await asyncio.wait_for(cell.request(QueueVerb.SUBMIT), 0.5)
+
+    assert asyncio.run(run()) == 429
+
+
+# 401 and 403 concern the key, not the job.
+REFUSALS = [
+    kind
+    for kind in iter_error_types(RefusedError)
+    if status_of(kind("")) not in (401, 403)
+]
+
+
+@pytest.mark.parametrize("kind", REFUSALS)
+def test_no_job_is_refused_without_a_confirmed_leader(kind):
+    # Guards against a job that is refused by what cannot know its earlier attempts, for
+    # example by a full mailbox of the instance that took the request.
+    class Refusing(Actor):
+        @handles(ForwardRequest)
+        async def _forward(self, message: ForwardRequest) -> None:
+            raise error
+
+    async def run():
+        directory, forwarder = Directory(), Refusing()
+        async with contextlib.AsyncExitStack() as stack:
+            for actor in (directory, forwarder):
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+            clock = SystemClock()
+            chain = make_chain(clock, directory, forwarder)
+            return await Cell(chain, None, None, clock).request(QueueVerb.SUBMIT)
+
+    error = kind("not now")
+    assert asyncio.run(run()) == 504
+    error = error.confirmed_by(7)
+    assert asyncio.run(run()) == status_of(error)
+
+
+def test_confirmation_of_a_refusal_reaches_other_instances():
+    # Guards against true refusals that become unknown on their way to the caller.
+    refusal = OverloadedError("too many jobs are open").confirmed_by(7)
+    frame = parse_frame(serialize_frame(PeerFrame(1, refusal)))
+    assert isinstance(frame.body, OverloadedError)
+    assert frame.body.confirmed_epoch == 7
+
+
+def test_refusal_is_confirmed_only_by_an_answer_to_a_later_transaction(monkeypatch):
+    # Guards against a refusal that rests on an answer from before the request came, and
+    # against a true refusal that becomes unknown.
+    monkeypatch.setattr(commits, "UNREACHABLE_MS", 100)
+    monkeypatch.setattr(commits, "WATCH_MS", 10)
+
+    async def run():
+        async with leading(config=CONFIG) as (store, scheduler, _):
+            controller = scheduler._lead.commits
+            save = SaveRows((RowWrite(job_row_id("a"), b"x"),), is_refusable=True)
+            await controller.ask(save)
+            store.mode = "hang"
+            await asyncio.sleep(0.02)
+            first = asyncio.ensure_future(controller.ask(save))
+            await asyncio.sleep(0.02)
+            with pytest.raises(TableRequiredError) as caught:
+                await controller.ask(save)
+            assert not caught.value.confirmed_epoch
+            first.cancel()
+
+    asyncio.run(run())
+
+
+def test_job_that_waits_behind_a_confirmed_transaction_is_refused_truly(monkeypatch):
+    # Guards against a true refusal that is reported as an unknown outcome, after which
+    # the client has to ask again.
+    monkeypatch.setattr(commits, "UNREACHABLE_MS", 100)
+    monkeypatch.setattr(commits, "WATCH_MS", 10)
+    monkeypatch.setattr(commits, "MAX_ROWS_PER_TRANSACTION", 1)
+
+    class Slow(MemoryRowStore):
+        @handles(CommitRows)
+        async def _commit(self, message: CommitRows) -> object:
+            async def answer():
+                await asyncio.sleep(0.03 if self.mode == "ok" else 3_600)
+                return self.apply(message)
+
+            return self.spawn(answer())
+
+    async def run():
+        async with leading(Slow(), config=CONFIG) as (store, scheduler, _):
+            controller = scheduler._lead.commits
+
+            def save(number):
+                row = RowWrite(job_row_id(f"a{number}"), b"x")
+                message = SaveRows((row,), is_refusable=True)
+                return asyncio.ensure_future(controller.ask(message))
+
+            first = save(0)
+            await asyncio.sleep(0.01)
+            second, stuck, queued = save(1), save(2), save(3)
+            await first
+            await asyncio.sleep(0.01)
+            store.mode = "hang"
+            await second
+            with pytest.raises(TableRequiredError) as caught:
+                await asyncio.wait_for(queued, 1)
+            assert caught.value.confirmed_epoch == 1
+            stuck.cancel()
+
+    asyncio.run(run())
+
+
+def test_repeated_attempt_does_not_share_the_confirmation_of_the_first(monkeypatch):
+    # Guards against the refusal of an attempt by a confirmation from before it came:
+    # a successor may have accepted another attempt in between.
+    monkeypatch.setattr(stepscheduling, "MAX_OPEN_JOBS", 0)
+
+    class Replaced(MemoryRowStore):
+        async def _replace(self, message):
+            answer = self.apply(message)
+            self.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"2"),)))
+            await asyncio.sleep(0.05)
+            return answer
+
+        @handles(CommitRows)
+        async def _commit(self, message: CommitRows) -> object:
+            if self.mode == "replace":
+                self.mode = "ok"
+                return self.spawn(self._replace(message))
+            return self.apply(message)
+
+    async def run():
+        async with leading(Replaced(), config=CONFIG) as (store, scheduler, _):
+            # The roster is stored first.
+            await asyncio.sleep(0.1)
+            store.mode = "replace"
+            message = SubmitStepJob(job(JOB_ID))
+            first = asyncio.ensure_future(scheduler.ask(message))
+            await asyncio.sleep(0.02)
+            again = asyncio.ensure_future(scheduler.ask(message))
+            return await asyncio.gather(first, again, return_exceptions=True)
+
+    first, again = asyncio.run(run())
+    assert isinstance(first, OverloadedError)
+    assert first.confirmed_epoch == 1
+    assert isinstance(again, RefusedError)
+    assert not again.confirmed_epoch
