Look jobs up in the store that the leader does not know

The instance that took the request now reads the row of the job. A job is accepted only once it is stored, so 410 is true if there is no row, whoever leads. If there is one, GET answers from the rows, and DELETE goes on to the next leader and ends with 504. If the store does not respond either, GET answers 503 and DELETE 504. A lookup takes 1 s at most.

Ruled out: DELETE answered 200 by a former leader, since the state that it shows was stored under a check of the epoch row; 403, since the team of a job never changes.

Weighed: a confirmation of the leader, which needs a write, and the row, which needs one read of an instance that reaches the store. While the store is away for all, unknown ids now get 503 and not 410.

--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -25,6 +25,7 @@
     ShuttingDownError,
     StoredRowError,
     TableError,
+    TableUnavailableError,
 )
 from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.rows import ReadRows, RowsPage
@@ -52,6 +53,9 @@
 # Timeout of one request to the leader. Commits usually take 20 ms, or 1 s on a slow
 # store.
 ATTEMPT_TIMEOUT_MS = 1_500
+# Timeout of the lookup of one row. A slow store takes 400 ms; the paths through other
+# instances, tried one after the other, would take longer than clients wait.
+LOOKUP_TIMEOUT_MS = 1_000
 # A job that reached no leader is given up once no leader has sent a reply or heartbeat
 # for this long, nor since it came; a takeover usually completes within this time. A job
 # that may have been accepted is retried until the deadline.
@@ -60,7 +64,7 @@
 RESPONSE_MARGIN_MS = 60
 
 # Answers of the leader that no further attempt changes.
-_ANSWERS = (ForbiddenError, JobNotFoundError, StoredRowError)
+_ANSWERS = (ForbiddenError, StoredRowError)
 # The attempt reached no leader, so another one may.
 _NOT_TAKEN = (NoLeaderError, NotOwnerError, OwnerUnreachableError, ShuttingDownError)
 
@@ -160,6 +164,11 @@
             except _ANSWERS:
                 self._last_contact_ms = self._clock.now_ms()
                 raise
+            except JobNotFoundError as error:
+                self._last_contact_ms = self._clock.now_ms()
+                if isinstance(message, CancelStepJob):
+                    await self._check_absence(message, error)
+                    may_be_accepted = True
             except MarjoramgradeError as error:
                 failure = error
                 if error.ran is not Ran.NO:
@@ -204,6 +213,24 @@
                 "the queue was removed after an attempt without a reply"
             ) from refusal
 
+    async def _check_absence(
+        self, message: CancelStepJob, answer: JobNotFoundError
+    ) -> None:
+        """Return if the job that the leader does not know may exist.
+
+        A leader that has been replaced does not know the jobs that its successor has
+        accepted; the store has the row of every accepted job.
+
+        Raises:
+            JobNotFoundError: If the store does not have the job either.
+        """
+        try:
+            row = await self._read_row(JOBS_TABLE, message.job_id, JobRow)
+        except TableError:
+            return
+        if row is None:
+            raise answer
+
     async def _attempt(self, message: LeaderRequest, timeout_ms: int) -> Any:
         leader_id = self._leader_id
         if not leader_id:
@@ -264,9 +291,19 @@
         return StepJobShown(state, row.job.team)
 
     async def _read_row(self, table: str, key: str, kind: type[Any]) -> Any:
-        page: RowsPage = await self._store.ask(
-            ReadRows(table, LEADER_PART, key, limit=1)
-        )
+        """Return a stored row, or None if there is none.
+
+        Raises:
+            TableError: If the store does not respond in time.
+            StoredRowError: If the row cannot be decoded.
+        """
+        try:
+            async with asyncio.timeout(LOOKUP_TIMEOUT_MS / 1000):
+                page: RowsPage = await self._store.ask(
+                    ReadRows(table, LEADER_PART, key, limit=1)
+                )
+        except TimeoutError:
+            raise TableUnavailableError("the store did not respond in time") from None
         for row in page.rows:
             if row.row.key != key:
                 continue
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -311,3 +311,40 @@
     assert first.confirmed_epoch == 1
     assert isinstance(again, RefusedError)
     assert not again.confirmed_epoch
+
+
+@pytest.mark.parametrize("verb", [QueueVerb.STATE, QueueVerb.CANCEL])
+@pytest.mark.parametrize("is_stored", [True, False])
+def test_job_that_a_replaced_leader_does_not_know_is_looked_up(
+    monkeypatch, verb, is_stored
+):
+    # Guards against a 410 for a job that a successor of the leader has accepted: its
+    # caller takes it for lost, or for cancelled while it runs (UNASKED in REPORT-2).
+    monkeypatch.setattr("tests.test_refusals.DEADLINE_MS", 400)
+
+    async def run():
+        async with running_cell(monkeypatch) as cell:
+            cell.store.mode = "hang"
+            cell.replace_leader(stores_job=is_stored)
+            return await cell.request(verb)
+
+    found = 200 if verb is QueueVerb.STATE else 504
+    assert asyncio.run(run()) == (found if is_stored else 410)
+
+
+@pytest.mark.parametrize(
+    ("verb", "status"), [(QueueVerb.STATE, 503), (QueueVerb.CANCEL, 504)]
+)
+@pytest.mark.parametrize("mode", ["down", "hang"])
+def test_no_job_is_reported_as_unknown_while_the_store_is_away(
+    monkeypatch, verb, status, mode
+):
+    # Guards against a 410 on the authority of a leader that the store can't confirm.
+    monkeypatch.setattr("tests.test_refusals.DEADLINE_MS", 400)
+
+    async def run():
+        async with running_cell(monkeypatch) as cell:
+            cell.store.mode = cell.path.mode = mode
+            return await cell.request(verb)
+
+    assert asyncio.run(run()) == status
