--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -18,7 +18,7 @@
     OutcomeUnknownError,
     ProtocolError,
     QueueNotFoundError,
-    StaleAuthorityError,
+    RefusedError,
     UnauthenticatedError,
 )
 from marjoramgrade.filters.chain import Filter, Proceed
@@ -39,7 +39,13 @@
 from marjoramgrade.registry import Registry
 from marjoramgrade.stepconfig import Queue, StepConfig, TeamPolicy
 
-DEFAULT_QUEUE_FILTERS = ("find_queue", "check_key", "check_job", "hand_over")
+DEFAULT_QUEUE_FILTERS = (
+    "check_refusal",
+    "find_queue",
+    "check_key",
+    "check_job",
+    "hand_over",
+)
 
 # Longest wait for the first configuration. An instance that has just started reads it
 # within some 50 ms, whereas a client that is refused retries only a second later.
@@ -133,6 +139,34 @@
         return known.config
 
 
+@QUEUE_FILTERS.register("check_refusal")
+class CheckRefusalFilter(QueueFilter):
+    """Refuses a job only where no earlier attempt can have been accepted.
+
+    Only the leader knows the attempts through other instances, and one that has been
+    replaced without its knowledge doesn't know those that its successor has accepted.
+    """
+
+    async def apply(self, context: RequestContext, proceed: Proceed) -> Any:
+        """Pass the request on.
+
+        Raises:
+            OutcomeUnknownError: If a job is refused without the confirmation of the
+                leader that refuses it.
+        """
+        verb = _request_of(context).verb
+        try:
+            return await proceed(context)
+        except (UnauthenticatedError, ForbiddenError):
+            raise
+        except RefusedError as error:
+            if verb is not QueueVerb.SUBMIT or error.confirmed_epoch:
+                raise
+            raise OutcomeUnknownError(
+                f"refused without a confirmed leader, {error.code}: {error.message}"
+            ) from error
+
+
 @QUEUE_FILTERS.register("find_queue")
 class FindQueueFilter(QueueFilter):
     """Finds the queue by the host and path of the request."""
