--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -19,6 +19,7 @@
     ProtocolError,
     QueueNotFoundError,
     RefusedError,
+    StaleAuthorityError,
     UnauthenticatedError,
 )
 from marjoramgrade.filters.chain import Filter, Proceed
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -104,7 +104,9 @@
 
 
 def make_chain(clock, directory, forwarder):
-    environment = QueueFilterEnvironment(clock, MemoryMetrics(), directory, forwarder)
+    environment = QueueFilterEnvironment(
+        clock, MemoryMetrics(), directory, forwarder, config_apply_ms=2_000
+    )
     filters = [
         QUEUE_FILTERS.get(name).from_config(environment)
         for name in DEFAULT_QUEUE_FILTERS
