Bound the fences that are kept of removed workers

A leadership that lasts sees any number of workers come and go, and kept the last fence of each. Only the last 1,000 are kept; a worker that is back registers within seconds.

--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -41,6 +41,8 @@
 # rise with the epoch and don't overlap.
 RUNS_PER_EPOCH = 1_000
 FENCES_PER_EPOCH = 10_000
+# Workers that left come back within seconds or under another id.
+MAX_REMEMBERED_FENCES = 1_000
 
 
 @attrs.define(eq=False)
@@ -241,6 +243,8 @@
         """Remove a worker that has left; it must have no runs."""
         worker = self.worker_by_id.pop(worker_id)
         self.fence_by_removed_worker[worker_id] = worker.fence
+        if len(self.fence_by_removed_worker) > MAX_REMEMBERED_FENCES:
+            del self.fence_by_removed_worker[next(iter(self.fence_by_removed_worker))]
 
     def request_sync(self, worker: WorkerState) -> None:
         """Raise a worker's fencing token, so that unanswered orders have no effect."""
