--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -19,6 +19,7 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.adapters.httppool import HttpPool, HttpResponse
 from marjoramgrade.adapters.peercodec import PeerFrame, parse_frame, serialize_frame
+from marjoramgrade.clock import ManualClock
 from marjoramgrade.controllers.directory import DirectoryController, DirectoryFormat
 from marjoramgrade.decisions.leadermonitor import LeaderRow
 from marjoramgrade.decisions.stepprogress import JobRecord
@@ -299,6 +300,7 @@
         DirectoryFormat(
             "op", "servers", "config", "evacuate/", parse_config, parse_worker
         ),
+        ManualClock(),
         metrics,
         (),
         listener,
