--- a/soak/cell.py
+++ b/soak/cell.py
@@ -20,6 +20,8 @@
 from standins.processes import HOST, PortPicker, Process
 
 INSTANCES = ("a", "b", "c")
+# Each instance has an address of its own, by which the relay tells who connects.
+HOST_BY_INSTANCE = {"a": "127.0.0.11", "b": "127.0.0.12", "c": "127.0.0.13"}
 WORKERS = 4
 WORKER_CPU = 4_000
 SHUTDOWN_S = 4
@@ -87,7 +89,11 @@
         for name in INSTANCES:
             relayed = pick()
             routes.append(_route(f"store-{name}", relayed, store))
-            self._write_settings(name, relayed)
+            peer_port = pick()
+            self._write_settings(name, relayed, peer_port)
+            host = HOST_BY_INSTANCE[name]
+            route = _route(f"peer-{name}", peer_port, peer_port)
+            routes.append({**route, "listen_host": relay_host(host), "host": host})
         self._write("plan.json", plan)
         self._write("routes.json", routes)
         self._spawn("fleet", "standins.fleet", str(self.folder / "plan.json"))
@@ -118,7 +124,7 @@
     def _write(self, name: str, document: Any) -> None:
         (self.folder / name).write_text(json.dumps(document), encoding="utf-8")
 
-    def _write_settings(self, name: str, store: int) -> None:
+    def _write_settings(self, name: str, store: int, peer_port: int) -> None:
         front = f"{HOST}:{self.ports.pick()}"
         self.front_by_name[name] = front
         self._write(
@@ -126,10 +132,10 @@
             {
                 "instance_id": name,
                 "zone": "north",
-                "host": HOST,
+                "host": HOST_BY_INSTANCE[name],
                 "front": front,
                 "ready": f"{HOST}:{self.ports.pick()}",
-                "peer_port": self.ports.pick(),
+                "peer_port": peer_port,
                 "metrics_port": self.ports.pick(),
                 "store": f"{HOST}:{store}",
                 "advice": f"{HOST}:1",
@@ -154,11 +160,20 @@
 
     async def disturb_connections(self, target: str, mode: str, seconds: float) -> None:
         """Drop or stall the connections to a target for a number of seconds."""
-        rule = ["", target, mode]
-        self.relay_rules.append(rule)
+        await self._apply_rules([["", target, mode]], seconds)
+
+    async def isolate_instance(self, name: str, mode: str, seconds: float) -> None:
+        """Cut an instance off from the store and all others, but not from clients."""
+        sources = [[HOST_BY_INSTANCE[name], "", mode]]
+        targets = [["", f"peer-{name}", mode], ["", f"store-{name}", mode]]
+        await self._apply_rules([*sources, *targets], seconds)
+
+    async def _apply_rules(self, rules: list[list[str]], seconds: float) -> None:
+        self.relay_rules.extend(rules)
         await self._send_rules()
         await asyncio.sleep(seconds)
-        self.relay_rules.remove(rule)
+        for rule in rules:
+            self.relay_rules.remove(rule)
         await self._send_rules()
 
     async def _send_rules(self) -> None:
@@ -171,6 +186,11 @@
             process.end()
 
 
+def relay_host(host: str) -> str:
+    """Return the address at which the relay listens for an instance's address."""
+    return host.replace("127.0.0.", "127.0.1.")
+
+
 def _route(target: str, listen: int, port: int) -> dict[str, Any]:
     return {
         "target": target,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -85,6 +85,15 @@
     await soak.disturb_connections(target, mode, soak.rng.uniform(0.5, 4.0))
 
 
+@FAULTS.register("isolate")
+async def isolate(soak: Soak) -> None:
+    """Cut an instance off from the store and all others; clients still reach it."""
+    name = soak.rng.choice(INSTANCES)
+    mode = soak.rng.choice(("drop", "stall"))
+    soak.record_event(f"{mode} all of {name}")
+    await soak.isolate_instance(name, mode, soak.rng.uniform(1.5, 4.0))
+
+
 @FAULTS.register("cut_worker")
 async def cut_worker(soak: Soak) -> None:
     """Disconnect one worker from all instances."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,8 @@
 COMPLETION_TIMEOUT_S = 14.0
 READY_TIMEOUT_S = 10.0
 FIRST_FAULT_S = 0.5
+# Left out here, so that the seeds that have failed before keep their faults.
+REFUSAL_FAULTS = ("isolate",)
 
 # Seeds that have failed before, each with the cause.
 REGRESSIONS = {
@@ -122,8 +124,9 @@
 
 async def run_soak(soak: Soak, seconds: float) -> list[str]:
     """Run one seed and return the violations."""
+    names = [name for name in FAULTS.iter_names() if name not in REFUSAL_FAULTS]
     number = await submit_under_faults(
-        soak, seconds, submit, list(FAULTS.iter_names()), (0.1, 0.3), (0.2, 2.0)
+        soak, seconds, submit, names, (0.1, 0.3), (0.2, 2.0)
     )
     broken = await _await_completion(soak)
     audit = await soak.control_fleet()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,3 +24,11 @@
     # Guards against a 429 or 503 for a job that was accepted at an earlier attempt.
     play = functools.partial(run_refusals, seconds=SECONDS)
     assert asyncio.run(run_in_folder(seed, play, None))
+
+
+@pytest.mark.parametrize("seed", [73])
+def test_refused_jobs_do_not_run_while_instances_are_cut_off(seed):
+    # Guards against a 503 by a leader that has been replaced without its knowledge
+    # (issue 29: broken on 0060460).
+    play = functools.partial(run_refusals, seconds=12.0, is_isolating=True)
+    assert asyncio.run(run_in_folder(seed, play, None))
