Probe a suspect worker that has a long-running task

The worker had failed some tasks before.

Cause: a suspect worker was probed only while it had no run at all, and suspicion ended only with a run that is done. A long-running task never ends, so neither came about.

Only runs that were ordered since the suspicion began count as probes now, and a long-running probe clears the worker once it is at work.

--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -259,7 +259,7 @@
             if worker.has_capacity(need, uses_spare=step.step.uses_spare)
             and worker.worker.worker_id not in taken
             and (not max_runs or step.count_runs_on(worker.worker.worker_id) < max_runs)
-            and worker.suspicion.allows(now_ms, len(worker.run_by_task))
+            and worker.is_trusted(now_ms)
             and self._holds.allows(step, worker, now_ms)
         ]
         avoided = step.avoided_workers_by_index.get(index, set())
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -189,11 +189,19 @@
     def _apply_report(self, run: Run, report: RunReport, now_ms: int) -> None:
         self._mark_started(run, now_ms)
         run.record_progress(report.percent, now_ms)
+        if run.step.step.long_running and report.percent >= 100:
+            self._record_at_work(run)
         if report.checkpoint and report.checkpoint != run.checkpoint:
             run.checkpoint, run.checkpointed_ms = report.checkpoint, now_ms
             run.step.record_checkpoint(run.task.index, report.checkpoint)
         run.measurement = report.measurement
 
+    def _record_at_work(self, run: Run) -> None:
+        """Trust a worker again whose probe is long-running and has got to work."""
+        suspicion = self.worker_by_id[run.worker_id].suspicion
+        if suspicion.probing and run.ordered_ms >= suspicion.suspected_ms:
+            suspicion.record_success()
+
     def _apply_end(
         self, worker: WorkerState, end: RunEnd, now_ms: int, unix_ms: int
     ) -> None:
--- a/marjoramgrade/decisions/stepworkers.py
+++ b/marjoramgrade/decisions/stepworkers.py
@@ -25,6 +25,7 @@
     Attributes:
         failed_jobs: Jobs with a failed run since the last success.
         straggling_jobs: Jobs with a stalled or slow run since the last success.
+        suspected_ms: When the worker last became suspect.
         suspect_until_ms: The worker gets no work before this time, or 0.
         suspicion_ms: Duration of the next suspicion.
         probing: Whether the worker gets only one task at a time, as a probe.
@@ -32,6 +33,7 @@
 
     failed_jobs: set[str] = attrs.field(factory=set)
     straggling_jobs: set[str] = attrs.field(factory=set)
+    suspected_ms: int = 0
     suspect_until_ms: int = 0
     suspicion_ms: int = SUSPICION_MS
     probing: bool = False
@@ -62,17 +64,23 @@
         """Withhold work from the worker, twice as long each time up to the maximum."""
         if now_ms < self.suspect_until_ms:
             return
+        self.suspected_ms = now_ms
         self.suspect_until_ms = now_ms + self.suspicion_ms
         self.suspicion_ms = min(2 * self.suspicion_ms, MAX_SUSPICION_MS)
         self.probing = True
         self.failed_jobs.clear()
         self.straggling_jobs.clear()
 
-    def allows(self, now_ms: int, present_runs: int) -> bool:
-        """Return whether another task may start; one at a time while probing."""
+    def allows(self, now_ms: int, present_probes: int) -> bool:
+        """Return whether another task may start; one at a time while probing.
+
+        Args:
+            now_ms: Current time.
+            present_probes: Number of present runs that were ordered while probing.
+        """
         if now_ms < self.suspect_until_ms:
             return False
-        return not self.probing or present_runs == 0
+        return not self.probing or present_probes == 0
 
 
 @attrs.define(eq=False)
@@ -118,9 +126,23 @@
             and not self.has_unanswered_call
             and not self.orphan_by_task
             and not self.worker.draining
-            and self.suspicion.allows(now_ms, len(self.run_by_task))
+            and self.is_trusted(now_ms)
         )
 
+    def is_trusted(self, now_ms: int) -> bool:
+        """Return whether suspicion allows another task.
+
+        Runs from before the suspicion are no probes: a long-running one may never end.
+        """
+        suspicion = self.suspicion
+        probes = 0
+        if suspicion.probing:
+            probes = sum(
+                run.ordered_ms >= suspicion.suspected_ms
+                for run in self.run_by_task.values()
+            )
+        return suspicion.allows(now_ms, probes)
+
     @property
     def free_cpu_millis(self) -> int:
         """Thousandths of a core that are not allocated to any run."""
--- a/tests/test_stepsupervision.py
+++ b/tests/test_stepsupervision.py
@@ -7,7 +7,7 @@
 from marjoramgrade.decisions.stepactions import PaceRun
 from marjoramgrade.decisions.stepsupervision import Supervisor
 from marjoramgrade.resources import Resources
-from marjoramgrade.stepjobs import RunEndStatus, Step, StepJobState
+from marjoramgrade.stepjobs import RunEnd, RunEndStatus, Step, StepJobState
 from tests.steps import REPORTS, StepHarness, cores, job, report, starts, stops, worker
 
 
@@ -136,6 +136,49 @@
         assert suspicion.probing is (took_ms == 5_000)
 
 
+def test_suspect_worker_with_a_long_running_task_is_probed():
+    # Guards against a worker that gets no work for good, since a long-running task that
+    # it has counted as a probe that never ends (review/8).
+    harness = StepHarness.make(worker("w", 4))
+    harness.add(job("watch", Step(1, cores(1), long_running=True)))
+    (watch,) = starts(harness.plan())
+    harness.confirm(watch)
+    at_work = (report(watch, 100),)
+    harness.report_listing("w", running=at_work)
+    harness.now_ms += 100
+    suspicion = harness.worker("w").suspicion
+    suspicion.mark_suspect(harness.now_ms)
+    harness.add(job("a", Step(2, cores(1))))
+    assert starts(harness.plan()) == []
+    harness.now_ms = suspicion.suspect_until_ms
+    harness.report_listing("w", running=at_work)
+    (probe,) = starts(harness.plan())
+    assert probe.order.task.job_id == "a"
+    harness.confirm(probe)
+    assert starts(harness.plan()) == []
+    end = RunEnd(1, probe.order.task, probe.order.run, RunEndStatus.DONE, "")
+    harness.report_listing("w", running=at_work, ended=(end,))
+    assert not suspicion.probing
+    assert len(starts(harness.plan())) == 1
+
+
+def test_long_running_task_that_gets_to_work_ends_the_suspicion():
+    # Guards against a suspicion that only tasks which end can lift: a worker that has
+    # long-running tasks alone would keep one of them for good.
+    harness = StepHarness.make(worker("w", 4))
+    suspicion = harness.worker("w").suspicion
+    suspicion.mark_suspect(harness.now_ms)
+    harness.now_ms = suspicion.suspect_until_ms
+    harness.add(job("watch", Step(2, cores(1), long_running=True)))
+    (probe,) = starts(harness.plan())
+    harness.confirm(probe)
+    harness.report_listing("w", running=(report(probe, 20),))
+    assert suspicion.probing
+    harness.report_listing("w", running=(report(probe, 100),))
+    assert not suspicion.probing
+    assert len(starts(harness.plan())) == 1
+
+
 def test_speculative_task_on_unresponsive_worker_gets_a_copy(harness, supervisor):
     # Guards against waiting for a lease to expire where a copy is allowed.
     harness.add(job("a", Step(1, cores(1), speculative=True)))
