--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -12,6 +12,7 @@
 
 from marjoramgrade.decisions.durations import QueueDurations
 from marjoramgrade.decisions.stepactions import (
+    EndLead,
     StartRun,
     StepAction,
     StopRun,
@@ -43,6 +44,8 @@
 FENCES_PER_EPOCH = 10_000
 # Workers that left come back within seconds or under another id.
 MAX_REMEMBERED_FENCES = 1_000
+# Bounds the raise of a token that a worker keeps refusing.
+MAX_DOUBLINGS = 10
 
 
 @attrs.define(eq=False)
@@ -81,6 +84,11 @@
         """The lowest fencing token of the current epoch."""
         return self.epoch * FENCES_PER_EPOCH
 
+    @property
+    def last_fence(self) -> int:
+        """The highest fencing token of the current epoch."""
+        return self.first_fence + FENCES_PER_EPOCH - 1
+
     def pop_actions(self) -> list[StepAction]:
         """Return the actions added since the last call."""
         actions, self._actions = self._actions, []
@@ -256,7 +264,7 @@
         )
         state = WorkerState(
             worker,
-            fence=earlier_fence + 1,
+            fence=min(earlier_fence + 1, self.last_fence),
             registered_born_unix_ms=worker.born_unix_ms,
         )
         self.worker_by_id[worker.worker_id] = state
@@ -270,9 +278,25 @@
         if len(self.fence_by_removed_worker) > MAX_REMEMBERED_FENCES:
             del self.fence_by_removed_worker[next(iter(self.fence_by_removed_worker))]
 
-    def request_sync(self, worker: WorkerState) -> None:
-        """Raise a worker's fencing token, so that unanswered orders have no effect."""
-        worker.fence += 1
+    def record_fence_refused(self, worker: WorkerState, fence: int) -> None:
+        """Raise the fencing token of a worker that has seen a higher one.
+
+        The raise doubles with each refusal, as the worker does not tell its token. If
+        the higher token is that of a newer leader, the store ends this lead.
+        """
+        if fence == worker.fence:
+            worker.fence_refusals += 1
+            self.request_sync(worker, 2 ** min(worker.fence_refusals, MAX_DOUBLINGS))
+
+    def request_sync(self, worker: WorkerState, raise_by: int = 1) -> None:
+        """Raise a worker's fencing token, so that unanswered orders have no effect.
+
+        Ends the lead if the epoch has no higher token: those of the next epoch are.
+        """
+        if worker.fence + raise_by > self.last_fence:
+            self.add_action(EndLead("the fencing tokens of the epoch are used up"))
+            raise_by = 0
+        worker.fence += raise_by
         worker.synced = False
         self.add_action(SyncWorker(worker.worker.worker_id, worker.fence))
 
--- a/tests/test_stepworkerlink.py
+++ b/tests/test_stepworkerlink.py
@@ -13,6 +13,7 @@
 )
 from marjoramgrade.controllers.workerport import WorkerPort
 from marjoramgrade.errors import (
+    WorkerRefusedError,
     WorkerReplacedError,
     WorkerUnreachableError,
     WorkerUnresponsiveError,
@@ -26,6 +27,7 @@
     ShortenListingWaits,
     StartOutcome,
     WorkerCallUnanswered,
+    WorkerFenceRefused,
     WorkerListingReceived,
     WorkerUnresponsive,
 )
@@ -85,6 +87,10 @@
     async def _listed(self, message: WorkerListingReceived) -> None:
         self.received.append(message)
 
+    @handles(WorkerFenceRefused)
+    async def _fence_refused(self, message: WorkerFenceRefused) -> None:
+        self.received.append(message)
+
     @handles(WorkerUnresponsive)
     async def _unresponsive(self, message: WorkerUnresponsive) -> None:
         self.received.append(message)
@@ -406,4 +412,16 @@
             port.error = WorkerUnresponsiveError("cut off")
             assert await wait_until_expired(scheduler) >= WORKER_LEASE_MS
 
+
+def test_refusal_for_the_token_is_reported():
+    # Guards against a refusal that tells of a higher token and is counted only as a
+    # failed call (review/7).
+    async def run():
+        async with link_to_worker() as (link, port, scheduler):
+            port.error = WorkerRefusedError("409", "fence")
+            async with asyncio.timeout(3):
+                while not scheduler.received_of(WorkerFenceRefused):
+                    await asyncio.sleep(0.005)
+            assert scheduler.received_of(WorkerFenceRefused)[0].fence == 10
+
     asyncio.run(run())
