--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -188,11 +188,13 @@
                     changed(rows, True)
                     self._confirm(table, asked_ms)
                     continue
-                page = await self._read_page(WatchRows(table, after, WATCH_WAIT_MS))
+                known_version = self._newest_version
+                page = await self._read_changes(table, after)
                 after = page.version
                 if page.rows:
                     changed(page.rows, False)
-                self._confirm(table, asked_ms)
+                if after >= known_version:
+                    self._confirm(table, asked_ms)
                 if page.rows:
                     await asyncio.sleep(pause_ms / 1000)
             except HistoryLostError:
@@ -223,16 +225,32 @@
             self._config_confirmed.set()
             self._config_confirmed = asyncio.Event()
 
-    async def _read_page(self, message: ReadRows | WatchRows) -> RowsPage:
+    async def _read_changes(self, table: str, after: int) -> RowsPage:
+        """Wait for changes of a table; a long list of them may come in several pages.
+
+        Raises:
+            StaleReadError: If the response is older than the newest known state and
+                has no later changes of the table.
+        """
+        return await self._read_page(WatchRows(table, after, WATCH_WAIT_MS), after)
+
+    async def _read_page(
+        self, message: ReadRows | WatchRows, after: int | None = None
+    ) -> RowsPage:
         """Return a response of the store.
 
+        Args:
+            message: The request.
+            after: Version from which on changes are read; None for the whole table.
+
         Raises:
             StaleReadError: If it is older than the newest state that was known when
                 it was asked for. It lacks changes that may have been applied.
         """
         known_version = self._newest_version
         page: RowsPage = await self._store.ask(message)
-        if page.version < known_version:
+        is_part = after is not None and page.version > after and bool(page.rows)
+        if page.version < known_version and not is_part:
             raise StaleReadError(
                 f"the store responded with version {page.version}, "
                 f"but had version {known_version} before"
--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -164,6 +164,7 @@
         alert_until_ms: Until when listings use the shortened wait.
         last_purge_ms: When ended jobs were last removed.
         last_load_log_ms: When the load was last logged.
+        last_rewrite_ms: When refused progress was last written again.
     """
 
     epoch: int
@@ -186,6 +187,7 @@
     alert_until_ms: int = 0
     last_purge_ms: int = 0
     last_load_log_ms: int = 0
+    last_rewrite_ms: int = 0
 
 
 class LeaderActionExecutor(Actor):
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -153,6 +153,7 @@
             # An instance that has just started may lead before it has read the
             # configuration; the job's row then supplies the queue.
             queue = self._config.queue_by_name.get(job.queue, row.queue)
+            lead.state.usage.restore_limit(job.team, row.team_limit)
             try:
                 progress = lead.state.restore_job(job, queue, record, now_ms, unix_ms)
             except InvalidInputError as error:
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -53,6 +53,9 @@
 RETENTION_MARGIN_MS = 20_000
 PURGE_INTERVAL_MS = 5_000
 REPORT_INTERVAL_MS = 1_000
+# A row that stays refused costs the other rows of its transaction a few attempts each
+# time.
+REWRITE_INTERVAL_MS = 2_000
 # How long a submission waits for a configuration version that its sender already has.
 CONFIG_WAIT_MS = 1_000
 # How long a refusal waits for the store to confirm the leadership. A slow store takes
@@ -150,7 +153,8 @@
             raise TableRequiredError("the store is unreachable")
         if len(lead.state.open_job_by_id) >= MAX_OPEN_JOBS:
             raise OverloadedError("too many jobs are open")
-        value = serialize_row(JobRow(job, queue))
+        limit = lead.state.usage.limit_of(job.team, lead.state.config.team_by_name)
+        value = serialize_row(JobRow(job, queue, limit))
         if len(value) > self._bounds.max_row_bytes:
             raise UnsatisfiableError("the job is larger than a row of the store")
         progress = lead.state.add_job(job, queue, self._clock.now_ms())
@@ -302,6 +306,7 @@
             lead.supervisor.supervise(self._clock.now_ms())
             lead.supervisor.discard_finished_stops()
             self._schedule_plan(lead)
+            self._rewrite_refused_progress(lead)
             self._perform_actions(lead)
             self._purge(lead)
             self._report(lead)
@@ -328,6 +333,20 @@
             teams=_describe_usage(lead.state),
         )
 
+    def _rewrite_refused_progress(self, lead: LeaderState) -> None:
+        """Write the progress again that the store has refused.
+
+        Until it is stored, its job is not shown as ended, and the workers that list
+        ends of the job keep them.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - lead.last_rewrite_ms < REWRITE_INTERVAL_MS:
+            return
+        lead.last_rewrite_ms = now_ms
+        for job_id in tuple(lead.unstored_job_ids):
+            if not lead.state.mark_changed(job_id):
+                lead.unstored_job_ids.discard(job_id)
+
     def _purge(self, lead: LeaderState) -> None:
         """Remove finished jobs that clients may no longer query."""
         now_ms = self._clock.now_ms()
--- a/marjoramgrade/controllers/storerouter.py
+++ b/marjoramgrade/controllers/storerouter.py
@@ -38,6 +38,9 @@
 # A slow store responds to a read within 400 ms. Requests sent while it was unresponsive
 # never get a response and must not hold their connections.
 PROBE_TIMEOUT_MS = 500
+# A slow store may respond late to a single read; the direct path is lost only if it
+# does not respond for this long. Relays are asked first meanwhile.
+DOUBT_TIMEOUT_MS = 1_200
 # Maximum number of concurrent probe reads; the link has 12 connections.
 MAX_PROBES = 7
 # A write without a response for this long may have been lost. The time doubles with
@@ -233,13 +236,13 @@
             for probe in probes:
                 probe.cancel()
 
-    async def _probe_s(self) -> float | None:
+    async def _probe_s(self, timeout_ms: int = PROBE_TIMEOUT_MS) -> float | None:
         """Read a row directly; return how long it took, None if the read failed."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         try:
             await self._link.ask(
-                ReadRows(MEMBERS_TABLE, "", limit=1, timeout_ms=PROBE_TIMEOUT_MS)
+                ReadRows(MEMBERS_TABLE, "", limit=1, timeout_ms=timeout_ms)
             )
         except MarjoramgradeError:
             # Whatever the error, the direct path does not work yet.
@@ -347,7 +350,12 @@
         attempts[-1] = attrs.evolve(
             attempts[-1], lead_ms=max(last_lead_ms, attempts[-1].lead_ms)
         )
-        return await ask_hedged(attempts)
+        try:
+            return await ask_hedged(attempts)
+        except TableUnavailableError:
+            # The link itself may wait longer before it reports the path as lost.
+            self._doubt_direct_path()
+            raise
 
     async def _ask_directly_once_it_works(self, message: Message[Any]) -> Any:
         try:
@@ -398,13 +406,17 @@
         self._relay_order.move_to_front(relay)
         if not self._is_direct:
             self._tell_subscribers(StorePathStatus(False, True))
-        elif not self._is_direct_doubtful:
+        self._doubt_direct_path()
+
+    def _doubt_direct_path(self) -> None:
+        """Use other paths first until the direct path is known to work."""
+        if self._is_direct and not self._is_direct_doubtful:
             self._is_direct_doubtful = True
             self.spawn_critical(self._check_direct_path())
 
     async def _check_direct_path(self) -> None:
         """Find out whether the direct path is lost, which a relay is faster than."""
-        if await self._probe_s() is None:
+        if await self._probe_s(DOUBT_TIMEOUT_MS) is None:
             self._mark_direct_lost("other instances reach the store, this one does not")
         self._is_direct_doubtful = False
 
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -181,6 +181,13 @@
         self.open_job_by_id.pop(job_id, None)
         self._changed_job_by_id.pop(job_id, None)
 
+    def mark_changed(self, job_id: str) -> bool:
+        """Have the progress of a job stored again; return whether the job is known."""
+        progress = self.job_by_id.get(job_id)
+        if progress is not None:
+            self._changed_job_by_id[job_id] = progress
+        return progress is not None
+
     def cancel_job(self, progress: JobProgress, unix_ms: int) -> None:
         """Cancel a job and stop its runs."""
         self.finish_job(progress, StepJobState.CANCELLED, unix_ms)
@@ -288,11 +295,15 @@
         """Raise the fencing token of a worker that has seen a higher one.
 
         The raise doubles with each refusal, as the worker does not tell its token. If
-        the higher token is that of a newer leader, the store ends this lead.
+        the higher token is that of a newer leader, the store ends this lead. A worker
+        that refuses the tokens of half the epoch stays without work.
         """
-        if fence == worker.fence:
-            worker.fence_refusals += 1
-            self.request_sync(worker, 2 ** min(worker.fence_refusals, MAX_DOUBLINGS))
+        if fence != worker.fence:
+            return
+        worker.fence_refusals += 1
+        raise_by = 2 ** min(worker.fence_refusals, MAX_DOUBLINGS)
+        if worker.fence + raise_by <= self.first_fence + FENCES_PER_EPOCH // 2:
+            self.request_sync(worker, raise_by)
 
     def request_sync(self, worker: WorkerState, raise_by: int = 1) -> None:
         """Raise a worker's fencing token, so that unanswered orders have no effect.
--- a/marjoramgrade/decisions/teamusage.py
+++ b/marjoramgrade/decisions/teamusage.py
@@ -75,6 +75,11 @@
         for name, policy in policies.items():
             self.earlier_limit_by_team[name] = policy.limit
 
+    def restore_limit(self, team: str, limit: Resources | None) -> None:
+        """Take the limit of a team from a stored job, unless one is known."""
+        if limit is not None:
+            self.earlier_limit_by_team.setdefault(team, limit)
+
     def is_beyond_weight(self, policy: TeamPolicy | None, now_ms: int) -> bool:
         """Count a new job; returns whether it exceeds the team's weight.
 
--- a/marjoramgrade/steprows.py
+++ b/marjoramgrade/steprows.py
@@ -13,6 +13,7 @@
 from marjoramgrade.decisions.stepprogress import JobProgress
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.messages.rows import RowId
+from marjoramgrade.resources import Resources
 from marjoramgrade.stepconfig import Queue
 from marjoramgrade.stepjobs import StepJob, StepWorker
 
@@ -57,14 +58,21 @@
 
 @attrs.frozen
 class JobRow:
-    """A job as submitted, with its queue as configured at that time.
+    """A job as submitted, with its queue and limit as configured at that time.
 
-    The queue is stored too, since a later configuration may remove it before the
-    job has ended.
+    These are stored too, since a later configuration may remove the queue or the team
+    before the job has ended.
+
+    Attributes:
+        job: The job.
+        queue: The queue of the job.
+        team_limit: Limit of the team; None in rows of earlier versions, or if the team
+            was unknown.
     """
 
     job: StepJob
     queue: Queue
+    team_limit: Resources | None = None
 
 
 @attrs.frozen
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -219,3 +219,49 @@
                 await directory.ask(AwaitConfirmedConfig(1_001, 50))
 
     asyncio.run(run())
+
+
+class PagedFeed(Actor):
+    """A store whose feed names the version of the last of the few rows it returns."""
+
+    def __init__(self):
+        super().__init__()
+        self.version = 3
+        self.rows = [config_row(3)]
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> RowsPage:
+        rows = tuple(r for r in self.rows if r.row.table == message.table)
+        return RowsPage(rows, self.version)
+
+    @handles(WatchRows)
+    async def _watch(self, message: WatchRows) -> object:
+        return self.spawn(self._feed(message))
+
+    async def _feed(self, message):
+        await asyncio.sleep(0.02)
+        rows = [r for r in self.rows if r.row.table == message.table]
+        rows = [r for r in rows if r.version > message.after][:2]
+        version = rows[-1].version if len(rows) == 2 else self.version
+        return RowsPage(tuple(rows), version)
+
+
+def test_changes_that_come_in_pages_are_read_to_their_end():
+    # Guards against a watch that is blind for good, since the first page of many
+    # changes names a lower version than the watch of another table knows.
+    async def run():
+        store = PagedFeed()
+        async with directory_of(store) as (directory, subscriber):
+            async with asyncio.timeout(2):
+                while subscriber.version < 3:
+                    await asyncio.sleep(0.01)
+            directory.tell(WatchWorkers(True))
+            await asyncio.sleep(0.1)
+            for n in range(4, 14):
+                store.rows.append(StoredRow(RowId("workers", "", f"w{n}"), b"", n))
+            store.version = 14
+            async with asyncio.timeout(5):
+                while len(directory._worker_by_id) < 10:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -15,7 +15,7 @@
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import SystemClock
-from marjoramgrade.controllers import commits, leaderevents
+from marjoramgrade.controllers import commits, leaderevents, stepscheduling
 from marjoramgrade.controllers.commits import SaveRows
 from marjoramgrade.controllers.leaderactions import (
     GRANT_LIMIT_MS,
@@ -849,3 +849,56 @@
             await leadership.stop()
 
     asyncio.run(run())
+
+
+class StubbornStore(MemoryRowStore):
+    """Refuses the row of a completed job as invalid, a few times."""
+
+    refusals = 0
+
+    @handles(CommitRows)
+    async def _commit(self, message: CommitRows) -> object:
+        value_by_row = {write.row: write.value for write in message.writes}
+        value = value_by_row.get(progress_row_id("a"), b"")
+        if b"completed" in value and self.refusals < 4:
+            self.refusals += 1
+            raise RowsRejectedError("refused")
+        return self.apply(message)
+
+
+def test_final_row_that_was_refused_is_stored_later(monkeypatch):
+    # Guards against a job that is never shown as ended, and workers that keep the ends
+    # of all jobs, because the last row of a job was refused and nothing changes it again.
+    monkeypatch.setattr(stepscheduling, "REWRITE_INTERVAL_MS", 100)
+
+    async def run():
+        async with leading(StubbornStore()) as (store, scheduler, ports):
+            await scheduler.ask(SubmitStepJob(job("a")))
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            assert store.refusals == 4
+            assert not scheduler._lead.unstored_job_ids
+            async with asyncio.timeout(2):
+                while not any(port.acknowledged for port in ports.values()):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_successor_knows_the_limit_of_a_team_that_was_removed():
+    # Guards against a removed team whose long-running task keeps its other tasks from
+    # starting for good, since a new leader knows no limit of it.
+    async def run():
+        store = MemoryRowStore()
+        await store.start()
+        limited = TeamPolicy("red", limit=cores(3, 10_000))
+        config = StepConfig(1, {"urgent": URGENT}, {}, {"red": limited})
+        async with leading(store, config=config) as (_, scheduler, _):
+            await scheduler.ask(SubmitStepJob(job("a", Step(40, cores(1)))))
+        config = StepConfig(2, {"urgent": URGENT})
+        async with leading(store, epoch=2, config=config) as (_, successor, _):
+            usage = successor._lead.state.usage
+            assert usage.limit_of("red", {}) == limited.limit
+            await wait_for_state(successor, "a", StepJobState.COMPLETED)
+        await store.stop()
+
+    asyncio.run(run())
--- a/tests/test_stepstate.py
+++ b/tests/test_stepstate.py
@@ -629,3 +629,13 @@
         state.request_sync(known)
     assert known.fence < successor.first_fence
     assert any(isinstance(action, EndLead) for action in harness.collect_actions())
+
+
+def test_worker_that_refuses_every_token_does_not_end_the_lead():
+    # Guards against one faulty worker that ends each lead within seconds.
+    harness = StepHarness.make(worker("w", 4), worker("v", 4))
+    known = harness.worker("w")
+    for _ in range(100):
+        harness.state.record_fence_refused(known, known.fence)
+    assert not any(isinstance(a, EndLead) for a in harness.collect_actions())
+    assert not known.synced
--- a/tests/test_storerouter.py
+++ b/tests/test_storerouter.py
@@ -492,3 +492,54 @@
                     await router.ask(ReadRows("operators", ""))
 
     asyncio.run(run())
+
+
+class UnevenPath(Path):
+    """Responds to reads after these delays in seconds, then at once."""
+
+    def __init__(self, *delays_s):
+        super().__init__("ok")
+        self.delays_s = list(delays_s)
+
+    @handles(ReadRows)
+    async def _read(self, message: ReadRows) -> object:
+        delay_s = self.delays_s.pop(0) if self.delays_s else 0.01
+        return self.spawn(self._later(delay_s, (message.timeout_ms or 1_200) / 1000))
+
+    async def _later(self, delay_s, timeout_s):
+        await asyncio.sleep(min(delay_s, timeout_s))
+        if delay_s > timeout_s:
+            raise TableUnavailableError("no response in time")
+        return CHANGED
+
+
+def test_slow_store_with_uneven_times_is_no_lost_path():
+    # Guards against a leader that gives up its lead, and against instances that are no
+    # candidates for 3 s, because a slow store responded late to one probe.
+    async def run():
+        link = UnevenPath(0.9, 0.6, 0.6, 0.6)
+        async with router_over(link, b="ok") as (router, _):
+            await router.ask(ReadRows("operators", ""))
+            await asyncio.sleep(1.5)
+            assert router._is_direct
+            assert not router._is_direct_doubtful
+
+    asyncio.run(run())
+
+
+def test_watch_after_one_that_failed_on_all_paths_does_not_wait_for_the_direct_path():
+    # Guards against a watch that is blind for more than 2 s, if the link waits longer
+    # for the store than the router waits for all paths.
+    async def run():
+        gone = dict.fromkeys("bcd", "silent")
+        link = Path("silent")
+        link.TIMEOUT_MS = 1_600
+        async with router_over(link, **gone, e="ok") as (router, _):
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            with contextlib.suppress(TableUnavailableError):
+                await router.ask(WATCH)
+            first_s = loop.time() - began_s
+            assert first_s + 0.1 + await ask_for_s(router, WATCH) < 2
+
+    asyncio.run(run())
