Let jobs expire at the leader when their clients stop waiting

The sender gives up on its own clock, which the leader doesn't know.

Heartbeats carry the leader's clock. The sender adds the time since the last one and what is left until the client's deadline, and the leader accepts the job no later. The transit of the heartbeat makes the job expire early, never late. A job that is already known is still confirmed.

Ruled out: asking the sender back before a job is stored, which costs a round trip for every job.

Without the check in the leader, and without the stamp of the sender, the new test of each fails.

--- a/marjoramgrade/adapters/peer.capnp
+++ b/marjoramgrade/adapters/peer.capnp
@@ -183,6 +183,7 @@
 struct SubmitStepJob {
   job @0 :StepJob;
   configVersion @1 :Int64;
+  expiresClockMs @2 :Int64;
 }
 
 struct StepJobAccepted {
--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -115,12 +115,16 @@
         self._store = store
         self._clock = clock
         self._leader_id = ""
+        self._leader_epoch = 0
         self._leader_changed = asyncio.Event()
         self._last_contact_ms = clock.now_ms()
+        # The last heartbeat of the leader, and when it was received.
+        self._heartbeat = LeaderBeat(0, "")
+        self._heartbeat_ms = 0
 
     @handles(LeaderChanged)
     async def _leader_changed_to(self, message: LeaderChanged) -> None:
-        self._leader_id = message.leader_id
+        self._leader_id, self._leader_epoch = message.leader_id, message.epoch
         self._leader_changed.set()
         self._leader_changed = asyncio.Event()
 
@@ -132,7 +136,8 @@
 
     @handles(LeaderBeat)
     async def _heartbeat_received(self, message: LeaderBeat) -> None:
-        self._last_contact_ms = self._clock.now_ms()
+        self._last_contact_ms = self._heartbeat_ms = self._clock.now_ms()
+        self._heartbeat = message
 
     async def _request_until(
         self, message: LeaderRequest, deadline_ms: int, presence: ClientPresence
@@ -158,7 +163,10 @@
                 raise OutcomeUnknownError("the client has left")
             left_ms = deadline_ms - self._clock.now_ms() - RESPONSE_MARGIN_MS
             try:
-                answer = await self._attempt(message, min(left_ms, ATTEMPT_TIMEOUT_MS))
+                answer = await self._attempt(
+                    self._with_expiry(message, left_ms),
+                    min(left_ms, ATTEMPT_TIMEOUT_MS),
+                )
                 self._last_contact_ms = self._clock.now_ms()
                 return answer
             except _ANSWERS:
@@ -189,6 +197,23 @@
             raise OutcomeUnknownError(reason)
         raise NoLeaderError(reason)
 
+    def _with_expiry(self, message: LeaderRequest, left_ms: int) -> LeaderRequest:
+        """Return a request that its leader does not accept once its client has left.
+
+        The leader's clock is at least what its last heartbeat said, and the time since
+        then, so that the request expires early rather than late.
+        """
+        heartbeat = self._heartbeat
+        if (
+            not isinstance(message, SubmitStepJob)
+            or heartbeat.epoch != self._leader_epoch
+            or not heartbeat.clock_ms
+        ):
+            return message
+        age_ms = self._clock.now_ms() - self._heartbeat_ms
+        expires_ms = heartbeat.clock_ms + age_ms + left_ms
+        return attrs.evolve(message, expires_clock_ms=expires_ms)
+
     def _is_leader_missing(self, message: LeaderRequest, began_ms: int) -> bool:
         """Return whether to give a request up that has reached no leader so far."""
         since_ms = self._last_contact_ms
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -146,6 +146,10 @@
             # A repeated submission can arrive much later.
             return StepJobAccepted(False)
         queue = await self._find_queue(job.queue, message.config_version)
+        if 0 < message.expires_clock_ms <= self._clock.now_ms():
+            # It was delayed on its way, or this instance was paused. Its client may
+            # have been refused since.
+            raise OutcomeUnknownError("the client no longer waits for the response")
         if not lead.is_store_reachable:
             raise TableRequiredError("the store is unreachable")
         if len(lead.state.open_job_by_id) >= MAX_OPEN_JOBS:
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -35,10 +35,14 @@
     Attributes:
         job: The job.
         config_version: Version of the configuration under which it was admitted.
+        expires_clock_ms: Time on the leader's clock from which on the client no longer
+            waits, so that the job must not be accepted; 0 if the sender has not heard
+            the leader's clock.
     """
 
     job: StepJob
     config_version: int = 0
+    expires_clock_ms: int = 0
 
 
 @attrs.define
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -54,9 +54,11 @@
         self.is_unresponsive = False
         self.failures = []
         self.unresponsive_ids = set()
+        self.received = []
 
     @handles(CallPeer)
     async def _call(self, message: CallPeer) -> object:
+        self.received.append(message.message)
         if message.instance_id in self.unresponsive_ids:
             return self.spawn(asyncio.sleep(3_600))
         if self.is_unresponsive:
@@ -272,3 +274,22 @@
                 assert (await answer).created
 
     asyncio.run(run())
+
+
+def test_job_expires_at_the_leader_when_its_client_stops_waiting():
+    # Guards against a job that is delayed between two instances and accepted after its
+    # client has left and was refused elsewhere (rule REFUSED).
+    async def run():
+        async with forwarder_to_leader() as (forwarder, leader, clock):
+            forwarder.tell(LeaderBeat(1, "other", 70_000))
+            await asyncio.sleep(0.01)
+            clock.advance(100)
+            await submit(forwarder, clock)
+            margin_ms = 70_100 + DEADLINE_MS - leader.received[-1].expires_clock_ms
+            assert 0 <= margin_ms <= 100
+            # The clock of the next leader is not known yet.
+            forwarder.tell(LeaderChanged("third", 2))
+            await submit(forwarder, clock)
+            assert not leader.received[-1].expires_clock_ms
+
+    asyncio.run(run())
--- a/tests/test_peercodec.py
+++ b/tests/test_peercodec.py
@@ -92,6 +92,7 @@
     row = rows.RowId("jobs", "p0", "a")
     for body in (
         steps.SubmitStepJob(job, 3),
+        steps.SubmitStepJob(job, 3, 1_234_567),
         steps.StepJobAccepted(True),
         steps.GetStepJob("a"),
         steps.CancelStepJob("a"),
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -16,6 +16,7 @@
 from marjoramgrade.controllers.forwarding import ForwardingController, ForwardRequest
 from marjoramgrade.errors import (
     MarjoramgradeError,
+    OutcomeUnknownError,
     OverloadedError,
     RefusedError,
     TableRequiredError,
@@ -348,3 +349,21 @@
             return await cell.request(verb)
 
     assert asyncio.run(run()) == status
+
+
+def test_job_that_arrives_after_its_client_has_left_is_not_accepted():
+    # Guards against a job that runs although its client was refused: an attempt was
+    # delayed on its way, or waited while the leader was paused, and accepted then.
+    async def run():
+        async with leading(config=CONFIG) as (store, scheduler, _):
+            now_ms = SystemClock().now_ms()
+            late = SubmitStepJob(job(JOB_ID), expires_clock_ms=now_ms - 1)
+            with pytest.raises(OutcomeUnknownError):
+                await scheduler.ask(late)
+            await asyncio.sleep(0.05)
+            assert job_row_id(JOB_ID) not in store.rows
+            in_time = SubmitStepJob(job(JOB_ID), expires_clock_ms=now_ms + 60_000)
+            assert (await scheduler.ask(in_time)).created
+            assert not (await scheduler.ask(late)).created
+
+    asyncio.run(run())
