Try for a confirmed leader before a job's outcome is unknown

Since refusals need a confirmed leader, callers got 504 at once while the store was away for all.

The instance that took the job now treats a refusal without confirmation like a leader that it can't reach: it tries again every 200 ms, for 1.5 s after the job came, and answers 504 then. A job whose leader was cut off meanwhile reaches the successor.

Weighed: a refusal at once with a true Retry-After would be better, but 503 isn't true, and clients don't wait that long after 504.

test_refusal_after_an_attempt_that_may_have_succeeded_is_unknown: its leader confirms the refusals that are to be passed on, as leaders now do. That unconfirmed ones aren't is checked by the new test, which fails without the change.

--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -22,6 +22,7 @@
     OwnerUnreachableError,
     QueueNotFoundError,
     Ran,
+    RefusedError,
     ShuttingDownError,
     StoredRowError,
     TableError,
@@ -50,6 +51,9 @@
 
 # Pause between attempts while another instance takes over the lead.
 RETRY_MS = 60
+# Pause before a job goes again to a leader that refused it without the confirmation of
+# the store, which is most often away for all then.
+UNCONFIRMED_RETRY_MS = 200
 # Timeout of one request to the leader. Commits usually take 20 ms, or 1 s on a slow
 # store.
 ATTEMPT_TIMEOUT_MS = 1_500
@@ -71,6 +75,20 @@
 LeaderRequest = SubmitStepJob | GetStepJob | CancelStepJob | CountPending
 
 
+def _is_unconfirmed(message: LeaderRequest, refusal: MarjoramgradeError) -> bool:
+    """Return whether another leader may have accepted a job that is refused.
+
+    An answer at once would be "unknown", after which clients come again at once and
+    soon have used up their attempts; after a refusal they wait longer.
+    """
+    return (
+        isinstance(message, SubmitStepJob)
+        and isinstance(refusal, RefusedError)
+        and not isinstance(refusal, _NOT_TAKEN)
+        and not refusal.confirmed_epoch
+    )
+
+
 @attrs.frozen
 class ForwardRequest(Message[Any]):
     """A client request to be forwarded to the leader.
@@ -159,6 +177,7 @@
         began_ms = self._clock.now_ms()
         failure: MarjoramgradeError = NoLeaderError("no instance leads")
         while self._clock.now_ms() + RESPONSE_MARGIN_MS < deadline_ms:
+            pause_ms = RETRY_MS
             if presence.has_left and isinstance(message, SubmitStepJob):
                 raise OutcomeUnknownError("the client has left")
             left_ms = deadline_ms - self._clock.now_ms() - RESPONSE_MARGIN_MS
@@ -181,13 +200,18 @@
                 failure = error
                 if error.ran is not Ran.NO:
                     may_be_accepted = True
+                elif _is_unconfirmed(message, error):
+                    pause_ms = UNCONFIRMED_RETRY_MS
+                    waited_ms = self._clock.now_ms() - began_ms
+                    if not may_be_accepted and waited_ms > NO_LEADER_TIMEOUT_MS:
+                        break
                 elif not isinstance(error, _NOT_TAKEN):
                     self._check_refusal(error, may_be_accepted)
             if isinstance(message, GetStepJob):
                 return await self._read_state(message)
             if not may_be_accepted and self._is_leader_missing(message, began_ms):
                 break
-            await asyncio.sleep(RETRY_MS / 1000)
+            await asyncio.sleep(pause_ms / 1000)
         if may_be_accepted:
             raise OutcomeUnknownError("the leader did not reply in time")
         logs.log_event("leader_not_reached", code=failure.code, leader=self._leader_id)
