--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -22,6 +22,7 @@
     OwnerUnreachableError,
     QueueNotFoundError,
     Ran,
+    RefusedError,
     ShuttingDownError,
     StoredRowError,
     TableError,
@@ -50,6 +51,9 @@
 
 # Pause between attempts while another instance takes over the lead.
 RETRY_MS = 60
+# Pause before a job goes again to a leader that refused it without the confirmation of
+# the store, which is most often away for all then.
+UNCONFIRMED_RETRY_MS = 200
 # Timeout of one request to the leader. Commits usually take 20 ms, or 1 s on a slow
 # store.
 ATTEMPT_TIMEOUT_MS = 1_500
@@ -71,6 +75,20 @@
 LeaderRequest = SubmitStepJob | GetStepJob | CancelStepJob | CountPending
 
 
+def _is_unconfirmed(message: LeaderRequest, refusal: MarjoramgradeError) -> bool:
+    """Return whether another leader may have accepted a job that is refused.
+
+    An answer at once would be "unknown", after which clients come again at once and
+    soon have used up their attempts; after a refusal they wait longer.
+    """
+    return (
+        isinstance(message, SubmitStepJob)
+        and isinstance(refusal, RefusedError)
+        and not isinstance(refusal, _NOT_TAKEN)
+        and not refusal.confirmed_epoch
+    )
+
+
 @attrs.frozen
 class ForwardRequest(Message[Any]):
     """A client request to be forwarded to the leader.
@@ -115,12 +133,16 @@
         self._store = store
         self._clock = clock
         self._leader_id = ""
+        self._leader_epoch = 0
         self._leader_changed = asyncio.Event()
         self._last_contact_ms = clock.now_ms()
+        # The last heartbeat of the leader, and when it was received.
+        self._heartbeat = LeaderBeat(0, "")
+        self._heartbeat_ms = 0
 
     @handles(LeaderChanged)
     async def _leader_changed_to(self, message: LeaderChanged) -> None:
-        self._leader_id = message.leader_id
+        self._leader_id, self._leader_epoch = message.leader_id, message.epoch
         self._leader_changed.set()
         self._leader_changed = asyncio.Event()
 
@@ -132,7 +154,8 @@
 
     @handles(LeaderBeat)
     async def _heartbeat_received(self, message: LeaderBeat) -> None:
-        self._last_contact_ms = self._clock.now_ms()
+        self._last_contact_ms = self._heartbeat_ms = self._clock.now_ms()
+        self._heartbeat = message
 
     async def _request_until(
         self, message: LeaderRequest, deadline_ms: int, presence: ClientPresence
@@ -154,11 +177,15 @@
         began_ms = self._clock.now_ms()
         failure: MarjoramgradeError = NoLeaderError("no instance leads")
         while self._clock.now_ms() + RESPONSE_MARGIN_MS < deadline_ms:
+            pause_ms = RETRY_MS
             if presence.has_left and isinstance(message, SubmitStepJob):
                 raise OutcomeUnknownError("the client has left")
             left_ms = deadline_ms - self._clock.now_ms() - RESPONSE_MARGIN_MS
             try:
-                answer = await self._attempt(message, min(left_ms, ATTEMPT_TIMEOUT_MS))
+                answer = await self._attempt(
+                    self._with_expiry(message, left_ms),
+                    min(left_ms, ATTEMPT_TIMEOUT_MS),
+                )
                 self._last_contact_ms = self._clock.now_ms()
                 return answer
             except _ANSWERS:
@@ -173,13 +200,18 @@
                 failure = error
                 if error.ran is not Ran.NO:
                     may_be_accepted = True
+                elif _is_unconfirmed(message, error):
+                    pause_ms = UNCONFIRMED_RETRY_MS
+                    waited_ms = self._clock.now_ms() - began_ms
+                    if not may_be_accepted and waited_ms > NO_LEADER_TIMEOUT_MS:
+                        break
                 elif not isinstance(error, _NOT_TAKEN):
                     self._check_refusal(error, may_be_accepted)
             if isinstance(message, GetStepJob):
                 return await self._read_state(message)
             if not may_be_accepted and self._is_leader_missing(message, began_ms):
                 break
-            await asyncio.sleep(RETRY_MS / 1000)
+            await asyncio.sleep(pause_ms / 1000)
         if may_be_accepted:
             raise OutcomeUnknownError("the leader did not reply in time")
         logs.log_event("leader_not_reached", code=failure.code, leader=self._leader_id)
@@ -189,6 +221,23 @@
             raise OutcomeUnknownError(reason)
         raise NoLeaderError(reason)
 
+    def _with_expiry(self, message: LeaderRequest, left_ms: int) -> LeaderRequest:
+        """Return a request that its leader does not accept once its client has left.
+
+        The leader's clock is at least what its last heartbeat said, and the time since
+        then, so that the request expires early rather than late.
+        """
+        heartbeat = self._heartbeat
+        if (
+            not isinstance(message, SubmitStepJob)
+            or heartbeat.epoch != self._leader_epoch
+            or not heartbeat.clock_ms
+        ):
+            return message
+        age_ms = self._clock.now_ms() - self._heartbeat_ms
+        expires_ms = heartbeat.clock_ms + age_ms + left_ms
+        return attrs.evolve(message, expires_clock_ms=expires_ms)
+
     def _is_leader_missing(self, message: LeaderRequest, began_ms: int) -> bool:
         """Return whether to give a request up that has reached no leader so far."""
         since_ms = self._last_contact_ms
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -868,7 +868,7 @@
 
 def test_final_row_that_was_refused_is_stored_later(monkeypatch):
     # Guards against a job that is never shown as ended, and workers that keep the ends
-    # of all jobs, because the last row of a job was refused and nothing changes it again.
+    # of all jobs, because the last row of a job was refused and never written again.
     monkeypatch.setattr(stepscheduling, "REWRITE_INTERVAL_MS", 100)
 
     async def run():
