--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -57,8 +57,8 @@
 # Timeout of one request to the leader. Commits usually take 20 ms, or 1 s on a slow
 # store.
 ATTEMPT_TIMEOUT_MS = 1_500
-# Timeout of the lookup of one row. A slow store takes 400 ms; the paths through other
-# instances, tried one after the other, would take longer than clients wait.
+# Timeout of the lookup of one row. A slow store takes 400 ms; with the paths through
+# other instances a read can take longer than clients wait.
 LOOKUP_TIMEOUT_MS = 1_000
 # A job that reached no leader is given up once no leader has sent a reply or heartbeat
 # for this long, nor since it came; a takeover usually completes within this time. A job
