Name units of three limits and a flag as the rest of the code does

Read as a newcomer: three limits of the log did not say that they count characters, and one argument was a flag without the prefix that flags have here.

--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -63,7 +63,7 @@
 CONFIRMATION_TIMEOUT_MS = 1_000
 # Maximum number of open jobs; further submissions are refused.
 MAX_OPEN_JOBS = 5_000
-# Text of the use of all teams in the log; a line must stay below `MAX_LINE_BYTES`.
+# Characters of the use of all teams in the log; a line stays below `MAX_LINE_BYTES`.
 MAX_USAGE_LENGTH = 2_500
 
 
@@ -90,7 +90,10 @@
         return self.spawn(self._answer_submission(lead, submission, is_first))
 
     async def _answer_submission(
-        self, lead: LeaderState, submission: asyncio.Task[StepJobAccepted], first: bool
+        self,
+        lead: LeaderState,
+        submission: asyncio.Task[StepJobAccepted],
+        is_first: bool,
     ) -> StepJobAccepted:
         """Return the result of a submission, a refusal once the lead is confirmed.
 
@@ -101,7 +104,7 @@
         Args:
             lead: The leadership under which the request came.
             submission: Stores the job; other requests may wait for it as well.
-            first: Whether it began with this request. If it began earlier, what
+            is_first: Whether it began with this request. If it began earlier, what
                 confirmed its refusal may have happened before this request.
 
         Raises:
@@ -112,7 +115,7 @@
         try:
             return await asyncio.shield(submission)
         except TableRequiredError as refusal:
-            if first:
+            if is_first:
                 raise
             raise TableRequiredError(refusal.message) from refusal
         except RefusedError as refusal:
--- a/marjoramgrade/logs.py
+++ b/marjoramgrade/logs.py
@@ -21,11 +21,11 @@
 # Limit for the lines of each event. Without it, logging a fault that affects every job
 # or worker would cost more than the work itself.
 MAX_LINES_PER_S = 40
-# Length of the entries in one line of a batch, and the longest time that they wait for
-# it. With its other fields the line stays shorter than `MAX_LINE_BYTES`.
+# Characters of the entries in one line of a batch, and the longest time that they wait
+# for it. With its other fields the line stays shorter than `MAX_LINE_BYTES`.
 MAX_BATCH_LENGTH = 3_200
 BATCH_FLUSH_MS = 200
-# A longer entry of a batch is cut.
+# Characters of an entry of a batch; a longer one is cut.
 MAX_ENTRY_LENGTH = 200
 # A write of up to this size to a pipe is atomic: all or nothing.
 MAX_LINE_BYTES = 4_000
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -55,7 +55,7 @@
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 262_144
 IDLE_TIMEOUT_MS = 60_000
-# A longer id of a request is cut in the log.
+# Characters of the id of a request in the log; a longer one is cut.
 MAX_REQUEST_ID_LENGTH = 32
 # Delay after which a client may retry: takeovers and short outages of the
 # store end within 1 s.
