Cancel reads of the store that nobody waits for

Seen: cancelling a read did not end its call.

Cause: the reply of an actor is a future of its own; cancelling it never reached the task that does the work. Ruled out: the pool, which frees a connection as soon as its request is cancelled.

Change: Actor.spawn_for_sender starts work that ends once the sender stops waiting. Writes go on, since their outcome has to be known.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -86,6 +86,7 @@
     def __init__(self) -> None:
         self._mailbox: Queue[_Envelope | None] = Queue(maxsize=MAILBOX_SIZE)
         self._background_tasks: set[asyncio.Task[Any]] = set()
+        self._tasks_for_senders: set[asyncio.Future[Any]] = set()
         self._runner: asyncio.Task[None] | None = None
         self._stopped = False
         self.on_fatal: Callable[[BaseException], None] = _report_to_event_loop
@@ -157,6 +158,16 @@
         task.add_done_callback(self._background_tasks.discard)
         return task
 
+    def spawn_for_sender(self, work: Awaitable[Any]) -> asyncio.Task[Any]:
+        """Run a background task that is cancelled once the sender stops waiting.
+
+        A handler returns it. Only for work that changes nothing, such as a read.
+        """
+        task = self.spawn(work)
+        self._tasks_for_senders.add(task)
+        task.add_done_callback(self._tasks_for_senders.discard)
+        return task
+
     async def on_start(self) -> None:
         """Prepare the actor before its first message."""
 
@@ -202,6 +213,10 @@
             return
         if isinstance(result, asyncio.Future):
             result.add_done_callback(lambda done: _forward_result(done, envelope.reply))
+            if result in self._tasks_for_senders:
+                envelope.reply.add_done_callback(
+                    lambda reply: reply.cancelled() and result.cancel()
+                )
         elif not envelope.reply.done():
             envelope.reply.set_result(result)
 
--- a/marjoramgrade/controllers/storerouter.py
+++ b/marjoramgrade/controllers/storerouter.py
@@ -127,11 +127,11 @@
 
     @handles(ReadRows)
     async def _read(self, message: ReadRows) -> Any:
-        return self.spawn(self._send_read(message))
+        return self.spawn_for_sender(self._send_read(message))
 
     @handles(WatchRows)
     async def _watch(self, message: WatchRows) -> Any:
-        return self.spawn(self._send_watch(message))
+        return self.spawn_for_sender(self._send_watch(message))
 
     async def _send_write(self, message: CommitRows) -> Any:
         """Write, but abandon a lost write once the store responds to reads.
--- a/tests/test_actor.py
+++ b/tests/test_actor.py
@@ -156,3 +156,33 @@
             if found and f"{found[1]}.on_fatal = " not in before:
                 missing.append(f"{path}:{number + 1}")
     assert not missing
+
+
+def test_work_for_a_sender_that_stops_waiting_is_cancelled():
+    # Guards against reads that nobody waits for and that keep their connections.
+    class Worker(Actor):
+        @handles(Double)
+        async def _work(self, message: Double) -> object:
+            self.task = self.spawn_for_sender(asyncio.sleep(60))
+            return self.task
+
+        @handles(Slow)
+        async def _work_to_the_end(self, message: Slow) -> object:
+            self.task = self.spawn(asyncio.sleep(60))
+            return self.task
+
+    async def run():
+        worker = Worker()
+        await worker.start()
+        for message, is_cancelled in (
+            (Double(1), True),
+            (Slow(asyncio.Event()), False),
+        ):
+            asked = asyncio.ensure_future(worker.ask(message))
+            await asyncio.sleep(0.01)
+            asked.cancel()
+            await asyncio.sleep(0.01)
+            assert worker.task.cancelled() == is_cancelled
+        await worker.stop()
+
+    asyncio.run(run())
