Take no response for overdue while it is arriving

Cause: the hedge counts a watch as overdue 0.4 s after its wait, however much of the response has arrived. It asks again on up to four paths over the same link; the copies slow each other down, all are cancelled, and the next watch begins from nothing. Ruled out: decoding (25 ms for 1,443 routes), the store's link, relays behind a cut.

Change: limits of a read count from the last byte that arrived. The store client names a response that has begun to arrive as a transfer, which the router fetches in parts, from the own client or a relay; the next path is asked after 0.7 s without a byte.

--- a/marjoramgrade/adapters/httppool.py
+++ b/marjoramgrade/adapters/httppool.py
@@ -9,7 +9,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -57,8 +57,36 @@
     headers: HTTPHeaders
 
 
+@attrs.frozen
+class _Request:
+    method: str
+    path: str
+    body: bytes
+    headers: Mapping[str, str] | None
+
+
+@attrs.frozen
+class TransferLimits:
+    """How long the response to a request may arrive.
+
+    Attributes:
+        silence_ms: Longest time between two bytes.
+        duration_ms: Longest time from the first byte to the last.
+    """
+
+    silence_ms: int
+    duration_ms: int
+
+
 class _ResponseCollector(HTTPMessageDelegate):
-    def __init__(self) -> None:
+    """Collects a response.
+
+    Args:
+        on_arrival: Called each time that bytes have arrived.
+    """
+
+    def __init__(self, on_arrival: Callable[[], None]) -> None:
+        self._on_arrival = on_arrival
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
@@ -70,9 +98,11 @@
         if isinstance(start_line, ResponseStartLine):
             self.status = start_line.code
         self.headers = headers
+        self._on_arrival()
 
     def data_received(self, chunk: bytes) -> None:
         self.chunks.append(chunk)
+        self._on_arrival()
 
     def finish(self) -> None:
         self.is_complete = True
@@ -95,6 +125,40 @@
     stream.set_nodelay(True)
 
 
+class _ArrivalRecorder:
+    """Postpones a timeout while bytes of a response arrive.
+
+    Args:
+        timeout: The running timeout of the exchange.
+        limits: Limits of a response that has begun to arrive; None if nothing
+            postpones the timeout.
+        on_arrival: Called each time that bytes have arrived, or None.
+    """
+
+    def __init__(
+        self,
+        timeout: asyncio.Timeout,
+        limits: TransferLimits | None,
+        on_arrival: Callable[[], None] | None,
+    ) -> None:
+        self._timeout = timeout
+        self._limits = limits
+        self._on_arrival = on_arrival
+        self._latest_s: float | None = None
+
+    def record(self) -> None:
+        """Record that bytes have arrived."""
+        if self._on_arrival is not None:
+            self._on_arrival()
+        if self._limits is None or self._timeout.expired():
+            return
+        now_s = asyncio.get_running_loop().time()
+        if self._latest_s is None:
+            self._latest_s = now_s + self._limits.duration_ms / 1000
+        silent_s = now_s + self._limits.silence_ms / 1000
+        self._timeout.reschedule(min(silent_s, self._latest_s))
+
+
 class HttpPool:
     """A pool of persistent connections to one address.
 
@@ -145,6 +209,8 @@
         timeout_ms: int,
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
+        limits: TransferLimits | None = None,
+        on_arrival: Callable[[], None] | None = None,
     ) -> HttpResponse:
         """Send a request and return the complete response.
 
@@ -152,9 +218,11 @@
             method: HTTP method.
             path: Path and query.
             timeout_ms: Timeout of the whole exchange, including the wait for a
-                connection.
+                connection; with `limits`, until the response begins to arrive.
             body: Request body, or empty; sent with the content type of JSON.
             headers: Additional headers, or None.
+            limits: Limits of a response that has begun to arrive, or None.
+            on_arrival: Called each time that bytes of the response have arrived.
 
         Raises:
             HttpNotSentError: If nothing was sent.
@@ -163,34 +231,36 @@
         deadline = asyncio.get_running_loop().time() + timeout_ms / 1000
         await self._acquire(deadline)
         try:
-            return await self._request(method, path, body, headers, deadline)
+            return await self._request(
+                _Request(method, path, body, headers), deadline, limits, on_arrival
+            )
         finally:
             self._running_count -= 1
             self._wake_waiter()
 
     async def _request(
         self,
-        method: str,
-        path: str,
-        body: bytes,
-        headers: Mapping[str, str] | None,
+        request: _Request,
         deadline: float,
+        limits: TransferLimits | None,
+        on_arrival: Callable[[], None] | None,
     ) -> HttpResponse:
         stream = await self._get_stream(deadline)
         self._busy.add(stream)
         is_reusable = False
         try:
-            async with asyncio.timeout_at(deadline):
-                answer = await self._exchange(stream, method, path, body, headers)
+            async with asyncio.timeout_at(deadline) as timeout:
+                recorder = _ArrivalRecorder(timeout, limits, on_arrival)
+                answer = await self._exchange(stream, request, recorder.record)
             is_reusable = answer.headers.get("Connection", "").lower() != "close"
             return answer
         except TimeoutError:
             raise HttpResponseTimeoutError(
-                f"{method} to {self._address} received no response in time"
+                f"{request.method} to {self._address} received no response in time"
             ) from None
         except (StreamClosedError, OSError) as error:
             raise HttpNoResponseError(
-                f"{method} to {self._address} received no response: {error!r}"
+                f"{request.method} to {self._address} received no response: {error!r}"
             ) from None
         finally:
             self._busy.discard(stream)
@@ -214,28 +284,24 @@
             self._idle.remove(stream)
 
     async def _exchange(
-        self,
-        stream: IOStream,
-        method: str,
-        path: str,
-        body: bytes,
-        headers: Mapping[str, str] | None,
+        self, stream: IOStream, request: _Request, on_arrival: Callable[[], None]
     ) -> HttpResponse:
+        method, body = request.method, request.body
         request_headers = HTTPHeaders({"Host": self._address})
-        if headers:
-            request_headers.update(headers)
+        if request.headers:
+            request_headers.update(request.headers)
         if body:
             request_headers["Content-Type"] = "application/json"
         if body or method in ("POST", "PUT"):
             request_headers["Content-Length"] = str(len(body))
         connection = HTTP1Connection(stream, True, self._parameters)
-        start = RequestStartLine(method, path, "HTTP/1.1")
+        start = RequestStartLine(method, request.path, "HTTP/1.1")
         write_future = connection.write_headers(start, request_headers, body or None)
         write_future.add_done_callback(
             lambda done: done.cancelled() or done.exception()
         )
         connection.finish()
-        collector = _ResponseCollector()
+        collector = _ResponseCollector(on_arrival)
         await connection.read_response(collector)
         if not collector.is_complete:
             raise StreamClosedError
--- a/marjoramgrade/adapters/peer.capnp
+++ b/marjoramgrade/adapters/peer.capnp
@@ -127,12 +127,30 @@
   first @2 :Text;
   limit @3 :Int32;
   timeoutMs @4 :Int32;
+  acceptsTransfer @5 :Bool;
 }
 
 struct WatchRows {
   table @0 :Text;
   after @1 :Int64;
   waitMs @2 :Int32;
+  acceptsTransfer @3 :Bool;
+}
+
+struct PageTransfer {
+  transferId @0 :Int64;
+}
+
+struct FetchPart {
+  transferId @0 :Int64;
+  index @1 :Int32;
+  waitMs @2 :Int32;
+}
+
+struct PagePart {
+  page @0 :RowsPage;
+  count @1 :Int32;
+  arrivals @2 :Int32;
 }
 
 struct RowsPage {
@@ -300,5 +318,8 @@
     leaderAge @33 :LeaderAge;
     stepAdvice @34 :StepAdvice;
     requestAdvice @35 :RequestAdvice;
+    pageTransfer @36 :PageTransfer;
+    fetchPart @37 :FetchPart;
+    pagePart @38 :PagePart;
   }
 }
--- a/marjoramgrade/controllers/stepinbound.py
+++ b/marjoramgrade/controllers/stepinbound.py
@@ -7,7 +7,7 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.errors import ProtocolError
 from marjoramgrade.messages.peers import InboundMessage
-from marjoramgrade.messages.rows import CommitRows, ReadRows, WatchRows
+from marjoramgrade.messages.rows import CommitRows, FetchPart, ReadRows, WatchRows
 from marjoramgrade.messages.steps import (
     AskLeaderAge,
     CancelStepJob,
@@ -47,6 +47,7 @@
             CommitRows: store,
             ReadRows: store,
             WatchRows: store,
+            FetchPart: store,
         }
 
     @handles(InboundMessage)
--- a/marjoramgrade/controllers/storerouter.py
+++ b/marjoramgrade/controllers/storerouter.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import functools
+import math
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -25,8 +27,17 @@
     WriteOutcomeUnknownError,
 )
 from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged
-from marjoramgrade.messages.rows import CommitRows, ReadRows, WatchRows
+from marjoramgrade.messages.rows import (
+    CommitRows,
+    FetchPart,
+    PagePart,
+    PageTransfer,
+    ReadRows,
+    RowsPage,
+    WatchRows,
+)
 from marjoramgrade.messages.steps import StorePathStatus
+from marjoramgrade.pageparts import join_parts
 from marjoramgrade.steprows import MEMBERS_TABLE
 
 # While the direct path fails, a probe read is sent at this interval without waiting
@@ -62,6 +73,11 @@
 # request is then sent on other paths, too.
 WATCH_OVERDUE_MS = 400
 READ_OVERDUE_MS = 500
+# A response that has begun to arrive is in doubt after this time without a byte.
+# Several large responses that share the slowest link arrive by turns.
+TRANSFER_SILENCE_MS = 700
+# Interval at which a response that is still arriving is asked for.
+PART_WAIT_MS = 100
 # Interval at which a request in doubt is sent on further paths.
 HEDGE_INTERVAL_MS = 100
 # Waiting time of a watch in doubt. Its response tells soon whether the path works.
@@ -291,6 +307,7 @@
     # Reads and watches change nothing, so they may be sent on several paths at once.
 
     async def _send_read(self, message: ReadRows) -> Any:
+        message = attrs.evolve(message, accepts_transfer=True)
         return await self._send_hedged(
             message,
             message,
@@ -300,6 +317,7 @@
         )
 
     async def _send_watch(self, message: WatchRows) -> Any:
+        message = attrs.evolve(message, accepts_transfer=True)
         wait_ms = min(message.wait_ms, DOUBTFUL_WATCH_WAIT_MS)
         return await self._send_hedged(
             message,
@@ -351,23 +369,29 @@
             attempts[-1], lead_ms=max(last_lead_ms, attempts[-1].lead_ms)
         )
         try:
-            return await ask_hedged(attempts)
+            return await ask_hedged(attempts, TRANSFER_SILENCE_MS)
         except TableUnavailableError:
             # The link itself may wait longer before it reports the path as lost.
             self._doubt_direct_path()
             raise
 
-    async def _ask_directly_once_it_works(self, message: Message[Any]) -> Any:
+    async def _ask_directly_once_it_works(
+        self, message: Message[Any], on_arrival: Callable[[], None]
+    ) -> Any:
         try:
             async with asyncio.timeout(REGAIN_TIMEOUT_MS / 1000):
                 await self._direct_works.wait()
         except TimeoutError:
             raise TableUnavailableError("the direct path does not work") from None
-        return await self._ask_directly(message)
+        return await self._ask_directly(message, on_arrival)
 
-    async def _ask_directly(self, message: Message[Any]) -> Any:
+    async def _ask_directly(
+        self, message: Message[Any], on_arrival: Callable[[], None]
+    ) -> Any:
         try:
             answer = await self._link.ask(message)
+            if isinstance(answer, PageTransfer):
+                answer = await _fetch_page(answer, self._link.ask, on_arrival)
         except TableUnavailableError as error:
             self._mark_direct_lost(error.message)
             raise
@@ -379,14 +403,20 @@
         return answer
 
     async def _ask_relay(
-        self, relay: str, message: Message[Any], overdue_ms: int
+        self,
+        relay: str,
+        message: Message[Any],
+        overdue_ms: int,
+        on_arrival: Callable[[], None],
     ) -> Any:
         loop = asyncio.get_running_loop()
         overdue_s = loop.time() + overdue_ms / 1000
         try:
-            answer = await self._peers.ask(
-                CallPeer(relay, message, HEDGED_RELAY_TIMEOUT_MS)
-            )
+            answer = await self._call_relay(relay, message)
+            if isinstance(answer, PageTransfer):
+                overdue_s = math.inf
+                call = functools.partial(self._call_relay, relay)
+                answer = await _fetch_page(answer, call, on_arrival)
         except (TableUnavailableError, RefusedError, OutcomeUnknownError) as error:
             self._record_relay_failure(message, relay, error)
             raise TableUnavailableError(error.message) from None
@@ -402,6 +432,9 @@
         self._record_relay_response(relay)
         return answer
 
+    async def _call_relay(self, relay: str, message: Message[Any]) -> Any:
+        return await self._peers.ask(CallPeer(relay, message, HEDGED_RELAY_TIMEOUT_MS))
+
     def _record_relay_response(self, relay: str) -> None:
         self._relay_order.move_to_front(relay)
         if not self._is_direct:
@@ -456,3 +489,33 @@
     def _tell_subscribers(self, message: Message[None]) -> None:
         for subscriber in self._subscribers:
             subscriber.tell(message)
+
+
+async def _fetch_page(
+    transfer: PageTransfer,
+    ask: Callable[[Message[PagePart]], Awaitable[PagePart]],
+    on_arrival: Callable[[], None],
+) -> RowsPage:
+    """Return the page of a response that has begun to arrive.
+
+    Args:
+        transfer: Names the response.
+        ask: Sends a message to whoever receives the response.
+        on_arrival: Called each time that more of the response has arrived.
+
+    Raises:
+        TableUnavailableError: If the response did not arrive.
+    """
+    on_arrival()
+    parts: list[RowsPage] = []
+    arrivals = 0
+    while True:
+        part = await ask(FetchPart(transfer.transfer_id, len(parts), PART_WAIT_MS))
+        if part.count:
+            parts.append(part.page)
+            on_arrival()
+            if len(parts) == part.count:
+                return join_parts(parts)
+        elif part.arrivals != arrivals:
+            arrivals = part.arrivals
+            on_arrival()
--- a/marjoramgrade/messages/rows.py
+++ b/marjoramgrade/messages/rows.py
@@ -98,6 +98,7 @@
         first: Key to start from, or empty.
         limit: Maximum number of rows to return.
         timeout_ms: How long to wait for the store; 0 for the default.
+        accepts_transfer: Whether the reply may be a `PageTransfer`.
     """
 
     table: str
@@ -105,6 +106,7 @@
     first: str = ""
     limit: int = 500
     timeout_ms: int = 0
+    accepts_transfer: bool = False
 
 
 @attrs.frozen
@@ -115,8 +117,52 @@
         table: The table.
         after: Version that the reader already has.
         wait_ms: Longest time to wait for a change.
+        accepts_transfer: Whether the reply may be a `PageTransfer`.
     """
 
     table: str
     after: int
     wait_ms: int
+    accepts_transfer: bool = False
+
+
+@attrs.frozen
+class PageTransfer:
+    """The reply to a read whose response is still arriving, or has several parts.
+
+    Attributes:
+        transfer_id: Names the response to whoever replies.
+    """
+
+    transfer_id: int
+
+
+@attrs.frozen
+class PagePart:
+    """A part of a page.
+
+    Attributes:
+        page: Its rows, with the version and the end of the whole page. The value of a
+            row may go on in the next part, under the same id and version.
+        count: Number of parts of the page; 0 if the response is still arriving.
+        arrivals: How often bytes of the response have arrived.
+    """
+
+    page: RowsPage
+    count: int
+    arrivals: int
+
+
+@attrs.frozen
+class FetchPart(Message[PagePart]):
+    """Reads a part of a response that began to arrive.
+
+    Attributes:
+        transfer_id: The response.
+        index: Number of the part, from 0.
+        wait_ms: Longest time to wait for the response to be complete.
+    """
+
+    transfer_id: int
+    index: int
+    wait_ms: int
--- a/marjoramgrade/platform/store.py
+++ b/marjoramgrade/platform/store.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -15,7 +17,9 @@
     HttpNotSentError,
     HttpPool,
     HttpResponse,
+    TransferLimits,
 )
+from marjoramgrade.controllers.transfers import Transfer, Transfers
 from marjoramgrade.errors import (
     HistoryLostError,
     InvalidInputError,
@@ -28,6 +32,8 @@
 )
 from marjoramgrade.messages.rows import (
     CommitRows,
+    FetchPart,
+    PageTransfer,
     ReadRows,
     RowId,
     RowsCommitted,
@@ -49,12 +55,23 @@
 # times as long and continues to process requests that have timed out here.
 READ_TIMEOUT_MS = 1_200
 COMMIT_TIMEOUT_MS = 2_000
+# A response that has begun to arrive fails after this time without a byte.
+READ_SILENCE_MS = 1_200
+# Several pages of the largest size may share the slowest link.
+MAX_TRANSFER_MS = 15_000
+READ_LIMITS = TransferLimits(READ_SILENCE_MS, MAX_TRANSFER_MS)
+# A response that is not complete this long after its first bytes is fetched in parts.
+FIRST_BYTES_LEAD_MS = 30
 # The store refuses a transaction with an invalid or oversized row with one of these.
 _REJECTED_STATUSES = frozenset((400, 403, 413))
 # Added to the wait time of a watch to get the timeout of its request.
 WATCH_MARGIN_MS = 1_000
 
 
+M = TypeVar("M", ReadRows, WatchRows)
+Send = Callable[[M, Callable[[], None] | None], Awaitable[RowsPage]]
+
+
 class StoreClient(Actor):
     """Owns the connections to the store.
 
@@ -66,9 +83,11 @@
         super().__init__()
         self._pool = HttpPool(address, max_connections=12)
         self._newest_version = 0
+        self._transfers = Transfers()
 
     async def on_stop(self) -> None:
         """Close the connections."""
+        self._transfers.clear()
         self._pool.close()
 
     @handles(CommitRows)
@@ -77,11 +96,43 @@
 
     @handles(ReadRows)
     async def _read(self, message: ReadRows) -> Any:
-        return self.spawn_for_sender(self._send_read(message))
+        return self._read_for_sender(message, self._send_read)
 
     @handles(WatchRows)
     async def _watch(self, message: WatchRows) -> Any:
-        return self.spawn_for_sender(self._send_watch(message))
+        return self._read_for_sender(message, self._send_watch)
+
+    @handles(FetchPart)
+    async def _fetch_part(self, message: FetchPart) -> Any:
+        return self.spawn(self._transfers.fetch_part(message))
+
+    def _read_for_sender(self, message: M, send: Send[M]) -> asyncio.Task[Any]:
+        if not message.accepts_transfer:
+            return self.spawn_for_sender(send(message, None))
+        return self.spawn_for_sender(self._begin_transfer(message, send))
+
+    async def _begin_transfer(
+        self, message: M, send: Send[M]
+    ) -> RowsPage | PageTransfer:
+        """Return a short page, or a transfer once the response begins to arrive.
+
+        Raises:
+            TableError: If no response begins to arrive.
+        """
+        transfer = Transfer()
+        page: asyncio.Future[RowsPage] = self.spawn(
+            send(message, transfer.record_arrival)
+        )
+        transfer.receive(page)
+        try:
+            await transfer.has_begun.wait()
+            await asyncio.wait((page,), timeout=FIRST_BYTES_LEAD_MS / 1000)
+        except asyncio.CancelledError:
+            page.cancel()
+            raise
+        if page.done() and len(transfer.parts) <= 1:
+            return await page
+        return self._transfers.add(transfer)
 
     async def _send_commit(self, message: CommitRows) -> RowsCommitted:
         body = msgspec.json.encode(
@@ -113,16 +164,17 @@
         self._newest_version = max(self._newest_version, committed.version)
         return committed
 
-    async def _send_read(self, message: ReadRows) -> RowsPage:
+    async def _send_read(
+        self, message: ReadRows, on_arrival: Callable[[], None] | None
+    ) -> RowsPage:
         query = {"table": message.table, "part": message.part, "limit": message.limit}
         if message.first:
             query["from"] = message.first
         path = f"/rows-get?{urlencode(query)}"
         timeout_ms = message.timeout_ms or READ_TIMEOUT_MS
         known_version = self._newest_version
-        page = _parse_page(
-            _decode_object(await self._call("GET", path, b"", timeout_ms))
-        )
+        answer = await self._get(path, timeout_ms, on_arrival)
+        page = _parse_page(_decode_object(answer))
         self._record_version(message.table, page.version, known_version)
         return page
 
@@ -134,7 +186,9 @@
                 "stale_read", table=table, version=version, known=known_version
             )
 
-    async def _send_watch(self, message: WatchRows) -> RowsPage:
+    async def _send_watch(
+        self, message: WatchRows, on_arrival: Callable[[], None] | None
+    ) -> RowsPage:
         query = {
             "table": message.table,
             "after": message.after,
@@ -142,7 +196,7 @@
         }
         path = f"/rows-feed?{urlencode(query)}"
         known_version = self._newest_version
-        answer = await self._call("GET", path, b"", message.wait_ms + WATCH_MARGIN_MS)
+        answer = await self._get(path, message.wait_ms + WATCH_MARGIN_MS, on_arrival)
         if answer.status == 410:
             raise HistoryLostError(
                 f"the store no longer has the changes after version {message.after}"
@@ -151,12 +205,28 @@
         self._record_version(message.table, page.version, known_version)
         return page
 
+    async def _get(
+        self, path: str, timeout_ms: int, on_arrival: Callable[[], None] | None
+    ) -> HttpResponse:
+        return await self._call("GET", path, b"", timeout_ms, READ_LIMITS, on_arrival)
+
     async def _call(
-        self, method: str, path: str, body: bytes, timeout_ms: int
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_ms: int,
+        limits: TransferLimits | None = None,
+        on_arrival: Callable[[], None] | None = None,
     ) -> HttpResponse:
         try:
             answer = await self._pool.request(
-                method, path, body=body, timeout_ms=timeout_ms
+                method,
+                path,
+                body=body,
+                timeout_ms=timeout_ms,
+                limits=limits,
+                on_arrival=on_arrival,
             )
         except HttpNotSentError as error:
             raise TableUnavailableError(error.message) from None
--- a/tests/test_peercodec.py
+++ b/tests/test_peercodec.py
@@ -109,7 +109,12 @@
         rows.CommitRows((rows.RowCheck(row, 4),), (rows.RowWrite(row, b"\x00x"),)),
         rows.RowsCommitted(5),
         rows.ReadRows("jobs", "p0", "a", 7),
+        rows.ReadRows("jobs", "p0", accepts_transfer=True),
         rows.WatchRows("jobs", 4, 1_000),
+        rows.WatchRows("jobs", 4, 1_000, True),
+        rows.PageTransfer(2**62 - 1),
+        rows.FetchPart(2**62 - 1, 3, 100),
+        rows.PagePart(rows.RowsPage((rows.StoredRow(row, b"x", 3),), 8), 4, 7),
         rows.RowsPage((rows.StoredRow(row, b"x", 3, True),), 8, True),
     ):
         assert parse_frame(serialize_frame(PeerFrame(1, body))).body == body
