Fetch a page that arrives as the wait for it ends

Cause: the wait for a part can end in the iteration of the event loop in which the page completes, before the callback that splits the page has run. Ruled out: an expired transfer, which has another message.

Change: the page is split by whoever sees it complete first.

--- a/marjoramgrade/controllers/transfers.py
+++ b/marjoramgrade/controllers/transfers.py
@@ -55,7 +55,7 @@
             return False
         if self._page.cancelled():
             raise TableUnavailableError("the response is no longer received")
-        await self._page
+        self._split(await self._page)
         return True
 
     def cancel(self) -> None:
@@ -65,9 +65,14 @@
 
     def _complete(self, page: asyncio.Future[RowsPage]) -> None:
         if not page.cancelled() and page.exception() is None:
-            self.parts = split_page(page.result())
+            self._split(page.result())
         self.has_begun.set()
 
+    def _split(self, page: RowsPage) -> None:
+        # The page may be complete before its callback has been called.
+        if not self.parts:
+            self.parts = split_page(page)
+
 
 class Transfers:
     """The transfers of one connection to the store, by id."""
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import time
 
 import attrs
 import pytest
@@ -225,6 +226,30 @@
     asyncio.run(run())
 
 
+def test_page_that_arrives_as_the_wait_for_it_ends_is_fetched():
+    # Guards against a reader that finds a complete page without parts, because the
+    # callback of its completion is still to be called: the direct path then counted as
+    # lost, and the whole response was asked for again.
+    async def run():
+        loop = asyncio.get_running_loop()
+        kept = Transfers()
+        transfer = Transfer()
+        page = loop.create_future()
+        transfer.receive(page)
+        reply = kept.add(transfer)
+        fetch = asyncio.ensure_future(
+            kept.fetch_part(FetchPart(reply.transfer_id, 0, 10))
+        )
+        await asyncio.sleep(0)
+        loop.call_later(0.01, page.set_result, RowsPage((), 4))
+        # Both timers fire in the same iteration of the event loop.
+        time.sleep(0.05)
+        part = await fetch
+        assert (part.page.version, part.count) == (4, 1)
+
+    asyncio.run(run())
+
+
 def test_transfer_that_has_failed_is_an_error_of_the_path():
     # Guards against a reader that waits for a response whose connection has broken.
     async def run():
