Bound a transaction by the link that sends it

Cause: the same as that of a large configuration on slow links. A transaction counts as lost 0.4 s after it was sent, while it is still being sent, and goes out again over the same link; the store client ends each one after 2 s. Ruled out: the store, which responds to reads at once in that test.

Change: a transaction holds no more rows than the instance's link sends in 0.2 s, 600 kB as before on links of 32 Mbit/s or more. One request with the progress of many jobs is split beforehand; it was halved only once the store had refused it.

The bounds are checked against the largest row and the slowest link.

--- a/marjoramgrade/controllers/commits.py
+++ b/marjoramgrade/controllers/commits.py
@@ -46,6 +46,9 @@
 MAX_ROWS_PER_TRANSACTION = 48
 # The store accepts 1 MB per transaction; base64 makes each value a third larger.
 MAX_BATCH_BYTES = 600_000
+# A transaction that takes longer to send than this could be taken for lost, and would
+# be sent again over the same link.
+MAX_SENDING_MS = 200
 # Pause between attempts while the store is unavailable.
 RETRY_MS = 30
 # The store counts as unreachable once a transaction has waited this long. A slow store
@@ -94,6 +97,16 @@
     done: asyncio.Future[frozenset[RowId]]
 
 
+def max_batch_bytes(link_mbps: float) -> int:
+    """Return the size of the rows that one transaction may hold.
+
+    Args:
+        link_mbps: Bandwidth of the link to the store, in Mbit/s.
+    """
+    encoded_bytes = link_mbps * 1e6 / 8 * MAX_SENDING_MS / 1_000
+    return min(MAX_BATCH_BYTES, int(encoded_bytes * 3 / 4))
+
+
 class CommitController(Actor):
     """Owns the writes of one leadership.
 
@@ -104,6 +117,7 @@
             leader wrote.
         versions: Version of each existing row.
         max_row_bytes: Largest row that the store accepts.
+        max_batch_bytes: Size of the rows from which on a transaction takes no more.
         clock: Monotonic time.
         metrics: Records how long commits take.
         subscribers: Told when the store confirms the leadership, becomes reachable or
@@ -117,6 +131,7 @@
         epoch_check: RowCheck,
         versions: dict[RowId, int],
         max_row_bytes: int,
+        max_batch_bytes: int,
         clock: Clock,
         metrics: Metrics,
         subscribers: tuple[Actor, ...],
@@ -127,6 +142,7 @@
         self._epoch_check = epoch_check
         self._version_by_row = versions
         self._max_row_bytes = max_row_bytes
+        self._max_batch_bytes = max_batch_bytes
         self._clock = clock
         self._metrics = metrics
         self._subscribers = subscribers
@@ -190,7 +206,7 @@
             rows.update(write.row for write in request.writes)
             size += sum(len(write.value) for write in request.writes)
             if batch and (
-                len(rows) > MAX_ROWS_PER_TRANSACTION or size > MAX_BATCH_BYTES
+                len(rows) > MAX_ROWS_PER_TRANSACTION or size > self._max_batch_bytes
             ):
                 break
             batch.append(request)
@@ -227,7 +243,8 @@
             else:
                 write_by_row[write.row] = write
         try:
-            await self._write(write_by_row, rejected)
+            for part in self._split(write_by_row):
+                await self._write(part, rejected)
         except NotOwnerError as error:
             self._end_leadership(error)
             return False
@@ -239,6 +256,24 @@
                 request.done.set_result(frozenset(rejected & own))
         return True
 
+    def _split(
+        self, write_by_row: Mapping[RowId, RowWrite]
+    ) -> list[dict[RowId, RowWrite]]:
+        """Return the writes in parts that a transaction may hold.
+
+        One request may hold the progress of many jobs.
+        """
+        parts: list[dict[RowId, RowWrite]] = [{}]
+        size = 0
+        for row, write in write_by_row.items():
+            size += len(write.value)
+            is_full = len(parts[-1]) >= MAX_ROWS_PER_TRANSACTION
+            if parts[-1] and (is_full or size > self._max_batch_bytes):
+                parts.append({})
+                size = len(write.value)
+            parts[-1][row] = write
+        return parts
+
     async def _write(
         self, write_by_row: dict[RowId, RowWrite], rejected: set[RowId]
     ) -> None:
--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -12,7 +12,11 @@
 from marjoramgrade import logs
 from marjoramgrade.actor import STOPPED_ERRORS, Actor
 from marjoramgrade.clock import Clock
-from marjoramgrade.controllers.commits import CommitController, SaveRows
+from marjoramgrade.controllers.commits import (
+    MAX_BATCH_BYTES,
+    CommitController,
+    SaveRows,
+)
 from marjoramgrade.controllers.stepworkerlink import ConnectWorker, StepWorkerLink
 from marjoramgrade.decisions.planpacing import PlanPacer
 from marjoramgrade.decisions.stepactions import (
@@ -78,12 +82,14 @@
         longest_lease_ms: Longest lease that a worker grants, whatever is asked for.
         status_retention_ms: How long the state of an ended job can be queried.
         max_row_bytes: Largest row that the store accepts.
+        max_batch_bytes: Size of the rows that one transaction may hold, in bytes.
     """
 
     worker_lease_ms: int
     longest_lease_ms: int
     status_retention_ms: int
     max_row_bytes: int = 65_536
+    max_batch_bytes: int = MAX_BATCH_BYTES
 
 
 @attrs.frozen
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -87,6 +87,7 @@
             RowCheck(EPOCH_ROW, message.row_version),
             {},
             self._bounds.max_row_bytes,
+            self._bounds.max_batch_bytes,
             self._clock,
             self._metrics,
             (self,),
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -17,6 +17,7 @@
 from marjoramgrade.adapters.peerlink import PeerLink, PeerServer
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers.advising import AdvisingController
+from marjoramgrade.controllers.commits import max_batch_bytes
 from marjoramgrade.controllers.directory import DirectoryController, DirectoryFormat
 from marjoramgrade.controllers.forwarding import ForwardingController
 from marjoramgrade.controllers.leadership import LeadershipController
@@ -118,6 +119,7 @@
             settings.longest_lease_ms,
             settings.status_s * 1_000,
             settings.row_bytes,
+            max_batch_bytes(settings.link_mbps),
         )
         scheduler = StepSchedulerController(
             own_member.instance_id,
--- a/tests/slowlink.py
+++ b/tests/slowlink.py
@@ -6,36 +6,54 @@
 import base64
 import contextlib
 import json
+import re
 from urllib.parse import parse_qsl, urlsplit
 
 CHUNK_BYTES = 4_096
 RELEVANT_TABLE = "op"
 
 
+class Direction:
+    """One direction of a link with a rate in Mbit/s."""
+
+    def __init__(self, rate_mbit_s):
+        self.rate_mbit_s = rate_mbit_s
+        self.free_s = 0.0
+
+    async def carry(self, size):
+        """Wait until the link has carried some bytes, after those of others."""
+        now_s = asyncio.get_running_loop().time()
+        took_s = size * 8 / (self.rate_mbit_s * 1e6)
+        self.free_s = max(self.free_s, now_s) + took_s
+        await asyncio.sleep(self.free_s - now_s)
+
+
 class SlowLinkStore:
-    """Serves one row of configuration to reads and watches.
+    """Serves one row of configuration to reads and watches, and accepts writes.
 
     Args:
-        rate_mbit_s: Rate of the link, in Mbit/s.
+        rate_mbit_s: Rate of the link in each direction, in Mbit/s.
         silent_after: Numbers of the requests, by the bytes after which their responses
             go silent.
 
     Attributes:
         requests: Number of requests so far.
         sent: Bytes sent so far.
+        received: Bytes of writes received so far.
         address: IP address and port while it runs.
     """
 
     def __init__(self, rate_mbit_s, silent_after=None):
-        self.rate_mbit_s = rate_mbit_s
         self.silent_after = silent_after or {}
         self.requests = 0
         self.sent = 0
+        self.received = 0
         self.address = ""
         self._version = 1
         self._value = b"{}"
         self._changed = asyncio.Event()
-        self._free_s = 0.0
+        self._down = Direction(rate_mbit_s)
+        self._up = Direction(rate_mbit_s)
         self._writers = set()
 
     def change(self, value):
@@ -65,11 +83,24 @@
                 self.requests += 1
                 number = self.requests
                 path, query = urlsplit(head.split()[1].decode())[2:4]
-                document = await self._answer(path, dict(parse_qsl(query)))
+                if path == "/rows-tx":
+                    await self._receive(reader, head)
+                    self._version += 1
+                    document = {"ver": self._version}
+                else:
+                    document = await self._answer(path, dict(parse_qsl(query)))
                 await self._send(writer, document, self.silent_after.get(number))
         self._writers.discard(writer)
         writer.close()
 
+    async def _receive(self, reader, head):
+        rest = int(re.search(rb"Content-Length: (\d+)", head)[1])
+        while rest:
+            chunk = await reader.readexactly(min(rest, CHUNK_BYTES))
+            rest -= len(chunk)
+            self.received += len(chunk)
+            await self._up.carry(len(chunk))
+
     async def _answer(self, path, asked):
         rows = []
         if path == "/rows-get":
@@ -90,14 +121,11 @@
     async def _send(self, writer, document, silent_after):
         body = json.dumps(document).encode()
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        loop = asyncio.get_running_loop()
         for begin in range(0, len(data), CHUNK_BYTES):
             if silent_after is not None and begin >= silent_after:
                 await asyncio.sleep(3_600)
             chunk = data[begin : begin + CHUNK_BYTES]
-            took_s = len(chunk) * 8 / (self.rate_mbit_s * 1e6)
-            self._free_s = max(self._free_s, loop.time()) + took_s
-            await asyncio.sleep(self._free_s - loop.time())
+            await self._down.carry(len(chunk))
             if writer.is_closing():
                 raise ConnectionResetError
             writer.write(chunk)
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -11,6 +11,7 @@
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers import commits
 from marjoramgrade.controllers.commits import (
+    MAX_BATCH_BYTES,
     AdoptRowVersions,
     CommitController,
     SaveRows,
@@ -68,6 +69,7 @@
         RowCheck(EPOCH_ROW, version),
         {},
         MAX_ROW_BYTES,
+        MAX_BATCH_BYTES,
         SystemClock(),
         MemoryMetrics(),
         (listener,),
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -12,7 +12,12 @@
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import SystemClock
-from marjoramgrade.controllers import storerouter, transfers
+from marjoramgrade.controllers import commits, storerouter, transfers
+from marjoramgrade.controllers.commits import (
+    CommitController,
+    SaveRows,
+    max_batch_bytes,
+)
 from marjoramgrade.controllers.directory import DirectoryController, DirectoryFormat
 from marjoramgrade.controllers.storerouter import StoreRouter
 from marjoramgrade.controllers.transfers import Transfer, Transfers
@@ -21,8 +26,10 @@
 from marjoramgrade.messages.rows import (
     FetchPart,
     ReadRows,
+    RowCheck,
     RowId,
     RowsPage,
+    RowWrite,
     StoredRow,
     WatchRows,
 )
@@ -41,6 +48,7 @@
 from marjoramgrade.platform import store as store_module
 from marjoramgrade.platform.store import StoreClient
 from marjoramgrade.stepconfig import StepConfig
+from marjoramgrade.steprows import EPOCH_ROW
 from tests.slowlink import SlowLinkStore
 
 # `configApplyMs` of the sites whose instances have the slowest links.
@@ -296,6 +304,11 @@
     assert storerouter.TRANSFER_SILENCE_MS < store_module.READ_SILENCE_MS
     whole_ms = duration_ms(LARGEST_PAGE_BYTES, CONCURRENT_READS)
     assert whole_ms < store_module.MAX_TRANSFER_MS
+    batch_bytes = max_batch_bytes(SLOWEST_LINK_MBIT_S) * 4 // 3
+    assert duration_ms(batch_bytes) <= commits.MAX_SENDING_MS
+    largest_row_ms = duration_ms(65_536 * 4 // 3)
+    longest_ms = max(commits.MAX_SENDING_MS, largest_row_ms)
+    assert longest_ms < storerouter.INITIAL_OVERDUE_MS
     part_ms = duration_ms(PART_BYTES, CONCURRENT_READS)
     assert part_ms + storerouter.PART_WAIT_MS < storerouter.HEDGED_RELAY_TIMEOUT_MS
     assert storerouter.HEDGED_RELAY_TIMEOUT_MS < transfers.IDLE_MS
@@ -312,3 +325,50 @@
     size = 2_000 * 270 * 4 / 3
     store_ms = instances * size * 8 / store_mbit_s / 1_000
     assert store_ms + duration_ms(size) < CONFIG_APPLY_S * 1_000
+
+
+@pytest.mark.parametrize("rows_per_request", [1, 48])
+def test_large_batch_of_rows_is_written_over_a_slow_link(rows_per_request):
+    # Guards against a transaction that is taken for lost while it is being sent, and
+    # sent again over the same link.
+    async def run():
+        store = SlowLinkStore(SLOWEST_LINK_MBIT_S)
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(store.running())
+            client = StoreClient(store.address)
+            relays = Relays(client)
+            router = StoreRouter("own", client, relays)
+            controller = CommitController(
+                router,
+                1,
+                RowCheck(EPOCH_ROW, 1),
+                {},
+                65_536,
+                max_batch_bytes(SLOWEST_LINK_MBIT_S),
+                SystemClock(),
+                MemoryMetrics(),
+                (),
+            )
+            for actor in (client, relays, router, controller):
+                await actor.start()
+                stack.push_async_callback(actor.stop)
+            writes = [
+                RowWrite(RowId("progress", "p0", f"k{number}"), bytes(12_000))
+                for number in range(48)
+            ]
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            size = 48 * 12_000 * 4 / 3
+            async with asyncio.timeout(5):
+                await asyncio.gather(
+                    *(
+                        controller.ask(
+                            SaveRows(tuple(writes[first : first + rows_per_request]))
+                        )
+                        for first in range(0, len(writes), rows_per_request)
+                    )
+                )
+            assert loop.time() - began_s < 1.5 * duration_ms(size) / 1_000
+            assert store.received < 1.2 * size
+
+    asyncio.run(run())
