Pick the ports of one cell of tests from one picker

Cause, traced in the files of that run: platform and a worker had the same port, 29451. The cell picked the platform's port by itself, and had only started its process when the ports of the workers were picked, so that the port still looked free. Ruled out: another process, since both numbers stand in the files of the one cell.

Change: one picker, which gives no port twice, serves the platform, the workers, the backend servers and the relay; an entry instance's two ports come from one picker as well.

Result: with the picks of the new test the former code gives platform and worker the same port; it passes now. No check of a test has changed.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -21,7 +21,6 @@
     EntryPlan,
     PortPicker,
     Process,
-    free_port,
     iter_backends,
     iter_relay_routes,
     iter_workers,
@@ -60,6 +59,7 @@
             process has the instance's id as its name.
         entry_by_id: Plans of the entry instances started so far.
         instances: The platform's list of instances, as it is published next.
+        ports: Picks the ports on the address of the stand-ins.
         platform_port: Port of the stand-in platform.
         relay_port: Port of the relay's control handler; 0 without a relay.
         relay_port_by_target: Ports on which the relay listens, by instance id.
@@ -80,6 +80,7 @@
     process_by_name: dict[str, Process] = attrs.field(factory=dict)
     entry_by_id: dict[str, EntryPlan] = attrs.field(factory=dict)
     instances: list[dict[str, Any]] = attrs.field(factory=list)
+    ports: PortPicker = attrs.field(factory=PortPicker)
     platform_port: int = 0
     relay_port: int = 0
     relay_port_by_target: dict[str, int] = attrs.field(factory=dict)
@@ -165,7 +166,8 @@
         """Plan an entry instance of a zone with a free address and free ports."""
         number = len(self.entry_by_id) + 1
         host = f"127.0.{self.zones.index(zone) + 1}.{number}"
-        return EntryPlan(name, zone, host, free_port(host), free_port(host))
+        ports = PortPicker(host)
+        return EntryPlan(name, zone, host, ports.pick(), ports.pick())
 
     async def control_platform(self, **faults: Any) -> dict[str, Any]:
         """Set faults of the platform and return its counters."""
@@ -375,9 +377,8 @@
         return answer
 
     async def _start(self) -> None:
-        self.platform_port = free_port()
+        self.plan()
         self._spawn("platform", "standins.platform", HOST, str(self.platform_port))
-        self.instances = self._plan_instances()
         for kind in ("worker", "backend"):
             self._spawn_standins(kind)
         if self.is_relayed:
@@ -398,12 +399,19 @@
         for plan in self.entry_by_id.values():
             await self.wait_ready(plan)
 
+    def plan(self) -> None:
+        """Pick the ports of the platform, the workers and the backend servers."""
+        self.platform_port = self.ports.pick()
+        self.instances = self._plan_instances()
+
     def _plan_instances(self) -> list[dict[str, Any]]:
         capacity = {
             "cpu_millis": self.worker_cpu_millis,
             "memory_mib": self.worker_memory_mib,
         }
-        ports = PortPicker(self.instance_host)
+        # A process that has been started may not listen on its port yet.
+        is_shared = self.instance_host == HOST
+        ports = self.ports if is_shared else PortPicker(self.instance_host)
         return [
             plan
             for zone in self.zones
@@ -425,11 +433,11 @@
             self._spawn(name, f"standins.{kind}s", str(path))
 
     def _spawn_relay(self) -> None:
-        routes = list(iter_relay_routes(self.instances))
+        routes = list(iter_relay_routes(self.instances, self.ports))
         self.relay_port_by_target = {r["target"]: r["listen_port"] for r in routes}
         path = self.folder / "relay.json"
         path.write_text(json.dumps(routes), encoding="utf-8")
-        self.relay_port = free_port()
+        self.relay_port = self.ports.pick()
         self._spawn("relay", "standins.relay", str(path), HOST, str(self.relay_port))
 
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -132,13 +132,15 @@
         yield {**plan, "service": service}
 
 
-def iter_relay_routes(instances: list[dict[str, Any]]) -> Iterator[dict[str, Any]]:
+def iter_relay_routes(
+    instances: list[dict[str, Any]], ports: PortPicker
+) -> Iterator[dict[str, Any]]:
     """Yield a relay route, which listens on a free port, to each instance."""
     for instance in instances:
         yield {
             "target": instance["instance_id"],
-            "listen_host": HOST,
-            "listen_port": free_port(),
+            "listen_host": ports.host,
+            "listen_port": ports.pick(),
             "host": instance["host"],
             "port": instance["port"],
         }
--- a/tests/test_standin_ports.py
+++ b/tests/test_standin_ports.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import pathlib
 import socket
 
 import pytest
 
+from standins import cell, processes
 from standins.processes import HOST, PortPicker, free_port
 
 EPHEMERAL_RANGE = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
@@ -28,3 +30,19 @@
         listening.bind((HOST, picked[0]))
         listening.listen()
         assert free_port() != picked[0]
+
+
+def test_ports_of_one_cell_differ_before_anything_listens(monkeypatch, tmp_path):
+    # Guards against a stand-in that cannot listen because the platform of its own cell,
+    # which had started but did not listen yet, had the same port (seen once in CI).
+    probed = itertools.cycle([port for port in range(20_000, 20_060) for _ in "ab"])
+    monkeypatch.setattr(processes, "free_port", lambda _host=HOST: next(probed))
+    planned = cell.Cell(tmp_path)
+    planned.plan()
+    routes = processes.iter_relay_routes(planned.instances, planned.ports)
+    ports = [
+        planned.platform_port,
+        *(instance["port"] for instance in planned.instances),
+        *(route["listen_port"] for route in routes),
+    ]
+    assert len(set(ports)) == len(ports) > 10
