Wait until both instances are admitted before their operators compete

Cause: the cell waits for the admission of its first instance only. In the failed run whose files were kept the second one has no "admitted" line before its 503, which is what an instance answers until then.

Change: the test first hands in a change at each instance, which waits while the answer is 503, and then until all have the same version. Its assertions are as before.

--- a/tests/test_faults_operators.py
+++ b/tests/test_faults_operators.py
@@ -20,6 +20,10 @@
         async with Cell(tmp_path, workers_per_zone=1) as cell:
             await cell.seed({TEAM: {"share": 1}})
             urls = [plan.url for plan in cell.running_entries()]
+            for url in urls:
+                # An instance that is not admitted yet responds with 503; `put` waits.
+                await cell.put(f"{url}/v1/teams/{TEAM}", {"share": 1})
+            await cell.wait_for_config()
             for round_number in range(ROUNDS):
                 answer = await cell.fetch(f"{urls[0]}/v1/teams/{TEAM}")
                 if_match = {"If-Match": answer.headers["ETag"]}
