Assert that the transfer of a test does go silent

Found on reading the change again: the test of a transfer that goes silent would also have passed if the silence had met another request, since it chose the request by its number and checked only that the configuration was in force in time.

Change: the test waits until a watch is pending and asserts that one response went silent. The operators' table has its usual name in the stand-in store of the test. No product code changed.

--- a/tests/slowlink.py
+++ b/tests/slowlink.py
@@ -10,7 +10,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 CHUNK_BYTES = 4_096
-RELEVANT_TABLE = "op"
+OPERATOR_TABLE = "op"
 
 
 class Direction:
@@ -40,6 +40,8 @@
         requests: Number of requests so far.
         sent: Bytes sent so far.
         received: Bytes of writes received so far.
+        silenced: Number of responses that have gone silent.
+        waiting: Number of watches that wait for a change.
         address: IP address and port while it runs.
     """
 
@@ -48,6 +50,8 @@
         self.requests = 0
         self.sent = 0
         self.received = 0
+        self.silenced = 0
+        self.waiting = 0
         self.address = ""
         self._version = 1
         self._value = b"{}"
@@ -104,18 +108,20 @@
     async def _answer(self, path, asked):
         rows = []
         if path == "/rows-get":
-            rows = self._rows() if asked["table"] == RELEVANT_TABLE else []
-        elif asked["table"] == RELEVANT_TABLE:
+            rows = self._rows() if asked["table"] == OPERATOR_TABLE else []
+        elif asked["table"] == OPERATOR_TABLE:
             if self._version <= int(asked["after"]):
+                self.waiting += 1
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(int(asked["waitMs"]) / 1000):
                         await self._changed.wait()
+                self.waiting -= 1
             rows = self._rows() if self._version > int(asked["after"]) else []
         return {"ver": self._version, "hasMore": False, "rows": rows}
 
     def _rows(self):
         value = base64.b64encode(self._value).decode()
-        row = {"table": RELEVANT_TABLE, "part": "", "key": "config"}
+        row = {"table": OPERATOR_TABLE, "part": "", "key": "config"}
         return [{**row, "value": value, "ver": self._version}]
 
     async def _send(self, writer, document, silent_after):
@@ -123,6 +129,7 @@
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
         for begin in range(0, len(data), CHUNK_BYTES):
             if silent_after is not None and begin >= silent_after:
+                self.silenced += 1
                 await asyncio.sleep(3_600)
             chunk = data[begin : begin + CHUNK_BYTES]
             await self._down.carry(len(chunk))
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -187,9 +187,12 @@
         store = SlowLinkStore(10)
         async with instance_behind(store) as (subscriber, _):
             await asyncio.sleep(0.7)
-            # The watch that is waiting, and one that may have begun meanwhile.
+            while not store.waiting:
+                await asyncio.sleep(0.001)
+            # The watch that is waiting for the change.
             store.silent_after = {store.requests: 50_000}
             assert await change_config(store, subscriber, 300) < CONFIG_APPLY_S
+            assert store.silenced == 1
 
     asyncio.run(run())
 
