List idle workers less often

Cause: the leader lists every worker at least every 600 ms, and for 5 s after any unanswered call every 200 ms, whatever runs there. Listings are long polls, so ends are reported at once anyway. Change: a registry of listing schedules, chosen by the setting listing. The default, periodic, is the earlier rule.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -17,6 +17,7 @@
     CommitController,
     SaveRows,
 )
+from marjoramgrade.controllers.leaderpolicies import LeaderPolicies
 from marjoramgrade.controllers.stepworkerlink import ConnectWorker, StepWorkerLink
 from marjoramgrade.decisions.planpacing import PlanPacer
 from marjoramgrade.decisions.stepactions import (
@@ -167,7 +168,8 @@
         grant_until_ms: Until when leases of workers may be extended.
         plan_scheduled: Whether the planner is about to run.
         pacer: Delays the plans while they take long.
-        alert_until_ms: Until when listings use the shortened wait.
+        alert_until_by_zone: Until when the listings of the workers of a zone use the
+            shortened wait.
         last_purge_ms: When ended jobs were last removed.
         last_load_log_ms: When the load was last logged.
         last_rewrite_ms: When refused progress was last written again.
@@ -190,7 +192,7 @@
     grant_until_ms: int = 0
     plan_scheduled: bool = False
     pacer: PlanPacer = attrs.field(factory=PlanPacer)
-    alert_until_ms: int = 0
+    alert_until_by_zone: dict[str, int] = attrs.field(factory=dict)
     last_purge_ms: int = 0
     last_load_log_ms: int = 0
     last_rewrite_ms: int = 0
@@ -208,6 +210,7 @@
         bounds: Bounds of leases, of the retention of ended jobs and of rows.
         clock: Monotonic and Unix time.
         metrics: Counters and timings.
+        policies: What the settings choose for a leader.
     """
 
     def __init__(
@@ -220,9 +223,11 @@
         bounds: LeaderBounds,
         clock: Clock,
         metrics: Metrics,
+        policies: LeaderPolicies | None = None,
     ) -> None:
         super().__init__()
         self._instance_id = instance_id
+        self._policies = policies or LeaderPolicies()
         self._store = store
         self._peers = peers
         self._advisor = advisor
@@ -391,6 +396,7 @@
             self._bounds.longest_lease_ms,
             fence,
             earliest_expiry_ms,
+            self._policies.listing,
         )
         lead.link_by_worker[worker.worker_id] = link
         link.on_fatal = self.on_fatal
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -350,19 +350,27 @@
         worker = lead.state.worker_by_id.get(message.worker_id)
         if worker is not None:
             worker.has_unanswered_call = True
-        self._shorten_listing_waits(lead)
+        self._shorten_listing_waits(lead, message.worker_id)
 
-    def _shorten_listing_waits(self, lead: LeaderState) -> None:
-        """Shorten the listing waits of all links for ALERT_MS.
+    def _shorten_listing_waits(self, lead: LeaderState, worker_id: str) -> None:
+        """List all workers now and shorten the listing waits for ALERT_MS.
 
-        When calls to one worker are lost, calls to other workers are often lost too.
+        When calls to one worker are lost, calls to other workers are often lost too. A
+        worker of another zone that responds to the listing is not affected by a cut of
+        this one, so with alerts by zone its waits stay as they are.
         """
-        until_ms = self._clock.now_ms() + ALERT_MS
-        if until_ms - lead.alert_until_ms < ALERT_MS // 4:
+        worker = lead.state.worker_by_id.get(worker_id)
+        has_zone_alerts = self._policies.has_zone_alerts and worker is not None
+        zone = worker.worker.zone if has_zone_alerts and worker is not None else ""
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + ALERT_MS
+        if until_ms - lead.alert_until_by_zone.get(zone, 0) < ALERT_MS // 4:
             return
-        lead.alert_until_ms = until_ms
-        for link in lead.link_by_worker.values():
-            link.tell(ShortenListingWaits(until_ms))
+        lead.alert_until_by_zone[zone] = until_ms
+        for linked_id, link in lead.link_by_worker.items():
+            linked = lead.state.worker_by_id.get(linked_id)
+            is_near = not zone or linked is None or linked.worker.zone == zone
+            link.tell(ShortenListingWaits(until_ms if is_near else now_ms))
 
     @handles(WorkerFenceRefused)
     async def _fence_refused(self, message: WorkerFenceRefused) -> None:
@@ -407,7 +415,7 @@
             )
         elif message.outcome is StartOutcome.UNKNOWN:
             state.record_start_unknown(message.worker_id, message.task, message.run)
-            self._shorten_listing_waits(lead)
+            self._shorten_listing_waits(lead, message.worker_id)
         else:
             self._handle_refused_start(lead, message)
         self._perform_actions(lead)
--- /dev/null
+++ b/marjoramgrade/controllers/leaderpolicies.py
@@ -0,0 +1,33 @@
+"""The policies that the settings choose for a leader."""
+
+from __future__ import annotations
+
+import attrs
+
+from marjoramgrade.decisions.listings.schedule import (
+    LISTING_SCHEDULES,
+    ListingSchedule,
+)
+
+
+@attrs.frozen
+class LeaderPolicies:
+    """Policies of a leader, each an entry of a registry.
+
+    Attributes:
+        listing: Chooses how long the listing of a worker waits.
+        has_zone_alerts: Whether an unanswered call shortens the listing waits of the
+            worker's availability zone only, and not those of all workers.
+    """
+
+    listing: ListingSchedule = LISTING_SCHEDULES.get("periodic")
+    has_zone_alerts: bool = False
+
+    @classmethod
+    def from_config(cls, listing: str) -> LeaderPolicies:
+        """Return the policies with these names.
+
+        Raises:
+            UnknownNameError: If a registry has no entry of that name.
+        """
+        return cls(LISTING_SCHEDULES.get(listing), listing == "expected")
--- a/marjoramgrade/controllers/stepworkerlink.py
+++ b/marjoramgrade/controllers/stepworkerlink.py
@@ -9,6 +9,11 @@
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.workerport import WorkerPort
+from marjoramgrade.decisions.listings.schedule import (
+    ListingSchedule,
+    WorkerActivity,
+    periodic,
+)
 from marjoramgrade.decisions.workerlease import WorkerLease
 from marjoramgrade.errors import (
     InvalidInputError,
@@ -35,12 +40,6 @@
 )
 from marjoramgrade.stepjobs import StepWorker, WorkerListing
 
-# A listing waits this long for a run to end; then it reports progress. A worker that is
-# cut off is detected only after this time.
-LISTING_WAIT_MS = 600
-# The shorter wait while calls to workers get no response: an end that occurs during a
-# lost call is seen only with the next one.
-ALERT_WAIT_MS = 200
 # While ends that the worker lists are not yet stored, the next listing is requested
 # after this time, since the worker would respond to it at once.
 ACKNOWLEDGEMENT_WAIT_MS = 120
@@ -66,6 +65,7 @@
         fence: The first fencing token.
         earliest_expiry_ms: Time on this instance's clock after which leases of earlier
             leaders have expired.
+        schedule: Chooses how long each listing waits for a run to end.
     """
 
     def __init__(
@@ -78,6 +78,7 @@
         longest_lease_ms: int,
         fence: int,
         earliest_expiry_ms: int,
+        schedule: ListingSchedule = periodic,
     ) -> None:
         super().__init__()
         self._worker_id = worker.worker_id
@@ -86,6 +87,7 @@
         self._clock = clock
         self._worker_lease_ms = worker_lease_ms
         self._longest_lease_ms = longest_lease_ms
+        self._schedule = schedule
         self._fence = fence
         self._lease = WorkerLease(earliest_expiry_ms=earliest_expiry_ms)
         self._acknowledged_number = 0
@@ -101,6 +103,9 @@
         self._has_reported_expiry = False
         self._acknowledgement_received = asyncio.Event()
         self._alert_until_ms = 0
+        # A worker that was not listed yet may have runs of earlier leaders.
+        self._lists_runs = True
+        self._start_sent_ms = 0
 
     async def on_start(self) -> None:
         """Start listing the worker's runs."""
@@ -117,7 +122,7 @@
     @handles(ShortenListingWaits)
     async def _shorten_waits(self, message: ShortenListingWaits) -> None:
         is_first = self._clock.now_ms() >= self._alert_until_ms
-        self._alert_until_ms = message.until_ms
+        self._alert_until_ms = max(self._alert_until_ms, message.until_ms)
         if is_first:
             # The pending listing would show only after its wait that the worker is
             # unresponsive.
@@ -170,6 +175,7 @@
         if not expiry:
             return StartOutcome.REFUSED, "not_heard"
         try:
+            self._start_sent_ms = self._clock.now_ms()
             # The response does not name the incarnation whose clock it shows, so the
             # clock is taken from listings only.
             await self._port.start(message.order, message.fence, expiry)
@@ -242,8 +248,13 @@
                 await self._wait_for_acknowledgement()
 
     def _wait_ms(self) -> int:
-        is_alert = self._clock.now_ms() < self._alert_until_ms
-        return ALERT_WAIT_MS if is_alert else LISTING_WAIT_MS
+        return self._schedule(
+            WorkerActivity(
+                has_runs=self._lists_runs or self._start_sent_ms > 0,
+                is_alert=self._clock.now_ms() < self._alert_until_ms,
+                has_failed=self._failures > 0,
+            )
+        )
 
     def _is_fully_acknowledged(self) -> bool:
         return (
@@ -303,6 +314,9 @@
             self._born_unix_ms = listing.born_unix_ms
             self._acknowledged_number = self._last_end_number = 0
             self._lease = WorkerLease()
+        self._lists_runs = bool(listing.running)
+        if asked_ms > self._start_sent_ms:
+            self._start_sent_ms = 0
         self._lease.record_clock(listing.clock_ms, self._clock.now_ms())
         if not self._is_lease_known:
             self._bound_unknown_grants(listing, fence)
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -418,7 +418,8 @@
     """Asks a link to shorten the waits of its listings, since a call has failed.
 
     Attributes:
-        until_ms: When the shortening ends, on this instance's clock.
+        until_ms: When the shortening ends, on this instance's clock. A time that has
+            passed asks for one listing without a wait.
     """
 
     until_ms: int
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -20,6 +20,7 @@
 from marjoramgrade.controllers.commits import max_batch_bytes
 from marjoramgrade.controllers.directory import DirectoryController, DirectoryFormat
 from marjoramgrade.controllers.forwarding import ForwardingController
+from marjoramgrade.controllers.leaderpolicies import LeaderPolicies
 from marjoramgrade.controllers.leadership import LeadershipController
 from marjoramgrade.controllers.peers import PeersController
 from marjoramgrade.controllers.readiness import ReadinessController
@@ -130,6 +131,7 @@
             bounds,
             clock,
             self._metrics,
+            LeaderPolicies.from_config(settings.listing),
         )
         forwarder = ForwardingController(
             own_member.instance_id, scheduler, peers, router, clock
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
 from marjoramgrade.platform.decoding import check_address
 
@@ -42,6 +43,7 @@
         shutdown_s: Time between SIGTERM and SIGKILL, in seconds.
         config_apply_ms: Time within which a new configuration must be in force, in
             milliseconds.
+        listing: Name of the schedule of worker listings.
     """
 
     instance_id: str
@@ -61,6 +63,7 @@
     row_bytes: int = 65_536
     config_apply_ms: int = 2_000
     advice: str = ""
+    listing: str = "periodic"
 
     @property
     def strength(self) -> int:
@@ -90,6 +93,10 @@
         if not _is_address(getattr(settings, name))
         and (name != "advice" or settings.advice)
     ]
+    if settings.listing not in LISTING_SCHEDULES.iter_names():
+        problems.append(
+            SettingsProblem("listing", f"no schedule is named {settings.listing!r}")
+        )
     if problems:
         raise SettingsError(problems)
     return settings
