Place urgent steps by the learned speed of workers

Cause: workers have speeds of 0.8, 1.0 and 1.25, and the last task of a wide step decides. The placement took all workers for alike. Change: the leader learns speeds from the completed runs of a step once the step is done. With the setting placement = "speed", urgent steps take the fastest workers that have capacity, and other work leaves these where it packs as well elsewhere.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -286,6 +286,7 @@
             lead.planner.channels.set_instances(self._version_by_member)
             began_ms = self._clock.now_ms()
             lead.planner.plan(began_ms, self._clock.unix_ms())
+            self._count_placements(lead)
             self._perform_actions(lead)
             lead.pacer.took_ms = self._clock.now_ms() - began_ms
             self._metrics.timing("plan", lead.pacer.took_ms)
@@ -293,6 +294,11 @@
             if lead.planner.is_cut:
                 self._schedule_plan(lead)
 
+    def _count_placements(self, lead: LeaderState) -> None:
+        for outcome, count in lead.planner.count_by_outcome.items():
+            self._metrics.count(f"placement.{outcome}", count)
+        lead.planner.count_by_outcome.clear()
+
     def _perform_actions(self, lead: LeaderState) -> None:
         """Store the changed jobs and execute the actions that the state requests."""
         if self._lead is not lead:
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -114,7 +114,11 @@
             return
         writes.commits.tell(AdoptRowVersions(recovered.version_by_row))
         state = StepState(writes.epoch, self._config, self._evacuated_zones)
-        planner = Planner(state, AdvisorChannels(self._instance_id))
+        planner = Planner(
+            state,
+            AdvisorChannels(self._instance_id),
+            rules=self._policies.placement,
+        )
         lead = LeaderState(
             writes.epoch, writes.commits, state, planner, Supervisor(state, planner)
         )
@@ -298,7 +302,7 @@
         worker = lead and lead.state.worker_by_id.get(message.worker_id)
         if lead is None or not worker:
             return
-        was_synced = worker.synced
+        was_synced, speed_class = worker.synced, worker.speed.speed_class
         self._log_new_ends(worker, message.listing)
         lead.state.apply_listing(
             worker,
@@ -316,6 +320,14 @@
                 runs=len(worker.run_by_task),
                 strays=len(worker.orphan_by_task),
             )
+        if worker.speed.speed_class is not speed_class:
+            self._metrics.count(f"worker_speed.{worker.speed.speed_class.value}")
+            logs.log_event(
+                "worker_speed",
+                worker=message.worker_id,
+                speed=worker.speed.speed_class.value,
+                factor=round(worker.speed.factor, 2),
+            )
         listing = message.listing
         # The listing of an earlier incarnation was not applied.
         if listing.ended and listing.born_unix_ms == worker.worker.born_unix_ms:
--- a/marjoramgrade/controllers/leaderpolicies.py
+++ b/marjoramgrade/controllers/leaderpolicies.py
@@ -8,6 +8,7 @@
     LISTING_SCHEDULES,
     ListingSchedule,
 )
+from marjoramgrade.decisions.stepplacement import PlacementRules
 
 
 @attrs.frozen
@@ -18,16 +19,22 @@
         listing: Chooses how long the listing of a worker waits.
         has_zone_alerts: Whether an unanswered call shortens the listing waits of the
             worker's availability zone only, and not those of all workers.
+        placement: Chooses the worker for a task.
     """
 
     listing: ListingSchedule = LISTING_SCHEDULES.get("periodic")
     has_zone_alerts: bool = False
+    placement: PlacementRules = PlacementRules()
 
     @classmethod
-    def from_config(cls, listing: str) -> LeaderPolicies:
+    def from_config(cls, listing: str, placement: str = "batch") -> LeaderPolicies:
         """Return the policies with these names.
 
         Raises:
             UnknownNameError: If a registry has no entry of that name.
         """
-        return cls(LISTING_SCHEDULES.get(listing), listing == "expected")
+        return cls(
+            LISTING_SCHEDULES.get(listing),
+            listing == "expected",
+            PlacementRules.from_config(placement),
+        )
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -13,7 +13,7 @@
 from marjoramgrade.decisions.advisorchannels import AdvisorChannels
 from marjoramgrade.decisions.stepactions import AskAdvice
 from marjoramgrade.decisions.stepholds import LARGE_SHARE, CapacityHolds, Slot
-from marjoramgrade.decisions.stepplacement import choose_worker
+from marjoramgrade.decisions.stepplacement import PlacementRules
 from marjoramgrade.decisions.steppreemption import Preemption
 from marjoramgrade.decisions.steppriority import STEP_ORDERS, StepOrder, WaitingStep
 from marjoramgrade.decisions.stepprogress import JobProgress, StepProgress
@@ -48,7 +48,9 @@
     Attributes:
         state: Jobs and workers.
         order: Order in which steps are offered capacity.
+        rules: Which worker gets a task.
         channels: Calls to the placement advisor.
+        count_by_outcome: Outcomes of placements since they were last reported, by name.
         waiting_by_reason: Number of steps that the last plan left waiting, by
             "queue:reason".
         is_cut: Whether the last plan ordered as many starts as it may, so that another
@@ -58,6 +60,8 @@
     state: StepState
     channels: AdvisorChannels
     order: StepOrder = STEP_ORDERS.get("worth")
+    rules: PlacementRules = PlacementRules()
+    count_by_outcome: Counter[str] = attrs.field(factory=Counter)
     waiting_by_reason: Counter[str] = attrs.field(factory=Counter)
     is_cut: bool = False
     _starts: int = 0
@@ -276,8 +280,12 @@
             False if no worker has capacity or the team is at its limit.
         """
         fitting = self.candidates(step, index, permitted, now_ms)
-        worker = choose_worker(step, fitting)
-        return worker is not None and self.state.place(step, {index: worker}, now_ms)
+        worker = self.rules.choose_worker(step, fitting)
+        if worker is None or not self.state.place(step, {index: worker}, now_ms):
+            return False
+        if self.rules.prefers_fast(step):
+            self.count_by_outcome[f"urgent_{worker.speed.speed_class.value}"] += 1
+        return True
 
     def _collect_waiting(self, now_ms: int, unix_ms: int) -> list[WaitingStep]:
         return [
@@ -383,6 +391,9 @@
         need, spare = step.step.resources, step.step.uses_spare
         max_runs = step.step.max_per_worker or step.step.count
         slots: list[WorkerState] = []
+        if self.rules.prefers_fast(step):
+            # The slowest member decides.
+            permitted = sorted(permitted, key=lambda worker: -worker.speed.grade)
         for worker in permitted:
             if worker.suspicion.probing or not self._holds.allows(step, worker, now_ms):
                 continue
@@ -471,6 +482,9 @@
                 if worker.worker.worker_id not in cache.asked_workers
                 and worker not in with_room
             )
-        with_room.sort(key=lambda worker: -worker.free_cpu_millis)
+        if self.rules.prefers_fast(step):
+            with_room.sort(key=lambda w: -w.free_cpu_millis * w.speed.factor)
+        else:
+            with_room.sort(key=lambda worker: -worker.free_cpu_millis)
         wanted = cache.workers_to_ask(worker.worker.worker_id for worker in with_room)
         return wanted[:MAX_WORKERS_PER_CALL]
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -56,6 +56,8 @@
         ready_ms: When the step was first found ready to run, or None.
         done_count: Number of tasks that are done.
         done_durations: Durations of completed runs, in milliseconds.
+        run_durations: Workers and durations of the completed runs whose speeds are
+            compared once the step is done; see `workerspeed`.
         rack_in_use: Rack of the runs if they should share a rack, or empty.
         wait_reason: Why the last plan left tasks waiting, or empty.
         wait_since_ms: When `wait_reason` was last recorded.
@@ -79,6 +81,7 @@
     wait_reason: str = ""
     wait_since_ms: int = 0
     done_durations: list[int] = attrs.field(factory=list)
+    run_durations: list[tuple[str, float]] = attrs.field(factory=list)
 
     @classmethod
     def from_step(
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -14,6 +14,7 @@
 from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.steptracker import StepTracker
 from marjoramgrade.decisions.stepworkers import WorkerState
+from marjoramgrade.decisions.workerspeed import record_completion
 from marjoramgrade.stepjobs import (
     RunEnd,
     RunEndStatus,
@@ -239,6 +240,7 @@
                 worker.suspicion.record_success()
             is_whole = not run.is_inherited
             if duration_ms and is_whole and not run.step.checkpoint_of(run.task.index):
+                record_completion(run, worker, duration_ms, self.worker_by_id)
                 run.step.done_durations.append(duration_ms)
                 self.durations.add(run.step.job.queue.name, duration_ms)
         elif ending is RunEndStatus.FAILED:
--- a/marjoramgrade/decisions/stepworkers.py
+++ b/marjoramgrade/decisions/stepworkers.py
@@ -5,6 +5,7 @@
 import attrs
 
 from marjoramgrade.decisions.steprun import Run
+from marjoramgrade.decisions.workerspeed import WorkerSpeed
 from marjoramgrade.resources import ZERO_RESOURCES, Resources
 from marjoramgrade.stepjobs import StepWorker, TaskRef
 
@@ -112,6 +113,7 @@
         fence_refusals: Listings since the last sync that the worker refused because of
             their token.
         suspicion: Whether the worker is healthy enough for more work.
+        speed: How fast the worker runs tasks, learned from its completed runs.
         run_by_task: Runs that the worker has or may have, by task and run number.
         used: Resources of the runs, except best-effort ones.
         spare_used: Resources of the best-effort runs, which use spare processor time.
@@ -133,6 +135,7 @@
     fence: int = 0
     fence_refusals: int = 0
     suspicion: WorkerSuspicion = attrs.field(factory=WorkerSuspicion)
+    speed: WorkerSpeed = attrs.field(factory=WorkerSpeed)
     run_by_task: dict[tuple[TaskRef, int], Run] = attrs.field(factory=dict)
     orphan_by_task: dict[tuple[TaskRef, int], Orphan] = attrs.field(factory=dict)
     has_unanswered_call: bool = False
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -151,6 +151,18 @@
     "runs",
     "Runs that the leader stopped, by the reason.",
 )
+declare(
+    "placement.*",
+    MetricKind.COUNTER,
+    "decisions",
+    "Decisions on the place of a task that weigh speed or data, by their outcome.",
+)
+declare(
+    "worker_speed.*",
+    MetricKind.COUNTER,
+    "changes",
+    "Changes of the learned speed of a worker, by the new one.",
+)
 
 
 def iter_metrics() -> Iterator[Metric]:
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
+from marjoramgrade.decisions.stepplacement import SELECTABLE_PLACEMENTS
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
 from marjoramgrade.platform.decoding import check_address
 
@@ -44,6 +45,7 @@
         config_apply_ms: Time within which a new configuration must be in force, in
             milliseconds.
         listing: Name of the schedule of worker listings.
+        placement: Name of the placement of usual work.
     """
 
     instance_id: str
@@ -64,6 +66,7 @@
     config_apply_ms: int = 2_000
     advice: str = ""
     listing: str = "periodic"
+    placement: str = "batch"
 
     @property
     def strength(self) -> int:
@@ -97,6 +100,12 @@
         problems.append(
             SettingsProblem("listing", f"no schedule is named {settings.listing!r}")
         )
+    if settings.placement not in SELECTABLE_PLACEMENTS:
+        problems.append(
+            SettingsProblem(
+                "placement", f"no placement of usual work is {settings.placement!r}"
+            )
+        )
     if problems:
         raise SettingsError(problems)
     return settings
