Wait for capacity near the data while that pays

Cause: a task takes 1.5 or 3 times as long off the rack of its data, and the placement never waited for capacity there. Change: with the setting far_factor, a step, a gang or a same_rack step waits while the capacity on the rack is likely to be free before the time that this saves is over, for at most 1 s while its job has nothing running. Nothing is held. Runs off their rack are judged by the usual duration times the factor.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -286,7 +286,7 @@
             lead.planner.channels.set_instances(self._version_by_member)
             began_ms = self._clock.now_ms()
             lead.planner.plan(began_ms, self._clock.unix_ms())
-            self._count_placements(lead)
+            self._report_placements(lead)
             self._perform_actions(lead)
             lead.pacer.took_ms = self._clock.now_ms() - began_ms
             self._metrics.timing("plan", lead.pacer.took_ms)
@@ -294,10 +294,23 @@
             if lead.planner.is_cut:
                 self._schedule_plan(lead)
 
-    def _count_placements(self, lead: LeaderState) -> None:
+    def _report_placements(self, lead: LeaderState) -> None:
+        """Count and log what the last plan decided about places."""
         for outcome, count in lead.planner.count_by_outcome.items():
             self._metrics.count(f"placement.{outcome}", count)
         lead.planner.count_by_outcome.clear()
+        for change in lead.planner.rack_wait_changes:
+            if not change.outcome:
+                logs.log_event("rack_awaited", job=change.job_id, step=change.name)
+                continue
+            logs.log_event(
+                "rack_wait_ended",
+                job=change.job_id,
+                step=change.name,
+                outcome=change.outcome,
+                waited_ms=change.waited_ms,
+            )
+        lead.planner.rack_wait_changes.clear()
 
     def _perform_actions(self, lead: LeaderState) -> None:
         """Store the changed jobs and execute the actions that the state requests."""
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -113,7 +113,12 @@
             self.tell(LeadershipEnded(writes.epoch, reason))
             return
         writes.commits.tell(AdoptRowVersions(recovered.version_by_row))
-        state = StepState(writes.epoch, self._config, self._evacuated_zones)
+        state = StepState(
+            writes.epoch,
+            self._config,
+            self._evacuated_zones,
+            far_factor=self._policies.far_factor,
+        )
         planner = Planner(
             state,
             AdvisorChannels(self._instance_id),
--- a/marjoramgrade/controllers/leaderpolicies.py
+++ b/marjoramgrade/controllers/leaderpolicies.py
@@ -20,14 +20,19 @@
         has_zone_alerts: Whether an unanswered call shortens the listing waits of the
             worker's availability zone only, and not those of all workers.
         placement: Chooses the worker for a task.
+        far_factor: How many times as long a task takes off the rack of its data; 0 if
+            unknown, in which case no task waits for that rack.
     """
 
     listing: ListingSchedule = LISTING_SCHEDULES.get("periodic")
     has_zone_alerts: bool = False
     placement: PlacementRules = PlacementRules()
+    far_factor: float = 0.0
 
     @classmethod
-    def from_config(cls, listing: str, placement: str = "batch") -> LeaderPolicies:
+    def from_config(
+        cls, listing: str, placement: str = "batch", far_factor: float = 0.0
+    ) -> LeaderPolicies:
         """Return the policies with these names.
 
         Raises:
@@ -37,4 +42,5 @@
             LISTING_SCHEDULES.get(listing),
             listing == "expected",
             PlacementRules.from_config(placement),
+            far_factor,
         )
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -6,11 +6,12 @@
 import math
 import operator
 from collections import Counter
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
 from marjoramgrade.decisions.advisorchannels import AdvisorChannels
+from marjoramgrade.decisions.locality.waits import RackWaitChange, RackWaits
 from marjoramgrade.decisions.stepactions import AskAdvice
 from marjoramgrade.decisions.stepholds import LARGE_SHARE, CapacityHolds, Slot
 from marjoramgrade.decisions.stepplacement import PlacementRules
@@ -50,6 +51,8 @@
         order: Order in which steps are offered capacity.
         rules: Which worker gets a task.
         channels: Calls to the placement advisor.
+        rack_wait_changes: Waits for capacity on a rack that began or ended since they
+            were last reported.
         count_by_outcome: Outcomes of placements since they were last reported, by name.
         waiting_by_reason: Number of steps that the last plan left waiting, by
             "queue:reason".
@@ -62,19 +65,27 @@
     order: StepOrder = STEP_ORDERS.get("worth")
     rules: PlacementRules = PlacementRules()
     count_by_outcome: Counter[str] = attrs.field(factory=Counter)
+    rack_wait_changes: list[RackWaitChange] = attrs.field(factory=list)
     waiting_by_reason: Counter[str] = attrs.field(factory=Counter)
     is_cut: bool = False
     _starts: int = 0
     _holds: CapacityHolds = attrs.field(init=False)
+    _waits: RackWaits = attrs.field(init=False)
     # Average capacity of the workers of each pool, computed when a plan first needs it.
     _usual_capacity_by_pool: dict[str, Resources] = attrs.field(factory=dict)
     # Steps of a pool that the plan found no capacity for.
     _unplaced_by_pool: Counter[str] = attrs.field(factory=Counter)
     # Most of each resource that any worker of a pool had free when the plan looked.
     _most_free_by_pool: dict[str, Resources] = attrs.field(factory=dict)
+    _workers_by_rack: dict[str, list[WorkerState]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self._holds = CapacityHolds(Preemption(self.state), self.state.durations)
+        self._waits = self._make_waits()
+
+    def _make_waits(self) -> RackWaits:
+        state = self.state
+        return RackWaits(state.far_factor, state.durations, state.worker_by_id)
 
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Order all starts that are possible now."""
@@ -85,9 +96,11 @@
         self._starts = 0
         preemption = Preemption(self.state)
         self._holds = CapacityHolds(preemption, self.state.durations)
+        self._waits = self._make_waits()
         self._usual_capacity_by_pool.clear()
         self._unplaced_by_pool.clear()
         self._most_free_by_pool.clear()
+        self._workers_by_rack.clear()
         self.state.headroom.observe(now_ms)
         room_made_by_queue: Counter[str] = Counter()
         for entry in self.order(self._collect_waiting(now_ms, unix_ms), now_ms):
@@ -281,7 +294,13 @@
         """
         fitting = self.candidates(step, index, permitted, now_ms)
         worker = self.rules.choose_worker(step, fitting)
-        if worker is None or not self.state.place(step, {index: worker}, now_ms):
+        return worker is not None and self._start(step, index, worker, now_ms)
+
+    def _start(
+        self, step: StepProgress, index: int, worker: WorkerState, now_ms: int
+    ) -> bool:
+        """Order the start of a task on a worker, if its team may run it."""
+        if not self.state.place(step, {index: worker}, now_ms):
             return False
         if self.rules.prefers_fast(step):
             self.count_by_outcome[f"urgent_{worker.speed.speed_class.value}"] += 1
@@ -338,6 +357,10 @@
         is_backlog = self._unplaced_by_pool[pool] >= BACKLOG_STEPS
         if step.step.uses_spare or not is_backlog:
             return False
+        return not step.step.resources.fits(self._most_free(pool, now_ms))
+
+    def _most_free(self, pool: str, now_ms: int) -> Resources:
+        """Return the most of each resource that any worker of a pool has free."""
         most_free = self._most_free_by_pool.get(pool)
         if most_free is None:
             most_free = ZERO_RESOURCES
@@ -345,7 +368,7 @@
                 if worker.worker.pool == pool and worker.accepts_work(now_ms):
                     most_free = most_free.maximum(worker.free_resources)
             self._most_free_by_pool[pool] = most_free
-        return not step.step.resources.fits(most_free)
+        return most_free
 
     def _place_tasks(self, step: StepProgress, headroom: Resources, now_ms: int) -> str:
         """Start as many tasks as possible; returns why the rest wait, or ""."""
@@ -353,20 +376,158 @@
             return "team_limit"
         if self._fits_nowhere(step, now_ms):
             return "no_room"
-        permitted = self.permitted(step, now_ms)
-        if not permitted:
+        near_rack = self._waits.near_rack(step)
+        near = self._permitted_on(step, near_rack, now_ms) if near_rack else []
+        # The workers near the data are few. The others are searched only if needed.
+        permitted = None if near else self.permitted(step, now_ms)
+        if permitted is not None and not permitted:
             return "no_permitted_worker"
+        if permitted and self._waits.prefers_one_rack(step):
+            waiting = sum(1 for _ in step.iter_waiting())
+            permitted = self._choose_rack(step, permitted, waiting, now_ms)
+            if permitted is None:
+                return self._record_rack_wait(step, now_ms)
+        has_waiting = has_far = False
+        waiting_near: int | None = None
         for index in list(step.iter_waiting()):
+            if waiting_near:
+                waiting_near -= 1
+                continue
             if not self.state.is_within_team_limit(step, 1, headroom):
                 return "team_limit"
             if self._starts >= MAX_STARTS_PER_PLAN:
                 self.is_cut = True
                 return "plan_cut"
-            if not self.place_task(step, index, permitted, now_ms):
+            worker = self._choose_near(step, index, near, now_ms)
+            if near and worker is None and waiting_near is None:
+                waiting_near = self._wait_near(step, near, now_ms)
+                if waiting_near:
+                    has_waiting, waiting_near = True, waiting_near - 1
+                    continue
+            if worker is None:
+                if permitted is None:
+                    permitted = self.permitted(step, now_ms)
+                fitting = self.candidates(step, index, permitted, now_ms)
+                worker = self.rules.choose_worker(step, fitting)
+            if worker is None or not self._start(step, index, worker, now_ms):
                 return "no_room"
             self._starts += 1
+            if near_rack:
+                is_far = near_rack != worker.worker.rack
+                has_far = has_far or is_far
+                self._count_place(step, is_far=is_far)
+        if has_waiting:
+            return self._record_rack_wait(step, now_ms)
+        self._record_rack_wait_end(step, is_far=has_far, now_ms=now_ms)
         return ""
 
+    def _permitted_on(
+        self, step: StepProgress, rack: str, now_ms: int
+    ) -> list[WorkerState]:
+        """Return the permitted workers on a rack."""
+        if not self._workers_by_rack:
+            for worker in self.state.worker_by_id.values():
+                rack_of_worker = worker.worker.rack
+                self._workers_by_rack.setdefault(rack_of_worker, []).append(worker)
+        return [
+            worker
+            for worker in self._workers_by_rack.get(rack, ())
+            if self._is_eligible(step, worker, now_ms)
+            and (
+                step.job.queue.advice is None
+                or step.tickets.ticket_for(
+                    worker.worker.worker_id, worker.worker.born_unix_ms, now_ms
+                )
+            )
+        ]
+
+    def _choose_near(
+        self, step: StepProgress, index: int, near: list[WorkerState], now_ms: int
+    ) -> WorkerState | None:
+        """Return the worker for a task among those on its rack, or None."""
+        fitting = self.candidates(step, index, near, now_ms)
+        worker = self.rules.choose_worker(step, fitting)
+        avoided = step.avoided_workers_by_index.get(index, ())
+        if worker is not None and worker.worker.worker_id in avoided:
+            return None
+        return worker
+
+    def _wait_near(
+        self, step: StepProgress, near: list[WorkerState], now_ms: int
+    ) -> int:
+        """Return how many tasks of a step wait for capacity on their rack.
+
+        None do if there is none elsewhere either: room is made for them as for others.
+        """
+        need = step.step.resources
+        if not need.fits(self._most_free(step.job.queue.pool, now_ms)):
+            return 0
+        usable = [
+            worker
+            for worker in near
+            # With capacity, it was left out for another reason, which may last.
+            if not worker.has_capacity(need, uses_spare=False)
+            and self._holds.allows(step, worker, now_ms)
+        ]
+        waiting = sum(1 for _ in step.iter_waiting())
+        rack = near[0].worker.rack
+        return self._waits.wait(step, rack, usable, waiting, now_ms)
+
+    def _choose_rack(
+        self, step: StepProgress, permitted: list[WorkerState], count: int, now_ms: int
+    ) -> list[WorkerState] | None:
+        """Choose the workers for tasks that are faster together, or near their data.
+
+        Returns:
+            The permitted workers of the rack that has least room beside the tasks; all
+            permitted workers if no rack has enough room and waiting does not pay; None
+            if the tasks wait.
+        """
+        by_rack: dict[str, list[WorkerState]] = {}
+        for worker in permitted:
+            if step.step.data_rack in ("", worker.worker.rack):
+                by_rack.setdefault(worker.worker.rack, []).append(worker)
+        sufficient = [
+            found
+            for found in by_rack.values()
+            if len(self._free_slots(step, found, count, now_ms)) >= count
+        ]
+        if sufficient:
+            return min(
+                sufficient,
+                key=lambda found: sum(worker.free_cpu_millis for worker in found),
+            )
+        if not self._free_slots(step, permitted, 1, now_ms):
+            return permitted
+        for rack, found in by_rack.items():
+            allowed = [w for w in found if self._holds.allows(step, w, now_ms)]
+            if self._waits.wait(step, rack, allowed, count, now_ms, together=True):
+                return None
+        return permitted
+
+    def _record_rack_wait(self, step: StepProgress, now_ms: int) -> str:
+        change = self._waits.record_wait(step, now_ms)
+        if change is not None:
+            self.rack_wait_changes.append(change)
+        return "awaits_rack"
+
+    def _record_rack_wait_end(
+        self, step: StepProgress, *, is_far: bool, now_ms: int
+    ) -> None:
+        outcome = "waited_elsewhere" if is_far else "waited_near"
+        change = self._waits.record_end(step, outcome, now_ms)
+        if change is not None:
+            self.rack_wait_changes.append(change)
+
+    def _count_place(self, step: StepProgress, *, is_far: bool) -> None:
+        """Count the place of a task whose duration depends on it."""
+        has_waited = bool(step.rack_wait_since_ms)
+        if has_waited:
+            outcome = "waited_elsewhere" if is_far else "waited_near"
+        else:
+            outcome = "not_worth_waiting" if is_far else "near"
+        self.count_by_outcome[outcome] += 1
+
     def _place_gang(self, step: StepProgress, headroom: Resources, now_ms: int) -> str:
         """Start all tasks of a gang or none; returns why it waits, or ""."""
         if step.runs_by_index:
@@ -379,26 +540,58 @@
         chosen = self._choose_gang_workers(step, permitted, now_ms)
         if chosen is None:
             return "no_room"
+        is_placed_together = self._waits.prefers_one_rack(step)
+        if is_placed_together:
+            rack = self._choose_rack(step, permitted, step.step.count, now_ms)
+            if rack is None:
+                return self._record_rack_wait(step, now_ms)
+            chosen = self._choose_gang_workers(step, rack, now_ms) or chosen
         if not self.state.place(step, dict(enumerate(chosen)), now_ms):
             return "team_limit"
         self._starts += len(chosen)
+        if is_placed_together:
+            racks = {worker.worker.rack for worker in chosen}
+            is_far = racks != {step.step.data_rack or chosen[0].worker.rack}
+            self._count_place(step, is_far=is_far)
+            self._record_rack_wait_end(step, is_far=is_far, now_ms=now_ms)
         return ""
 
     def _choose_gang_workers(
         self, step: StepProgress, permitted: list[WorkerState], now_ms: int
     ) -> list[WorkerState] | None:
         """Return one worker per task of a gang, or None if not all tasks fit."""
-        need, spare = step.step.resources, step.step.uses_spare
-        max_runs = step.step.max_per_worker or step.step.count
-        slots: list[WorkerState] = []
+        count = step.step.count
         if self.rules.prefers_fast(step):
             # The slowest member decides.
             permitted = sorted(permitted, key=lambda worker: -worker.speed.grade)
-        for worker in permitted:
+        slots = self._free_slots(step, permitted, count, now_ms)
+        if len(slots) < count:
+            return None
+        if step.step.same_rack:
+            slots = self._prefer_one_rack(slots, count)
+        return slots[:count]
+
+    def _free_slots(
+        self,
+        step: StepProgress,
+        workers: Iterable[WorkerState],
+        count: int,
+        now_ms: int,
+    ) -> list[WorkerState]:
+        """Return the workers for up to `count` tasks that fit together now.
+
+        A worker is in the list once for each task that fits on it.
+        """
+        need, spare = step.step.resources, step.step.uses_spare
+        max_runs = step.step.max_per_worker or count
+        slots: list[WorkerState] = []
+        for worker in workers:
+            if len(slots) >= count:
+                break
             if worker.suspicion.probing or not self._holds.allows(step, worker, now_ms):
                 continue
             trial = attrs.evolve(worker)
-            for _ in range(min(max_runs, step.step.count - len(slots))):
+            for _ in range(min(max_runs, count - len(slots))):
                 if not trial.has_capacity(need, uses_spare=spare):
                     break
                 if spare:
@@ -406,11 +599,7 @@
                 else:
                     trial.used = trial.used + need
                 slots.append(worker)
-        if len(slots) < step.step.count:
-            return None
-        if step.step.same_rack:
-            slots = self._prefer_one_rack(slots, step.step.count)
-        return slots[: step.step.count]
+        return slots
 
     @staticmethod
     def _prefer_one_rack(slots: list[WorkerState], count: int) -> list[WorkerState]:
@@ -486,5 +675,7 @@
             with_room.sort(key=lambda w: -w.free_cpu_millis * w.speed.factor)
         else:
             with_room.sort(key=lambda worker: -worker.free_cpu_millis)
+        if near_rack := self._waits.near_rack(step):
+            with_room.sort(key=lambda worker: worker.worker.rack != near_rack)
         wanted = cache.workers_to_ask(worker.worker.worker_id for worker in with_room)
         return wanted[:MAX_WORKERS_PER_CALL]
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -55,12 +55,14 @@
         tickets: Advice on which workers may run the step.
         ready_ms: When the step was first found ready to run, or None.
         done_count: Number of tasks that are done.
-        done_durations: Durations of completed runs, in milliseconds.
+        done_durations: Durations of completed runs near their data, in milliseconds.
         run_durations: Workers and durations of the completed runs whose speeds are
             compared once the step is done; see `workerspeed`.
         rack_in_use: Rack of the runs if they should share a rack, or empty.
         wait_reason: Why the last plan left tasks waiting, or empty.
         wait_since_ms: When `wait_reason` was last recorded.
+        rack_wait_since_ms: Since when tasks wait for capacity near their data or each
+            other although there is capacity elsewhere, or 0.
     """
 
     job: JobProgress
@@ -80,6 +82,7 @@
     rack_in_use: str = ""
     wait_reason: str = ""
     wait_since_ms: int = 0
+    rack_wait_since_ms: int = 0
     done_durations: list[int] = attrs.field(factory=list)
     run_durations: list[tuple[str, float]] = attrs.field(factory=list)
 
@@ -123,7 +126,8 @@
     def usual_duration_ms(self) -> float | None:
         """Return the median of the known and predicted task durations of the step.
 
-        Durations differ widely from job to job and little within a step.
+        Durations differ widely from job to job and little within a step. Those of runs
+        away from their data are converted to durations near it.
 
         Returns:
             Milliseconds, or None if too few durations are known.
@@ -132,7 +136,7 @@
         for run in self.iter_runs():
             total_ms = run.predicted_total_ms()
             if total_ms is not None:
-                totals.append(total_ms)
+                totals.append(total_ms / run.place_factor)
         return (
             statistics.median_low(totals)
             if len(totals) >= MIN_DURATION_SAMPLES
--- a/marjoramgrade/decisions/steprun.py
+++ b/marjoramgrade/decisions/steprun.py
@@ -61,6 +61,8 @@
         counts_as_urgent: Whether it counts towards the urgent use of its team.
         is_inherited: Whether an earlier leader started it. When it started is unknown
             then, and `running_since_ms` is the time of the first listing that has it.
+        place_factor: How many times as long the run takes because it is not on the rack
+            of its data.
     """
 
     task: TaskRef
@@ -87,6 +89,7 @@
     stop_reason: str = ""
     counts_as_urgent: bool = False
     is_inherited: bool = False
+    place_factor: float = 1.0
 
     def mark_started(self, now_ms: int) -> None:
         """Record the confirmation of the start."""
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -234,15 +234,16 @@
     ) -> None:
         if ending is RunEndStatus.DONE:
             duration_ms = now_ms - run.running_since_ms if run.running_since_ms else 0
-            if duration_ms >= SLOW_FACTOR * self._expected_ms(run.step):
+            near_ms = duration_ms / run.place_factor
+            if near_ms >= SLOW_FACTOR * self._expected_ms(run.step):
                 worker.suspicion.record_straggler(run.task.job_id, now_ms)
             else:
                 worker.suspicion.record_success()
             is_whole = not run.is_inherited
             if duration_ms and is_whole and not run.step.checkpoint_of(run.task.index):
                 record_completion(run, worker, duration_ms, self.worker_by_id)
-                run.step.done_durations.append(duration_ms)
-                self.durations.add(run.step.job.queue.name, duration_ms)
+                run.step.done_durations.append(round(near_ms))
+                self.durations.add(run.step.job.queue.name, near_ms)
         elif ending is RunEndStatus.FAILED:
             worker.suspicion.record_failure(run.task.job_id, now_ms)
 
--- a/marjoramgrade/decisions/stepsupervision.py
+++ b/marjoramgrade/decisions/stepsupervision.py
@@ -169,6 +169,8 @@
             # Too few durations of the step are known; on a suspect worker, the
             # average of the queue is used instead.
             usual_ms = self.state.durations.average_ms(run.step.job.queue.name)
+        if usual_ms is not None:
+            usual_ms *= run.place_factor
         total_ms, left_ms = run.observed_total_ms(), run.predicted_remaining_ms(now_ms)
         if total_ms is None or left_ms is None or usual_ms is None:
             return
@@ -184,7 +186,7 @@
         expected_ms = usual_ms or self.state.durations.expected_ms(
             queue, run.step.step.estimate_ms
         )
-        return max(STALL_MS, STALL_SHARE * expected_ms)
+        return max(STALL_MS, STALL_SHARE * expected_ms * run.place_factor)
 
     def _move(self, run: Run, worker: WorkerState, reason: str, now_ms: int) -> None:
         """Start a copy on another worker, or stop the run so that it can restart."""
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -62,6 +62,8 @@
         usage: Resources in use by team.
         headroom: Urgent use by team, for which a part of each limit stays free.
         durations: Average task durations by queue.
+        far_factor: How many times as long a task takes off the rack of its data; 0 if
+            unknown.
         fence_by_removed_worker: Last fencing tokens of the workers that were removed; a
             worker that is back may have seen them.
     """
@@ -75,6 +77,7 @@
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     headroom: TeamHeadroom = attrs.field(factory=TeamHeadroom)
     durations: QueueDurations = attrs.field(factory=QueueDurations)
+    far_factor: float = 0.0
     fence_by_removed_worker: dict[str, int] = attrs.field(factory=dict)
     _actions: list[StepAction] = attrs.field(factory=list)
     _changed_job_by_id: dict[str, JobProgress] = attrs.field(factory=dict)
@@ -537,6 +540,9 @@
     def _attach(self, run: Run, worker: WorkerState) -> None:
         worker.add(run)
         run.step.add_run(run)
+        data_rack = run.step.step.data_rack
+        if self.far_factor > 1 and data_rack not in ("", worker.worker.rack):
+            run.place_factor = self.far_factor
         if run.step.step.same_rack:
             run.step.rack_in_use = worker.worker.rack
         self.usage.add(run.step.job.job.team, run.step.step.resources)
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -131,7 +131,9 @@
             bounds,
             clock,
             self._metrics,
-            LeaderPolicies.from_config(settings.listing, settings.placement),
+            LeaderPolicies.from_config(
+                settings.listing, settings.placement, settings.far_factor
+            ),
         )
         forwarder = ForwardingController(
             own_member.instance_id, scheduler, peers, router, clock
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -19,6 +19,9 @@
 # Bandwidth that a leader uses with 176 workers and 600 starts per second, including
 # headroom for bursts.
 LEADER_LINK_MBPS = 50.0
+# The users' deployments have 1.5 and 3. A larger factor than this is an error in the
+# unit.
+MAX_FAR_FACTOR = 100.0
 
 
 @attrs.frozen
@@ -46,6 +49,8 @@
             milliseconds.
         listing: Name of the schedule of worker listings.
         placement: Name of the placement of usual work.
+        far_factor: How many times as long a task takes off the rack of its data, or 0
+            if unknown.
     """
 
     instance_id: str
@@ -67,6 +72,7 @@
     advice: str = ""
     listing: str = "periodic"
     placement: str = "batch"
+    far_factor: float = 0.0
 
     @property
     def strength(self) -> int:
@@ -106,6 +112,10 @@
                 "placement", f"no placement of usual work is {settings.placement!r}"
             )
         )
+    if settings.far_factor and not 1 <= settings.far_factor <= MAX_FAR_FACTOR:
+        problems.append(
+            SettingsProblem("far_factor", f"must be 0 or 1 to {MAX_FAR_FACTOR:g}")
+        )
     if problems:
         raise SettingsError(problems)
     return settings
