Pace candidates by the number of instances and let a new leader recover

Candidates took the lead from a leader that was still connecting to the others: an instance that had never heard it held it to 350 ms and counted it as unheard by the majority at once. A leadership that has just begun now has 2 s unless it was heard, has left or has ended. The first takeover of a fleet waits for a complete list of members.

--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -26,6 +26,7 @@
     read_recovered_state,
 )
 from marjoramgrade.decisions.advisorchannels import AdvisorChannels
+from marjoramgrade.decisions.leadermonitor import RECOVERY_TIMEOUT_MS
 from marjoramgrade.decisions.stepplanning import Planner
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.decisions.stepsupervision import Supervisor
@@ -63,9 +64,6 @@
     roster_row_number,
 )
 
-# A leader that has not read the stored state by then leaves the lead to an instance
-# with a faster path to the store: its heartbeats keep the others from replacing it.
-RECOVERY_TIMEOUT_MS = 2_000
 # After a worker did not respond to a call, all listings use the shortened wait for this
 # long.
 ALERT_MS = 5_000
--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -15,6 +15,12 @@
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.leaderprobe import LeaderProbe
+from marjoramgrade.decisions.elections.candidacy import (
+    MEMBER_LIST_WAIT_MS,
+    MIN_READ_INTERVAL_MS,
+    Candidacy,
+    has_member_list,
+)
 from marjoramgrade.decisions.leadermonitor import (
     LastHeartbeat,
     LeaderMonitor,
@@ -64,7 +70,7 @@
 )
 
 # Shortest wait between two checks for work that is due.
-MIN_WAIT_MS = 50
+MIN_WAIT_MS = MIN_READ_INTERVAL_MS
 # Interval at which the leader sends heartbeats to all instances.
 HEARTBEAT_INTERVAL_MS = 150
 # The leader renews its row in the store at this interval, so that other instances can
@@ -88,13 +94,6 @@
 RELAY_HANDOVER_DELAY_MS = 700
 # An instance that lost its direct path to the store is no candidate for this long.
 INELIGIBLE_MS = 3_000
-# Each candidate delays its takeover by this time multiplied by its rank, so that
-# usually only the first candidate tries. The strongest instances come first and, among
-# equals, the newest; all candidates beyond MAX_RANK wait equally long.
-RANK_DELAY_MS = 30
-MAX_RANK = 10
-# A newly started instance waits this long for the list of members before a takeover.
-MEMBER_LIST_WAIT_MS = 900
 # A leader releases the lead if its strength is below this fraction of the strongest
 # instance's strength. It checks once, this long after it began to lead.
 MIN_STRENGTH_RATIO = 0.6
@@ -132,11 +131,17 @@
         self._probe = LeaderProbe(peers, clock)
         self._subscribers = subscribers
         self._members: tuple[Member, ...] = ()
+        self._members_changed_ms = clock.now_ms()
         self._monitor = LeaderMonitor()
         self._leader = LeaderRow(0, "")
         # 0 if no heartbeat has arrived, or if the leader has left or its process ended.
         self._last_heartbeat_ms = 0
         self._last_heartbeat_clock_ms = 0
+        # Since when the current leader is known, heard or not.
+        self._leader_since_ms = clock.now_ms()
+        # Epoch of the last leader that has said that it leaves.
+        self._left_epoch = 0
+        self._majority_checked_ms = 0
         # Of heartbeats that count and of those without confirmed writes.
         self._last_contact_ms = 0
         self._checked_ms = 0
@@ -165,6 +170,8 @@
 
     @handles(MembersChanged)
     async def _members_changed(self, message: MembersChanged) -> None:
+        if message.members != self._members:
+            self._members_changed_ms = self._clock.now_ms()
         self._members = message.members
 
     @handles(LeaderBeat)
@@ -187,6 +194,7 @@
     async def _leader_left(self, message: LeaderLeft) -> None:
         if message.epoch >= self._leader.epoch:
             self._last_heartbeat_ms = 0
+            self._left_epoch = message.epoch
             self._wake.set()
 
     @handles(PeerDisconnected)
@@ -210,9 +218,14 @@
 
     @handles(AskLeaderAge)
     async def _leader_age(self, message: AskLeaderAge) -> LeaderAge:
-        return LeaderAge(
-            self._leader.epoch, self._clock.now_ms() - self._last_heartbeat_ms
-        )
+        return LeaderAge(self._leader.epoch, self._unheard_ms())
+
+    def _unheard_ms(self) -> int:
+        """Return for how long the leader could have been heard and was not."""
+        since_ms = self._last_heartbeat_ms
+        if self._left_epoch < self._leader.epoch:
+            since_ms = max(since_ms, self._leader_since_ms)
+        return self._clock.now_ms() - since_ms
 
     @handles(StorePathStatus)
     async def _store_path_changed(self, message: StorePathStatus) -> None:
@@ -293,12 +306,24 @@
             due_ms = self._last_heartbeat_ms + HEARTBEAT_TIMEOUT_MS
             if self._clock.now_ms() - self._last_contact_ms < HEARTBEAT_TIMEOUT_MS:
                 due_ms = max(due_ms, self._checked_ms + UNCONFIRMED_CHECK_MS)
+            interval_ms = self._candidacy().read_interval_ms(self._has_lost_leader())
+            due_ms = max(due_ms, self._checked_ms + interval_ms)
         pause_ms = max(MIN_WAIT_MS, due_ms - self._clock.now_ms())
         self._wake.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause_ms / 1000):
                 await self._wake.wait()
 
+    def _has_lost_leader(self) -> bool:
+        """Whether this instance looks for a successor or for the first leader."""
+        if not self._monitor.read_ms or self._last_heartbeat_ms:
+            return True
+        if not self._monitor.row.epoch:
+            return self._has_member_list()
+        epoch = self._monitor.row.epoch
+        has_ended = epoch in (self._ended_epoch, self._left_epoch)
+        return has_ended or not self._monitor.row.leader_id
+
     def _has_only_relayed_path(self) -> bool:
         since_ms = self._relayed_since_ms
         return (
@@ -342,17 +367,41 @@
                 row.epoch, self._monitor.row_version, self._checked_ms
             )
             return
+        if not row.epoch and not self._has_member_list():
+            return
         if row.leader_id and not is_own:
             is_leader_down = (
                 row.epoch == self._ended_epoch
-                or self._monitor.is_leader_down(self._last_heartbeat(), now_ms)
+                or self._monitor.is_leader_down(
+                    self._last_heartbeat(), now_ms, len(self._members)
+                )
             )
             if not is_leader_down and not await self._is_unheard_by_majority():
                 return
-        await asyncio.sleep(self._rank() * RANK_DELAY_MS / 1000)
-        if self._clock.now_ms() - self._last_heartbeat_ms >= HEARTBEAT_TIMEOUT_MS:
+        if await self._is_still_needed(self._candidacy()):
             await self._take_over()
 
+    def _has_member_list(self) -> bool:
+        return has_member_list(
+            len(self._members),
+            self._started_ms,
+            self._members_changed_ms,
+            self._clock.now_ms(),
+        )
+
+    async def _is_still_needed(self, candidacy: Candidacy) -> bool:
+        """Wait for earlier candidates and return whether none of them leads."""
+        versions = self._monitor.row_version, self._monitor.renewal_version
+        await asyncio.sleep(candidacy.takeover_delay_ms / 1000)
+        if self._clock.now_ms() - self._last_heartbeat_ms < HEARTBEAT_TIMEOUT_MS:
+            return False
+        if not candidacy.must_read_again:
+            return True
+        return await self._read_leadership() and versions == (
+            self._monitor.row_version,
+            self._monitor.renewal_version,
+        )
+
     async def _read_leadership(self) -> bool:
         """Read the rows of the leadership and return whether the store responded."""
         asked_ms = self._clock.now_ms()
@@ -364,9 +413,9 @@
             self._monitor.record_read_failure(self._clock.now_ms())
             return False
         now_ms = self._clock.now_ms()
-        self._monitor.read_duration_ms = now_ms - asked_ms
         row_by_id = {row.row: row for row in page.rows}
         self._record_epoch(row_by_id.get(EPOCH_ROW), now_ms)
+        self._monitor.record_read(asked_ms, now_ms)
         renewal = row_by_id.get(RENEWAL_ROW)
         if renewal is None:
             self._monitor.record_renewal(ABSENT, None, self._last_heartbeat(), now_ms)
@@ -379,7 +428,10 @@
 
     def _last_heartbeat(self) -> LastHeartbeat:
         return LastHeartbeat(
-            self._leader, self._last_heartbeat_ms, self._last_heartbeat_clock_ms
+            self._leader,
+            self._last_heartbeat_ms,
+            self._last_heartbeat_clock_ms,
+            has_left=self._left_epoch >= max(1, self._leader.epoch),
         )
 
     def _record_epoch(self, row: StoredRow | None, now_ms: int) -> None:
@@ -394,11 +446,12 @@
 
     async def _is_unheard_by_majority(self) -> bool:
         """Whether most instances have not received a heartbeat for too long."""
-        if (
-            self._clock.now_ms() - self._last_heartbeat_ms
-            < MAJORITY_HEARTBEAT_TIMEOUT_MS
-        ):
+        if self._unheard_ms() < MAJORITY_HEARTBEAT_TIMEOUT_MS:
             return False
+        interval_ms = self._candidacy().majority_check_interval_ms
+        if self._clock.now_ms() - self._majority_checked_ms < interval_ms:
+            return False
+        self._majority_checked_ms = self._clock.now_ms()
         others = [
             member.instance_id
             for member in self._members
@@ -409,26 +462,8 @@
         )
         return 2 * (1 + unheard) > len(self._members)
 
-    def _rank(self) -> int:
-        """Return how many candidates try a takeover earlier, at most MAX_RANK."""
-
-        def sort_key(member: Member) -> tuple[int, int, str]:
-            # During a rolling restart the newest instance is the last to be stopped
-            # again.
-            return -member.strength, -member.row_version, member.instance_id
-
-        own = sort_key(
-            next(
-                (m for m in self._members if m.instance_id == self._instance_id),
-                self._own,
-            )
-        )
-        rank = sum(
-            1
-            for member in self._members
-            if member.instance_id != self._leader.leader_id and sort_key(member) < own
-        )
-        return min(rank, MAX_RANK)
+    def _candidacy(self) -> Candidacy:
+        return Candidacy.from_members(self._own, self._members, self._leader.leader_id)
 
     async def _yield_to_stronger(self) -> None:
         """Release the lead if a much stronger instance replies."""
@@ -480,6 +515,7 @@
             self._mark_lead_lost("another instance leads")
             self._scheduler.tell(LeadershipEnded(epoch, "another instance leads"))
         self._leader = row
+        self._leader_since_ms = self._clock.now_ms()
         self._tell_subscribers(LeaderChanged(row.leader_id, row.epoch))
 
     def _mark_lead_lost(self, reason: str) -> None:
--- a/marjoramgrade/decisions/leadermonitor.py
+++ b/marjoramgrade/decisions/leadermonitor.py
@@ -4,13 +4,22 @@
 
 import attrs
 
+from marjoramgrade.decisions.elections.candidacy import SMALL_FLEET
+
 # A leader that sends no heartbeats counts as down once its row has been unchanged for
 # this long. An unnecessary takeover costs a new fencing token for each worker; a late
 # one delays every waiting client.
 STALE_MS = 550
-# The same limit if no heartbeat was received or the process is known to refuse
-# connections or to have left.
-STALE_REFUSED_MS = 350
+# The same limit if the leader has said that it leaves.
+STALE_LEFT_MS = 350
+# Addition to STALE_MS for each instance beyond a small fleet. A leader that begins
+# connects to all of them, 1 to 2 ms each on half a core, before it has time to renew.
+STALE_PER_MEMBER_MS = 2
+# A leader that has just taken the lead, and was not heard yet, is not replaced for this
+# long. It reads the stored state and connects to all instances and workers meanwhile.
+# If it has not read the state by then, it leaves the lead to an instance with a faster
+# path to the store: its heartbeats keep the others from replacing it.
+RECOVERY_TIMEOUT_MS = 2_000
 # Lower bound of both limits, as a multiple of the duration of a read. On a slow store
 # a renewal takes about three times as long as the read that checks for it, and the
 # next renewal is only sent after it.
@@ -47,11 +56,13 @@
         received_ms: Time of receipt, on this instance's clock; 0 if the leader has
             left or no heartbeat was received.
         clock_ms: The leader's clock as given in the heartbeat, or 0.
+        has_left: Whether the leader has said that it leaves.
     """
 
     leader: LeaderRow = LeaderRow(0, "")
     received_ms: int = 0
     clock_ms: int = 0
+    has_left: bool = False
 
 
 @attrs.define
@@ -65,6 +76,10 @@
         unchanged_since_ms: Time since which both rows are unchanged.
         read_failed_ms: Time of the last failed read, or 0.
         read_duration_ms: Duration of the last read.
+        read_ms: Time of the last read that succeeded, or 0.
+        seen_ms: Time at which the leadership row was first read as it is.
+        was_replaced: Whether the row was read with other content shortly before, so
+            that the leadership has just begun.
     """
 
     row: LeaderRow = LeaderRow(0, "")
@@ -73,6 +88,14 @@
     unchanged_since_ms: int = 0
     read_failed_ms: int = 0
     read_duration_ms: int = 0
+    read_ms: int = 0
+    seen_ms: int = 0
+    was_replaced: bool = False
+
+    def record_read(self, asked_ms: int, now_ms: int) -> None:
+        """Record that the store responded, after the rows have been recorded."""
+        self.read_ms = now_ms
+        self.read_duration_ms = now_ms - asked_ms
 
     def record_read_failure(self, now_ms: int) -> None:
         """Record a failed read; time up to it does not count as unchanged."""
@@ -80,8 +103,12 @@
 
     def record_row(self, row: LeaderRow, version: int, now_ms: int) -> None:
         """Record the leadership row as read."""
-        if version != self.row_version:
-            self.row, self.row_version, self.unchanged_since_ms = row, version, now_ms
+        if version == self.row_version:
+            return
+        read_lately = self.read_ms and now_ms - self.read_ms < RECOVERY_TIMEOUT_MS
+        self.was_replaced = bool(read_lately)
+        self.row, self.row_version = row, version
+        self.unchanged_since_ms = self.seen_ms = now_ms
 
     def record_renewal(
         self, version: int, renewed_ms: int | None, heard: LastHeartbeat, now_ms: int
@@ -116,8 +143,30 @@
             since_ms += RENEWAL_READ_MULTIPLE * self.read_duration_ms
         self.unchanged_since_ms = max(min(since_ms, now_ms), self.read_failed_ms)
 
-    def is_leader_down(self, heard: LastHeartbeat, now_ms: int) -> bool:
-        """Whether the leader's rows have been unchanged for too long."""
-        limit_ms = STALE_MS if heard.received_ms else STALE_REFUSED_MS
+    def is_recovering(self, heard: LastHeartbeat, now_ms: int) -> bool:
+        """Whether the leader has just taken the lead and was not heard yet.
+
+        A leadership that has never been renewed has just begun, unless its leader
+        failed at once. One whose heartbeats have arrived is held to the usual limits.
+        """
+        if heard.has_left or (heard.leader == self.row and heard.received_ms):
+            return False
+        is_new = self.was_replaced or self.renewal_version < self.row_version
+        return is_new and now_ms - self.seen_ms < RECOVERY_TIMEOUT_MS
+
+    def is_leader_down(
+        self, heard: LastHeartbeat, now_ms: int, members: int = 1
+    ) -> bool:
+        """Whether the leader's rows have been unchanged for too long.
+
+        Args:
+            heard: The last heartbeat.
+            now_ms: Current time.
+            members: Number of known instances.
+        """
+        if self.is_recovering(heard, now_ms):
+            return False
+        limit_ms = STALE_LEFT_MS if heard.has_left else STALE_MS
+        limit_ms += max(0, members - SMALL_FLEET) * STALE_PER_MEMBER_MS
         limit_ms = max(limit_ms, STALE_READ_MULTIPLE * self.read_duration_ms)
         return now_ms - self.unchanged_since_ms >= limit_ms
