--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -383,7 +383,8 @@
 
     def _has_member_list(self) -> bool:
         return has_member_list(
-            len(self._members),
+            self._own,
+            self._members,
             self._started_ms,
             self._members_changed_ms,
             self._clock.now_ms(),
--- a/marjoramgrade/decisions/elections/candidacy.py
+++ b/marjoramgrade/decisions/elections/candidacy.py
@@ -43,6 +43,10 @@
 # The list of members counts as complete once it has not changed for this long: the next
 # read of it, 400 ms later at first and up to 200 ms long, found the same.
 MEMBER_LIST_SETTLED_MS = 600
+# An instance that is not in the list yet is no candidate for the first takeover for
+# this long: no other instance could connect to it or know its strength. 300 registrations
+# take 2.4 s.
+UNREGISTERED_WAIT_MS = 2_600
 # Interval at which an instance asks all others whether they hear the leader, in a small
 # fleet and for each further instance. Each round costs a call to every instance.
 MAJORITY_CHECK_MS = 250
@@ -152,21 +156,32 @@
         return self.members * MAJORITY_CHECK_PER_MEMBER_MS
 
 
-def has_member_list(known: int, started_ms: int, changed_ms: int, now_ms: int) -> bool:
+def has_member_list(
+    own: Candidate,
+    members: Sequence[Candidate],
+    started_ms: int,
+    changed_ms: int,
+    now_ms: int,
+) -> bool:
     """Whether the list of members is complete enough for the first takeover.
 
     A candidate that knows only some of the others would lead although a stronger one
     starts with it, and would release the lead again soon.
 
     Args:
-        known: Number of known instances.
+        own: This instance, as it knows itself.
+        members: The known members.
         started_ms: When this instance started.
         changed_ms: When the list changed last.
         now_ms: Current time.
     """
-    longest_ms = MEMBER_LIST_WAIT_MS
-    longest_ms += max(0, known - SMALL_FLEET) * WAIT_PER_MEMBER_MS
-    return (
-        now_ms - changed_ms >= MEMBER_LIST_SETTLED_MS
-        or now_ms - started_ms >= longest_ms
+    running_ms = now_ms - started_ms
+    is_registered = any(
+        member.instance_id == own.instance_id and member.row_version
+        for member in members
     )
+    if not is_registered:
+        return running_ms >= UNREGISTERED_WAIT_MS
+    longest_ms = MEMBER_LIST_WAIT_MS
+    longest_ms += max(0, len(members) - SMALL_FLEET) * WAIT_PER_MEMBER_MS
+    return now_ms - changed_ms >= MEMBER_LIST_SETTLED_MS or running_ms >= longest_ms
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -11,7 +11,9 @@
     MIN_READ_INTERVAL_MS,
     RANK_DELAY_MS,
     READ_BUDGET_PER_S,
+    UNREGISTERED_WAIT_MS,
     Candidacy,
+    has_member_list,
 )
 from marjoramgrade.decisions.leadermonitor import (
     RECOVERY_TIMEOUT_MS,
@@ -143,3 +145,11 @@
     monitor, heard = LeaderMonitor(), LastHeartbeat(row, 900, 50)
     monitor.record_row(row, 7, 1_000)
     assert monitor.is_leader_down(heard, 1_000 + STALE_MS)
+
+
+def test_instance_that_is_not_registered_does_not_take_the_first_lead():
+    # Guards against a leader that knows nobody and that nobody can be told of, while
+    # the store still works through the registrations of 300 instances.
+    own = Member("a", "z", "h", 1, 0, 1_000)
+    assert not has_member_list(own, (own,), 0, 0, UNREGISTERED_WAIT_MS - 1)
+    assert has_member_list(own, (own,), 0, 0, UNREGISTERED_WAIT_MS)
