Bound what connections from outside use of a process

Cause: the memory of an instance grew with the bodies that its clients left unfinished, and its event loop parsed the smallest chunks of all clients in every turn. Change: one budget for the bytes of all unfinished bodies, frames and responses of a process, a limit of connections for each port, limits of time, and turns in which unfinished bodies are read on.

--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -19,7 +19,8 @@
 from marjoramgrade.actor import Actor
 from marjoramgrade.adapters.httperrors import error_document, status_of
 from marjoramgrade.adapters.httpresources import HttpCall, Operation, iter_paths
-from marjoramgrade.adapters.httpserver import DrainingHttpServer
+from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
+from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.watch import Subscribe, Unsubscribe
 from marjoramgrade.documents import serialize_watch_event
@@ -268,15 +269,19 @@
     )
 
 
-def make_server(state: HttpServerState, max_body_bytes: int) -> DrainingHttpServer:
+def make_server(
+    state: HttpServerState, max_body_bytes: int, intake: Intake | None = None
+) -> DrainingHttpServer:
     """Return the HTTP server, with limits on the memory and time per client."""
+    intake = intake or Intake.from_config(clock=state.clock, metrics=state.metrics)
     return DrainingHttpServer(
         make_application(state),
         max_header_size=MAX_HEADER_BYTES,
-        # A connection with a larger body is closed; a body between the two limits
-        # gets a typed error response.
-        max_body_size=2 * max_body_bytes,
         max_buffer_size=2 * max_body_bytes + MAX_HEADER_BYTES,
         body_timeout=BODY_TIMEOUT_MS / 1000,
         idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
+        intake=intake,
+        # A larger body gets a response without content; a body between the two limits
+        # gets a typed error response.
+        limits=PortLimits(2 * max_body_bytes, intake.bounds.client_connections),
     )
--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -1,20 +1,185 @@
-"""An HTTP server that ends without cutting off a caller."""
+"""An HTTP server that ends without cutting off a caller, and bounds its clients."""
 
 from __future__ import annotations
 
 import asyncio
+import copy
 import select
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
+import attrs
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    HTTPServerRequest,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from marjoramgrade.adapters.intake import READ_BYTES, Intake, MeasuredStream
+from marjoramgrade.decisions.intake.connections import ConnectionUse
+from marjoramgrade.decisions.intake.turns import CHUNKED_SEGMENT_BYTES
+from marjoramgrade.errors import OversizedInputError
 
 # How long open connections are served after the server has stopped accepting.
 FINISH_MS = 700
 POLL_MS = 10
 # Bounds the accepting of waiting connections while callers go on connecting.
 MAX_ACCEPT_ROUNDS = 100
+# A connection whose body is too large is read on for this long. Closing it with unread
+# data would discard the response.
+LINGER_MS = 1_000
+# tornado answers a body above its own limit with 400; `_BoundedMessage` answers before
+# that limit is reached.
+NO_LIMIT = 2**62
+TOO_LARGE = (
+    b"HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+@attrs.frozen
+class PortLimits:
+    """Limits of one HTTP port.
+
+    Attributes:
+        max_body_bytes: Largest body that is accepted.
+        max_connections: Limit of open connections.
+    """
+
+    max_body_bytes: int
+    max_connections: int
+
+
+@attrs.define(eq=False)
+class _PlainMessage(HTTPMessageDelegate):
+    """Passes a request to a callback; tornado's own receiver also decodes forms.
+
+    Attributes:
+        connection: Connection of the request.
+        callback: Receives the request.
+    """
+
+    connection: HTTP1Connection
+    callback: Callable[[HTTPServerRequest], None]
+    _request: HTTPServerRequest | None = None
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Begin the request."""
+        assert isinstance(start_line, RequestStartLine)
+        self._request = HTTPServerRequest(
+            connection=self.connection, start_line=start_line, headers=headers
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Store the body, which comes as one piece."""
+        assert self._request is not None
+        self._request.body = chunk
+
+    def finish(self) -> None:
+        """Pass the request on."""
+        assert self._request is not None
+        self.callback(self._request)
+
+
+@attrs.define(eq=False)
+class _BoundedMessage(HTTPMessageDelegate):
+    """Receives one request within the bounds of the process.
+
+    The body is collected here and passed on at its end, as one piece: lists of many
+    small pieces take many times the memory of what they hold.
+
+    Attributes:
+        intake: Bounds the connections of the process.
+        limits: Limits of the port.
+        stream: Stream of the connection.
+        connection: Connection of the request.
+        receiver: Receives the complete request.
+    """
+
+    intake: Intake
+    limits: PortLimits
+    stream: MeasuredStream
+    connection: HTTP1Connection
+    receiver: HTTPMessageDelegate
+    _start: tuple[RequestStartLine, HTTPHeaders] | None = None
+    _body: bytearray = attrs.field(factory=bytearray)
+    _expected_bytes: int = -1
+    _is_refused: bool = False
+
+    async def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Refuse a body that is too large, and read a chunked one in small parts."""
+        assert isinstance(start_line, RequestStartLine)
+        self._start = (start_line, headers)
+        self.intake.begin_body(self.stream.use)
+        length = headers.get("Content-Length", "")
+        if length.isascii() and length.isdigit():
+            # A number with more digits is above the limit and slow to convert.
+            self._expected_bytes = int(length[:18])
+            if self._expected_bytes > self.limits.max_body_bytes:
+                self._refuse(is_waiting="Expect" in headers)
+        elif "Transfer-Encoding" in headers:
+            # Shared by all connections of the server.
+            self.connection.params = copy.copy(self.connection.params)
+            self.connection.params.chunk_size = CHUNKED_SEGMENT_BYTES
+            await self.intake.await_turn(self.stream.use)
+
+    async def data_received(self, chunk: bytes) -> None:
+        """Collect a part of the body, then wait until more may be read."""
+        if not self._is_refused:
+            self._body += chunk
+            if len(self._body) > self.limits.max_body_bytes:
+                self._refuse()
+            else:
+                self.intake.add_received(self.stream.use, len(chunk))
+        if len(self._body) != self._expected_bytes and not self.stream.closed():
+            await self.intake.await_turn(self.stream.use)
+
+    def finish(self) -> None:
+        """Pass the complete request on."""
+        if self._is_refused or self._start is None:
+            self.stream.close()
+            return
+        self.intake.end_body(self.stream.use)
+        body, self._body = bytes(self._body), bytearray()
+        self.receiver.headers_received(*self._start)
+        self.receiver.data_received(body)
+        self.receiver.finish()
+
+    def on_connection_close(self) -> None:
+        """Drop what was received."""
+        self._body = bytearray()
+
+    def _refuse(self, *, is_waiting: bool = False) -> None:
+        self._is_refused = True
+        self._body = bytearray()
+        self.intake.begin_message(self.stream.use)
+        self.intake.metrics.refused(OversizedInputError("the body is too large"))
+        try:
+            self.stream.write(TOO_LARGE)
+            if is_waiting:
+                # The client has not sent its body.
+                self.stream.close()
+                return
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        except (OSError, StreamClosedError):
+            self.stream.close()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_MS / 1_000, self.stream.close)
 
 
 class DrainingHttpServer(HTTPServer):
@@ -22,13 +187,29 @@
 
     Closing a listening socket resets the connections that wait in its queue, and their
     callers do not learn whether their requests have run.
+
+    With an intake, it also bounds the connections and their unfinished bodies.
     """
 
     # tornado constructs its servers by `initialize`, which takes their arguments.
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
-        """Store the arguments of `HTTPServer`."""
+    def initialize(
+        self,
+        *args: Any,
+        intake: Intake | None = None,
+        limits: PortLimits | None = None,
+        **kwargs: Any,
+    ) -> None:
+        """Store the arguments of `HTTPServer`, the intake and the limits of the port.
+
+        Either none or both of the latter are given.
+        """
+        if limits is not None:
+            kwargs.update(max_body_size=NO_LIMIT, chunk_size=READ_BYTES)
         super().initialize(*args, **kwargs)
         self._listening: list[socket.socket] = []
+        self._intake = intake
+        self._limits = limits
+        self._uses: set[ConnectionUse] = set()
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Start accepting connections on listening sockets."""
@@ -36,6 +217,41 @@
         self._listening.extend(listening)
         super().add_sockets(listening)
 
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        """Serve a connection, unless there are too many."""
+        if self._intake is None or self._limits is None:
+            super().handle_stream(stream, address)
+            return
+        # The stream that tornado made has not been used and does not own the socket.
+        measured = self._intake.open(
+            stream.socket,
+            self._uses,
+            self._limits.max_connections,
+            self.max_buffer_size,
+        )
+        if measured is not None:
+            super().handle_stream(measured, address)
+
+    def start_request(
+        self, server_conn: object, request_conn: Any
+    ) -> HTTPMessageDelegate:
+        """Return the receiver of one request."""
+        if self._intake is None or self._limits is None:
+            return super().start_request(server_conn, request_conn)
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        stream = server_conn.stream
+        assert isinstance(stream, MeasuredStream)
+        self._intake.begin_message(stream.use)
+        callback: Any = self.request_callback
+        receiver: HTTPMessageDelegate
+        if isinstance(callback, HTTPServerConnectionDelegate):
+            receiver = callback.start_request(server_conn, request_conn)
+        else:
+            receiver = _PlainMessage(request_conn, callback)
+        return _BoundedMessage(
+            self._intake, self._limits, stream, request_conn, receiver
+        )
+
     @property
     def has_connections(self) -> bool:
         """Whether any client connection is open."""
--- /dev/null
+++ b/marjoramgrade/adapters/intake.py
@@ -0,0 +1,280 @@
+"""Keeps what connections from outside use within the bounds of the process.
+
+One `Intake` serves all ports of a process. It owns the state; the servers report what
+happens on their sockets to it, on the event loop that they share.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import attrs
+from tornado.iostream import IOStream
+
+from marjoramgrade import logs
+from marjoramgrade.clock import Clock, SystemClock
+from marjoramgrade.decisions.intake.bounds import IntakeBounds
+from marjoramgrade.decisions.intake.budget import BodyBudget, choose_for_new
+from marjoramgrade.decisions.intake.connections import (
+    CloseReason,
+    ConnectionUse,
+    Phase,
+)
+from marjoramgrade.decisions.intake.turns import TurnQueue
+from marjoramgrade.metrics import MemoryMetrics, Metrics
+
+SWEEP_MS = 500
+# Refusing has ended once no connection was closed to make room for this long.
+REFUSING_MS = 2_000
+# Small enough that a thousand connections that wait for their turn hold 8 MB, and large
+# enough that a body of the largest size takes 32 reads.
+READ_BYTES = 8_192
+_ROOM_REASONS = (CloseReason.BUDGET, CloseReason.CONNECTIONS)
+
+
+class MeasuredStream(IOStream):
+    """A stream of one connection that reports its bytes to the intake.
+
+    Args:
+        connection: The connected socket.
+        intake: Bounds the connections.
+        use: What the connection uses.
+        max_buffer_size: Limit of the read buffer in bytes.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        intake: Intake,
+        use: ConnectionUse,
+        max_buffer_size: int | None = None,
+    ) -> None:
+        super().__init__(
+            connection, max_buffer_size=max_buffer_size, read_chunk_size=READ_BYTES
+        )
+        self._intake = intake
+        self.use = use
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket and record that the other side makes progress."""
+        count = super().read_from_fd(buf)
+        if count:
+            self.use.progress_ms = self._intake.now_ms()
+        return count
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write to the socket and record what the other side has taken."""
+        count = super().write_to_fd(data)
+        if count:
+            self._intake.record_sent(self.use, count)
+        return count
+
+    def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
+        """Queue bytes for sending, which are held until they are sent."""
+        if not self.closed():
+            self._intake.record_queued(self.use, len(data))
+        return super().write(data)
+
+    def close_fd(self) -> None:
+        """Close the socket and release what the connection holds."""
+        super().close_fd()
+        self._intake.release(self.use)
+
+
+@attrs.define
+class _Refusing:
+    """A period in which connections are closed to make room.
+
+    Attributes:
+        last_ms: Time at which a connection was last closed.
+        closed: Number of connections closed.
+    """
+
+    last_ms: int
+    closed: int = 0
+
+
+@attrs.define(eq=False)
+class Intake:
+    """Bounds all connections from outside of one process.
+
+    Attributes:
+        bounds: What the connections may use.
+        clock: Monotonic time.
+        metrics: Counts closed connections by reason.
+    """
+
+    bounds: IntakeBounds
+    clock: Clock
+    metrics: Metrics
+    _budget: BodyBudget
+    _turns: TurnQueue[asyncio.Future[None]] = attrs.field(factory=TurnQueue)
+    _stream_by_use: dict[ConnectionUse, IOStream] = attrs.field(factory=dict)
+    _refusing: _Refusing | None = None
+    _sweeping: asyncio.TimerHandle | None = None
+    _turning: asyncio.Handle | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        bounds: IntakeBounds | None = None,
+        clock: Clock | None = None,
+        metrics: Metrics | None = None,
+    ) -> Intake:
+        """Return an intake without connections; the bounds are those by default."""
+        bounds = bounds or IntakeBounds.from_config()
+        budget = BodyBudget.from_config(bounds)
+        return cls(bounds, clock or SystemClock(), metrics or MemoryMetrics(), budget)
+
+    def now_ms(self) -> int:
+        """Return the time."""
+        return self.clock.now_ms()
+
+    def open(
+        self,
+        connection: socket.socket,
+        others: set[ConnectionUse],
+        max_connections: int,
+        max_buffer_size: int | None = None,
+        *,
+        is_identified: bool = True,
+    ) -> MeasuredStream | None:
+        """Take in a new connection of a port.
+
+        Args:
+            connection: The connected socket.
+            others: The open connections of the port; the new one is added.
+            max_connections: Limit for them.
+            max_buffer_size: Limit of the read buffer in bytes.
+            is_identified: Whether the other side need not introduce itself.
+
+        Returns:
+            The stream of the connection, or None if there is no room.
+        """
+        now_ms = self.now_ms()
+        others.intersection_update(self._stream_by_use.keys())
+        if len(others) >= max_connections:
+            chosen = choose_for_new(others, now_ms)
+            if chosen is None:
+                self._record_closed(CloseReason.CONNECTIONS)
+                connection.close()
+                return None
+            others.discard(chosen)
+            self._close(chosen, CloseReason.CONNECTIONS)
+        use = ConnectionUse.opened(now_ms, is_identified=is_identified)
+        stream = MeasuredStream(connection, self, use, max_buffer_size)
+        others.add(use)
+        self._budget.open(use)
+        self._stream_by_use[use] = stream
+        self._schedule_sweep()
+        return stream
+
+    def release(self, use: ConnectionUse) -> None:
+        """Forget a connection whose stream has been closed."""
+        self._budget.close(use)
+        self._stream_by_use.pop(use, None)
+
+    def begin_message(self, use: ConnectionUse) -> None:
+        """Record that a connection is idle; what its last message held is released."""
+        self._budget.change(use, received=-use.received_bytes)
+        use.enter(Phase.IDLE, self.now_ms())
+        use.turns = 0
+
+    def begin_body(self, use: ConnectionUse) -> None:
+        """Record that the body of a message begins."""
+        use.enter(Phase.RECEIVING, self.now_ms())
+
+    def end_body(self, use: ConnectionUse) -> None:
+        """Record that a message was read completely; it holds its bytes until answered.
+
+        The connection is not closed before that.
+        """
+        use.enter(Phase.SERVED, self.now_ms())
+
+    def add_received(self, use: ConnectionUse, count: int) -> None:
+        """Record bytes of a body and close connections beyond the budget."""
+        self._budget.change(use, received=count)
+        self._enforce_budget()
+
+    def record_queued(self, use: ConnectionUse, count: int) -> None:
+        """Record bytes that are to be sent."""
+        self._budget.change(use, unsent=count)
+
+    def record_sent(self, use: ConnectionUse, count: int) -> None:
+        """Record bytes that have been sent."""
+        self._budget.change(use, unsent=-count)
+        use.progress_ms = self.now_ms()
+
+    async def await_turn(self, use: ConnectionUse) -> None:
+        """Wait until more of an unfinished body may be read."""
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._turns.add(turn, use.turns)
+        use.turns += 1
+        use.is_waiting = True
+        if self._turning is None:
+            self._turning = asyncio.get_running_loop().call_soon(self._give_turns)
+        try:
+            await turn
+        finally:
+            use.is_waiting = False
+            use.progress_ms = self.now_ms()
+
+    def _give_turns(self) -> None:
+        self._turning = None
+        for turn in self._turns.take():
+            if not turn.done():
+                turn.set_result(None)
+        if self._turns:
+            self._turning = asyncio.get_running_loop().call_soon(self._give_turns)
+
+    def _enforce_budget(self) -> None:
+        while (use := self._budget.choose_excess(self.now_ms())) is not None:
+            self._close(use, CloseReason.BUDGET)
+
+    def _close(self, use: ConnectionUse, reason: CloseReason) -> None:
+        self._record_closed(reason)
+        stream = self._stream_by_use.get(use)
+        self.release(use)
+        if stream is not None:
+            stream.close()
+
+    def _record_closed(self, reason: CloseReason) -> None:
+        self.metrics.count(f"closed.{reason.value}")
+        if reason not in _ROOM_REASONS:
+            return
+        now_ms = self.now_ms()
+        if self._refusing is None:
+            self._refusing = _Refusing(now_ms)
+            logs.log_event(
+                "intake_refusing",
+                reason=reason.value,
+                connections=len(self._stream_by_use),
+                held_bytes=self._budget.held_bytes,
+                limit_bytes=self.bounds.body_bytes,
+            )
+        self._refusing.last_ms = now_ms
+        self._refusing.closed += 1
+        self._schedule_sweep()
+
+    def _schedule_sweep(self) -> None:
+        if self._sweeping is None:
+            loop = asyncio.get_running_loop()
+            self._sweeping = loop.call_later(SWEEP_MS / 1_000, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what has taken too long; repeated while there are connections."""
+        self._sweeping = None
+        now_ms = self.now_ms()
+        for use in list(self._stream_by_use):
+            reason = use.overdue(now_ms, self.bounds)
+            if reason is not None:
+                self._close(use, reason)
+        # Responses that are not read count as well, and are recorded without a check.
+        self._enforce_budget()
+        refusing = self._refusing
+        if refusing is not None and now_ms - refusing.last_ms >= REFUSING_MS:
+            logs.log_event("intake_accepting", closed=refusing.closed)
+            self._refusing = None
+        if self._stream_by_use or self._refusing is not None:
+            self._schedule_sweep()
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import struct
 from collections.abc import Awaitable
 from typing import Any
@@ -21,6 +22,7 @@
     UNACKNOWLEDGED_TIMEOUT_MS,
     set_tcp_options,
 )
+from marjoramgrade.adapters.intake import Intake, MeasuredStream
 from marjoramgrade.adapters.peercodec import (
     MAX_FRAME_BYTES,
     EmptyReply,
@@ -29,6 +31,7 @@
     parse_frame,
     serialize_frame,
 )
+from marjoramgrade.decisions.intake.connections import ConnectionUse
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -48,6 +51,14 @@
 CONNECT_TIMEOUT_MS = 1_000
 # Limit of unsent bytes per connection; further calls are refused above it.
 MAX_UNSENT_BYTES = 8 * 1_048_576
+# A hello holds the id of an instance.
+MAX_HELLO_BYTES = 4_096
+# Frames that are in the buffer are read without a turn of the event loop; other
+# connections get one after this many.
+FRAMES_PER_TURN = 16
+# Calls of one connection that run at a time; it is not read on above that. An instance
+# has fewer clients.
+MAX_CALLS = 2_048
 _LENGTH = struct.Struct(">I")
 
 
@@ -58,12 +69,45 @@
         StreamClosedError: If the connection is closed.
         ProtocolError: If the frame is invalid or too large.
     """
-    (length,) = _LENGTH.unpack(await stream.read_bytes(_LENGTH.size))
-    if length > MAX_FRAME_BYTES:
-        raise ProtocolError(f"frame of {length} bytes exceeds the maximum size")
+    length = _parse_length(await stream.read_bytes(_LENGTH.size), MAX_FRAME_BYTES)
     return parse_frame(await stream.read_bytes(length))
 
 
+async def read_bounded_frame(
+    stream: MeasuredStream, intake: Intake, max_bytes: int
+) -> PeerFrame:
+    """Read one frame that counts against the budget of the process while it arrives.
+
+    Args:
+        stream: The connection.
+        intake: Bounds the connections of the process.
+        max_bytes: Largest frame accepted.
+
+    Raises:
+        StreamClosedError: If the connection is closed.
+        ProtocolError: If the frame is invalid or too large.
+    """
+    # The limits of time count from the first byte of the frame.
+    prefix = await stream.read_bytes(1)
+    intake.begin_body(stream.use)
+    prefix += await stream.read_bytes(_LENGTH.size - 1)
+    length = _parse_length(prefix, max_bytes)
+    data = bytearray()
+    while len(data) < length:
+        part = await stream.read_bytes(length - len(data), partial=True)
+        data += part
+        intake.add_received(stream.use, len(part))
+    intake.begin_message(stream.use)
+    return parse_frame(bytes(data))
+
+
+def _parse_length(prefix: bytes, max_bytes: int) -> int:
+    (length,) = _LENGTH.unpack(prefix)
+    if length > max_bytes:
+        raise ProtocolError(f"frame of {length} bytes exceeds the maximum size")
+    return int(length)
+
+
 def write_frame(stream: IOStream, frame: PeerFrame) -> None:
     """Queue one frame for sending; the reading task detects a closed stream.
 
@@ -215,25 +259,45 @@
         receiver: The actor that handles `InboundMessage` messages.
         disconnect_receiver: The actor that receives `PeerDisconnected` when a
             connection ends, or None.
+        intake: Bounds what the connections use.
     """
 
     def __init__(
-        self, receiver: Actor, disconnect_receiver: Actor | None = None
+        self,
+        receiver: Actor,
+        disconnect_receiver: Actor | None = None,
+        intake: Intake | None = None,
     ) -> None:
         super().__init__()
         self._receiver = receiver
         self._disconnect_receiver = disconnect_receiver
+        self._intake = intake or Intake.from_config()
+        self._uses: set[ConnectionUse] = set()
         self._streams: set[IOStream] = set()
         self._call_tasks: set[asyncio.Task[None]] = set()
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve one connection until it is closed."""
+        # The stream that tornado made has not been used and does not own the socket.
+        measured = self._intake.open(
+            stream.socket,
+            self._uses,
+            self._intake.bounds.peer_connections,
+            is_identified=False,
+        )
+        if measured is not None:
+            await self._serve_stream(measured)
+
+    async def _serve_stream(self, stream: MeasuredStream) -> None:
         self._streams.add(stream)
         stream.set_nodelay(True)
+        stream.max_write_buffer_size = MAX_UNSENT_BYTES
         try:
-            hello = (await read_frame(stream)).body
+            frame = await read_bounded_frame(stream, self._intake, MAX_HELLO_BYTES)
+            hello = frame.body
             if not isinstance(hello, Hello):
                 raise ProtocolError("the first frame of a connection must be a hello")
+            stream.use.is_identified = True
             await self._serve_frames(stream, hello.instance_id)
         except StreamClosedError:
             return
@@ -242,11 +306,15 @@
         finally:
             self._streams.discard(stream)
 
-    async def _serve_frames(self, stream: IOStream, peer_id: str) -> None:
+    async def _serve_frames(self, stream: MeasuredStream, peer_id: str) -> None:
+        calls = asyncio.Semaphore(MAX_CALLS)
         try:
-            while True:
-                frame = await read_frame(stream)
-                self._spawn(self._serve(stream, peer_id, frame))
+            for number in itertools.count():
+                frame = await read_bounded_frame(stream, self._intake, MAX_FRAME_BYTES)
+                if number % FRAMES_PER_TURN == 0:
+                    await asyncio.sleep(0)
+                await calls.acquire()
+                self._spawn(self._serve(stream, peer_id, frame), calls)
         finally:
             if self._disconnect_receiver is not None:
                 with contextlib.suppress(ShuttingDownError):
@@ -259,10 +327,11 @@
         for stream in list(self._streams):
             stream.close()
 
-    def _spawn(self, awaitable: Awaitable[None]) -> None:
+    def _spawn(self, awaitable: Awaitable[None], calls: asyncio.Semaphore) -> None:
         task = asyncio.ensure_future(awaitable)
         self._call_tasks.add(task)
         task.add_done_callback(self._call_tasks.discard)
+        task.add_done_callback(lambda _: calls.release())
 
     async def _serve(self, stream: IOStream, peer_id: str, frame: PeerFrame) -> None:
         try:
@@ -272,4 +341,8 @@
         if frame.correlation == 0 or stream.closed():
             return
         answer = EmptyReply() if body is None else body
-        write_frame(stream, PeerFrame(frame.correlation, answer))
+        try:
+            write_frame(stream, PeerFrame(frame.correlation, answer))
+        except StreamBufferFullError:
+            # The peer does not read its replies.
+            stream.close()
--- /dev/null
+++ b/marjoramgrade/decisions/intake/budget.py
@@ -0,0 +1,117 @@
+"""The bytes of all unfinished bodies of a process, and which connection to close.
+
+Handles many concurrent large bodies of legal size, most of which stop just short of
+their end: their sum is bounded, and bodies of ordinary size keep a part of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from marjoramgrade.decisions.intake.bounds import (
+    CONNECTION_BYTES,
+    SMALL_BODY_BYTES,
+    IntakeBounds,
+)
+from marjoramgrade.decisions.intake.connections import ConnectionUse
+
+
+def choose_to_close(
+    uses: Iterable[ConnectionUse], now_ms: int, connection_bytes: int = 0
+) -> ConnectionUse | None:
+    """Return the connection to close first, or None if none may be closed.
+
+    It is the one with the most bytes multiplied by the time without progress: neither a
+    large body that is arriving nor a small one that has just stopped. Connections that
+    have not identified themselves come before all others.
+
+    Args:
+        uses: The connections to choose from.
+        now_ms: The time.
+        connection_bytes: Counted for a connection beside the bytes that it holds; 0 if
+            closing helps only with bytes.
+    """
+
+    def loss(use: ConnectionUse) -> tuple[bool, int]:
+        size = use.held_bytes + connection_bytes
+        return (not use.is_identified, size * (use.idle_ms(now_ms) + 1))
+
+    candidates = (
+        use for use in uses if use.may_close and use.held_bytes + connection_bytes
+    )
+    return max(candidates, key=loss, default=None)
+
+
+def choose_for_new(uses: Iterable[ConnectionUse], now_ms: int) -> ConnectionUse | None:
+    """Return the connection to close so that a new one can be opened, or None."""
+    return choose_to_close(uses, now_ms, CONNECTION_BYTES)
+
+
+@attrs.define
+class BodyBudget:
+    """The bytes that the connections of a process hold.
+
+    Attributes:
+        limit_bytes: Limit for all connections.
+        small_bytes: Part of it that only connections with at most `SMALL_BODY_BYTES`
+            may use.
+        uses: The open connections, in the order in which they were opened.
+        held_bytes: Bytes that all connections hold.
+        large_bytes: Bytes held by connections that hold more than `SMALL_BODY_BYTES`.
+    """
+
+    limit_bytes: int
+    small_bytes: int
+    uses: dict[ConnectionUse, None] = attrs.field(factory=dict)
+    held_bytes: int = 0
+    large_bytes: int = 0
+
+    @classmethod
+    def from_config(cls, bounds: IntakeBounds) -> BodyBudget:
+        """Return the empty budget of a process."""
+        return cls(bounds.body_bytes, bounds.small_bytes)
+
+    def open(self, use: ConnectionUse) -> None:
+        """Take a connection in."""
+        self.uses[use] = None
+
+    def close(self, use: ConnectionUse) -> None:
+        """Release all that a connection holds; without effect for a closed one."""
+        if use in self.uses:
+            self.change(use, received=-use.received_bytes, unsent=-use.unsent_bytes)
+            del self.uses[use]
+
+    def change(self, use: ConnectionUse, *, received: int = 0, unsent: int = 0) -> None:
+        """Add to the bytes that an open connection holds."""
+        if use not in self.uses:
+            return
+        self._count(use, -1)
+        use.received_bytes += received
+        use.unsent_bytes += unsent
+        self._count(use, 1)
+
+    def choose_excess(self, now_ms: int) -> ConnectionUse | None:
+        """Return the connection to close because the budget is exceeded, or None.
+
+        Also None if all that hold bytes are being served; what they hold is released
+        as they are answered.
+        """
+        if self.large_bytes > self.limit_bytes - self.small_bytes:
+            large = (use for use in self.uses if _is_large(use))
+            chosen = choose_to_close(large, now_ms)
+            if chosen is not None:
+                return chosen
+        if self.held_bytes > self.limit_bytes:
+            return choose_to_close(self.uses, now_ms)
+        return None
+
+    def _count(self, use: ConnectionUse, sign: int) -> None:
+        self.held_bytes += sign * use.held_bytes
+        if _is_large(use):
+            self.large_bytes += sign * use.held_bytes
+
+
+def _is_large(use: ConnectionUse) -> bool:
+    return use.held_bytes > SMALL_BODY_BYTES
--- /dev/null
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -0,0 +1,102 @@
+"""What one connection from outside uses, and when it has taken too long.
+
+Handles connections that stop within a body, a frame or a response and stay open.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from marjoramgrade.decisions.intake.bounds import IntakeBounds
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = "idle"
+    RECEIVING = "receiving"
+    SERVED = "served"
+
+
+class CloseReason(enum.Enum):
+    """Why a connection is closed; also the member of the counter `closed.*`."""
+
+    BUDGET = "budget"
+    CONNECTIONS = "connections"
+    SILENT = "silent"
+    SLOW = "slow"
+    UNREAD = "unread"
+
+
+@attrs.define(eq=False)
+class ConnectionUse:
+    """What one connection uses.
+
+    Attributes:
+        opened_ms: Time of its opening.
+        progress_ms: Time of its last byte, in either direction.
+        is_identified: Whether the other side has introduced itself, on a port where it
+            has to.
+        phase: What it is doing.
+        phase_since_ms: Time at which the phase began.
+        is_waiting: Whether it waits for its turn; it then makes no progress, which is
+            not its own fault.
+        turns: Number of turns that its message has used.
+        received_bytes: Bytes held of a message that has not been answered.
+        unsent_bytes: Bytes of responses that the other side has not read.
+    """
+
+    opened_ms: int
+    progress_ms: int
+    is_identified: bool = True
+    phase: Phase = Phase.IDLE
+    phase_since_ms: int = 0
+    is_waiting: bool = False
+    turns: int = 0
+    received_bytes: int = 0
+    unsent_bytes: int = 0
+
+    @classmethod
+    def opened(cls, now_ms: int, *, is_identified: bool = True) -> ConnectionUse:
+        """Return a connection that has just been opened."""
+        return cls(now_ms, now_ms, is_identified, phase_since_ms=now_ms)
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the process holds for this connection."""
+        return self.received_bytes + self.unsent_bytes
+
+    @property
+    def may_close(self) -> bool:
+        """Whether no request would be left without an answer.
+
+        A request that was read completely is always answered. A response that is not
+        read has been given.
+        """
+        return self.phase is not Phase.SERVED or self.unsent_bytes > 0
+
+    def enter(self, phase: Phase, now_ms: int) -> None:
+        """Begin a phase."""
+        self.phase = phase
+        self.phase_since_ms = self.progress_ms = now_ms
+
+    def idle_ms(self, now_ms: int) -> int:
+        """Return the time without progress that is the fault of the other side."""
+        return 0 if self.is_waiting else max(now_ms - self.progress_ms, 0)
+
+    def overdue(self, now_ms: int, bounds: IntakeBounds) -> CloseReason | None:
+        """Return why the connection has taken too long, or None."""
+        if not self.is_identified and now_ms - self.opened_ms > bounds.hello_ms:
+            return CloseReason.SILENT
+        idle_ms = self.idle_ms(now_ms)
+        if self.unsent_bytes and idle_ms > bounds.silence_ms:
+            return CloseReason.UNREAD
+        if self.phase is not Phase.RECEIVING:
+            return None
+        if idle_ms > bounds.silence_ms:
+            return CloseReason.SILENT
+        if now_ms - self.phase_since_ms > bounds.body_ms:
+            return CloseReason.SLOW
+        return None
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -11,6 +11,7 @@
 from marjoramgrade.actor import Actor, ActorGroup
 from marjoramgrade.adapters.backend import BackendClient
 from marjoramgrade.adapters.httpfront import HttpServerState, make_server
+from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.adapters.peerlink import PeerServer
 from marjoramgrade.adapters.platformclient import PlatformClient
 from marjoramgrade.clock import SystemClock
@@ -122,18 +123,19 @@
         self._controllers = controllers
         for actor in controllers.iter_before_join():
             await self._stack.add(actor)
-        peer_server = PeerServer(controllers.inbound)
+        intake = Intake.from_config(clock=self._clock, metrics=self._metrics)
+        peer_server = PeerServer(controllers.inbound, intake=intake)
         peer_server.listen(settings.peer_port, address=settings.host)
         self._stack.push_async_callback(peer_server.close)
         # From here on, peers can find this instance and it takes over shards.
         await self._stack.add(controllers.members)
         await self._stack.add(controllers.ownership)
-        self._listen(controllers)
+        self._listen(controllers, intake)
         flusher = asyncio.create_task(self._flush_forever())
         self._stack.callback(flusher.cancel)
         logs.log_event("started", zone=settings.zone)
 
-    def _listen(self, controllers: ControllerSet) -> None:
+    def _listen(self, controllers: ControllerSet, intake: Intake) -> None:
         """Accept HTTP requests from clients and operators."""
         settings = self._settings
         environment = FilterEnvironment(
@@ -153,7 +155,7 @@
             self._metrics,
             settings.max_body_bytes,
         )
-        server = make_server(self._state, settings.max_body_bytes)
+        server = make_server(self._state, settings.max_body_bytes, intake)
         server.listen(settings.http_port, address=settings.host)
         self._stack.push_async_callback(server.close_all_connections)
         self._stack.push_async_callback(server.finish)
--- a/marjoramgrade/exposition.py
+++ b/marjoramgrade/exposition.py
@@ -11,9 +11,10 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
+from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -24,6 +25,10 @@
 # the longest job.
 BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 15_000, 60_000)
 PATH = "/metrics"
+MAX_HEADER_BYTES = 16_384
+# A scrape has no body.
+MAX_BODY_BYTES = 4_096
+IDLE_TIMEOUT_MS = 60_000
 
 
 @attrs.define
@@ -102,9 +107,16 @@
                 sum_value=times.total_ms,
             )
 
-    def make_server(self) -> HTTPServer:
+    def make_server(self, intake: Intake | None = None) -> DrainingHttpServer:
         """Return the HTTP server of the metrics, not yet listening."""
-        return HTTPServer(self._respond)
+        intake = intake or Intake.from_config()
+        return DrainingHttpServer(
+            self._respond,
+            max_header_size=MAX_HEADER_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
+            intake=intake,
+            limits=PortLimits(MAX_BODY_BYTES, intake.bounds.side_connections),
+        )
 
     def _respond(self, request: HTTPServerRequest) -> None:
         connection: Any = request.connection
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -153,6 +153,14 @@
 )
 
 
+declare(
+    "closed.*",
+    MetricKind.COUNTER,
+    "connections",
+    "Connections closed for what they used or how long they took, by the reason.",
+)
+
+
 def iter_metrics() -> Iterator[Metric]:
     """Yield the declared metrics in alphabetical order."""
     return (METRICS.get(name) for name in METRICS.iter_names())
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import pathlib
+import resource
 import signal
 import sys
 
@@ -14,6 +15,7 @@
 import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, ActorGroup
+from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.adapters.peerlink import PeerLink, PeerServer
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers.advising import AdvisingController
@@ -30,6 +32,7 @@
     StepSchedulerController,
 )
 from marjoramgrade.controllers.storerouter import StoreRouter
+from marjoramgrade.decisions.intake.bounds import DEFAULT_MAX_FDS, IntakeBounds
 from marjoramgrade.errors import SettingsError
 from marjoramgrade.exposition import PrometheusMetrics
 from marjoramgrade.filters.chain import FilterChain
@@ -69,7 +72,11 @@
         self._clock = SystemClock()
         self._metrics = PrometheusMetrics()
         self._stack = ActorGroup()
-        self._readiness_endpoint = ReadinessEndpoint()
+        bounds = IntakeBounds.from_config(
+            settings.memory_mb, _max_descriptors(settings)
+        )
+        self._intake = Intake.from_config(bounds, self._clock, self._metrics)
+        self._readiness_endpoint = ReadinessEndpoint(self._intake)
         self._frontend: ClientFrontend | None = None
         self._leadership: LeadershipController | None = None
         self._servers: list[HTTPServer] = []
@@ -177,7 +184,7 @@
         )
         for actor in actors:
             await self._stack.add(actor)
-        server = PeerServer(inbound, leadership)
+        server = PeerServer(inbound, leadership, self._intake)
         server.listen(settings.peer_port, settings.host)
         self._stack.push_async_callback(server.close)
         self._listen(directory, forwarder)
@@ -195,14 +202,17 @@
             for name in DEFAULT_QUEUE_FILTERS
         ]
         self._frontend = ClientFrontend(
-            FilterChain(filters, self._metrics), self._clock, self._metrics
+            FilterChain(filters, self._metrics),
+            self._clock,
+            self._metrics,
+            self._intake,
         )
         front = self._frontend.make_server()
         for server, address in (
             (front, self._settings.front),
             (self._readiness_endpoint.make_server(), self._settings.ready),
             (
-                self._metrics.make_server(),
+                self._metrics.make_server(self._intake),
                 f"{self._settings.host}:{self._settings.metrics_port}",
             ),
         ):
@@ -229,6 +239,12 @@
         await wait_until_drained(front, release, self._clock, shutdown_ms)
 
 
+def _max_descriptors(settings: InstanceSettings) -> int:
+    """Return the number of descriptors that the system lets the process open."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return min(settings.max_fds or DEFAULT_MAX_FDS, allowed)
+
+
 async def _serve(settings: InstanceSettings, path: pathlib.Path) -> int:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -8,12 +8,12 @@
 
 import attrs
 import msgspec
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from marjoramgrade import logs
-from marjoramgrade.adapters.httpserver import DrainingHttpServer
+from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
+from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.clock import Clock
 from marjoramgrade.errors import (
     ForbiddenError,
@@ -88,6 +88,7 @@
         chain: Handles each request.
         clock: Monotonic time.
         metrics: Records the duration of each request.
+        intake: Bounds what the clients use.
         is_draining: Whether the instance is shutting down; responses then close their
             connections.
         in_flight: Number of requests that are being processed.
@@ -96,6 +97,7 @@
     chain: FilterChain
     clock: Clock
     metrics: Metrics
+    intake: Intake = attrs.field(factory=Intake.from_config)
     is_draining: bool = False
     in_flight: int = 0
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -106,8 +108,9 @@
         self._server = DrainingHttpServer(
             self._accept,
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
+            intake=self.intake,
+            limits=PortLimits(MAX_BODY_BYTES, self.intake.bounds.client_connections),
         )
         return self._server
 
@@ -341,17 +344,24 @@
             draining has begun.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, intake: Intake | None = None) -> None:
         self.is_ready = False
         self._is_draining = False
+        self._intake = intake or Intake.from_config()
 
     def mark_draining(self) -> None:
         """Report the instance as not ready until the process ends."""
         self._is_draining = True
 
-    def make_server(self) -> HTTPServer:
+    def make_server(self) -> DrainingHttpServer:
         """Return a new server that does not listen yet."""
-        return HTTPServer(self._accept)
+        return DrainingHttpServer(
+            self._accept,
+            max_header_size=MAX_HEADER_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
+            intake=self._intake,
+            limits=PortLimits(MAX_BODY_BYTES, self._intake.bounds.side_connections),
+        )
 
     def _accept(self, request: HTTPServerRequest) -> None:
         connection: Any = request.connection
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from marjoramgrade.decisions.intake.bounds import IntakeBounds
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
 from marjoramgrade.platform.decoding import check_address
@@ -44,6 +45,8 @@
         config_apply_ms: Time within which a new configuration must be in force, in
             milliseconds.
         listing: Name of the schedule of worker listings.
+        memory_mb: Memory that the instance may use, in MB; 0 if it is not known.
+        max_fds: Number of descriptors that it may open; 0 if it is not known.
     """
 
     instance_id: str
@@ -64,6 +67,8 @@
     config_apply_ms: int = 2_000
     advice: str = ""
     listing: str = "periodic"
+    memory_mb: int = 0
+    max_fds: int = 0
 
     @property
     def strength(self) -> int:
@@ -97,6 +102,10 @@
         problems.append(
             SettingsProblem("listing", f"no schedule is named {settings.listing!r}")
         )
+    try:
+        IntakeBounds.from_config(settings.memory_mb, settings.max_fds)
+    except InvalidInputError as error:
+        problems.append(SettingsProblem("memory_mb, max_fds", error.message))
     if problems:
         raise SettingsError(problems)
     return settings
