Read frames, pipelined requests and large bodies in turns, and test the decisions

Cause, from trials against an instance of 200 MB: 60 unfinished frames of 4 MB after a hello raised it to 184 MB, because the stream read a whole frame into its buffer and growing buffers fragmented the memory; many small frames, many requests for metrics in one write, and complete bodies with 8,000 steps kept ordinary requests waiting beyond their deadline (504 after 4 to 6 s). Change: frames are read in parts that count at once, bodies are kept in blocks of 16 KB, pipelined requests, bursts of frames and the end of large bodies wait for a turn, the metrics are rendered at most four times a second, and a job with too many steps is refused before its steps are decoded.

--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -22,7 +22,13 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from marjoramgrade.adapters.intake import READ_BYTES, Intake, MeasuredStream
+from marjoramgrade.adapters.intake import (
+    READ_BYTES,
+    BodyBuffer,
+    Intake,
+    MeasuredStream,
+)
+from marjoramgrade.decisions.intake.bounds import SMALL_BODY_BYTES
 from marjoramgrade.decisions.intake.connections import ConnectionUse
 from marjoramgrade.decisions.intake.turns import CHUNKED_SEGMENT_BYTES
 from marjoramgrade.errors import OversizedInputError
@@ -112,7 +118,7 @@
     connection: HTTP1Connection
     receiver: HTTPMessageDelegate
     _start: tuple[RequestStartLine, HTTPHeaders] | None = None
-    _body: bytearray = attrs.field(factory=bytearray)
+    _body: BodyBuffer = attrs.field(factory=BodyBuffer)
     _expected_bytes: int = -1
     _is_refused: bool = False
 
@@ -124,6 +130,7 @@
         """Refuse a body that is too large, and read a chunked one in small parts."""
         assert isinstance(start_line, RequestStartLine)
         self._start = (start_line, headers)
+        await self.intake.await_turn_of_next(self.stream.use)
         self.intake.begin_body(self.stream.use)
         length = headers.get("Content-Length", "")
         if length.isascii() and length.isdigit():
@@ -140,12 +147,15 @@
     async def data_received(self, chunk: bytes) -> None:
         """Collect a part of the body, then wait until more may be read."""
         if not self._is_refused:
-            self._body += chunk
+            self._body.add(chunk)
             if len(self._body) > self.limits.max_body_bytes:
                 self._refuse()
             else:
                 self.intake.add_received(self.stream.use, len(chunk))
-        if len(self._body) != self._expected_bytes and not self.stream.closed():
+        # Decoding a large body takes tens of milliseconds, so the end of one waits too.
+        is_small = len(self._body) <= SMALL_BODY_BYTES
+        is_complete = len(self._body) == self._expected_bytes
+        if not (is_complete and is_small) and not self.stream.closed():
             await self.intake.await_turn(self.stream.use)
 
     def finish(self) -> None:
@@ -154,18 +164,17 @@
             self.stream.close()
             return
         self.intake.end_body(self.stream.use)
-        body, self._body = bytes(self._body), bytearray()
         self.receiver.headers_received(*self._start)
-        self.receiver.data_received(body)
+        self.receiver.data_received(self._body.take())
         self.receiver.finish()
 
     def on_connection_close(self) -> None:
         """Drop what was received."""
-        self._body = bytearray()
+        self._body = BodyBuffer()
 
     def _refuse(self, *, is_waiting: bool = False) -> None:
         self._is_refused = True
-        self._body = bytearray()
+        self._body = BodyBuffer()
         self.intake.begin_message(self.stream.use)
         self.intake.metrics.refused(OversizedInputError("the body is too large"))
         try:
--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -30,6 +30,7 @@
 # Small enough that a thousand connections that wait for their turn hold 8 MB, and large
 # enough that a body of the largest size takes 32 reads.
 READ_BYTES = 8_192
+BLOCK_BYTES = 16_384
 _ROOM_REASONS = (CloseReason.BUDGET, CloseReason.CONNECTIONS)
 
 
@@ -60,6 +61,7 @@
         """Read from the socket and record that the other side makes progress."""
         count = super().read_from_fd(buf)
         if count:
+            self.use.has_read = True
             self.use.progress_ms = self._intake.now_ms()
         return count
 
@@ -82,6 +84,36 @@
         self._intake.release(self.use)
 
 
+@attrs.define
+class BodyBuffer:
+    """Collects a body or frame in blocks of limited size.
+
+    One growing buffer for each of many unfinished bodies leaves gaps in the memory of
+    the process that it does not return, and a list of small pieces takes many times the
+    memory of what it holds.
+    """
+
+    _blocks: list[bytearray] = attrs.field(factory=list)
+    _length: int = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def add(self, data: bytes) -> None:
+        """Append bytes."""
+        self._length += len(data)
+        if not self._blocks or len(self._blocks[-1]) + len(data) > BLOCK_BYTES:
+            self._blocks.append(bytearray())
+        self._blocks[-1] += data
+
+    def take(self) -> bytes:
+        """Remove and return all bytes."""
+        data = b"".join(self._blocks)
+        self._blocks.clear()
+        self._length = 0
+        return data
+
+
 @attrs.define
 class _Refusing:
     """A period in which connections are closed to make room.
@@ -179,7 +211,7 @@
         """Record that a connection is idle; what its last message held is released."""
         self._budget.change(use, received=-use.received_bytes)
         use.enter(Phase.IDLE, self.now_ms())
-        use.turns = 0
+        use.has_read = False
 
     def begin_body(self, use: ConnectionUse) -> None:
         """Record that the body of a message begins."""
@@ -206,6 +238,17 @@
         self._budget.change(use, unsent=-count)
         use.progress_ms = self.now_ms()
 
+    async def await_turn_of_next(self, use: ConnectionUse) -> None:
+        """Wait before a message that was received together with the one before it.
+
+        A client that sends many at once would otherwise have all of them handled
+        without a pause.
+        """
+        if use.has_read:
+            use.turns = 0
+        else:
+            await self.await_turn(use)
+
     async def await_turn(self, use: ConnectionUse) -> None:
         """Wait until more of an unfinished body may be read."""
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -22,7 +22,12 @@
     UNACKNOWLEDGED_TIMEOUT_MS,
     set_tcp_options,
 )
-from marjoramgrade.adapters.intake import Intake, MeasuredStream
+from marjoramgrade.adapters.intake import (
+    READ_BYTES,
+    BodyBuffer,
+    Intake,
+    MeasuredStream,
+)
 from marjoramgrade.adapters.peercodec import (
     MAX_FRAME_BYTES,
     EmptyReply,
@@ -53,9 +58,9 @@
 MAX_UNSENT_BYTES = 8 * 1_048_576
 # A hello holds the id of an instance.
 MAX_HELLO_BYTES = 4_096
-# Frames that are in the buffer are read without a turn of the event loop; other
-# connections get one after this many.
-FRAMES_PER_TURN = 16
+# Frames of one connection that are read without waiting for its turn. A peer that was
+# paused sends more at once.
+FRAMES_PER_TURN = 8
 # Calls of one connection that run at a time; it is not read on above that. An instance
 # has fewer clients.
 MAX_CALLS = 2_048
@@ -89,16 +94,21 @@
     """
     # The limits of time count from the first byte of the frame.
     prefix = await stream.read_bytes(1)
+    if stream.use.has_read:
+        stream.use.turns = 0
     intake.begin_body(stream.use)
     prefix += await stream.read_bytes(_LENGTH.size - 1)
     length = _parse_length(prefix, max_bytes)
-    data = bytearray()
+    data = BodyBuffer()
     while len(data) < length:
-        part = await stream.read_bytes(length - len(data), partial=True)
-        data += part
+        count = min(length - len(data), READ_BYTES)
+        part = await stream.read_bytes(count, partial=True)
+        data.add(part)
         intake.add_received(stream.use, len(part))
+        if len(data) < length:
+            await intake.await_turn(stream.use)
     intake.begin_message(stream.use)
-    return parse_frame(bytes(data))
+    return parse_frame(data.take())
 
 
 def _parse_length(prefix: bytes, max_bytes: int) -> int:
@@ -309,10 +319,10 @@
     async def _serve_frames(self, stream: MeasuredStream, peer_id: str) -> None:
         calls = asyncio.Semaphore(MAX_CALLS)
         try:
-            for number in itertools.count():
+            for number in itertools.count(1):
                 frame = await read_bounded_frame(stream, self._intake, MAX_FRAME_BYTES)
                 if number % FRAMES_PER_TURN == 0:
-                    await asyncio.sleep(0)
+                    await self._intake.await_turn(stream.use)
                 await calls.acquire()
                 self._spawn(self._serve(stream, peer_id, frame), calls)
         finally:
--- a/marjoramgrade/decisions/intake/bounds.py
+++ b/marjoramgrade/decisions/intake/bounds.py
@@ -18,7 +18,7 @@
 # An instance uses 45 MB when idle. A leader needs about as much again for its jobs, and
 # the copies made while a body is decoded come on top.
 BODY_MEMORY_SHARE = 1 / 8
-CONNECTION_MEMORY_SHARE = 1 / 8
+CONNECTION_MEMORY_SHARE = 1 / 10
 # Objects of a connection (12 KB) and its read buffer, which holds a header of at most
 # 16 KB before the first byte of a body.
 CONNECTION_BYTES = 32_768
@@ -29,7 +29,7 @@
 CLIENT_DESCRIPTOR_SHARE = 1 / 4
 PEER_DESCRIPTOR_SHARE = 1 / 4
 # The readiness check and the scraper of the metrics use a few connections each.
-SIDE_DESCRIPTOR_SHARE = 1 / 16
+SIDE_DESCRIPTOR_SHARE = 1 / 32
 # A client completes its body within its deadline, which is at most 60 s.
 BODY_DURATION_MS = 60_000
 # Longer than the outages of a link that a connection survives.
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -43,7 +43,8 @@
         phase_since_ms: Time at which the phase began.
         is_waiting: Whether it waits for its turn; it then makes no progress, which is
             not its own fault.
-        turns: Number of turns that its message has used.
+        has_read: Whether bytes were received since the last message ended.
+        turns: Number of turns used since it last waited for bytes of a new message.
         received_bytes: Bytes held of a message that has not been answered.
         unsent_bytes: Bytes of responses that the other side has not read.
     """
@@ -54,6 +55,7 @@
     phase: Phase = Phase.IDLE
     phase_since_ms: int = 0
     is_waiting: bool = False
+    has_read: bool = False
     turns: int = 0
     received_bytes: int = 0
     unsent_bytes: int = 0
--- a/marjoramgrade/exposition.py
+++ b/marjoramgrade/exposition.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import bisect
+import time
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Any
 
@@ -25,6 +26,9 @@
 # the longest job.
 BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 15_000, 60_000)
 PATH = "/metrics"
+# Responses within this time are the same, because rendering takes milliseconds. A
+# scraper comes once in several seconds.
+RENDERED_S = 0.25
 MAX_HEADER_BYTES = 16_384
 # A scrape has no body.
 MAX_BODY_BYTES = 4_096
@@ -63,6 +67,8 @@
     def __init__(self) -> None:
         super().__init__()
         self._histogram_by_name: dict[str, _Histogram] = {}
+        self._rendered = b""
+        self._rendered_s = -RENDERED_S
 
     def record_timing(self, name: str, elapsed_ms: float) -> None:
         """Add a duration to its histogram."""
@@ -118,12 +124,18 @@
             limits=PortLimits(MAX_BODY_BYTES, intake.bounds.side_connections),
         )
 
+    def _render_recent(self) -> bytes:
+        now_s = time.monotonic()
+        if now_s - self._rendered_s >= RENDERED_S:
+            self._rendered, self._rendered_s = self.render(), now_s
+        return self._rendered
+
     def _respond(self, request: HTTPServerRequest) -> None:
         connection: Any = request.connection
         if connection is None:
             return
         status = 200 if request.path == PATH else 404
-        body = self.render() if status == 200 else b""
+        body = self._render_recent() if status == 200 else b""
         headers = HTTPHeaders(
             {
                 "Content-Type": "text/plain; version=0.0.4",
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -48,7 +48,7 @@
     to_integer,
     to_object,
 )
-from marjoramgrade.stepjobs import Schedule, Step, StepJob
+from marjoramgrade.stepjobs import MAX_STEPS, Schedule, Step, StepJob
 
 DEFAULT_DEADLINE_MS = 3_000
 MAX_DEADLINE_MS = 60_000
@@ -294,6 +294,10 @@
     """
     with reports_invalid("the job"):
         document = decode_object(body)
+        steps = document["steps"]
+        if len(steps) > MAX_STEPS:
+            # Decoding the thousands of steps that a body can hold takes 0.1 s.
+            raise InvalidInputError(f"a job must have 1 to {MAX_STEPS} steps")
         schedule = Schedule(
             get_integer(document, "times"),
             get_integer(document, "startAtMs"),
@@ -304,7 +308,7 @@
             "",
             "",
             get_text(document, "spec"),
-            tuple(_parse_step(entry) for entry in document["steps"]),
+            tuple(_parse_step(entry) for entry in steps),
             schedule,
         )
 
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,267 @@
+"""Tests of the bounds on what connections from outside use of a process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import attrs
+import pytest
+from tornado.testing import bind_unused_port
+
+from marjoramgrade.adapters import intake as intake_module
+from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
+from marjoramgrade.adapters.intake import BodyBuffer, Intake
+from marjoramgrade.adapters.peercodec import MAX_FRAME_BYTES
+from marjoramgrade.clock import ManualClock, SystemClock
+from marjoramgrade.decisions.intake.bounds import (
+    CONNECTION_BYTES,
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+    MEGABYTE,
+    SMALL_BODY_BYTES,
+    IntakeBounds,
+)
+from marjoramgrade.decisions.intake.budget import (
+    BodyBudget,
+    choose_for_new,
+    choose_to_close,
+)
+from marjoramgrade.decisions.intake.connections import (
+    CloseReason,
+    ConnectionUse,
+    Phase,
+)
+from marjoramgrade.decisions.intake.turns import SEGMENTS_PER_TURN, TurnQueue
+from marjoramgrade.errors import InvalidInputError
+from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.platform.frontend import (
+    MAX_BODY_BYTES,
+    MAX_DEADLINE_MS,
+    MAX_HEADER_BYTES,
+)
+
+IDLE_INSTANCE_MB = 45
+MOST_INSTANCES = 300
+SLOWEST_LINK_MBPS = 5
+
+
+def used(size, *, progress_ms=0, phase=Phase.RECEIVING, **fields):
+    use = ConnectionUse.opened(0)
+    use.enter(phase, progress_ms)
+    return attrs.evolve(use, received_bytes=size, **fields)
+
+
+def budget_of(*uses, limit=100 * 1_024, small=0):
+    budget = BodyBudget(limit, small)
+    for use in uses:
+        size, use.received_bytes = use.received_bytes, 0
+        budget.open(use)
+        budget.change(use, received=size)
+    return budget
+
+
+def test_bounds_fit_the_smallest_instance():
+    # Guards against bounds that together exceed the memory or descriptors, or that a
+    # client inside the limits reaches.
+    bounds = IntakeBounds.from_config()
+    connections = bounds.client_connections + 2 * bounds.side_connections
+    used_bytes = bounds.body_bytes + connections * CONNECTION_BYTES
+    # The other half is for a leader's jobs.
+    assert IDLE_INSTANCE_MB + used_bytes / MEGABYTE < DEFAULT_MEMORY_MB / 2
+    used_bytes += bounds.peer_connections * CONNECTION_BYTES
+    assert IDLE_INSTANCE_MB + used_bytes / MEGABYTE < DEFAULT_MEMORY_MB * 0.7
+    assert CONNECTION_BYTES >= MAX_HEADER_BYTES + intake_module.READ_BYTES
+    assert connections + bounds.peer_connections < DEFAULT_MAX_FDS * 0.6
+    # A restarted peer connects again before its earlier connection has ended.
+    assert bounds.peer_connections >= 2 * MOST_INSTANCES
+    assert bounds.body_ms >= MAX_DEADLINE_MS
+    link_bytes_per_s = SLOWEST_LINK_MBPS * 1_000_000 / 8
+    assert MAX_BODY_BYTES / link_bytes_per_s * 1_000 < bounds.body_ms / 10
+    # What the slowest link delivers within the round trip of a pause is no excess.
+    large_bytes = bounds.body_bytes - bounds.small_bytes
+    assert large_bytes >= max(MAX_FRAME_BYTES, 2 * link_bytes_per_s)
+
+
+def test_instance_that_could_serve_no_client_is_refused():
+    # Guards against settings that are found out only when nobody can connect.
+    with pytest.raises(InvalidInputError):
+        IntakeBounds.from_config(max_fds=210)
+
+
+def test_most_bytes_for_the_longest_time_are_closed_first():
+    # Guards against closing a body that is arriving while others stand still.
+    arriving = used(200_000, progress_ms=1_000)
+    stalled = used(100_000, progress_ms=500)
+    short = used(100, progress_ms=0)
+    assert choose_to_close([arriving, stalled, short], 1_000) is stalled
+    assert choose_to_close([arriving, short], 1_000) is arriving
+
+
+def test_waiting_for_a_turn_is_no_standstill():
+    # Guards against closing clients for the time that the instance took.
+    waiting = used(50_000, is_waiting=True)
+    stalled = used(60_000, progress_ms=900)
+    assert choose_to_close([waiting, stalled], 1_000) is stalled
+    assert waiting.overdue(50_000, IntakeBounds.from_config()) is None
+
+
+def test_request_that_was_read_completely_is_not_closed():
+    # Guards against a submission that runs and gets no answer.
+    served = used(200_000, phase=Phase.SERVED)
+    assert choose_to_close([served], 60_000) is None
+    assert choose_for_new([served], 60_000) is None
+    assert served.overdue(10**9, IntakeBounds.from_config()) is None
+    unread = attrs.evolve(served, unsent_bytes=10)
+    assert choose_to_close([unread], 60_000) is unread
+
+
+def test_small_bodies_keep_their_part_of_the_budget():
+    # Guards against ordinary requests that are closed because large bodies fill all.
+    large = [used(30 * 1_024, progress_ms=ms) for ms in (3, 2, 1)]
+    small = used(10 * 1_024)
+    budget = budget_of(*large, small, small=20 * 1_024)
+    assert budget.held_bytes == 100 * 1_024
+    assert budget.choose_excess(1_000) is large[2]
+    budget.close(large[2])
+    assert budget.choose_excess(1_000) is None
+
+
+def test_budget_counts_what_grows_and_ends():
+    # Guards against a budget that fills up for good as bodies grow large and end.
+    budget = BodyBudget(10**6, 0)
+    uses = [ConnectionUse.opened(0) for _ in range(3)]
+    for use in uses:
+        budget.open(use)
+        for _ in range(3):
+            budget.change(use, received=SMALL_BODY_BYTES // 2)
+        budget.change(use, unsent=7)
+    assert budget.large_bytes == budget.held_bytes > 3 * SMALL_BODY_BYTES
+    for use in uses:
+        budget.close(use)
+        budget.close(use)
+        budget.change(use, received=5)
+    assert (budget.held_bytes, budget.large_bytes, budget.uses) == (0, 0, {})
+
+
+def test_unidentified_peer_makes_room_first():
+    # Guards against instances that lose their connections to strangers.
+    peer = ConnectionUse.opened(0)
+    stranger = ConnectionUse.opened(9_000, is_identified=False)
+    assert choose_for_new([peer, stranger], 10_000) is stranger
+    bounds = IntakeBounds.from_config()
+    assert stranger.overdue(9_000 + bounds.hello_ms, bounds) is None
+    assert stranger.overdue(9_001 + bounds.hello_ms, bounds) is CloseReason.SILENT
+
+
+@pytest.mark.parametrize(
+    ("use", "after_ms", "reason"),
+    [
+        (used(10), 30_000, None),
+        (used(10), 30_001, CloseReason.SILENT),
+        (attrs.evolve(used(10), progress_ms=60_000), 60_001, CloseReason.SLOW),
+        (used(0, phase=Phase.SERVED, unsent_bytes=1), 30_001, CloseReason.UNREAD),
+        (used(0, phase=Phase.IDLE), 10**6, None),
+    ],
+)
+def test_time_limits(use, after_ms, reason):
+    # Guards against connections that are kept although nothing arrives any more.
+    assert use.overdue(after_ms, IntakeBounds.from_config()) is reason
+
+
+def test_short_body_does_not_wait_for_long_ones():
+    # Guards against an ordinary chunked request behind hundreds of long bodies.
+    turns = TurnQueue()
+    for number in range(600):
+        turns.add(number, turns=100)
+    turns.add("short", turns=0)
+    assert turns.take() == ["short", 0]
+    assert len(turns) == 601 - SEGMENTS_PER_TURN
+
+
+def test_pieces_take_no_more_memory_than_their_bytes():
+    # Guards against one object for each of many small pieces.
+    buffer = BodyBuffer()
+    for _ in range(MAX_BODY_BYTES // 2):
+        buffer.add(b"xy")
+    assert len(buffer._blocks) == MAX_BODY_BYTES // intake_module.BLOCK_BYTES
+    assert buffer.take() == b"xy" * (MAX_BODY_BYTES // 2)
+    assert len(buffer) == 0
+
+
+@contextlib.asynccontextmanager
+async def serving(intake, respond, max_connections=10):
+    server = DrainingHttpServer(
+        respond, intake=intake, limits=PortLimits(1_000_000, max_connections)
+    )
+    listening, port = bind_unused_port()
+    server.add_socket(listening)
+    with contextlib.ExitStack() as stack:
+
+        def connect(data):
+            client = stack.enter_context(socket.create_connection(("127.0.0.1", port)))
+            client.sendall(data)
+            client.setblocking(False)
+            return client
+
+        yield connect
+    server.stop()
+    await server.close_all_connections()
+
+
+async def wait_for(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def make_intake(clock=None, **changes):
+    bounds = attrs.evolve(IntakeBounds.from_config(), **changes)
+    return Intake.from_config(bounds, clock or SystemClock(), MemoryMetrics())
+
+
+def test_response_that_is_not_read_is_given_up(monkeypatch):
+    # Guards against responses that are held for clients which never read them.
+    monkeypatch.setattr(intake_module, "SWEEP_MS", 10)
+    size = 32 * MEGABYTE
+
+    def respond(request):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode()
+        request.connection.stream.write(head + b"x" * size)
+
+    async def run(intake, reason):
+        async with serving(intake, respond) as connect:
+            connect(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            counts = intake.metrics.count_by_name
+            await wait_for(lambda: counts[f"closed.{reason}"] == 1)
+            assert intake._budget.held_bytes == 0
+
+    # Beyond the budget, and within it but without progress.
+    asyncio.run(run(make_intake(), "budget"))
+    asyncio.run(run(make_intake(body_bytes=10**9, silence_ms=100), "unread"))
+
+
+def test_silent_body_is_closed_and_refusing_is_logged_once(monkeypatch):
+    # Guards against a log line for each of thousands of closed connections.
+    monkeypatch.setattr(intake_module, "SWEEP_MS", 10)
+    events = []
+    monkeypatch.setattr(
+        intake_module.logs, "log_event", lambda event, **_: events.append(event)
+    )
+
+    async def run():
+        clock = ManualClock(1)
+        intake = make_intake(clock)
+        counts = intake.metrics.count_by_name
+        async with serving(intake, lambda request: None, max_connections=2) as connect:
+            head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"
+            for _ in range(5):
+                connect(head)
+            await wait_for(lambda: counts["closed.connections"] == 3)
+            await wait_for(lambda: intake._budget.held_bytes == 2)
+            clock.advance(intake.bounds.silence_ms + 1)
+            await wait_for(lambda: counts["closed.silent"] == 2)
+            await wait_for(lambda: events == ["intake_refusing", "intake_accepting"])
+
+    asyncio.run(run())
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -17,6 +17,9 @@
 import attrs
 import pytest
 
+import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
+from marjoramgrade.adapters.peercodec import Hello, PeerFrame, serialize_frame
+from marjoramgrade.messages.steps import LeaderBeat
 from soak.cell import send_request
 from standins.processes import HOST, PortPicker, Process
 
@@ -28,6 +31,8 @@
 ANSWER_TIMEOUT_MS = 10_000
 PEER_CLIENTS = 40
 FRAME_BYTES = 4 * 1_048_576
+FRAMES = 50_000
+REQUESTS = 200
 MAX_FDS = 600
 MAX_OPEN_DESCRIPTORS = 250
 SEND_TIMEOUT_S = 4.0
@@ -245,6 +250,54 @@
     run_with(tmp_path, play)
 
 
+def frame_bytes(message, correlation=0):
+    data = serialize_frame(PeerFrame(correlation, message))
+    return len(data).to_bytes(4, "big") + data
+
+
+def test_unfinished_frames_after_a_hello_do_not_fill_the_memory(tmp_path):
+    # Guards against a bound that holds only until the other side has named itself.
+    async def play(instance, stack):
+        clients = await connect_all(
+            stack, instance.address_by_port["peer"], PEER_CLIENTS
+        )
+        frame = FRAME_BYTES.to_bytes(4, "big") + b"x" * (FRAME_BYTES - 1)
+        await send_all(clients, lambda _: frame_bytes(Hello("z")) + frame)
+        await instance.assert_serves()
+
+    run_with(tmp_path, play)
+
+
+def test_very_many_frames_do_not_occupy_the_event_loop(tmp_path):
+    # Guards against an event loop that serves one connection as long as frames arrive.
+    async def play(instance, stack):
+        clients = await connect_all(
+            stack, instance.address_by_port["peer"], PEER_CLIENTS
+        )
+        beats = frame_bytes(LeaderBeat(0, "z"), 1) * FRAMES
+        sending = asyncio.ensure_future(
+            send_all(clients, lambda _: frame_bytes(Hello("z")) + beats)
+        )
+        await asyncio.sleep(0.5)
+        await instance.assert_serves()
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+
+    run_with(tmp_path, play)
+
+
+@pytest.mark.parametrize("port", ["front", "metrics"])
+def test_unread_responses_do_not_occupy_the_instance(tmp_path, port):
+    # Guards against clients that send many requests at once and read no response.
+    async def play(instance, stack):
+        clients = await connect_all(stack, instance.address_by_port[port], CLIENTS)
+        request = b"GET /metrics HTTP/1.1\r\nHost: jobs.example\r\n\r\n"
+        await send_all(clients, lambda _: request * REQUESTS)
+        await instance.assert_serves()
+
+    run_with(tmp_path, play)
+
+
 @pytest.mark.parametrize("port", ["front", "ready", "metrics", "peer"])
 def test_idle_connections_do_not_use_up_the_descriptors(tmp_path, port):
     # Guards against an instance that can no longer connect to others or accept clients.
