--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
+import socket
 from collections.abc import Callable
 from typing import Any
 
 from marjoramgrade.registry import Registry
 from soak.cell import INSTANCES, SHUTDOWN_S, WORKERS, Soak
 
+# Clients that stop within a body, and the bytes that each of them sends.
+UNFINISHED_CLIENTS = 100
+UNFINISHED_BYTES = 262_143
+
 Fault = Callable[[Soak], Any]
 FAULTS: Registry[Fault] = Registry("fault")
 
@@ -118,3 +124,33 @@
     await soak.control_fleet(late=0.1)
     await asyncio.sleep(soak.rng.uniform(1.0, 3.0))
     await soak.control_fleet(late=0.0)
+
+
+@FAULTS.register("unfinished")
+async def unfinished(soak: Soak) -> None:
+    """Send an instance many bodies that are never finished, and leave later."""
+    name = soak.rng.choice(INSTANCES)
+    is_chunked = soak.rng.random() < 0.5
+    seconds = soak.rng.uniform(1.0, 5.0)
+    soak.record_event(f"unfinished bodies to {name}, chunked: {is_chunked}")
+    head = "POST /q/0 HTTP/1.1\r\nHost: jobs.example\r\n"
+    if is_chunked:
+        head += "Transfer-Encoding: chunked\r\n\r\n"
+        data = head.encode() + b"1\r\nx\r\n" * UNFINISHED_BYTES
+    else:
+        head += f"Content-Length: {UNFINISHED_BYTES + 1}\r\n\r\n"
+        data = head.encode() + b"x" * UNFINISHED_BYTES
+    clients = [_send_and_stay(soak, name, data) for _ in range(UNFINISHED_CLIENTS)]
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(asyncio.gather(*clients), seconds)
+
+
+async def _send_and_stay(soak: Soak, name: str, data: bytes) -> None:
+    host, _, port = soak.front_by_name[name].rpartition(":")
+    loop = asyncio.get_running_loop()
+    with socket.socket() as client, contextlib.suppress(OSError):
+        client.setblocking(False)
+        await loop.sock_connect(client, (host, int(port)))
+        await loop.sock_sendall(client, data)
+        # Returns once the instance has closed the connection.
+        await loop.sock_recv(client, 1)
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,6 @@
 """Runs the real programs as processes, injects faults and checks the guarantees.
 
-    python -m soak.run --seeds 5 [--first 1] [--seconds 12]
+    python -m soak.run --seeds 5 [--first 1] [--seconds 12] [--untrusted]
 
 Each seed injects a series of overlapping faults: signals kill, freeze, stop and reload
 instances, the store is busy, slow or loses responses, a loopback relay disconnects
@@ -34,6 +34,7 @@
 FIRST_FAULT_S = 0.5
 # Left out here, so that the seeds that have failed before keep their faults.
 REFUSAL_FAULTS = ("isolate",)
+UNTRUSTED_FAULTS = ("unfinished",)
 
 # Seeds that have failed before, each with the cause.
 REGRESSIONS = {
@@ -122,9 +123,16 @@
     return number
 
 
-async def run_soak(soak: Soak, seconds: float) -> list[str]:
-    """Run one seed and return the violations."""
-    names = [name for name in FAULTS.iter_names() if name not in REFUSAL_FAULTS]
+async def run_soak(soak: Soak, seconds: float, is_untrusted: bool = False) -> list[str]:
+    """Run one seed and return the violations.
+
+    Args:
+        soak: The soak run.
+        seconds: How long jobs are submitted and faults begin.
+        is_untrusted: Whether some clients do not keep to the limits.
+    """
+    left_out = REFUSAL_FAULTS + (() if is_untrusted else UNTRUSTED_FAULTS)
+    names = [name for name in FAULTS.iter_names() if name not in left_out]
     number = await submit_under_faults(
         soak, seconds, submit, names, (0.1, 0.3), (0.2, 2.0)
     )
@@ -170,9 +178,14 @@
     return broken
 
 
-async def run_seed(seed: int, seconds: float, log_folder: pathlib.Path | None) -> bool:
+async def run_seed(
+    seed: int,
+    seconds: float,
+    log_folder: pathlib.Path | None,
+    is_untrusted: bool = False,
+) -> bool:
     """Run a seed of all faults; return whether all guarantees held."""
-    play = functools.partial(run_soak, seconds=seconds)
+    play = functools.partial(run_soak, seconds=seconds, is_untrusted=is_untrusted)
     return await run_in_folder(seed, play, log_folder)
 
 
@@ -220,6 +233,9 @@
     parser.add_argument(
         "--regressions", action="store_true", help="run the seeds that failed before"
     )
+    parser.add_argument(
+        "--untrusted", action="store_true", help="clients that send unfinished bodies"
+    )
     arguments = parser.parse_args()
     seeds = list(range(arguments.first, arguments.first + arguments.seeds))
     if arguments.regressions:
@@ -227,7 +243,9 @@
     failed = [
         seed
         for seed in seeds
-        if not asyncio.run(run_seed(seed, arguments.seconds, arguments.keep))
+        if not asyncio.run(
+            run_seed(seed, arguments.seconds, arguments.keep, arguments.untrusted)
+        )
     ]
     print(f"{len(seeds) - len(failed)} of {len(seeds)} seeds passed; failed: {failed}")
     return 1 if failed else 0
