--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from marjoramgrade.decisions.intake.bounds import IntakeBounds
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
 from marjoramgrade.decisions.stepplacement import SELECTABLE_PLACEMENTS
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
@@ -51,6 +52,8 @@
         placement: Name of the placement of usual work.
         far_factor: How many times as long a task takes off the rack of its data, or 0
             if unknown.
+        memory_mb: Memory that the instance may use, in MB; 0 if it is not known.
+        max_fds: Number of descriptors that it may open; 0 if it is not known.
     """
 
     instance_id: str
@@ -73,6 +76,8 @@
     listing: str = "periodic"
     placement: str = "batch"
     far_factor: float = 0.0
+    memory_mb: int = 0
+    max_fds: int = 0
 
     @property
     def strength(self) -> int:
@@ -116,6 +121,10 @@
         problems.append(
             SettingsProblem("far_factor", f"must be 0 or 1 to {MAX_FAR_FACTOR:g}")
         )
+    try:
+        IntakeBounds.from_config(settings.memory_mb, settings.max_fds)
+    except InvalidInputError as error:
+        problems.append(SettingsProblem("memory_mb, max_fds", error.message))
     if problems:
         raise SettingsError(problems)
     return settings
