--- a/marjoramgrade/decisions/elections/candidacy.py
+++ b/marjoramgrade/decisions/elections/candidacy.py
@@ -44,8 +44,8 @@
 # read of it, 400 ms later at first and up to 200 ms long, found the same.
 MEMBER_LIST_SETTLED_MS = 600
 # An instance that is not in the list yet is no candidate for the first takeover for
-# this long: no other instance could connect to it or know its strength. 300 registrations
-# take 2.4 s.
+# this long: no other instance could connect to it or know its strength. The
+# registrations of 300 instances take 2.4 s.
 UNREGISTERED_WAIT_MS = 2_600
 # Interval at which an instance asks all others whether they hear the leader, in a small
 # fleet and for each further instance. Each round costs a call to every instance.
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -97,15 +97,20 @@
     def __init__(self, fleet: Fleet, member: Member, store: Actor) -> None:
         super().__init__()
         self._fleet, self.member, self._store = fleet, member, store
-        self.leadership = LeadershipController(
-            member, store, self, self, SystemClock(), (self,)
-        )
+        self.leadership: LeadershipController | None = None
         self.connected: set[str] = set()
         self.known: dict[str, Member] = {member.instance_id: member}
         self.lead: LeadershipAcquired | None = None
         self.heard_s = 0.0
         self._renewal_version = 0
 
+    async def on_start(self) -> None:
+        """Start the election of this instance; its waits count from here on."""
+        self.leadership = LeadershipController(
+            self.member, self._store, self, self, SystemClock(), (self,)
+        )
+        await self.leadership.start()
+
     def learn(self, members: dict[str, Member]) -> None:
         """Replace the list of members."""
         if members != self.known:
@@ -225,7 +230,6 @@
     async def _run_instance(self, number: int, instance: FleetInstance) -> None:
         await asyncio.sleep(0.3 * number / len(self.by_id))
         await instance.start()
-        await instance.leadership.start()
         # The registrations share a partition of the store.
         await asyncio.sleep(TRANSACTION_MS / 1000 * number)
         self._registered[instance.member.instance_id] = instance.member
@@ -249,6 +253,6 @@
                 task.cancel()
             for instance in self.by_id.values():
                 for actor in (instance.leadership, instance):
-                    if actor._runner is not None:
+                    if actor is not None and actor._runner is not None:
                         await actor.stop()
             await self.store.stop()
