Weigh the gain of a preemption against what it discards

Change: with the setting preemption = "price", runs are stopped only if what the step's job keeps by being in time is more than the lost progress, the restart and the lateness of the victim's job. The default stops runs by priority as before.

--- a/marjoramgrade/controllers/leaderpolicies.py
+++ b/marjoramgrade/controllers/leaderpolicies.py
@@ -19,7 +19,7 @@
         listing: Chooses how long the listing of a worker waits.
         has_zone_alerts: Whether an unanswered call shortens the listing waits of the
             worker's availability zone only, and not those of all workers.
-        placement: Chooses the worker for a task.
+        placement: Chooses the worker for a task, and the runs that make way for it.
         far_factor: How many times as long a task takes off the rack of its data; 0 if
             unknown, in which case no task waits for that rack.
     """
@@ -31,7 +31,11 @@
 
     @classmethod
     def from_config(
-        cls, listing: str, placement: str = "batch", far_factor: float = 0.0
+        cls,
+        listing: str,
+        placement: str = "batch",
+        far_factor: float = 0.0,
+        preemption: str = "priority",
     ) -> LeaderPolicies:
         """Return the policies with these names.
 
@@ -41,6 +45,6 @@
         return cls(
             LISTING_SCHEDULES.get(listing),
             listing == "expected",
-            PlacementRules.from_config(placement),
+            PlacementRules.from_config(placement, preemption),
             far_factor,
         )
--- a/marjoramgrade/decisions/stepplacement.py
+++ b/marjoramgrade/decisions/stepplacement.py
@@ -6,6 +6,11 @@
 
 import attrs
 
+from marjoramgrade.decisions.preemption_price import (
+    PREEMPTION_RULES,
+    ByPriority,
+    PreemptionRule,
+)
 from marjoramgrade.decisions.stepprogress import StepProgress
 from marjoramgrade.decisions.stepworkers import WorkerState
 from marjoramgrade.decisions.teamheadroom import URGENT_PRIORITY
@@ -82,19 +87,27 @@
     Attributes:
         usual: Placement of the tasks that are neither best-effort nor latency-bound.
         weighs_speed: Whether urgent gangs and calls for advice prefer fast workers too.
+        preemption: Whether runs may be stopped to make room for a task.
     """
 
     usual: StepPlacement = pack
     weighs_speed: bool = False
+    preemption: PreemptionRule = attrs.field(factory=ByPriority)
 
     @classmethod
-    def from_config(cls, placement: str) -> PlacementRules:
-        """Return the rules with this name.
+    def from_config(
+        cls, placement: str, preemption: str = "priority"
+    ) -> PlacementRules:
+        """Return the rules with these names.
 
         Raises:
-            UnknownNameError: If the registry has no entry of that name.
+            UnknownNameError: If a registry has no entry of that name.
         """
-        return cls(STEP_PLACEMENTS.get(placement), placement == "speed")
+        return cls(
+            STEP_PLACEMENTS.get(placement),
+            placement == "speed",
+            PREEMPTION_RULES.get(preemption)(),
+        )
 
     def placement_of(self, step: StepProgress) -> StepPlacement:
         """Return the placement policy for a step's kind of work."""
--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -94,7 +94,9 @@
         if not self.state.is_configured:
             return
         self._starts = 0
-        preemption = Preemption(self.state)
+        preemption = Preemption(
+            self.state, self.rules.preemption, unix_ms - now_ms, self.count_by_outcome
+        )
         self._holds = CapacityHolds(preemption, self.state.durations)
         self._waits = self._make_waits()
         self._usual_capacity_by_pool.clear()
@@ -308,7 +310,7 @@
 
     def _collect_waiting(self, now_ms: int, unix_ms: int) -> list[WaitingStep]:
         return [
-            self._to_waiting_step(step, now_ms, unix_ms)
+            WaitingStep.from_step(step, self.state.durations, now_ms, unix_ms)
             for progress in self.state.open_job_by_id.values()
             if not progress.state.is_final
             for step in self._iter_waiting(progress, now_ms, unix_ms)
@@ -322,21 +324,6 @@
             if step.has_waiting:
                 yield step
 
-    def _to_waiting_step(
-        self, step: StepProgress, now_ms: int, unix_ms: int
-    ) -> WaitingStep:
-        progress = step.job
-        queue = progress.queue
-        task_ms = self.state.durations.expected_ms(queue.name, step.step.estimate_ms)
-        due_unix_ms = progress.due_unix_ms(step.occurrence)
-        began_ms = progress.accepted_ms
-        if due_unix_ms:
-            began_ms = max(began_ms, now_ms - (unix_ms - due_unix_ms))
-        stretched_ms = queue.stretch * progress.longest_chain * task_ms
-        objective_ms = began_ms + stretched_ms + queue.objective_ms
-        remaining_ms = progress.chain_by_step[step.index] * task_ms
-        return WaitingStep(step, objective_ms, remaining_ms)
-
     def _headroom_beside(self, entry: WaitingStep, now_ms: int) -> Resources:
         """Return the part of its team's limit that a step leaves to urgent work.
 
--- a/marjoramgrade/decisions/steppreemption.py
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-import itertools
+import functools
+import operator
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
 
+from marjoramgrade.decisions.preemption_price import (
+    ByPriority,
+    Exchange,
+    PreemptionRule,
+)
 from marjoramgrade.decisions.stepprogress import StepProgress
 from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.stepstate import StepState
@@ -29,9 +36,22 @@
 
     Attributes:
         state: Jobs and workers.
+        rule: Whether runs may be stopped for a step.
+        unix_offset_ms: Unix time less the time of the clock.
+        count_by_outcome: Receives the number of steps for which the rule did not allow
+            some stop.
     """
 
     state: StepState
+    rule: PreemptionRule = attrs.field(factory=ByPriority)
+    unix_offset_ms: int = 0
+    count_by_outcome: Counter[str] = attrs.field(factory=Counter)
+    _gain_by_step: dict[tuple[str, int, int], float] = attrs.field(factory=dict)
+    # Highest gain for which no worker could be made free, by queue and shape of a task.
+    _refused_gain_by_shape: dict[tuple[str, Resources, int], float] = attrs.field(
+        factory=dict
+    )
+    _refused_steps: set[tuple[str, int, int]] = attrs.field(factory=set)
     _is_indexed: bool = False
     _runs_by_team: dict[str, list[Run]] = attrs.field(factory=dict)
     _stopping_resources_by_team: dict[str, Resources] = attrs.field(factory=dict)
@@ -62,9 +82,13 @@
             for run in self._victims_by_team_priority[team_priority]
             if run.phase is RunPhase.RUNNING
         )
-        for run in itertools.islice(victims, MAX_VICTIMS):
-            if is_within(demand, limit):
+        stopped = 0
+        for run in victims:
+            if stopped == MAX_VICTIMS or is_within(demand, limit):
                 return
+            if not self._pays(step, [run], now_ms):
+                continue
+            stopped += 1
             demand = demand - run.step.step.resources
             self._stop(run, "makes_way_in_team")
 
@@ -74,6 +98,15 @@
         """Stop less urgent runs on one worker so that one task fits on it."""
         if not self._may_preempt(step, now_ms):
             return
+        gain = self._gain_of(step, now_ms)
+        key = (step.job.queue.name, step.step.resources, step.step.max_per_worker)
+        # All steps without advice and label may use the same workers. What no worker
+        # could free for one step, none can for the next one that gains no more.
+        is_any_worker = step.job.queue.advice is None and not step.step.required_label
+        least = self._refused_gain_by_shape.get(key, 0.0) if is_any_worker else 0.0
+        if gain <= least:
+            self._record_refusal(step)
+            return
         best: list[Run] | None = None
         for worker in permitted:
             chosen = self._victims_on(step, worker, now_ms)
@@ -84,6 +117,8 @@
                 return
             if best is None or _loss(chosen, now_ms) < _loss(best, now_ms):
                 best = chosen
+        if best is None and is_any_worker and step.key in self._refused_steps:
+            self._refused_gain_by_shape[key] = gain
         self.stop_for_worker(best or ())
 
     def _may_preempt(self, step: StepProgress, now_ms: int) -> bool:
@@ -124,12 +159,43 @@
         chosen: list[Run] = []
         for run in (*ending, *victims):
             if free.has_capacity(need, uses_spare=step.step.uses_spare):
-                return chosen
+                return chosen if self._pays(step, chosen, now_ms) else None
             free.release(run)
             if run not in ending:
                 chosen.append(run)
         fits = free.has_capacity(need, uses_spare=step.step.uses_spare)
-        return chosen if fits else None
+        return chosen if fits and self._pays(step, chosen, now_ms) else None
+
+    def _pays(self, step: StepProgress, victims: list[Run], now_ms: int) -> bool:
+        """Return whether the rule lets runs be stopped for one task of a step."""
+        freed = functools.reduce(
+            operator.add, (run.step.step.resources for run in victims), ZERO_RESOURCES
+        )
+        share = min(freed.dominant_share(step.step.resources), 1.0)
+        left = self._gain_of(step, now_ms) * share
+        exchange = self._exchange(step, now_ms)
+        for run in victims:
+            left -= self.rule.loss(exchange, run)
+            if left <= 0:
+                self._record_refusal(step)
+                return False
+        return True
+
+    def _gain_of(self, step: StepProgress, now_ms: int) -> float:
+        gain = self._gain_by_step.get(step.key)
+        if gain is None:
+            gain = self.rule.gain(self._exchange(step, now_ms))
+            self._gain_by_step[step.key] = gain
+        return gain
+
+    def _exchange(self, step: StepProgress, now_ms: int) -> Exchange:
+        unix_ms = now_ms + self.unix_offset_ms
+        return Exchange(step, self.state.durations, now_ms, unix_ms)
+
+    def _record_refusal(self, step: StepProgress) -> None:
+        if step.key not in self._refused_steps:
+            self._refused_steps.add(step.key)
+            self.count_by_outcome["preemption_not_worth"] += 1
 
     def stop_for_worker(self, victims: Iterable[Run]) -> None:
         """Stop runs so that a more urgent task fits on their worker."""
@@ -198,5 +264,4 @@
 
 
 def _unsaved_ms(run: Run, now_ms: int) -> int:
-    saved_ms = run.checkpointed_ms if run.step.step.checkpoints else 0
-    return now_ms - max(saved_ms, run.running_since_ms)
+    return run.unsaved_ms(now_ms)
--- a/marjoramgrade/decisions/steppriority.py
+++ b/marjoramgrade/decisions/steppriority.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from marjoramgrade.decisions.durations import QueueDurations
 from marjoramgrade.decisions.stepprogress import StepProgress
 from marjoramgrade.registry import Registry
 
@@ -37,6 +38,23 @@
     objective_ms: float
     remaining_ms: float
 
+    @classmethod
+    def from_step(
+        cls, step: StepProgress, durations: QueueDurations, now_ms: int, unix_ms: int
+    ) -> WaitingStep:
+        """Return a step with its times, by the average durations of its queue."""
+        progress = step.job
+        queue = progress.queue
+        task_ms = durations.expected_ms(queue.name, step.step.estimate_ms)
+        due_unix_ms = progress.due_unix_ms(step.occurrence)
+        began_ms = progress.accepted_ms
+        if due_unix_ms:
+            began_ms = max(began_ms, now_ms - (unix_ms - due_unix_ms))
+        stretched_ms = queue.stretch * progress.longest_chain * task_ms
+        objective_ms = began_ms + stretched_ms + queue.objective_ms
+        remaining_ms = progress.chain_by_step[step.index] * task_ms
+        return cls(step, objective_ms, remaining_ms)
+
     def slack_ms(self, now_ms: int) -> float:
         """Return how long the step can wait; negative if the job will be late."""
         return self.objective_ms - now_ms - self.remaining_ms
--- a/marjoramgrade/decisions/steprun.py
+++ b/marjoramgrade/decisions/steprun.py
@@ -135,6 +135,11 @@
         self.progressed_observed_ms = self.observed_ms
         self.measured_percent, self.recent_total_ms = self.percent, None
 
+    def unsaved_ms(self, now_ms: int) -> int:
+        """Return the time at work since the last checkpoint, which a stop loses."""
+        saved_ms = self.checkpointed_ms if self.step.step.checkpoints else 0
+        return now_ms - max(saved_ms, self.running_since_ms)
+
     def predicted_total_ms(self) -> float | None:
         """Return the total duration predicted from the progress.
 
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -132,7 +132,10 @@
             clock,
             self._metrics,
             LeaderPolicies.from_config(
-                settings.listing, settings.placement, settings.far_factor
+                settings.listing,
+                settings.placement,
+                settings.far_factor,
+                settings.preemption,
             ),
         )
         forwarder = ForwardingController(
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
+from marjoramgrade.decisions.preemption_price import PREEMPTION_RULES
 from marjoramgrade.decisions.stepplacement import SELECTABLE_PLACEMENTS
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
 from marjoramgrade.platform.decoding import check_address
@@ -49,6 +50,7 @@
             milliseconds.
         listing: Name of the schedule of worker listings.
         placement: Name of the placement of usual work.
+        preemption: Name of the rule by which runs are stopped for others.
         far_factor: How many times as long a task takes off the rack of its data, or 0
             if unknown.
     """
@@ -72,6 +74,7 @@
     advice: str = ""
     listing: str = "periodic"
     placement: str = "batch"
+    preemption: str = "priority"
     far_factor: float = 0.0
 
     @property
@@ -112,6 +115,10 @@
                 "placement", f"no placement of usual work is {settings.placement!r}"
             )
         )
+    if settings.preemption not in PREEMPTION_RULES.iter_names():
+        problems.append(
+            SettingsProblem("preemption", f"no rule is named {settings.preemption!r}")
+        )
     if settings.far_factor and not 1 <= settings.far_factor <= MAX_FAR_FACTOR:
         problems.append(
             SettingsProblem("far_factor", f"must be 0 or 1 to {MAX_FAR_FACTOR:g}")
