Time the cost of waits by processor time

Cause: the test failed once beside eleven busy processes (1.516 against 1.5); wall time also counts the time in which other processes hold the plan up. Change: processor time, best of four instead of two; the bound is the same.

--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -280,9 +280,10 @@
 @pytest.mark.parametrize("workers", [176, 3_000])
 def test_plan_with_waits_costs_about_as_much_as_one_without(workers):
     # Guards against slower plans over 700 steps whose racks are full. Both are timed
-    # alternately in one run, with the better of two counted for each.
+    # alternately in one run by processor time, since other processes may hold the plan
+    # up, with the best of four counted for each.
     best_s = {0.0: float("inf"), 3.0: float("inf")}
-    for _ in range(2):
+    for _ in range(4):
         for far_factor in best_s:
             harness = make_harness(
                 *(worker(f"w{n}", 8, labels=(f"r{n // 8}",)) for n in range(workers)),
@@ -301,9 +302,9 @@
                 step = Step(2, cores(1), TASK_MS, data_rack=rack)
                 queue = attrs.evolve(URGENT if number % 2 else REPORTS)
                 harness.add(job(f"d{number}", step, queue=queue), queue)
-            began_s = time.perf_counter()
+            began_s = time.process_time()
             harness.plan()
-            took_s = time.perf_counter() - began_s
+            took_s = time.process_time() - began_s
             best_s[far_factor] = min(best_s[far_factor], took_s)
             awaiting = sum(harness.planner.waiting_by_reason.values())
             assert far_factor == 0 or awaiting >= 100
