--- a/marjoramgrade/controllers/jobs.py
+++ b/marjoramgrade/controllers/jobs.py
@@ -10,7 +10,7 @@
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
-from marjoramgrade.decisions.admission import check_job
+from marjoramgrade.decisions.admission.feasibility import check_job
 from marjoramgrade.decisions.retention import EndedJobs
 from marjoramgrade.decisions.workers import WorkerNode
 from marjoramgrade.errors import (
--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -19,6 +19,7 @@
 )
 from marjoramgrade.controllers.leaderpolicies import LeaderPolicies
 from marjoramgrade.controllers.stepworkerlink import ConnectWorker, StepWorkerLink
+from marjoramgrade.decisions.admission.policies import AdmissionPolicy
 from marjoramgrade.decisions.planpacing import PlanPacer
 from marjoramgrade.decisions.stepactions import (
     AskAdvice,
@@ -157,6 +158,7 @@
         state: Jobs, workers and runs.
         planner: Assigns tasks to workers.
         supervisor: Monitors runs.
+        admission: Admits new jobs.
         link_by_worker: Links to the workers, by worker id.
         pending_submission_by_job: Submissions that are being stored, by job id.
         roster: Ids of the workers that are stored as possible holders of runs.
@@ -180,6 +182,7 @@
     state: StepState
     planner: Planner
     supervisor: Supervisor
+    admission: AdmissionPolicy
     link_by_worker: dict[str, StepWorkerLink] = attrs.field(factory=dict)
     pending_submission_by_job: dict[str, asyncio.Task[StepJobAccepted]] = attrs.field(
         factory=dict
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -116,7 +116,12 @@
         state = StepState(writes.epoch, self._config, self._evacuated_zones)
         planner = Planner(state, AdvisorChannels(self._instance_id))
         lead = LeaderState(
-            writes.epoch, writes.commits, state, planner, Supervisor(state, planner)
+            writes.epoch,
+            writes.commits,
+            state,
+            planner,
+            Supervisor(state, planner),
+            self._policies.admission(state),
         )
         lead.grant_until_ms = writes.confirmed_ms + GRANT_LIMIT_MS
         self._restore(lead, recovered)
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -10,6 +10,7 @@
 from marjoramgrade.controllers.commits import SaveRows
 from marjoramgrade.controllers.leaderactions import LeaderBounds, LeaderState
 from marjoramgrade.controllers.leaderevents import LeaderEventHandler
+from marjoramgrade.decisions.admission.policies import Submission
 from marjoramgrade.decisions.stepprogress import JobProgress
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.errors import (
@@ -158,13 +159,21 @@
             raise OutcomeUnknownError("the client no longer waits for the response")
         if not lead.is_store_reachable:
             raise TableRequiredError("the store is unreachable")
-        if len(lead.state.open_job_by_id) >= MAX_OPEN_JOBS:
-            raise OverloadedError("too many jobs are open")
+        submission = Submission(
+            job, queue, MAX_OPEN_JOBS, self._clock.now_ms(), self._clock.unix_ms()
+        )
+        refusal = lead.admission.check(submission)
+        if refusal is not None:
+            self._metrics.count(f"job_refused.{refusal.reason}")
+            raise OverloadedError(
+                refusal.message, retry_after_ms=refusal.retry_after_ms
+            )
         limit = lead.state.usage.limit_of(job.team, lead.state.config.team_by_name)
         value = serialize_row(JobRow(job, queue, limit))
         if len(value) > self._bounds.max_row_bytes:
             raise UnsatisfiableError("the job is larger than a row of the store")
-        progress = lead.state.add_job(job, queue, self._clock.now_ms())
+        progress = lead.state.add_job(job, queue, submission.now_ms)
+        lead.admission.record_accepted(submission, progress)
         write = RowWrite(job_row_id(job.job_id), value)
         # Rows are written in the order of the requests, so all plans made from now on
         # are stored after the job.
@@ -316,8 +325,21 @@
             self._rewrite_refused_progress(lead)
             self._perform_actions(lead)
             self._purge(lead)
+            self._observe_admission(lead)
             self._report(lead)
 
+    def _observe_admission(self, lead: LeaderState) -> None:
+        """Log the teams and pools whose jobs begin or cease to be refused."""
+        changes = lead.admission.observe(self._clock.now_ms(), self._clock.unix_ms())
+        for change in changes:
+            logs.log_event(
+                "admission_refusing" if change.is_refusing else "admission_accepting",
+                queue=change.queue,
+                estimate_ms=change.estimate_ms,
+                limit_ms=change.limit_ms,
+                **{change.scope: change.name},
+            )
+
     def _report(self, lead: LeaderState) -> None:
         """Log the load, so that the cause of a late job can be found."""
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/marjoramgrade/decisions/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which new jobs are accepted."""
--- a/marjoramgrade/decisions/admission.py
+++ b/marjoramgrade/decisions/admission/feasibility.py
@@ -1,4 +1,4 @@
-"""Admission checks that refuse jobs that could never run, with the reason."""
+"""Checks that refuse jobs that could never run, with the reason."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/marjoramgrade/decisions/admission/gate.py
@@ -0,0 +1,243 @@
+"""Refuses new jobs that would complete too late to have any value.
+
+The load is a team that sends a multiple of its usual rate, or a cell with less capacity
+than its work. Accepted jobs are never dropped, so what is accepted beyond the capacity
+delays everything behind it, and in the end no job completes in time.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+
+import attrs
+
+from marjoramgrade.decisions.admission.estimate import Estimate, Estimator
+from marjoramgrade.decisions.admission.policies import (
+    ADMISSION_POLICIES,
+    AdmissionChange,
+    AdmissionPolicyFactory,
+    Refusal,
+    Submission,
+    check_open_jobs,
+)
+from marjoramgrade.decisions.admission.returns import (
+    RETURN_GRACE_MS,
+    RefusedJob,
+    RefusedJobs,
+)
+from marjoramgrade.decisions.stepprogress import JobProgress
+from marjoramgrade.decisions.stepstate import StepState
+from marjoramgrade.stepjobs import StepJobState
+
+# While a team or pool is refused, a job is accepted only with a wait of this share of
+# the one that it could bear. The margin is larger than what the backlog changes by
+# between two of its readings, so that the state does not follow single jobs.
+RESUME_SHARE = 0.75
+# Bounds of `Retry-After`. Clients wait for whole seconds, and none waits longer for its
+# work than a minute.
+MIN_RETRY_MS = 1_000
+MAX_RETRY_MS = 60_000
+# The returns are spread over this share of the delay, and over a second at least.
+SPREAD_SHARE = 0.5
+
+
+@attrs.frozen
+class _Expectation:
+    """What was estimated for a job that was accepted."""
+
+    progress: JobProgress
+    estimate: Estimate
+    since_ms: int
+
+
+@attrs.define
+class _Refusing:
+    """A team or pool whose jobs of one queue are refused.
+
+    Attributes:
+        resume_wait_ms: Refusing ends below this wait.
+        wait_ms: The wait that was last estimated.
+        at_ms: When it was estimated.
+    """
+
+    resume_wait_ms: float
+    wait_ms: float
+    at_ms: int
+
+
+@ADMISSION_POLICIES.register("estimate")
+@attrs.define
+class EstimateAdmission:
+    """Admits jobs by the estimate of their completion.
+
+    Attributes:
+        state: Jobs and workers.
+        estimator: Estimates the completion of new jobs.
+        refused: The refused jobs that may return.
+    """
+
+    state: StepState
+    estimator: Estimator = attrs.field(init=False)
+    refused: RefusedJobs = attrs.field(factory=RefusedJobs)
+    _expectation_by_id: dict[str, _Expectation] = attrs.field(factory=dict)
+    # Estimate of the job that was checked last and accepted.
+    _last: tuple[str, Estimate] | None = None
+    _refusing_by_key: dict[tuple[str, str, str], _Refusing] = attrs.field(factory=dict)
+    _changes: list[AdmissionChange] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.estimator = Estimator(self.state)
+
+    def check(self, submission: Submission) -> Refusal | None:
+        """Return why a job is refused, or None if it is accepted."""
+        self._last = None
+        if refusal := check_open_jobs(self.state, submission.max_open_jobs):
+            return refusal
+        job, queue, now_ms = submission.job, submission.queue, submission.now_ms
+        if job.schedule.times or any(step.long_running for step in job.steps):
+            # Lateness does not end their value.
+            return None
+        returned = self.refused.find(job.job_id, now_ms)
+        first_ms = now_ms if returned is None else returned.first_ms
+        scope = (job.team, queue.name)
+        estimate = self.estimator.estimate(
+            job,
+            queue,
+            first_ms,
+            now_ms,
+            self.refused.work_before(scope, first_ms, now_ms),
+        )
+        if estimate is None:
+            return None
+        if estimate.has_room or not estimate.wait_ms:
+            # Nothing comes before the job; if it is late, then by its own size.
+            self._last = (job.job_id, estimate)
+            return None
+        is_pool = estimate.pool_wait_ms > estimate.team_wait_ms
+        key = ("pool", queue.pool, queue.name) if is_pool else ("team", *scope)
+        refusing = self._refusing_by_key.get(key)
+        share = 1.0 if refusing is None else RESUME_SHARE
+        if refusing is not None:
+            refusing.wait_ms, refusing.at_ms = estimate.wait_ms, now_ms
+        worthless_ms = first_ms + estimate.timing.worthless_after_ms
+        longest_ms = estimate.longest_wait_ms(worthless_ms - now_ms)
+        if estimate.wait_ms <= share * longest_ms:
+            self._last = (job.job_id, estimate)
+            return None
+        self._begin_refusing(key, estimate, now_ms)
+        retry_ms = _retry_after_ms(job.job_id, estimate.wait_ms, longest_ms)
+        self.refused.record(
+            RefusedJob(
+                job.job_id,
+                scope,
+                first_ms,
+                first_ms + estimate.timing.objective_ms - estimate.own_ms,
+                worthless_ms - estimate.own_ms,
+                now_ms + retry_ms + RETURN_GRACE_MS,
+                self.estimator.work_of(job, queue),
+            )
+        )
+        name = (
+            f"pool {queue.pool} is short of capacity"
+            if is_pool
+            else (f"team {job.team} is at its limit")
+        )
+        return Refusal(
+            "pool_late" if is_pool else "team_late",
+            f"{name} for {estimate.wait_ms / 1_000:.1f} s, and the job could wait "
+            f"{max(longest_ms, 0) / 1_000:.1f} s",
+            retry_ms,
+        )
+
+    def record_accepted(self, submission: Submission, progress: JobProgress) -> None:
+        """Record that a job was added after its check.
+
+        A job that returned counts from its first submission, also in the planner.
+        """
+        job_id, now_ms = submission.job.job_id, submission.now_ms
+        returned = self.refused.find(job_id, now_ms)
+        if returned is not None:
+            progress.accepted_ms = returned.first_ms
+            self.refused.remove(job_id)
+        self.estimator.add(progress, now_ms)
+        if self._last is not None and self._last[0] == job_id:
+            estimate = self._last[1]
+            self._expectation_by_id[job_id] = _Expectation(progress, estimate, now_ms)
+
+    def observe(self, now_ms: int, unix_ms: int) -> Sequence[AdmissionChange]:
+        """Learn from the jobs that ended; return the changes since the last call."""
+        for job_id, expected in list(self._expectation_by_id.items()):
+            if self._is_settled(expected, now_ms, unix_ms):
+                del self._expectation_by_id[job_id]
+        self.refused.forget_expired(now_ms)
+        for key, refusing in list(self._refusing_by_key.items()):
+            # Without submissions the wait shortens by at most the time that passes.
+            wait_ms = refusing.wait_ms - (now_ms - refusing.at_ms)
+            if wait_ms < refusing.resume_wait_ms:
+                del self._refusing_by_key[key]
+                limit_ms = round(refusing.resume_wait_ms)
+                self._changes.append(
+                    AdmissionChange(False, *key, max(round(wait_ms), 0), limit_ms)
+                )
+        changes, self._changes = self._changes, []
+        return changes
+
+    def _is_settled(self, expected: _Expectation, now_ms: int, unix_ms: int) -> bool:
+        """Learn from a job once its outcome is known; return whether it is."""
+        progress, estimate = expected.progress, expected.estimate
+        if self.state.job_by_id.get(progress.job.job_id) is not progress:
+            return True
+        age_ms = now_ms - expected.since_ms
+        if progress.state is StepJobState.COMPLETED:
+            age_ms -= max(unix_ms - progress.ended_unix_ms, 0)
+        elif progress.state.is_final:
+            return True
+        elif (
+            now_ms - progress.accepted_ms <= estimate.timing.worthless_after_ms
+            or age_ms <= estimate.total_ms
+        ):
+            return False
+        # A job without value is behind all others and may stay open for long, so it
+        # counts as soon as it has outlasted its estimate.
+        self.estimator.accuracy.add(
+            progress.queue.name,
+            estimate.total_ms,
+            age_ms,
+            is_late=estimate.work_class.is_late,
+        )
+        return True
+
+    def _begin_refusing(
+        self, key: tuple[str, str, str], estimate: Estimate, now_ms: int
+    ) -> None:
+        """Record that a team or pool has too much work for a new job.
+
+        A job that returned may be refused for the time that has passed; that says
+        nothing about new ones.
+        """
+        longest_ms = estimate.longest_wait_ms(estimate.timing.worthless_after_ms)
+        resume_ms = RESUME_SHARE * max(longest_ms, 0.0)
+        refusing = self._refusing_by_key.get(key)
+        if refusing is not None:
+            refusing.resume_wait_ms = min(refusing.resume_wait_ms, resume_ms)
+        elif estimate.wait_ms > longest_ms:
+            self._refusing_by_key[key] = _Refusing(resume_ms, estimate.wait_ms, now_ms)
+            wait_ms, limit_ms = round(estimate.wait_ms), max(round(longest_ms), 0)
+            self._changes.append(AdmissionChange(True, *key, wait_ms, limit_ms))
+
+
+def _retry_after_ms(job_id: str, wait_ms: float, longest_ms: float) -> int:
+    """Return the time after which the wait may be short enough for a job.
+
+    Work is done at the rate at which time passes, so the excess of the wait is the time
+    that it takes to be gone. The delay depends on the id as well, so that the callers
+    of one moment do not return in one moment.
+    """
+    excess_ms = max(wait_ms - RESUME_SHARE * max(longest_ms, 0.0), MIN_RETRY_MS)
+    spread_ms = max(excess_ms * SPREAD_SHARE, MIN_RETRY_MS)
+    share = (zlib.crc32(job_id.encode()) % 1_000) / 1_000
+    return int(min(excess_ms + share * spread_ms, MAX_RETRY_MS))
+
+
+__all__ = ["ADMISSION_POLICIES", "AdmissionPolicyFactory", "EstimateAdmission"]
--- a/marjoramgrade/decisions/steppriority.py
+++ b/marjoramgrade/decisions/steppriority.py
@@ -71,18 +71,26 @@
     return sorted(waiting, key=lambda entry: entry.step.job.accepted_ms)
 
 
+def value_of(priority: int, share: float = 1.0, *, is_beyond_weight: bool) -> float:
+    """Return the value of a core-second of a job, which decides its place.
+
+    Args:
+        priority: Rank of the job's queue.
+        share: Share of its value that the job still has.
+        is_beyond_weight: Whether its team had used up its weight when it arrived.
+    """
+    worth = VALUE_BY_PRIORITY[min(priority, len(VALUE_BY_PRIORITY) - 1)]
+    if is_beyond_weight:
+        worth *= BEYOND_WEIGHT_VALUE_SHARE
+    return worth * share
+
+
 def _remaining_value(entry: WaitingStep, now_ms: int) -> float:
     job = entry.step.job
-    priority = min(job.queue.priority, len(VALUE_BY_PRIORITY) - 1)
-    worth = VALUE_BY_PRIORITY[priority]
-    if job.beyond_weight:
-        worth *= BEYOND_WEIGHT_VALUE_SHARE
-    if entry.step.step.long_running:
-        return worth
-    if entry.is_on_time(now_ms):
-        return worth
-    finish_ms = now_ms + entry.remaining_ms
-    allowed_ms = entry.objective_ms - job.accepted_ms
-    if finish_ms <= job.accepted_ms + LATE_MULTIPLE * allowed_ms:
-        return worth * LATE_VALUE_SHARE
-    return worth * VERY_LATE_VALUE_SHARE
+    share = 1.0
+    if not (entry.step.step.long_running or entry.is_on_time(now_ms)):
+        finish_ms = now_ms + entry.remaining_ms
+        allowed_ms = entry.objective_ms - job.accepted_ms
+        is_late = finish_ms <= job.accepted_ms + LATE_MULTIPLE * allowed_ms
+        share = LATE_VALUE_SHARE if is_late else VERY_LATE_VALUE_SHARE
+    return value_of(job.queue.priority, share, is_beyond_weight=job.beyond_weight)
--- a/marjoramgrade/decisions/teamusage.py
+++ b/marjoramgrade/decisions/teamusage.py
@@ -80,6 +80,10 @@
         if limit is not None:
             self.earlier_limit_by_team.setdefault(team, limit)
 
+    def would_exceed_weight(self, policy: TeamPolicy | None, now_ms: int) -> bool:
+        """Return what `is_beyond_weight` would return, without counting a job."""
+        return policy is not None and self._tokens_of(policy, now_ms) < 1.0
+
     def is_beyond_weight(self, policy: TeamPolicy | None, now_ms: int) -> bool:
         """Count a new job; returns whether it exceeds the team's weight.
 
@@ -88,9 +92,7 @@
         """
         if policy is None:
             return False
-        burst = max(policy.weight * WEIGHT_WINDOW_MS / 1_000, 1.0)
-        tokens, since_ms = self._tokens_by_team.get(policy.name, (burst, now_ms))
-        tokens = min(burst, tokens + policy.weight * (now_ms - since_ms) / 1_000)
+        tokens = self._tokens_of(policy, now_ms)
         exceeds = tokens < 1.0
         self._tokens_by_team[policy.name] = (
             tokens if exceeds else tokens - 1.0,
@@ -98,6 +100,11 @@
         )
         return exceeds
 
+    def _tokens_of(self, policy: TeamPolicy, now_ms: int) -> float:
+        burst = max(policy.weight * WEIGHT_WINDOW_MS / 1_000, 1.0)
+        tokens, since_ms = self._tokens_by_team.get(policy.name, (burst, now_ms))
+        return min(burst, tokens + policy.weight * (now_ms - since_ms) / 1_000)
+
 
 def is_within(amount: Resources, limit: Resources) -> bool:
     """Whether an amount is within a limit; a value of 0 means no limit."""
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -10,6 +10,8 @@
 
 # Name of the detail that a confirmed refusal has, also between instances.
 _CONFIRMED_EPOCH = "confirmed_epoch"
+# Name of the detail that tells when an overloaded queue may take the work.
+_RETRY_AFTER_MS = "retry_after_ms"
 
 
 class Ran(enum.Enum):
@@ -200,10 +202,29 @@
 
 
 class OverloadedError(RefusedError):
-    """A queue has reached its bound."""
+    """A queue has reached its bound.
+
+    Args:
+        message: What is overloaded.
+        retry_after_ms: Time after which the work may be taken, in milliseconds; 0 if
+            it is not known.
+        details: Machine-readable facts about the failure, each a string.
+    """
 
     code = "overloaded"
 
+    def __init__(
+        self, message: str, *, retry_after_ms: int = 0, **details: str
+    ) -> None:
+        if retry_after_ms:
+            details[_RETRY_AFTER_MS] = str(retry_after_ms)
+        super().__init__(message, **details)
+
+    @property
+    def retry_after_ms(self) -> int:
+        """Milliseconds after which the work may be taken, 0 if it is not known."""
+        return _parse_version(self.details.get(_RETRY_AFTER_MS, ""))
+
 
 class OverLimitError(RefusedError):
     """The team is at its upper limit."""
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -127,6 +127,12 @@
     "milliseconds",
     "Time from the hand-in of a job of steps to its end.",
 )
+declare(
+    "job_refused.*",
+    MetricKind.COUNTER,
+    "jobs",
+    "Jobs of steps that the leader did not admit, by the reason.",
+)
 declare(
     "ended.*",
     MetricKind.COUNTER,
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -131,7 +131,7 @@
             bounds,
             clock,
             self._metrics,
-            LeaderPolicies.from_config(settings.listing),
+            LeaderPolicies.from_config(settings.listing, settings.admission),
         )
         forwarder = ForwardingController(
             own_member.instance_id, scheduler, peers, router, clock
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from typing import Any
 
@@ -60,6 +61,8 @@
 # Delay after which a client may retry: takeovers and short outages of the
 # store end within 1 s.
 RETRY_AFTER_S = 1
+# Longest delay that a response names: no client waits longer for its work.
+MAX_RETRY_AFTER_S = MAX_DEADLINE_MS // 1_000
 BEARER = "Bearer "
 
 _VERB_BY_METHOD = {
@@ -80,6 +83,22 @@
 )
 
 
+@attrs.frozen
+class ClientResponse:
+    """A response to a client.
+
+    Attributes:
+        status: HTTP status.
+        body: The body.
+        retry_after_s: Delay, in seconds, after which the client may retry if the
+            response has no result.
+    """
+
+    status: int
+    body: bytes
+    retry_after_s: int = RETRY_AFTER_S
+
+
 @attrs.define
 class ClientFrontend:
     """Serves requests of clients.
@@ -125,9 +144,9 @@
         self.in_flight += 1
         started_ms = self.clock.now_ms()
         try:
-            status, body = await self._respond(request, started_ms)
+            response = await self._respond(request, started_ms)
             self.metrics.timing("request", self.clock.now_ms() - started_ms)
-            self._write(request, status, body)
+            self._write(request, response)
         except StreamClosedError:
             return
         finally:
@@ -135,14 +154,14 @@
 
     async def _respond(
         self, request: HTTPServerRequest, started_ms: int
-    ) -> tuple[int, bytes]:
+    ) -> ClientResponse:
         request_id = _request_id(request.headers)
         context: RequestContext | None = None
         try:
             context = self._make_context(request, started_ms)
             body = serialize_response(await self.chain.handle(context))
             self._record_answer(request_id, 200, context)
-            return 200, body
+            return ClientResponse(200, body)
         except MarjoramgradeError as error:
             status = status_of(error)
             self._record_answer(request_id, status, context)
@@ -159,7 +178,8 @@
                 config=context.config_version if context is not None else 0,
                 config_age_ms=context.config_age_ms if context is not None else 0,
             )
-            return status, msgspec.json.encode({"error": error.code})
+            body = msgspec.json.encode({"error": error.code})
+            return ClientResponse(status, body, retry_after_s(error))
 
     def _record_answer(
         self, request_id: str, status: int, context: RequestContext | None
@@ -203,15 +223,16 @@
             presence=presence,
         )
 
-    def _write(self, request: HTTPServerRequest, status: int, body: bytes) -> None:
+    def _write(self, request: HTTPServerRequest, response: ClientResponse) -> None:
         connection: Any = request.connection
         if connection is None:
             return
+        status, body = response.status, response.body
         headers = HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
         )
         if status in (429, 503, 504):
-            headers["Retry-After"] = str(RETRY_AFTER_S)
+            headers["Retry-After"] = str(response.retry_after_s)
         # The client then retries on a new connection, for which the load balancer can
         # choose an instance that is ready.
         if self.is_draining or status in (503, 504):
@@ -239,6 +260,14 @@
     return 502
 
 
+def retry_after_s(error: MarjoramgradeError) -> int:
+    """Return the delay, in whole seconds, after which a client may retry."""
+    if not isinstance(error, OverloadedError):
+        return RETRY_AFTER_S
+    seconds = math.ceil(error.retry_after_ms / 1_000)
+    return min(max(seconds, RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+
+
 def serialize_response(answer: Any) -> bytes:
     """Return the response body for a result of the filter chain."""
     if isinstance(answer, StepJobShown):
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from marjoramgrade.decisions.admission.gate import ADMISSION_POLICIES
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
 from marjoramgrade.platform.decoding import check_address
@@ -44,6 +45,7 @@
         config_apply_ms: Time within which a new configuration must be in force, in
             milliseconds.
         listing: Name of the schedule of worker listings.
+        admission: Name of the policy that admits new jobs.
     """
 
     instance_id: str
@@ -64,6 +66,7 @@
     config_apply_ms: int = 2_000
     advice: str = ""
     listing: str = "periodic"
+    admission: str = "open_jobs"
 
     @property
     def strength(self) -> int:
@@ -97,6 +100,10 @@
         problems.append(
             SettingsProblem("listing", f"no schedule is named {settings.listing!r}")
         )
+    if settings.admission not in ADMISSION_POLICIES.iter_names():
+        problems.append(
+            SettingsProblem("admission", f"no policy is named {settings.admission!r}")
+        )
     if problems:
         raise SettingsError(problems)
     return settings
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,7 +1,7 @@
 import attrs
 import pytest
 
-from marjoramgrade.decisions.admission import check_job
+from marjoramgrade.decisions.admission.feasibility import check_job
 from marjoramgrade.errors import MarjoramgradeError
 from marjoramgrade.model import JobKind, JobSpec, Team
 from marjoramgrade.resources import ZERO_RESOURCES
