--- a/marjoramgrade/decisions/admission/accuracy.py
+++ b/marjoramgrade/decisions/admission/accuracy.py
@@ -15,10 +15,12 @@
 # The favourable end of the error is the ratio that a tenth of the jobs stay below. One
 # job in ten at most is then refused although it might have kept its value.
 FAVOURABLE_SHARE = 0.1
-# Until jobs have completed, the estimate may be twice too long: the estimates of
-# clients are off by up to 0.9 of the true duration, and those of several steps together
-# by less.
-INITIAL_RATIO = 0.5
+# Whether a job will be in time is decided by the ratio that half of the jobs stay
+# below. With the favourable end, so many would be admitted that one in ten is in time.
+TYPICAL_SHARE = 0.5
+# Until jobs have completed, the estimate may be this much too long: durations within a
+# queue differ by a third from their average.
+INITIAL_RATIO = 0.7
 # A few outliers must not open or close the gate.
 MIN_RATIO = 0.25
 MAX_RATIO = 2.0
@@ -29,17 +31,24 @@
 
 @attrs.define
 class EstimateAccuracy:
-    """The favourable end of actual to estimated time, by queue and outlook.
+    """Quantiles of actual to estimated time, by queue and outlook.
 
     Jobs that are expected to be in time and late ones are learned apart: the late ones
     are overtaken by newer jobs, and those in time are not.
     """
 
-    _log_ratio_by_key: dict[tuple[str, bool], float] = attrs.field(factory=dict)
+    _log_ratio_by_key: dict[tuple[str, bool, float], float] = attrs.field(factory=dict)
 
     def favourable_ratio(self, queue: str, *, is_late: bool) -> float:
         """Return the factor that turns an estimate into its favourable end."""
-        log_ratio = self._log_ratio_by_key.get((queue, is_late))
+        return self._ratio(queue, is_late, FAVOURABLE_SHARE)
+
+    def typical_ratio(self, queue: str, *, is_late: bool) -> float:
+        """Return the factor that turns an estimate into the usual time."""
+        return self._ratio(queue, is_late, TYPICAL_SHARE)
+
+    def _ratio(self, queue: str, is_late: bool, share: float) -> float:
+        log_ratio = self._log_ratio_by_key.get((queue, is_late, share))
         return INITIAL_RATIO if log_ratio is None else math.exp(log_ratio)
 
     def add(
@@ -47,14 +56,16 @@
     ) -> None:
         """Add the outcome of an accepted job.
 
-        The quantile follows by steps whose sizes balance when `FAVOURABLE_SHARE` of the
-        outcomes are below it.
+        The quantiles follow by steps whose sizes balance when the share of the outcomes
+        below them is the right one.
         """
         if estimate_ms <= 0 or actual_ms <= 0:
             return
-        ratio = self.favourable_ratio(queue, is_late=is_late)
-        is_below = actual_ms / estimate_ms < ratio
-        down = LEARNING_STEP * (1 - FAVOURABLE_SHARE) / FAVOURABLE_SHARE
-        moved = math.log(ratio) + (-down if is_below else LEARNING_STEP)
         low, high = math.log(MIN_RATIO), math.log(MAX_RATIO)
-        self._log_ratio_by_key[(queue, is_late)] = min(max(moved, low), high)
+        for share in (FAVOURABLE_SHARE, TYPICAL_SHARE):
+            ratio = self._ratio(queue, is_late, share)
+            is_below = actual_ms / estimate_ms < ratio
+            down = LEARNING_STEP * (1 - share) / share
+            moved = math.log(ratio) + (-down if is_below else LEARNING_STEP)
+            key = (queue, is_late, share)
+            self._log_ratio_by_key[key] = min(max(moved, low), high)
--- a/marjoramgrade/decisions/admission/backlog.py
+++ b/marjoramgrade/decisions/admission/backlog.py
@@ -72,6 +72,12 @@
         self.memory += other.memory
         self.accelerators += other.accelerators
 
+    def scaled(self, factor: float) -> Amounts:
+        """Return a multiple of the amounts."""
+        return Amounts(
+            self.cpu * factor, self.memory * factor, self.accelerators * factor
+        )
+
     def pairs_with(self, limit: Resources) -> Iterator[tuple[float, int]]:
         """Yield each amount with its limit; a limit of 0 means none."""
         yield self.cpu, limit.cpu_millis
@@ -152,6 +158,7 @@
 
     def add(self, state: StepState, progress: JobProgress, now_ms: int) -> None:
         """Add an open job."""
+        self.pool_wait_by_place.clear()
         work_class = self._classify(state, progress, now_ms)
         work = self._work_of(
             progress, work_class or WorkClass(progress.queue.priority, True, True)
--- a/marjoramgrade/decisions/admission/estimate.py
+++ b/marjoramgrade/decisions/admission/estimate.py
@@ -12,6 +12,7 @@
 import attrs
 
 from marjoramgrade.decisions.admission.accuracy import EstimateAccuracy
+from marjoramgrade.decisions.admission.arrivals import ArrivalRates
 from marjoramgrade.decisions.admission.backlog import (
     REFRESH_MS,
     Amounts,
@@ -31,6 +32,9 @@
 # The capacity of the pools is added up again after this time. Workers join and leave in
 # seconds, and there may be 3,000 of them.
 CAPACITY_REFRESH_MS = 1_000
+# Until a task of its queue is done, a job may take only this share of its time: clients
+# declare durations that are off by up to 0.9, and the steps of many jobs even that out.
+CLIENT_ESTIMATE_SHARE = 0.7
 
 
 @attrs.frozen
@@ -44,7 +48,11 @@
         team_wait_ms: How long it waits for the limit of its team.
         pool_wait_ms: How long it waits for capacity of its pool.
         own_ms: How long it runs.
-        favourable_ratio: Factor for the favourable end of the learned error.
+        backlog_ms: How long its team's limit takes for the work before it if no newer
+            jobs come.
+        excess_ms: Time until a new job like it would be expected to be in time.
+        longest_wait_ms: The longest wait with which it completes as expected: in time,
+            or else with some value at the favourable end of the learned error.
     """
 
     work_class: WorkClass
@@ -53,7 +61,9 @@
     team_wait_ms: float
     pool_wait_ms: float
     own_ms: float
-    favourable_ratio: float
+    backlog_ms: float
+    excess_ms: float
+    longest_wait_ms: float
 
     @property
     def wait_ms(self) -> float:
@@ -65,10 +75,6 @@
         """Time until the job completes."""
         return self.wait_ms + self.own_ms
 
-    def longest_wait_ms(self, allowed_ms: float) -> float:
-        """Return the wait with which the job takes this long at the favourable end."""
-        return allowed_ms / self.favourable_ratio - self.own_ms
-
 
 @attrs.define
 class Estimator:
@@ -77,11 +83,13 @@
     Attributes:
         state: Jobs and workers.
         accuracy: Learned error of the estimates.
+        arrivals: Work that accepted jobs bring.
         backlog: The work of the open jobs, or None before the first estimate.
     """
 
     state: StepState
     accuracy: EstimateAccuracy = attrs.field(factory=EstimateAccuracy)
+    arrivals: ArrivalRates = attrs.field(factory=ArrivalRates)
     backlog: Backlog | None = None
     _capacity_by_pool: dict[str, Resources] = attrs.field(factory=dict)
     _capacity_ms: int = 0
@@ -93,6 +101,7 @@
         first_ms: int,
         now_ms: int,
         returning: ReturningWork | None = None,
+        wait_share: float = 1.0,
     ) -> Estimate | None:
         """Return when a new job would complete, or None if too little is known.
 
@@ -103,6 +112,7 @@
             now_ms: Current time.
             returning: Work of the team's refused jobs that come before it when they
                 return.
+            wait_share: Share of the longest wait that the job may have.
         """
         usage, policies = self.state.usage, self.state.config.team_by_name
         limit = usage.limit_of(job.team, policies)
@@ -115,15 +125,25 @@
         own_ms = self._own_ms(job, queue, timing, limit, capacity)
         # The backlog was added up a moment ago, and some of it is gone since.
         elapsed_ms = now_ms - backlog.taken_ms
+        excess_ms = 0.0
         for is_late in (False, True):
             place = WorkClass(queue.priority, is_beyond, is_late)
             before = backlog.waiting_before(backlog.iter_team(job.team), place)
             if returning is not None:
                 before.add_amounts(returning.late if is_late else returning.on_time)
-            team_wait_ms = self._team_wait_ms(backlog, job, limit, place, before)
+            team_wait_ms = self._team_wait_ms(
+                backlog, job, limit, place, before, now_ms
+            )
             pool_wait_ms = self._pool_wait_ms(backlog, queue.pool, capacity, place)
             has_room = self._has_team_room(backlog, job, limit, place)
-            ratio = self.accuracy.favourable_ratio(queue.name, is_late=is_late)
+            span_ms = timing.worthless_after_ms if is_late else timing.objective_ms
+            ratio = self._ratio(queue, is_late=is_late)
+            if not is_late:
+                new_longest_ms = max(span_ms / ratio - own_ms, 0.0)
+                excess_ms = max(team_wait_ms, pool_wait_ms) - (
+                    wait_share * new_longest_ms
+                )
+            longest_ms = (first_ms + span_ms - now_ms) / ratio - own_ms
             found = Estimate(
                 place,
                 timing,
@@ -131,13 +151,28 @@
                 max(team_wait_ms - elapsed_ms, 0.0),
                 max(pool_wait_ms - elapsed_ms, 0.0),
                 own_ms,
-                ratio,
+                before.largest_ratio(limit),
+                max(excess_ms - elapsed_ms, 0.0),
+                wait_share * max(longest_ms, 0.0),
             )
-            done_ms = now_ms + ratio * found.total_ms
-            if found.has_room or done_ms <= first_ms + timing.objective_ms:
+            if found.has_room or found.wait_ms <= found.longest_wait_ms:
                 break
         return found
 
+    def _ratio(self, queue: Queue, *, is_late: bool) -> float:
+        """Return the factor for the learned error of the estimate.
+
+        A job is refused only by the favourable end; whether it is expected to be in
+        time is not a refusal.
+        """
+        if is_late:
+            ratio = self.accuracy.favourable_ratio(queue.name, is_late=True)
+        else:
+            ratio = self.accuracy.typical_ratio(queue.name, is_late=False)
+        if self.state.durations.average_ms(queue.name) is None:
+            ratio *= CLIENT_ESTIMATE_SHARE
+        return ratio
+
     def timing_of(self, job: StepJob, queue: Queue) -> Timing:
         """Return the duration and the objective of a job."""
         task_ms = self.state.durations.expected_ms(
@@ -155,6 +190,9 @@
 
     def add(self, progress: JobProgress, now_ms: int) -> None:
         """Add a job that was accepted to the work of the open jobs."""
+        job, queue = progress.job, progress.queue
+        work = self.work_of(job, queue)
+        self.arrivals.add(job.team, queue.priority, work, now_ms)
         if self.backlog is not None:
             self.backlog.add(self.state, progress, now_ms)
 
@@ -197,24 +235,28 @@
             advice_ms = max(job.chain_lengths()) * call_ms
         return max(timing.chain_ms, work_ms) + advice_ms
 
-    @staticmethod
     def _team_wait_ms(
+        self,
         backlog: Backlog,
         job: StepJob,
         limit: Resources,
         place: WorkClass,
         before: Amounts,
+        now_ms: int,
     ) -> float:
         """Return how long the work before a job keeps its team at its limit.
 
         Runs end and are replaced all the time, so what waits starts at the rate at
-        which the whole limit works it off. Less urgent runs make way.
+        which the limit works it off. Less urgent runs make way. Newer jobs take a part
+        of the rate: those of more urgent queues, and if the job will be late, those of
+        its own queue too.
         """
-        held = Amounts()
+        below_priority = place.priority + place.is_late
+        held = self.arrivals.rate(job.team, below_priority, now_ms)
         for work_class, work in backlog.iter_team(job.team):
             if work_class.priority <= place.priority:
                 held.add_amounts(work.placed_long)
-        # Any limit admits a single task, even beside long-running ones.
+        # Any limit admits a single task, whatever else there is.
         task = entry_need(job.steps)
         least = (task.cpu_millis, task.memory_mib, task.accelerators)
         amounts = zip(
--- a/marjoramgrade/decisions/admission/gate.py
+++ b/marjoramgrade/decisions/admission/gate.py
@@ -21,11 +21,7 @@
     Submission,
     check_open_jobs,
 )
-from marjoramgrade.decisions.admission.returns import (
-    RETURN_GRACE_MS,
-    RefusedJob,
-    RefusedJobs,
-)
+from marjoramgrade.decisions.admission.returns import RefusedJob, RefusedJobs
 from marjoramgrade.decisions.stepprogress import JobProgress
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.stepjobs import StepJobState
@@ -34,6 +30,9 @@
 # the one that it could bear. The margin is larger than what the backlog changes by
 # between two of its readings, so that the state does not follow single jobs.
 RESUME_SHARE = 0.75
+# Refusing ends once no new job has been refused for this long: eight readings of the
+# backlog, and as long as newer jobs are taken into account.
+SETTLE_MS = 2_000
 # Bounds of `Retry-After`. Clients wait for whole seconds, and none waits longer for its
 # work than a minute.
 MIN_RETRY_MS = 1_000
@@ -56,14 +55,14 @@
     """A team or pool whose jobs of one queue are refused.
 
     Attributes:
-        resume_wait_ms: Refusing ends below this wait.
-        wait_ms: The wait that was last estimated.
-        at_ms: When it was estimated.
+        estimate_ms: The wait that was last estimated for a refused job.
+        limit_ms: The wait that this job could bear.
+        refused_ms: When it was refused.
     """
 
-    resume_wait_ms: float
-    wait_ms: float
-    at_ms: int
+    estimate_ms: int
+    limit_ms: int
+    refused_ms: int
 
 
 @ADMISSION_POLICIES.register("estimate")
@@ -101,52 +100,49 @@
         returned = self.refused.find(job.job_id, now_ms)
         first_ms = now_ms if returned is None else returned.first_ms
         scope = (job.team, queue.name)
+        keys = (("team", *scope), ("pool", queue.pool, queue.name))
+        is_refusing = any(key in self._refusing_by_key for key in keys)
         estimate = self.estimator.estimate(
             job,
             queue,
             first_ms,
             now_ms,
-            self.refused.work_before(scope, first_ms, now_ms),
+            self.refused.work_before(scope, job.job_id, now_ms),
+            RESUME_SHARE if is_refusing else 1.0,
         )
         if estimate is None:
             return None
-        if estimate.has_room or not estimate.wait_ms:
-            # Nothing comes before the job; if it is late, then by its own size.
+        if estimate.has_room or estimate.wait_ms <= estimate.longest_wait_ms:
             self._last = (job.job_id, estimate)
             return None
-        is_pool = estimate.pool_wait_ms > estimate.team_wait_ms
-        key = ("pool", queue.pool, queue.name) if is_pool else ("team", *scope)
-        refusing = self._refusing_by_key.get(key)
-        share = 1.0 if refusing is None else RESUME_SHARE
-        if refusing is not None:
-            refusing.wait_ms, refusing.at_ms = estimate.wait_ms, now_ms
-        worthless_ms = first_ms + estimate.timing.worthless_after_ms
-        longest_ms = estimate.longest_wait_ms(worthless_ms - now_ms)
-        if estimate.wait_ms <= share * longest_ms:
+        if not estimate.backlog_ms and not estimate.pool_wait_ms:
+            # Nothing comes before the job; it is late by its own size.
             self._last = (job.job_id, estimate)
             return None
-        self._begin_refusing(key, estimate, now_ms)
-        retry_ms = _retry_after_ms(job.job_id, estimate.wait_ms, longest_ms)
+        is_pool = estimate.pool_wait_ms > estimate.team_wait_ms
+        if returned is None:
+            self._record_refusing(keys[is_pool], estimate, now_ms)
+        in_time_ms = first_ms + estimate.timing.objective_ms - estimate.own_ms
+        worth_ms = first_ms + estimate.timing.worthless_after_ms - estimate.own_ms
+        work = self.estimator.work_of(job, queue)
+        retry_ms = _retry_after_ms(job.job_id, estimate, in_time_ms - now_ms)
         self.refused.record(
             RefusedJob(
                 job.job_id,
                 scope,
                 first_ms,
-                first_ms + estimate.timing.objective_ms - estimate.own_ms,
-                worthless_ms - estimate.own_ms,
-                now_ms + retry_ms + RETURN_GRACE_MS,
-                self.estimator.work_of(job, queue),
+                in_time_ms,
+                worth_ms,
+                now_ms,
+                now_ms + retry_ms,
+                work,
             )
         )
-        name = (
-            f"pool {queue.pool} is short of capacity"
-            if is_pool
-            else (f"team {job.team} is at its limit")
-        )
+        subject = f"pool {queue.pool}" if is_pool else f"team {job.team}"
         return Refusal(
             "pool_late" if is_pool else "team_late",
-            f"{name} for {estimate.wait_ms / 1_000:.1f} s, and the job could wait "
-            f"{max(longest_ms, 0) / 1_000:.1f} s",
+            f"the job would wait {estimate.wait_ms / 1_000:.1f} s for {subject}, and "
+            f"could wait {estimate.longest_wait_ms / 1_000:.1f} s",
             retry_ms,
         )
 
@@ -172,14 +168,9 @@
                 del self._expectation_by_id[job_id]
         self.refused.forget_expired(now_ms)
         for key, refusing in list(self._refusing_by_key.items()):
-            # Without submissions the wait shortens by at most the time that passes.
-            wait_ms = refusing.wait_ms - (now_ms - refusing.at_ms)
-            if wait_ms < refusing.resume_wait_ms:
+            if now_ms - refusing.refused_ms >= SETTLE_MS:
                 del self._refusing_by_key[key]
-                limit_ms = round(refusing.resume_wait_ms)
-                self._changes.append(
-                    AdmissionChange(False, *key, max(round(wait_ms), 0), limit_ms)
-                )
+                self._record_change(key, refusing, is_refusing=False)
         changes, self._changes = self._changes, []
         return changes
 
@@ -193,13 +184,14 @@
             age_ms -= max(unix_ms - progress.ended_unix_ms, 0)
         elif progress.state.is_final:
             return True
-        elif (
-            now_ms - progress.accepted_ms <= estimate.timing.worthless_after_ms
-            or age_ms <= estimate.total_ms
-        ):
-            return False
-        # A job without value is behind all others and may stay open for long, so it
-        # counts as soon as it has outlasted its estimate.
+        else:
+            timing, is_late = estimate.timing, estimate.work_class.is_late
+            span_ms = timing.worthless_after_ms if is_late else timing.objective_ms
+            is_missed = now_ms - progress.accepted_ms > span_ms
+            if not is_missed or age_ms <= estimate.total_ms:
+                return False
+            # It may stay open for long behind the others, so it counts as soon as it
+            # has missed its time and outlasted its estimate.
         self.estimator.accuracy.add(
             progress.queue.name,
             estimate.total_ms,
@@ -208,33 +200,45 @@
         )
         return True
 
-    def _begin_refusing(
+    def _record_refusing(
         self, key: tuple[str, str, str], estimate: Estimate, now_ms: int
     ) -> None:
         """Record that a team or pool has too much work for a new job.
 
-        A job that returned may be refused for the time that has passed; that says
+        One that returned may be refused for the time that has passed, which says
         nothing about new ones.
         """
-        longest_ms = estimate.longest_wait_ms(estimate.timing.worthless_after_ms)
-        resume_ms = RESUME_SHARE * max(longest_ms, 0.0)
-        refusing = self._refusing_by_key.get(key)
-        if refusing is not None:
-            refusing.resume_wait_ms = min(refusing.resume_wait_ms, resume_ms)
-        elif estimate.wait_ms > longest_ms:
-            self._refusing_by_key[key] = _Refusing(resume_ms, estimate.wait_ms, now_ms)
-            wait_ms, limit_ms = round(estimate.wait_ms), max(round(longest_ms), 0)
-            self._changes.append(AdmissionChange(True, *key, wait_ms, limit_ms))
+        refusing = _Refusing(
+            round(estimate.wait_ms), round(estimate.longest_wait_ms), now_ms
+        )
+        if key not in self._refusing_by_key:
+            self._record_change(key, refusing, is_refusing=True)
+        self._refusing_by_key[key] = refusing
+
+    def _record_change(
+        self, key: tuple[str, str, str], refusing: _Refusing, *, is_refusing: bool
+    ) -> None:
+        self._changes.append(
+            AdmissionChange(is_refusing, *key, refusing.estimate_ms, refusing.limit_ms)
+        )
 
 
-def _retry_after_ms(job_id: str, wait_ms: float, longest_ms: float) -> int:
-    """Return the time after which the wait may be short enough for a job.
+def _retry_after_ms(job_id: str, estimate: Estimate, in_time_ms: float) -> int:
+    """Return the time after which the job may be accepted.
 
     Work is done at the rate at which time passes, so the excess of the wait is the time
-    that it takes to be gone. The delay depends on the id as well, so that the callers
-    of one moment do not return in one moment.
+    that it takes to be gone. A job that cannot be in time then is accepted only once
+    nothing is left of the backlog. The delay depends on the id as well, so that the
+    callers of one moment do not return in one moment.
+
+    Args:
+        job_id: Id of the job.
+        estimate: Its estimate.
+        in_time_ms: How long it can wait and still be in time.
     """
-    excess_ms = max(wait_ms - RESUME_SHARE * max(longest_ms, 0.0), MIN_RETRY_MS)
+    excess_ms = max(estimate.excess_ms, float(MIN_RETRY_MS))
+    if excess_ms > in_time_ms:
+        excess_ms = max(excess_ms, estimate.backlog_ms, estimate.pool_wait_ms)
     spread_ms = max(excess_ms * SPREAD_SHARE, MIN_RETRY_MS)
     share = (zlib.crc32(job_id.encode()) % 1_000) / 1_000
     return int(min(excess_ms + share * spread_ms, MAX_RETRY_MS))
--- a/marjoramgrade/decisions/admission/returns.py
+++ b/marjoramgrade/decisions/admission/returns.py
@@ -10,9 +10,11 @@
 
 from marjoramgrade.decisions.admission.backlog import Amounts
 
-# A client that returns does so within 3 s of an answer or when `Retry-After` says, and
-# another second passes until its attempt arrives over a slow link.
-RETURN_GRACE_MS = 4_000
+# Clients return this long after a refusal, also if `Retry-After` says later.
+RETURN_MS = 3_000
+# Another second may pass until an attempt arrives over a slow link, and as much in the
+# client.
+RETURN_GRACE_MS = 2_000
 # Refused jobs that are remembered: 100 submissions a second for the time of four
 # further attempts, 3 s apart. A forgotten one counts as new. Each takes less than 1 KB.
 MAX_REMEMBERED = 1_500
@@ -28,7 +30,8 @@
         first_ms: When it was first submitted.
         in_time_until_ms: When it must start to be in time.
         worth_until_ms: When it must start to have any value.
-        forget_ms: When it is no longer expected.
+        refused_ms: When it was last refused.
+        due_ms: When `Retry-After` lets it return.
         work: Its work, in resources times milliseconds.
     """
 
@@ -37,9 +40,20 @@
     first_ms: int
     in_time_until_ms: float
     worth_until_ms: float
-    forget_ms: float
+    refused_ms: int
+    due_ms: int
     work: Amounts
 
+    @property
+    def back_ms(self) -> int:
+        """When it returns."""
+        return min(self.due_ms, self.refused_ms + RETURN_MS)
+
+    @property
+    def forget_ms(self) -> int:
+        """When it is no longer expected."""
+        return max(self.due_ms, self.refused_ms + RETURN_MS) + RETURN_GRACE_MS
+
 
 @attrs.define
 class ReturningWork:
@@ -101,15 +115,16 @@
                     self.remove(refused.job_id)
 
     def work_before(
-        self, scope: tuple[str, str], first_ms: int, now_ms: int
+        self, scope: tuple[str, str], job_id: str, now_ms: int
     ) -> ReturningWork:
-        """Return the work of the refused jobs of a scope that came before a time."""
+        """Return the work of the refused jobs of a scope that came before a job."""
         before = ReturningWork()
         for refused in self._job_by_id_by_scope.get(scope, {}).values():
-            if refused.first_ms >= first_ms:
+            if refused.job_id == job_id:
                 break
-            if now_ms <= min(refused.worth_until_ms, refused.forget_ms):
+            back_ms = max(refused.back_ms, now_ms)
+            if now_ms <= refused.forget_ms and back_ms <= refused.worth_until_ms:
                 before.late.add_amounts(refused.work)
-                if now_ms <= refused.in_time_until_ms:
+                if back_ms <= refused.in_time_until_ms:
                     before.on_time.add_amounts(refused.work)
         return before
