--- a/formal/acceptance.py
+++ b/formal/acceptance.py
@@ -1,4 +1,8 @@
-"""Acceptance of one job: its row, the response to the client, the owner's queue."""
+"""Acceptance of one job: its row, the response to the client, the owner's queue.
+
+An attempt may also be refused by an estimate, while another attempt of the same job
+that came before it is accepted through another leader.
+"""
 
 from __future__ import annotations
 
@@ -8,8 +12,10 @@
 
 # Progress of the accepting instance's write.
 NEW, SENT, APPLIED, LOST, DONE = range(5)
-# What the client was told.
-TOLD_NOTHING, TOLD_ACCEPTED, TOLD_NOT_RUN, TOLD_UNKNOWN = range(4)
+# The instance has refused the job by an estimate, and nobody has been told yet.
+REFUSED = 5
+# What the client was told; a job that is too late by the estimate has not run either.
+TOLD_NOTHING, TOLD_ACCEPTED, TOLD_NOT_RUN, TOLD_UNKNOWN, TOLD_TOO_LATE = range(5)
 
 SPEC = Spec(
     "acceptance",
@@ -17,6 +23,10 @@
         "stage": Sort.INT,
         "told": Sort.INT,
         **dict.fromkeys(("row", "late", "notice", "queued", "started"), Sort.BOOL),
+        # The store has the accepting instance as the leader.
+        "leads": Sort.BOOL,
+        # The job was in the store when its refusal was told.
+        "refused_stored": Sort.BOOL,
         # The owner has applied the change feed up to the row's version.
         "feed_read": Sort.BOOL,
     },
@@ -29,6 +39,9 @@
 QUEUE_BEFORE_WRITE = SPEC.mutation(
     "job queued before its row is durable", "not_run_is_true"
 )
+ESTIMATE_UNCONFIRMED = SPEC.mutation(
+    "refusal by estimate without a confirmed lead", "refused_nowhere_accepted"
+)
 NOTICE_ONLY = SPEC.mutation("owner told by message alone", "accepted_found")
 
 
@@ -36,8 +49,8 @@
 def initial(s: State) -> Expr:
     """The job has not been written and no message has been sent."""
     flags = ("row", "late", "notice", "queued", "started", "feed_read")
-    parts = [z3.Not(s[n]) for n in flags]
-    return z3.And(s["stage"] == NEW, s["told"] == TOLD_NOTHING, *parts)
+    parts = [z3.Not(s[n]) for n in (*flags, "refused_stored")]
+    return z3.And(s["stage"] == NEW, s["told"] == TOLD_NOTHING, s["leads"], *parts)
 
 
 @SPEC.action()
@@ -48,7 +61,52 @@
         changes["told"] = z3.IntVal(TOLD_ACCEPTED)
     if m == QUEUE_BEFORE_WRITE:
         changes["notice"] = z3.BoolVal(True)
-    return s["stage"] == NEW, changes
+    return z3.And(s["stage"] == NEW, s["leads"]), changes
+
+
+@SPEC.action()
+def estimate_refuses(s: State, _m: str) -> Step:
+    """The instance finds that the job would complete too late."""
+    return s["stage"] == NEW, updates(("stage", REFUSED))
+
+
+@SPEC.action()
+def lead_replaced(s: State, _m: str) -> Step:
+    """Another instance leads; this one may not know.
+
+    What becomes of a write that is under way is part of `takeover`.
+    """
+    is_idle = z3.Or(s["stage"] == NEW, s["stage"] == REFUSED)
+    return z3.And(s["leads"], is_idle), updates(("leads", z3.BoolVal(False)))
+
+
+@SPEC.action()
+def successor_accepts(s: State, _m: str) -> Step:
+    """The other leader stores the job for an earlier attempt of the client.
+
+    Once the client was refused, all earlier attempts have expired.
+    """
+    is_waiting = z3.Not(s["told"] == TOLD_TOO_LATE)
+    return z3.And(z3.Not(s["leads"]), is_waiting), updates(
+        ("row", z3.BoolVal(True)), ("feed_read", z3.BoolVal(False))
+    )
+
+
+@SPEC.action()
+def refusal_confirmed(s: State, m: str) -> Step:
+    """The store confirms the lead, and the client is told that the job did not run."""
+    guard = s["stage"] == REFUSED
+    if m != ESTIMATE_UNCONFIRMED:
+        guard = z3.And(guard, s["leads"])
+    return guard, updates(
+        ("stage", DONE), ("told", TOLD_TOO_LATE), ("refused_stored", s["row"])
+    )
+
+
+@SPEC.action()
+def refusal_unconfirmed(s: State, _m: str) -> Step:
+    """The store does not confirm the lead, or not in time: the outcome is unknown."""
+    return s["stage"] == REFUSED, updates(("stage", DONE), ("told", TOLD_UNKNOWN))
 
 
 @SPEC.action()
@@ -139,7 +197,26 @@
 @SPEC.invariant
 def not_run_is_true(s: State) -> Expr:
     """A job that was reported as not run is never started."""
-    return z3.Not(z3.And(s["told"] == TOLD_NOT_RUN, s["started"]))
+    told_not_run = z3.Or(s["told"] == TOLD_NOT_RUN, s["told"] == TOLD_TOO_LATE)
+    return z3.Not(z3.And(told_not_run, s["started"]))
+
+
+@SPEC.invariant
+def refused_nowhere_accepted(s: State) -> Expr:
+    """A job that an estimate refused as not run was accepted nowhere at that time."""
+    return z3.Not(s["refused_stored"])
+
+
+@SPEC.goal
+def refused_by_estimate(s: State) -> Expr:
+    """A job was refused by an estimate, and its client was told."""
+    return s["told"] == TOLD_TOO_LATE
+
+
+@SPEC.goal
+def refused_here_accepted_elsewhere(s: State) -> Expr:
+    """A former leader refused the job, and its client was told nothing certain."""
+    return z3.And(s["told"] == TOLD_UNKNOWN, z3.Not(s["leads"]), s["started"])
 
 
 @SPEC.goal
--- a/tests/test_peercodec.py
+++ b/tests/test_peercodec.py
@@ -58,6 +58,15 @@
     assert (body.message, body.details) == ("lost", {"shard": "leeds.0"})
 
 
+def test_a_refusal_tells_other_instances_when_to_retry() -> None:
+    """Guards against a `Retry-After` that is lost when an instance passes a job on."""
+    refusal = errors.OverloadedError("full", retry_after_ms=4_200).confirmed_by(3)
+    body = parse_frame(serialize_frame(PeerFrame(1, refusal))).body
+    assert isinstance(body, errors.OverloadedError)
+    assert (body.retry_after_ms, body.confirmed_epoch) == (4_200, 3)
+    assert errors.OverloadedError("full").retry_after_ms == 0
+
+
 def test_an_oversized_frame_is_refused_before_it_is_sent() -> None:
     """Guards against a peer that has to buffer a frame of unbounded size."""
     reply = RunReply(200, bytes(MAX_FRAME_BYTES), "b")
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -40,6 +40,7 @@
 )
 from marjoramgrade.messages.steps import PendingCount, StepJobShown
 from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.platform import frontend
 from marjoramgrade.platform.configuration import parse_config
 from marjoramgrade.platform.frontend import (
     ClientFrontend,
@@ -304,6 +305,16 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("retry_after_ms", "seconds"), [(0, 1), (1, 1), (4_001, 5), (10**15, 60)]
+)
+def test_overload_tells_in_whole_seconds_when_to_retry(retry_after_ms, seconds):
+    # Guards against clients that come back before there is room, or never.
+    error = OverloadedError("full", retry_after_ms=retry_after_ms)
+    assert frontend.retry_after_s(error) == seconds
+    assert frontend.retry_after_s(NoLeaderError("nobody")) == 1
+
+
 class ConfiguredFilter(Filter):
     """Answers, or refuses, under a configuration of a known version and age."""
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,16 +4,23 @@
 
 import asyncio
 import contextlib
+import functools
+import io
+import json
 
 import attrs
 import pytest
 
+from marjoramgrade import logs
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.adapters.peercodec import PeerFrame, parse_frame, serialize_frame
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers import commits, stepscheduling
 from marjoramgrade.controllers.commits import SaveRows
 from marjoramgrade.controllers.forwarding import ForwardingController, ForwardRequest
+from marjoramgrade.controllers.leaderpolicies import LeaderPolicies
+from marjoramgrade.decisions.admission import gate
+from marjoramgrade.decisions.admission.policies import OpenJobsAdmission, Refusal
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -41,10 +48,11 @@
 )
 from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.platform.frontend import status_of
-from marjoramgrade.stepconfig import StepConfig
+from marjoramgrade.stepconfig import StepConfig, TeamPolicy
+from marjoramgrade.stepjobs import Step
 from marjoramgrade.steprows import EPOCH_ROW, JobRow, job_row_id, serialize_row
 from tests.rowstore import MemoryRowStore
-from tests.steps import URGENT, job
+from tests.steps import URGENT, cores, job
 from tests.test_stepscheduling import leading
 
 JOB_ID = "00112233445566aa"
@@ -399,3 +407,98 @@
             return refused, job_row_id(JOB_ID) in cell.store.rows
 
     assert asyncio.run(run()) == (429, False)
+
+
+TOO_LATE = 4_200
+
+
+class LateAdmission(OpenJobsAdmission):
+    """Finds every job too late."""
+
+    def check(self, submission):
+        return Refusal("team_late", "too late", TOO_LATE)
+
+
+@pytest.mark.parametrize("change", ["none", "replaced", "cut off", "store away"])
+def test_refusal_by_estimate_is_told_only_by_a_confirmed_leader(monkeypatch, change):
+    # Guards against a 429 by the estimate of a leader that was replaced or cut off
+    # between estimate and refusal, while its successor accepted the job.
+    policies = LeaderPolicies(admission=LateAdmission)
+    monkeypatch.setattr(
+        "tests.test_refusals.leading", functools.partial(leading, policies=policies)
+    )
+
+    async def run():
+        async with running_cell(monkeypatch) as cell:
+            if change in ("replaced", "cut off"):
+                cell.replace_leader()
+            if change in ("cut off", "store away"):
+                cell.store.mode = "hang"
+            status = await asyncio.wait_for(cell.request(QueueVerb.SUBMIT), 2.8)
+            return status, cell.scheduler._metrics.count_by_name
+
+    status, counts = asyncio.run(run())
+    assert status == (429 if change == "none" else 504)
+    if change in ("none", "replaced"):
+        assert counts["job_refused.team_late"]
+
+
+def test_refusal_by_estimate_tells_when_to_retry():
+    # Guards against a `Retry-After` that the confirmation of a refusal drops.
+    async def run():
+        policies = LeaderPolicies(admission=LateAdmission)
+        async with leading(config=CONFIG, policies=policies) as (_, scheduler, _):
+            with pytest.raises(OverloadedError) as caught:
+                await scheduler.ask(SubmitStepJob(job(JOB_ID)))
+            assert caught.value.retry_after_ms == TOO_LATE
+            assert caught.value.confirmed_epoch == 1
+
+    asyncio.run(run())
+
+
+def test_accepted_job_is_answered_as_accepted_while_new_ones_are_refused():
+    # Guards against a refusal of a job that was accepted before, by this leader or an
+    # earlier one.
+    policies = LeaderPolicies(admission=LateAdmission)
+
+    async def run():
+        async with leading(config=CONFIG) as (store, scheduler, _):
+            assert (await scheduler.ask(SubmitStepJob(job(JOB_ID)))).created
+            late = leading(store, 2, CONFIG, policies=policies)
+            async with late as (_, successor, _):
+                assert not (await successor.ask(SubmitStepJob(job(JOB_ID)))).created
+                with pytest.raises(OverloadedError):
+                    await successor.ask(SubmitStepJob(job("00112233445566bb")))
+
+    asyncio.run(run())
+
+
+def test_refusing_is_logged_when_it_begins_and_ends(monkeypatch):
+    # Guards against a line for each refused job, and an overload that leaves none.
+    monkeypatch.setattr(gate, "SETTLE_MS", 100)
+    one_core = {"red": TeamPolicy("red", limit=cores(1, 0))}
+    config = StepConfig(1, {URGENT.name: URGENT}, {}, one_core)
+    out = io.StringIO()
+    logs.configure(out)
+
+    async def run():
+        policies = LeaderPolicies.from_config("periodic", "estimate")
+        async with leading(config=config, policies=policies) as (_, scheduler, _):
+            await asyncio.sleep(0.3)
+            steps = Step(1, cores(1), 60_000)
+            answers = [
+                scheduler.ask(SubmitStepJob(job(f"{n:016x}", steps))) for n in range(30)
+            ]
+            done = await asyncio.gather(*answers, return_exceptions=True)
+            await asyncio.sleep(0.6)
+            return sum(isinstance(answer, OverloadedError) for answer in done)
+
+    assert asyncio.run(run()) > 1
+    lines = [json.loads(line) for line in out.getvalue().splitlines()]
+    events = [line for line in lines if line["event"].startswith("admission_")]
+    assert [line["event"] for line in events] == [
+        "admission_refusing",
+        "admission_accepting",
+    ]
+    assert events[0]["team"] == "red"
+    assert int(events[0]["estimate_ms"]) > int(events[0]["limit_ms"])
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -147,7 +147,7 @@
 
 
 @contextlib.asynccontextmanager
-async def leading(store=None, epoch=1, config=None, listed=None):
+async def leading(store=None, epoch=1, config=None, listed=None, policies=None):
     store = store or MemoryRowStore()
     peers = UnusedPeers()
     ports = {}
@@ -164,6 +164,7 @@
         LeaderBounds(3_000, 6_000, 120_000),
         SystemClock(),
         MemoryMetrics(),
+        policies,
     )
     async with contextlib.AsyncExitStack() as stack:
         for actor in (store, peers, scheduler):
