--- a/marjoramgrade/decisions/admission/estimate.py
+++ b/marjoramgrade/decisions/admission/estimate.py
@@ -51,8 +51,8 @@
         backlog_ms: How long its team's limit takes for the work before it if no newer
             jobs come.
         excess_ms: Time until a new job like it would be expected to be in time.
-        longest_wait_ms: The longest wait with which it completes as expected: in time,
-            or else with some value at the favourable end of the learned error.
+        longest_wait_ms: The longest wait with which it is in time, or else has some
+            value, at the favourable end of the learned error.
     """
 
     work_class: WorkClass
@@ -160,15 +160,8 @@
         return found
 
     def _ratio(self, queue: Queue, *, is_late: bool) -> float:
-        """Return the factor for the learned error of the estimate.
-
-        A job is refused only by the favourable end; whether it is expected to be in
-        time is not a refusal.
-        """
-        if is_late:
-            ratio = self.accuracy.favourable_ratio(queue.name, is_late=True)
-        else:
-            ratio = self.accuracy.typical_ratio(queue.name, is_late=False)
+        """Return the factor for the favourable end of the estimate's error."""
+        ratio = self.accuracy.favourable_ratio(queue.name, is_late=is_late)
         if self.state.durations.average_ms(queue.name) is None:
             ratio *= CLIENT_ESTIMATE_SHARE
         return ratio
