--- a/marjoramgrade/decisions/admission/returns.py
+++ b/marjoramgrade/decisions/admission/returns.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from marjoramgrade.decisions.admission.backlog import Amounts
+from marjoramgrade.decisions.admission.backlog import REFRESH_MS, Amounts
 
 # Clients return this long after a refusal, also if `Retry-After` says later.
 RETURN_MS = 3_000
@@ -68,6 +68,21 @@
     late: Amounts = attrs.field(factory=Amounts)
 
 
+@attrs.frozen
+class _ArrivalOrder:
+    """Work of the refused jobs of a scope, added up in the order of first arrival.
+
+    Attributes:
+        taken_ms: When it was added up.
+        before_by_id: Work before each job.
+        total: Work of all jobs.
+    """
+
+    taken_ms: int
+    before_by_id: dict[str, ReturningWork]
+    total: ReturningWork
+
+
 @attrs.define
 class RefusedJobs:
     """The refused jobs that may return, each scope in the order of first arrival."""
@@ -77,6 +92,8 @@
         factory=dict
     )
 
+    _order_by_scope: dict[tuple[str, str], _ArrivalOrder] = attrs.field(factory=dict)
+
     def __len__(self) -> int:
         return len(self._scope_by_id)
 
@@ -96,10 +113,16 @@
         by_id = self._job_by_id_by_scope.setdefault(refused.scope, {})
         by_id[refused.job_id] = refused
         if len(self._scope_by_id) > MAX_REMEMBERED:
-            self.remove(next(iter(self._scope_by_id)))
+            self._forget(next(iter(self._scope_by_id)))
 
     def remove(self, job_id: str) -> None:
-        """Forget a job."""
+        """Forget a job, whose work no longer comes before that of others."""
+        scope = self._scope_by_id.get(job_id)
+        if scope is not None:
+            self._order_by_scope.pop(scope, None)
+            self._forget(job_id)
+
+    def _forget(self, job_id: str) -> None:
         scope = self._scope_by_id.pop(job_id, None)
         if scope is not None:
             by_id = self._job_by_id_by_scope[scope]
@@ -113,18 +136,31 @@
             for refused in list(by_id.values()):
                 if now_ms > refused.forget_ms:
                     self.remove(refused.job_id)
+        # The orders of scopes without refused jobs are of no more use.
+        for scope in self._order_by_scope.keys() - self._job_by_id_by_scope.keys():
+            del self._order_by_scope[scope]
 
     def work_before(
         self, scope: tuple[str, str], job_id: str, now_ms: int
     ) -> ReturningWork:
-        """Return the work of the refused jobs of a scope that came before a job."""
-        before = ReturningWork()
-        for refused in self._job_by_id_by_scope.get(scope, {}).values():
-            if refused.job_id == job_id:
-                break
+        """Return the work of the refused jobs of a scope that came before a job.
+
+        Adds up the jobs of the scope only if one of them was accepted, or after
+        `REFRESH_MS`: those that were refused since then don't return sooner.
+        """
+        order = self._order_by_scope.get(scope)
+        if order is None or now_ms - order.taken_ms >= REFRESH_MS:
+            order = self._order_by_scope[scope] = self._add_up(scope, now_ms)
+        return order.before_by_id.get(job_id, order.total)
+
+    def _add_up(self, scope: tuple[str, str], now_ms: int) -> _ArrivalOrder:
+        on_time, late = Amounts(), Amounts()
+        before_by_id = {}
+        for job_id, refused in self._job_by_id_by_scope.get(scope, {}).items():
+            before_by_id[job_id] = ReturningWork(on_time.scaled(1), late.scaled(1))
             back_ms = max(refused.back_ms, now_ms)
             if now_ms <= refused.forget_ms and back_ms <= refused.worth_until_ms:
-                before.late.add_amounts(refused.work)
+                late.add_amounts(refused.work)
                 if back_ms <= refused.in_time_until_ms:
-                    before.on_time.add_amounts(refused.work)
-        return before
+                    on_time.add_amounts(refused.work)
+        return _ArrivalOrder(now_ms, before_by_id, ReturningWork(on_time, late))
--- a/tests/test_admission_estimate.py
+++ b/tests/test_admission_estimate.py
@@ -312,6 +312,20 @@
     )
 
 
+def test_cost_of_a_check_does_not_grow_with_the_refused_jobs():
+    # Guards against adding up all refused jobs of a team for each of its submissions.
+    def cost_of(count):
+        cell = Cell.make()
+        cell.overload(40 + count)
+        began = time.perf_counter()
+        cell.overload(100)
+        return time.perf_counter() - began
+
+    assert min(cost_of(1_300) for _ in range(3)) < 2 * min(
+        cost_of(65) for _ in range(3)
+    )
+
+
 def test_default_policy_refuses_only_by_number():
     # Guards against a default that refuses by estimate.
     cell = Cell.make()
