--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -542,3 +542,24 @@
         assert running == 0
 
     asyncio.run(run())
+
+
+def test_admission_policy_must_be_known(tmp_path: pathlib.Path):
+    # Guards against a misspelt policy, which would be found only once the instance
+    # leads.
+    known = {
+        "instance_id": "a",
+        "zone": "z",
+        "host": "127.0.0.1",
+        **dict.fromkeys(("front", "ready", "store"), "127.0.0.1:1"),
+        **dict.fromkeys(("peer_port", "metrics_port", "longest_lease_ms"), 1),
+        **dict.fromkeys(("cpu_share", "cores", "link_mbps"), 1.0),
+        **dict.fromkeys(("status_s", "shutdown_s"), 1),
+    }
+    path = tmp_path / "settings"
+    for name in ("open_jobs", "estimate"):
+        path.write_bytes(msgspec.json.encode({**known, "admission": name}))
+        assert read_settings(path).admission == name
+    path.write_bytes(msgspec.json.encode({**known, "admission": "estimates"}))
+    with pytest.raises(SettingsError, match="admission"):
+        read_settings(path)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -424,9 +424,8 @@
     # Guards against a 429 by the estimate of a leader that was replaced or cut off
     # between estimate and refusal, while its successor accepted the job.
     policies = LeaderPolicies(admission=LateAdmission)
-    monkeypatch.setattr(
-        "tests.test_refusals.leading", functools.partial(leading, policies=policies)
-    )
+    with_policies = functools.partial(leading, policies=policies)
+    monkeypatch.setitem(globals(), "leading", with_policies)
 
     async def run():
         async with running_cell(monkeypatch) as cell:
