--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -123,7 +123,12 @@
             rules=self._policies.placement,
         )
         lead = LeaderState(
-            writes.epoch, writes.commits, state, planner, Supervisor(state, planner)
+            writes.epoch,
+            writes.commits,
+            state,
+            planner,
+            Supervisor(state, planner),
+            self._policies.admission(state),
         )
         lead.grant_until_ms = writes.confirmed_ms + GRANT_LIMIT_MS
         self._restore(lead, recovered)
--- a/marjoramgrade/controllers/leaderpolicies.py
+++ b/marjoramgrade/controllers/leaderpolicies.py
@@ -4,6 +4,10 @@
 
 import attrs
 
+from marjoramgrade.decisions.admission.gate import (
+    ADMISSION_POLICIES,
+    AdmissionPolicyFactory,
+)
 from marjoramgrade.decisions.listings.schedule import (
     LISTING_SCHEDULES,
     ListingSchedule,
@@ -22,20 +26,24 @@
         placement: Chooses the worker for a task, and the runs that make way for it.
         far_factor: How many times as long a task takes off the rack of its data; 0 if
             unknown, in which case no task waits for that rack.
+        admission: Makes the policy that admits new jobs, for each leadership.
     """
 
     listing: ListingSchedule = LISTING_SCHEDULES.get("periodic")
     has_zone_alerts: bool = False
     placement: PlacementRules = PlacementRules()
     far_factor: float = 0.0
+    admission: AdmissionPolicyFactory = ADMISSION_POLICIES.get("open_jobs")
 
     @classmethod
     def from_config(
         cls,
         listing: str,
+        *,
         placement: str = "batch",
-        far_factor: float = 0.0,
         preemption: str = "priority",
+        far_factor: float = 0.0,
+        admission: str = "open_jobs",
     ) -> LeaderPolicies:
         """Return the policies with these names.
 
@@ -47,4 +55,5 @@
             listing == "expected",
             PlacementRules.from_config(placement, preemption),
             far_factor,
+            ADMISSION_POLICIES.get(admission),
         )
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -140,9 +140,10 @@
             self._metrics,
             LeaderPolicies.from_config(
                 settings.listing,
-                settings.placement,
-                settings.far_factor,
-                settings.preemption,
+                placement=settings.placement,
+                preemption=settings.preemption,
+                far_factor=settings.far_factor,
+                admission=settings.admission,
             ),
         )
         forwarder = ForwardingController(
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from marjoramgrade.decisions.admission.gate import ADMISSION_POLICIES
 from marjoramgrade.decisions.intake.bounds import IntakeBounds
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
 from marjoramgrade.decisions.preemption_price import PREEMPTION_RULES
@@ -56,6 +57,7 @@
             if unknown.
         memory_mb: Memory that the instance may use, in MB; 0 if it is not known.
         max_fds: Number of descriptors that it may open; 0 if it is not known.
+        admission: Name of the policy that admits new jobs.
     """
 
     instance_id: str
@@ -81,6 +83,7 @@
     far_factor: float = 0.0
     memory_mb: int = 0
     max_fds: int = 0
+    admission: str = "open_jobs"
 
     @property
     def strength(self) -> int:
@@ -132,6 +135,10 @@
         IntakeBounds.from_config(settings.memory_mb, settings.max_fds)
     except InvalidInputError as error:
         problems.append(SettingsProblem("memory_mb, max_fds", error.message))
+    if settings.admission not in ADMISSION_POLICIES.iter_names():
+        problems.append(
+            SettingsProblem("admission", f"no policy is named {settings.admission!r}")
+        )
     if problems:
         raise SettingsError(problems)
     return settings
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -40,6 +40,7 @@
 )
 from marjoramgrade.messages.steps import PendingCount, StepJobShown
 from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.platform import frontend
 from marjoramgrade.platform.configuration import parse_config
 from marjoramgrade.platform.frontend import (
     ClientFrontend,
@@ -304,6 +305,16 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("retry_after_ms", "seconds"), [(0, 1), (1, 1), (4_001, 5), (10**15, 60)]
+)
+def test_overload_tells_in_whole_seconds_when_to_retry(retry_after_ms, seconds):
+    # Guards against clients that come back before there is room, or never.
+    error = OverloadedError("full", retry_after_ms=retry_after_ms)
+    assert frontend.retry_after_s(error) == seconds
+    assert frontend.retry_after_s(NoLeaderError("nobody")) == 1
+
+
 class ConfiguredFilter(Filter):
     """Answers, or refuses, under a configuration of a known version and age."""
 
@@ -531,3 +542,24 @@
         assert running == 0
 
     asyncio.run(run())
+
+
+def test_admission_policy_must_be_known(tmp_path: pathlib.Path):
+    # Guards against a misspelt policy, which would be found only once the instance
+    # leads.
+    known = {
+        "instance_id": "a",
+        "zone": "z",
+        "host": "127.0.0.1",
+        **dict.fromkeys(("front", "ready", "store"), "127.0.0.1:1"),
+        **dict.fromkeys(("peer_port", "metrics_port", "longest_lease_ms"), 1),
+        **dict.fromkeys(("cpu_share", "cores", "link_mbps"), 1.0),
+        **dict.fromkeys(("status_s", "shutdown_s"), 1),
+    }
+    path = tmp_path / "settings"
+    for name in ("open_jobs", "estimate"):
+        path.write_bytes(msgspec.json.encode({**known, "admission": name}))
+        assert read_settings(path).admission == name
+    path.write_bytes(msgspec.json.encode({**known, "admission": "estimates"}))
+    with pytest.raises(SettingsError, match="admission"):
+        read_settings(path)
--- a/tests/test_workerspeed.py
+++ b/tests/test_workerspeed.py
@@ -220,7 +220,7 @@
     assert {start.worker_id for start in starts(harness.plan())} == {"s"}
     assert LeaderPolicies.from_config("periodic").placement == PlacementRules()
     with pytest.raises(UnknownNameError):
-        LeaderPolicies.from_config("periodic", "fastest")
+        LeaderPolicies.from_config("periodic", placement="fastest")
 
 
 @pytest.mark.parametrize("workers", [176, 3_000])
