--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -6,11 +6,12 @@
 import math
 import operator
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 
 import attrs
 
 from marjoramgrade.decisions.advisorchannels import AdvisorChannels
+from marjoramgrade.decisions.locality.placing import RackPlacement
 from marjoramgrade.decisions.locality.waits import RackWaitChange, RackWaits
 from marjoramgrade.decisions.stepactions import AskAdvice
 from marjoramgrade.decisions.stepholds import LARGE_SHARE, CapacityHolds, Slot
@@ -70,7 +71,7 @@
     is_cut: bool = False
     _starts: int = 0
     _holds: CapacityHolds = attrs.field(init=False)
-    _waits: RackWaits = attrs.field(init=False)
+    _racks: RackPlacement = attrs.field(init=False)
     # Average capacity of the workers of each pool, computed when a plan first needs it.
     _usual_capacity_by_pool: dict[str, Resources] = attrs.field(factory=dict)
     # Steps of a pool that the plan found no capacity for.
@@ -81,11 +82,14 @@
 
     def __attrs_post_init__(self) -> None:
         self._holds = CapacityHolds(Preemption(self.state), self.state.durations)
-        self._waits = self._make_waits()
+        self._racks = self._make_racks()
 
-    def _make_waits(self) -> RackWaits:
+    def _make_racks(self) -> RackPlacement:
         state = self.state
-        return RackWaits(state.far_factor, state.durations, state.worker_by_id)
+        waits = RackWaits(state.far_factor, state.durations, state.worker_by_id)
+        return RackPlacement(
+            waits, self._holds, self.count_by_outcome, self.rack_wait_changes
+        )
 
     def plan(self, now_ms: int, unix_ms: int) -> None:
         """Order all starts that are possible now."""
@@ -98,7 +102,7 @@
             self.state, self.rules.preemption, unix_ms - now_ms, self.count_by_outcome
         )
         self._holds = CapacityHolds(preemption, self.state.durations)
-        self._waits = self._make_waits()
+        self._racks = self._make_racks()
         self._usual_capacity_by_pool.clear()
         self._unplaced_by_pool.clear()
         self._most_free_by_pool.clear()
@@ -363,17 +367,17 @@
             return "team_limit"
         if self._fits_nowhere(step, now_ms):
             return "no_room"
-        near_rack = self._waits.near_rack(step)
+        near_rack = self._racks.waits.near_rack(step)
         near = self._permitted_on(step, near_rack, now_ms) if near_rack else []
         # The workers near the data are few. The others are searched only if needed.
         permitted = None if near else self.permitted(step, now_ms)
         if permitted is not None and not permitted:
             return "no_permitted_worker"
-        if permitted and self._waits.prefers_one_rack(step):
+        if permitted and self._racks.waits.prefers_one_rack(step):
             waiting = sum(1 for _ in step.iter_waiting())
-            permitted = self._choose_rack(step, permitted, waiting, now_ms)
+            permitted = self._racks.choose_rack(step, permitted, waiting, now_ms)
             if permitted is None:
-                return self._record_rack_wait(step, now_ms)
+                return self._racks.record_wait(step, now_ms)
         has_waiting = has_far = False
         waiting_near: int | None = None
         for index in list(step.iter_waiting()):
@@ -387,7 +391,9 @@
                 return "plan_cut"
             worker = self._choose_near(step, index, near, now_ms)
             if near and worker is None and waiting_near is None:
-                waiting_near = self._wait_near(step, near, now_ms)
+                waiting_near = self._racks.wait_near(
+                    step, near, self._most_free(step.job.queue.pool, now_ms), now_ms
+                )
                 if waiting_near:
                     has_waiting, waiting_near = True, waiting_near - 1
                     continue
@@ -402,10 +408,10 @@
             if near_rack:
                 is_far = near_rack != worker.worker.rack
                 has_far = has_far or is_far
-                self._count_place(step, is_far=is_far)
+                self._racks.count_place(step, is_far=is_far)
         if has_waiting:
-            return self._record_rack_wait(step, now_ms)
-        self._record_rack_wait_end(step, is_far=has_far, now_ms=now_ms)
+            return self._racks.record_wait(step, now_ms)
+        self._racks.record_wait_end(step, is_far=has_far, now_ms=now_ms)
         return ""
 
     def _permitted_on(
@@ -439,82 +445,6 @@
             return None
         return worker
 
-    def _wait_near(
-        self, step: StepProgress, near: list[WorkerState], now_ms: int
-    ) -> int:
-        """Return how many tasks of a step wait for capacity on their rack.
-
-        None do if there is none elsewhere either: room is made for them as for others.
-        """
-        need = step.step.resources
-        if not need.fits(self._most_free(step.job.queue.pool, now_ms)):
-            return 0
-        usable = [
-            worker
-            for worker in near
-            # With capacity, it was left out for another reason, which may last.
-            if not worker.has_capacity(need, uses_spare=False)
-            and self._holds.allows(step, worker, now_ms)
-        ]
-        waiting = sum(1 for _ in step.iter_waiting())
-        rack = near[0].worker.rack
-        return self._waits.wait(step, rack, usable, waiting, now_ms)
-
-    def _choose_rack(
-        self, step: StepProgress, permitted: list[WorkerState], count: int, now_ms: int
-    ) -> list[WorkerState] | None:
-        """Choose the workers for tasks that are faster together, or near their data.
-
-        Returns:
-            The permitted workers of the rack that has least room beside the tasks; all
-            permitted workers if no rack has enough room and waiting does not pay; None
-            if the tasks wait.
-        """
-        by_rack: dict[str, list[WorkerState]] = {}
-        for worker in permitted:
-            if step.step.data_rack in ("", worker.worker.rack):
-                by_rack.setdefault(worker.worker.rack, []).append(worker)
-        sufficient = [
-            found
-            for found in by_rack.values()
-            if len(self._free_slots(step, found, count, now_ms)) >= count
-        ]
-        if sufficient:
-            return min(
-                sufficient,
-                key=lambda found: sum(worker.free_cpu_millis for worker in found),
-            )
-        if not self._free_slots(step, permitted, 1, now_ms):
-            return permitted
-        for rack, found in by_rack.items():
-            allowed = [w for w in found if self._holds.allows(step, w, now_ms)]
-            if self._waits.wait(step, rack, allowed, count, now_ms, together=True):
-                return None
-        return permitted
-
-    def _record_rack_wait(self, step: StepProgress, now_ms: int) -> str:
-        change = self._waits.record_wait(step, now_ms)
-        if change is not None:
-            self.rack_wait_changes.append(change)
-        return "awaits_rack"
-
-    def _record_rack_wait_end(
-        self, step: StepProgress, *, is_far: bool, now_ms: int
-    ) -> None:
-        outcome = "waited_elsewhere" if is_far else "waited_near"
-        change = self._waits.record_end(step, outcome, now_ms)
-        if change is not None:
-            self.rack_wait_changes.append(change)
-
-    def _count_place(self, step: StepProgress, *, is_far: bool) -> None:
-        """Count the place of a task whose duration depends on it."""
-        has_waited = bool(step.rack_wait_since_ms)
-        if has_waited:
-            outcome = "waited_elsewhere" if is_far else "waited_near"
-        else:
-            outcome = "not_worth_waiting" if is_far else "near"
-        self.count_by_outcome[outcome] += 1
-
     def _place_gang(self, step: StepProgress, headroom: Resources, now_ms: int) -> str:
         """Start all tasks of a gang or none; returns why it waits, or ""."""
         if step.runs_by_index:
@@ -527,11 +457,11 @@
         chosen = self._choose_gang_workers(step, permitted, now_ms)
         if chosen is None:
             return "no_room"
-        is_placed_together = self._waits.prefers_one_rack(step)
+        is_placed_together = self._racks.waits.prefers_one_rack(step)
         if is_placed_together:
-            rack = self._choose_rack(step, permitted, step.step.count, now_ms)
+            rack = self._racks.choose_rack(step, permitted, step.step.count, now_ms)
             if rack is None:
-                return self._record_rack_wait(step, now_ms)
+                return self._racks.record_wait(step, now_ms)
             chosen = self._choose_gang_workers(step, rack, now_ms) or chosen
         if not self.state.place(step, dict(enumerate(chosen)), now_ms):
             return "team_limit"
@@ -539,8 +469,8 @@
         if is_placed_together:
             racks = {worker.worker.rack for worker in chosen}
             is_far = racks != {step.step.data_rack or chosen[0].worker.rack}
-            self._count_place(step, is_far=is_far)
-            self._record_rack_wait_end(step, is_far=is_far, now_ms=now_ms)
+            self._racks.count_place(step, is_far=is_far)
+            self._racks.record_wait_end(step, is_far=is_far, now_ms=now_ms)
         return ""
 
     def _choose_gang_workers(
@@ -551,43 +481,13 @@
         if self.rules.prefers_fast(step):
             # The slowest member decides.
             permitted = sorted(permitted, key=lambda worker: -worker.speed.grade)
-        slots = self._free_slots(step, permitted, count, now_ms)
+        slots = self._racks.free_slots(step, permitted, count, now_ms)
         if len(slots) < count:
             return None
         if step.step.same_rack:
             slots = self._prefer_one_rack(slots, count)
         return slots[:count]
 
-    def _free_slots(
-        self,
-        step: StepProgress,
-        workers: Iterable[WorkerState],
-        count: int,
-        now_ms: int,
-    ) -> list[WorkerState]:
-        """Return the workers for up to `count` tasks that fit together now.
-
-        A worker is in the list once for each task that fits on it.
-        """
-        need, spare = step.step.resources, step.step.uses_spare
-        max_runs = step.step.max_per_worker or count
-        slots: list[WorkerState] = []
-        for worker in workers:
-            if len(slots) >= count:
-                break
-            if worker.suspicion.probing or not self._holds.allows(step, worker, now_ms):
-                continue
-            trial = attrs.evolve(worker)
-            for _ in range(min(max_runs, count - len(slots))):
-                if not trial.has_capacity(need, uses_spare=spare):
-                    break
-                if spare:
-                    trial.spare_used = trial.spare_used + need
-                else:
-                    trial.used = trial.used + need
-                slots.append(worker)
-        return slots
-
     @staticmethod
     def _prefer_one_rack(slots: list[WorkerState], count: int) -> list[WorkerState]:
         """Return the slots of the smallest sufficient rack, or all if none suffices."""
@@ -662,7 +562,7 @@
             with_room.sort(key=lambda w: -w.free_cpu_millis * w.speed.factor)
         else:
             with_room.sort(key=lambda worker: -worker.free_cpu_millis)
-        if near_rack := self._waits.near_rack(step):
+        if near_rack := self._racks.waits.near_rack(step):
             with_room.sort(key=lambda worker: worker.worker.rack != near_rack)
         wanted = cache.workers_to_ask(worker.worker.worker_id for worker in with_room)
         return wanted[:MAX_WORKERS_PER_CALL]
