Record less for ordinary requests, and bound the /v1 interface in a test

Cause: each request changed the budget four times, and a large body waited for 32 turns. Change: the bytes of a response are recorded only if the other side does not take them at once, and a segment has 16 KB.

--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -10,7 +10,7 @@
 import socket
 
 import attrs
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from marjoramgrade import logs
 from marjoramgrade.clock import Clock, SystemClock
@@ -27,9 +27,9 @@
 SWEEP_MS = 500
 # Refusing has ended once no connection was closed to make room for this long.
 REFUSING_MS = 2_000
-# Small enough that a thousand connections that wait for their turn hold 8 MB, and large
-# enough that a body of the largest size takes 32 reads.
-READ_BYTES = 8_192
+# Small enough that 640 connections that wait for their turn hold 10 MB, and large
+# enough that a body of the largest size takes 16 turns.
+READ_BYTES = 16_384
 BLOCK_BYTES = 16_384
 _ROOM_REASONS = (CloseReason.BUDGET, CloseReason.CONNECTIONS)
 
@@ -55,6 +55,7 @@
             connection, max_buffer_size=max_buffer_size, read_chunk_size=READ_BYTES
         )
         self._intake = intake
+        self._unsent_bytes = 0
         self.use = use
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -68,15 +69,23 @@
     def write_to_fd(self, data: memoryview) -> int:
         """Write to the socket and record what the other side has taken."""
         count = super().write_to_fd(data)
-        if count:
-            self._intake.record_sent(self.use, count)
+        self._unsent_bytes -= count
+        self.use.progress_ms = self._intake.now_ms()
+        if self.use.unsent_bytes:
+            self._intake.record_unsent(self.use, self._unsent_bytes)
         return count
 
     def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
-        """Queue bytes for sending, which are held until they are sent."""
-        if not self.closed():
-            self._intake.record_queued(self.use, len(data))
-        return super().write(data)
+        """Send bytes, and record those that the other side does not take at once."""
+        self._unsent_bytes += len(data)
+        try:
+            return super().write(data)
+        except (StreamClosedError, StreamBufferFullError):
+            self._unsent_bytes -= len(data)
+            raise
+        finally:
+            if self._unsent_bytes != self.use.unsent_bytes:
+                self._intake.record_unsent(self.use, self._unsent_bytes)
 
     def close_fd(self) -> None:
         """Close the socket and release what the connection holds."""
@@ -176,7 +185,8 @@
 
         Args:
             connection: The connected socket.
-            others: The open connections of the port; the new one is added.
+            others: The connections of the port, of which some may have been closed;
+                the new one is added.
             max_connections: Limit for them.
             max_buffer_size: Limit of the read buffer in bytes.
             is_identified: Whether the other side need not introduce itself.
@@ -185,7 +195,8 @@
             The stream of the connection, or None if there is no room.
         """
         now_ms = self.now_ms()
-        others.intersection_update(self._stream_by_use.keys())
+        if len(others) >= max_connections:
+            others.intersection_update(self._stream_by_use.keys())
         if len(others) >= max_connections:
             chosen = choose_for_new(others, now_ms)
             if chosen is None:
@@ -209,7 +220,8 @@
 
     def begin_message(self, use: ConnectionUse) -> None:
         """Record that a connection is idle; what its last message held is released."""
-        self._budget.change(use, received=-use.received_bytes)
+        if use.received_bytes:
+            self._budget.change(use, received=-use.received_bytes)
         use.enter(Phase.IDLE, self.now_ms())
         use.has_read = False
 
@@ -229,14 +241,9 @@
         self._budget.change(use, received=count)
         self._enforce_budget()
 
-    def record_queued(self, use: ConnectionUse, count: int) -> None:
-        """Record bytes that are to be sent."""
-        self._budget.change(use, unsent=count)
-
-    def record_sent(self, use: ConnectionUse, count: int) -> None:
-        """Record bytes that have been sent."""
-        self._budget.change(use, unsent=-count)
-        use.progress_ms = self.now_ms()
+    def record_unsent(self, use: ConnectionUse, count: int) -> None:
+        """Record how many bytes of responses are to be sent."""
+        self._budget.change(use, unsent=count - use.unsent_bytes)
 
     async def await_turn_of_next(self, use: ConnectionUse) -> None:
         """Wait before a message that was received together with the one before it.
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -58,8 +58,8 @@
 MAX_UNSENT_BYTES = 8 * 1_048_576
 # A hello holds the id of an instance.
 MAX_HELLO_BYTES = 4_096
-# Frames of one connection that are read without waiting for its turn. A peer that was
-# paused sends more at once.
+# A connection waits for its turn after this many frames, so that one with very many
+# does not keep others from being served.
 FRAMES_PER_TURN = 8
 # Calls of one connection that run at a time; it is not read on above that. An instance
 # has fewer clients.
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -10,7 +10,9 @@
 import pytest
 from tornado.testing import bind_unused_port
 
+from marjoramgrade.actor import Actor
 from marjoramgrade.adapters import intake as intake_module
+from marjoramgrade.adapters.httpfront import HttpServerState, make_server
 from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
 from marjoramgrade.adapters.intake import BodyBuffer, Intake
 from marjoramgrade.adapters.peercodec import MAX_FRAME_BYTES
@@ -35,6 +37,7 @@
 )
 from marjoramgrade.decisions.intake.turns import SEGMENTS_PER_TURN, TurnQueue
 from marjoramgrade.errors import InvalidInputError
+from marjoramgrade.filters.chain import FilterChain
 from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.platform.frontend import (
     MAX_BODY_BYTES,
@@ -190,11 +193,13 @@
     assert len(buffer) == 0
 
 
+def plain_server(intake, respond, max_connections=10):
+    limits = PortLimits(1_000_000, max_connections)
+    return DrainingHttpServer(respond, intake=intake, limits=limits)
+
+
 @contextlib.asynccontextmanager
-async def serving(intake, respond, max_connections=10):
-    server = DrainingHttpServer(
-        respond, intake=intake, limits=PortLimits(1_000_000, max_connections)
-    )
+async def serving(server):
     listening, port = bind_unused_port()
     server.add_socket(listening)
     with contextlib.ExitStack() as stack:
@@ -231,7 +236,7 @@
         request.connection.stream.write(head + b"x" * size)
 
     async def run(intake, reason):
-        async with serving(intake, respond) as connect:
+        async with serving(plain_server(intake, respond)) as connect:
             connect(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
             counts = intake.metrics.count_by_name
             await wait_for(lambda: counts[f"closed.{reason}"] == 1)
@@ -254,7 +259,7 @@
         clock = ManualClock(1)
         intake = make_intake(clock)
         counts = intake.metrics.count_by_name
-        async with serving(intake, lambda request: None, max_connections=2) as connect:
+        async with serving(plain_server(intake, lambda _: None, 2)) as connect:
             head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"
             for _ in range(5):
                 connect(head)
@@ -265,3 +270,31 @@
             await wait_for(lambda: events == ["intake_refusing", "intake_accepting"])
 
     asyncio.run(run())
+
+
+def test_v1_interface_is_bounded():
+    # Guards against the bounds of the other ports missing on this one.
+    async def run():
+        intake = make_intake(body_bytes=6_000, small_bytes=0)
+        state = HttpServerState(
+            FilterChain([], intake.metrics),
+            Actor(),
+            intake.clock,
+            intake.metrics,
+            2_000,
+        )
+        head = "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n"
+        async with serving(make_server(state, 2_000, intake)) as connect:
+            for _ in range(8):
+                connect(head.format(2_000).encode() + b"x" * 1_999)
+            counts = intake.metrics.count_by_name
+            await wait_for(lambda: counts["closed.budget"] == 5)
+            assert intake._budget.held_bytes == 3 * 1_999
+            loop = asyncio.get_running_loop()
+            for data, status in ((b"{", 400), (b"", 413)):
+                size = len(data) or 4_001
+                client = connect(head.format(size).encode() + data)
+                answer = await asyncio.wait_for(loop.sock_recv(client, 99), 5)
+                assert answer.startswith(b"HTTP/1.1 %d" % status)
+
+    asyncio.run(run())
