Attribute the last heartbeat to the leader that sent it

An instance that had heard the former leader took that heartbeat for one of the successor as soon as it had read the new row. It compared the successor's first renewal with the clock of another machine and replaced it, or left it 550 ms instead of 2 s to recover. Both tests fail without the change.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -137,6 +137,8 @@
         # 0 if no heartbeat has arrived, or if the leader has left or its process ended.
         self._last_heartbeat_ms = 0
         self._last_heartbeat_clock_ms = 0
+        # The leader that sent that heartbeat; its successor may not be heard yet.
+        self._heard_leader = LeaderRow(0, "")
         # Since when the current leader is known, heard or not.
         self._leader_since_ms = clock.now_ms()
         # Epoch of the last leader that has said that it leaves.
@@ -187,6 +189,7 @@
         if message.confirmed_age_ms < UNCONFIRMED_LIMIT_MS:
             self._last_heartbeat_ms = self._clock.now_ms()
             self._last_heartbeat_clock_ms = message.clock_ms
+            self._heard_leader = LeaderRow(message.epoch, message.leader_id)
         self._follow(LeaderRow(message.epoch, message.leader_id))
         self._tell_subscribers(message)
 
@@ -429,7 +432,7 @@
 
     def _last_heartbeat(self) -> LastHeartbeat:
         return LastHeartbeat(
-            self._leader,
+            self._heard_leader,
             self._last_heartbeat_ms,
             self._last_heartbeat_clock_ms,
             has_left=self._left_epoch >= max(1, self._leader.epoch),
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -284,6 +284,52 @@
     asyncio.run(run())
 
 
+def test_new_leader_is_not_judged_by_the_clock_of_the_former_one():
+    # Guards against replacing a leader at its first renewal because the instance
+    # compared it with a heartbeat of the leader before, which another clock stamped.
+    async def run():
+        store = MemoryRowStore()
+        write_leader(store, 4, "c")
+        known = members(a=1, b=1, c=1)
+        async with instance(store, known=known) as (leadership, recorder):
+            leadership.tell(LeaderBeat(4, "c", 5_000_000))
+            await asyncio.sleep(0.45)
+            write_leader(store, 5, "b")
+            for renewed_ms in range(1_100, 2_600, 300):
+                value = str(renewed_ms).encode()
+                store.apply(CommitRows((), (RowWrite(RENEWAL_ROW, value),)))
+                await asyncio.sleep(0.3)
+            assert not has_taken_lead(recorder, 6)
+
+    asyncio.run(run())
+
+
+def test_successor_of_a_leader_that_was_heard_is_left_time_to_recover():
+    # Guards against replacing a leader that still recovers because the heartbeats of
+    # the leader before it counted as its own.
+    class SucceededRows(MemoryRowStore):
+        @handles(ReadRows)
+        async def _read(self, message: ReadRows) -> RowsPage:
+            page = await super()._read(message)
+            if parse_row(self.rows[EPOCH_ROW].value, LeaderRow).epoch == 4:
+                row = RowWrite(EPOCH_ROW, serialize_row(LeaderRow(5, "b")))
+                self.apply(CommitRows((), (row,)))
+            return page
+
+    async def run():
+        store = SucceededRows()
+        write_leader(store, 4, "c")
+        known = members(a=1, b=1, c=1)
+        async with instance(store, known=known) as (leadership, recorder):
+            leadership.tell(LeaderBeat(4, "c", 1_000))
+            await asyncio.sleep(1.8)
+            assert not has_taken_lead(recorder, 6)
+            # It is replaced once that time is over.
+            await wait_until(lambda: has_taken_lead(recorder, 6))
+
+    asyncio.run(run())
+
+
 def test_strongest_instance_takes_the_lead_first():
     # Guards against a leader with a slow link while stronger instances exist.
     async def run():
