Replace a leader that most do not hear by any candidate

Candidates from the eleventh on read the rows again before they take the lead, and gave up if the leader had renewed its row meanwhile. A leader that most instances do not hear goes on renewing, so it stayed if the first ten candidates hear it. The test fails with ten earlier candidates without the change.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -372,6 +372,7 @@
             return
         if not row.epoch and not self._has_member_list():
             return
+        is_unheard = False
         if row.leader_id and not is_own:
             is_leader_down = (
                 row.epoch == self._ended_epoch
@@ -379,9 +380,11 @@
                     self._last_heartbeat(), now_ms, len(self._members)
                 )
             )
-            if not is_leader_down and not await self._is_unheard_by_majority():
-                return
-        if await self._is_still_needed(self._candidacy()):
+            if not is_leader_down:
+                is_unheard = await self._is_unheard_by_majority()
+                if not is_unheard:
+                    return
+        if await self._is_still_needed(self._candidacy(), may_renew=is_unheard):
             await self._take_over()
 
     def _has_member_list(self) -> bool:
@@ -393,17 +396,25 @@
             self._clock.now_ms(),
         )
 
-    async def _is_still_needed(self, candidacy: Candidacy) -> bool:
-        """Wait for earlier candidates and return whether none of them leads."""
-        versions = self._monitor.row_version, self._monitor.renewal_version
+    async def _is_still_needed(self, candidacy: Candidacy, *, may_renew: bool) -> bool:
+        """Wait for earlier candidates and return whether none of them leads.
+
+        Args:
+            candidacy: The place of this instance among the candidates.
+            may_renew: Whether the leader is replaced even if it still renews its row.
+        """
+        row_version = self._monitor.row_version
+        renewal_version = self._monitor.renewal_version
         await asyncio.sleep(candidacy.takeover_delay_ms / 1000)
         if self._clock.now_ms() - self._last_heartbeat_ms < HEARTBEAT_TIMEOUT_MS:
             return False
         if not candidacy.must_read_again:
             return True
-        return await self._read_leadership() and versions == (
-            self._monitor.row_version,
-            self._monitor.renewal_version,
+        if not await self._read_leadership():
+            return False
+        is_renewed = self._monitor.renewal_version != renewal_version
+        return row_version == self._monitor.row_version and (
+            may_renew or not is_renewed
         )
 
     async def _read_leadership(self) -> bool:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -48,12 +48,14 @@
     Attributes:
         received: The recorded messages; for messages to peers, their content.
         alive: Ids of the instances that reply to calls.
+        unheard_ms: For how long these instances have not heard the leader.
     """
 
     def __init__(self):
         super().__init__()
         self.received = []
         self.alive = set()
+        self.unheard_ms = 0
 
     @handles(LeadershipAcquired)
     async def _leadership_acquired(self, message: LeadershipAcquired) -> None:
@@ -82,7 +84,7 @@
     @handles(CallPeer)
     async def _call_peer(self, message: CallPeer) -> object:
         if message.instance_id in self.alive:
-            return LeaderAge(1, 0)
+            return LeaderAge(1, self.unheard_ms)
         raise OwnerUnreachableError("the instance refuses connections")
 
 
@@ -330,6 +332,28 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("stronger", [2, 10])
+def test_leader_that_most_do_not_hear_is_replaced_although_it_writes(stronger):
+    # Guards against a leader that keeps the lead because the first ten candidates hear
+    # it: each later one took its renewals for a sign that another candidate leads.
+    async def run():
+        store = MemoryRowStore()
+        write_leader(store, 4, "b")
+        others = {f"s{number}": 2 for number in range(stronger)}
+        known = members(a=1, b=1, **others)
+        async with instance(store, known=known) as (_, recorder):
+            recorder.alive, recorder.unheard_ms = set(others), 10_000
+            for number in range(45):
+                if has_taken_lead(recorder, 5):
+                    return
+                value = str(number).encode()
+                store.apply(CommitRows((), (RowWrite(RENEWAL_ROW, value),)))
+                await asyncio.sleep(0.1)
+            pytest.fail("no instance replaced the leader")
+
+    asyncio.run(run())
+
+
 def test_strongest_instance_takes_the_lead_first():
     # Guards against a leader with a slow link while stronger instances exist.
     async def run():
