Read frames that arrive one by one without waiting for a turn

Every eighth frame of a connection waited for a turn, also if the frames came 150 ms apart. While clients send hundreds of bodies in small chunks, a turn comes after all of theirs, so heartbeats of the leader were late. Now only frames that were received together are counted. The test fails without the change; frames received at once are still read in turns.

--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import struct
 from collections.abc import Awaitable
 from typing import Any
@@ -58,8 +57,8 @@
 MAX_UNSENT_BYTES = 8 * 1_048_576
 # A hello holds the id of an instance.
 MAX_HELLO_BYTES = 4_096
-# Frames of one connection that are read without waiting for its turn. A peer that was
-# paused sends more at once.
+# Frames that are read one after the other without waiting for a turn. A peer that was
+# paused sends more at once; between frames that arrive one by one there is no wait.
 FRAMES_PER_TURN = 8
 # Calls of one connection that run at a time; it is not read on above that. An instance
 # has fewer clients.
@@ -93,7 +92,11 @@
         ProtocolError: If the frame is invalid or too large.
     """
     # The limits of time count from the first byte of the frame.
-    prefix = await stream.read_bytes(1)
+    first_byte = asyncio.ensure_future(stream.read_bytes(1))
+    if not first_byte.done():
+        stream.use.messages_in_row = 0
+    stream.use.messages_in_row += 1
+    prefix = await first_byte
     if stream.use.has_read:
         stream.use.turns = 0
     intake.begin_body(stream.use)
@@ -319,9 +322,10 @@
     async def _serve_frames(self, stream: MeasuredStream, peer_id: str) -> None:
         calls = asyncio.Semaphore(MAX_CALLS)
         try:
-            for number in itertools.count(1):
+            while True:
                 frame = await read_bounded_frame(stream, self._intake, MAX_FRAME_BYTES)
-                if number % FRAMES_PER_TURN == 0:
+                if stream.use.messages_in_row >= FRAMES_PER_TURN:
+                    stream.use.messages_in_row = 0
                     await self._intake.await_turn(stream.use)
                 await calls.acquire()
                 self._spawn(self._serve(stream, peer_id, frame), calls)
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -45,6 +45,8 @@
             not its own fault.
         has_read: Whether bytes were received since the last message ended.
         turns: Number of turns used since it last waited for bytes of a new message.
+        messages_in_row: Number of messages read, the present one included, without a
+            wait for the other side and without a turn.
         received_bytes: Bytes held of a message that has not been answered.
         unsent_bytes: Bytes of responses that the other side has not read.
     """
@@ -57,6 +59,7 @@
     is_waiting: bool = False
     has_read: bool = False
     turns: int = 0
+    messages_in_row: int = 0
     received_bytes: int = 0
     unsent_bytes: int = 0
 
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -9,7 +9,9 @@
 
 import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
 from marjoramgrade.actor import Actor, handles
-from marjoramgrade.adapters.peerlink import PeerLink, PeerServer
+from marjoramgrade.adapters.intake import Intake
+from marjoramgrade.adapters.peercodec import Hello, PeerFrame, serialize_frame
+from marjoramgrade.adapters.peerlink import FRAMES_PER_TURN, PeerLink, PeerServer
 from marjoramgrade.messages.peers import (
     InboundMessage,
     Member,
@@ -59,3 +61,54 @@
             await wait_until(lambda: PeerDisconnected("b") in receiver.received)
 
     asyncio.run(run())
+
+
+def test_heartbeats_do_not_wait_for_the_turns_of_bodies():
+    # Guards against a leader that counts as lost while clients send hundreds of bodies
+    # in small chunks: every eighth heartbeat waited behind all of them.
+    async def run():
+        receiver = Receiver()
+        socket, port = bind_unused_port()
+        intake = Intake.from_config()
+        # No turn is given.
+        intake._turning = asyncio.get_running_loop().call_later(60, lambda: None)
+        server = PeerServer(receiver, intake=intake)
+        link = PeerLink("b", "127.0.0.1", Member("a", "north", "127.0.0.1", port))
+        async with contextlib.AsyncExitStack() as stack:
+            await receiver.start()
+            stack.push_async_callback(receiver.stop)
+            server.add_socket(socket)
+            stack.push_async_callback(server.close)
+            await link.start()
+            stack.push_async_callback(link.stop)
+            for count in range(1, 2 * FRAMES_PER_TURN + 2):
+                link.tell(TellOverLink(LeaderBeat(count, "b")))
+                await wait_until(lambda count=count: len(receiver.received) == count)
+
+    asyncio.run(run())
+
+
+def test_many_frames_received_at_once_are_read_in_turns():
+    # Guards against a connection that keeps the event loop from all others.
+    async def run():
+        receiver = Receiver()
+        socket, port = bind_unused_port()
+        intake = Intake.from_config()
+        intake._turning = asyncio.get_running_loop().call_later(60, lambda: None)
+        server = PeerServer(receiver, intake=intake)
+        async with contextlib.AsyncExitStack() as stack:
+            await receiver.start()
+            stack.push_async_callback(receiver.stop)
+            server.add_socket(socket)
+            stack.push_async_callback(server.close)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            stack.callback(writer.close)
+            beats = [LeaderBeat(count, "b") for count in range(4 * FRAMES_PER_TURN)]
+            frames = [Hello("b"), *beats]
+            for data in (serialize_frame(PeerFrame(0, frame)) for frame in frames):
+                writer.write(len(data).to_bytes(4, "big") + data)
+            await wait_until(lambda: intake._turns)
+            await asyncio.sleep(0.05)
+            assert len(receiver.received) <= FRAMES_PER_TURN
+
+    asyncio.run(run())
