Answer a large body that was read completely

A large body waits for a turn before it is decoded. It counted as unfinished meanwhile, and as the one with the most bytes it was the first to be closed when other bodies filled the budget, so that a complete submission got no answer. The test fails without the change.

--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -151,6 +151,9 @@
             if len(self._body) > self.limits.max_body_bytes:
                 self._refuse()
             else:
+                if len(self._body) == self._expected_bytes:
+                    # It is answered from here on, even if it waits to be decoded.
+                    self.intake.end_body(self.stream.use)
                 self.intake.add_received(self.stream.use, len(chunk))
         # Decoding a large body takes tens of milliseconds, so the end of one waits too.
         is_small = len(self._body) <= SMALL_BODY_BYTES
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -5,13 +5,19 @@
 import asyncio
 import contextlib
 import socket
+import types
 
 import attrs
 import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.testing import bind_unused_port
 
 from marjoramgrade.adapters import intake as intake_module
-from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
+from marjoramgrade.adapters.httpserver import (
+    DrainingHttpServer,
+    PortLimits,
+    _BoundedMessage,
+)
 from marjoramgrade.adapters.intake import BodyBuffer, Intake
 from marjoramgrade.adapters.peercodec import MAX_FRAME_BYTES
 from marjoramgrade.clock import ManualClock, SystemClock
@@ -265,3 +271,32 @@
             await wait_for(lambda: events == ["intake_refusing", "intake_accepting"])
 
     asyncio.run(run())
+
+
+def test_complete_body_that_waits_for_its_turn_is_not_closed():
+    # Guards against a submission that was read completely and gets no answer because
+    # other bodies fill the budget while it waits to be decoded.
+    size = 4 * SMALL_BODY_BYTES
+
+    async def run():
+        intake = make_intake(body_bytes=2 * size - 1, small_bytes=0)
+        complete, arriving = ConnectionUse.opened(0), ConnectionUse.opened(0)
+        intake._budget.open(complete)
+        intake._budget.open(arriving)
+        stream = types.SimpleNamespace(use=complete, closed=lambda: False)
+        limits = PortLimits(2 * size, 10)
+        message = _BoundedMessage(intake, limits, stream, None, None)
+        complete.has_read = True
+        await message.headers_received(
+            RequestStartLine("POST", "/", "HTTP/1.1"),
+            HTTPHeaders({"Content-Length": str(size)}),
+        )
+        reading = asyncio.create_task(message.data_received(b"x" * size))
+        await asyncio.sleep(0)
+        assert complete.is_waiting
+        intake.begin_body(arriving)
+        intake.add_received(arriving, size)
+        await reading
+        return list(intake._budget.uses) == [complete]
+
+    assert asyncio.run(run())
