Close connections of instances after those of clients

While clients fill the budget of bodies, the connection with the most bytes is closed first. That was the one of another instance as soon as it sent a frame larger than a body, and all calls on it failed. One that made progress within the last second now comes after those of clients; one that has stalled is treated as before. The test fails without the change.

--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -310,7 +310,7 @@
             hello = frame.body
             if not isinstance(hello, Hello):
                 raise ProtocolError("the first frame of a connection must be a hello")
-            stream.use.is_identified = True
+            stream.use.identify_peer()
             await self._serve_frames(stream, hello.instance_id)
         except StreamClosedError:
             return
--- a/marjoramgrade/decisions/intake/budget.py
+++ b/marjoramgrade/decisions/intake/budget.py
@@ -17,6 +17,11 @@
 )
 from marjoramgrade.decisions.intake.connections import ConnectionUse
 
+# A connection of another instance carries the calls of all its clients. It is closed
+# only if nothing else can be, as long as it made progress within this time; a frame on
+# a slow link pauses for a few round trips at most.
+ACTIVE_PEER_MS = 1_000
+
 
 def choose_to_close(
     uses: Iterable[ConnectionUse], now_ms: int, connection_bytes: int = 0
@@ -25,7 +30,8 @@
 
     It is the one with the most bytes multiplied by the time without progress: neither a
     large body that is arriving nor a small one that has just stopped. Connections that
-    have not identified themselves come before all others.
+    have not identified themselves come before all others, and those of instances that
+    make progress after them.
 
     Args:
         uses: The connections to choose from.
@@ -34,9 +40,10 @@
             closing helps only with bytes.
     """
 
-    def loss(use: ConnectionUse) -> tuple[bool, int]:
-        size = use.held_bytes + connection_bytes
-        return (not use.is_identified, size * (use.idle_ms(now_ms) + 1))
+    def loss(use: ConnectionUse) -> tuple[bool, bool, int]:
+        size, idle_ms = use.held_bytes + connection_bytes, use.idle_ms(now_ms)
+        is_active_peer = use.is_peer and idle_ms < ACTIVE_PEER_MS
+        return (not use.is_identified, not is_active_peer, size * (idle_ms + 1))
 
     candidates = (
         use for use in uses if use.may_close and use.held_bytes + connection_bytes
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -39,6 +39,7 @@
         progress_ms: Time of its last byte, in either direction.
         is_identified: Whether the other side has introduced itself, on a port where it
             has to.
+        is_peer: Whether it is that of another instance, which has introduced itself.
         phase: What it is doing.
         phase_since_ms: Time at which the phase began.
         is_waiting: Whether it waits for its turn; it then makes no progress, which is
@@ -54,6 +55,7 @@
     opened_ms: int
     progress_ms: int
     is_identified: bool = True
+    is_peer: bool = False
     phase: Phase = Phase.IDLE
     phase_since_ms: int = 0
     is_waiting: bool = False
@@ -68,6 +70,10 @@
         """Return a connection that has just been opened."""
         return cls(now_ms, now_ms, is_identified, phase_since_ms=now_ms)
 
+    def identify_peer(self) -> None:
+        """Record that the other side has introduced itself as an instance."""
+        self.is_identified = self.is_peer = True
+
     @property
     def held_bytes(self) -> int:
         """Bytes that the process holds for this connection."""
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -30,6 +30,7 @@
     IntakeBounds,
 )
 from marjoramgrade.decisions.intake.budget import (
+    ACTIVE_PEER_MS,
     BodyBudget,
     choose_for_new,
     choose_to_close,
@@ -151,6 +152,16 @@
     assert (budget.held_bytes, budget.large_bytes, budget.uses) == (0, 0, {})
 
 
+def test_only_a_peer_that_makes_progress_comes_after_clients():
+    # Guards against strangers that say hello and then hold the budget.
+    body = used(100_000, progress_ms=5_000)
+    arriving = used(200_000, progress_ms=5_000, is_peer=True)
+    stalled = used(200_000, progress_ms=5_000 - ACTIVE_PEER_MS, is_peer=True)
+    assert choose_to_close([arriving, body], 5_000) is body
+    assert choose_to_close([stalled, body], 5_000) is stalled
+    assert choose_to_close([arriving], 5_000) is arriving
+
+
 def test_unidentified_peer_makes_room_first():
     # Guards against instances that lose their connections to strangers.
     peer = ConnectionUse.opened(0)
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+import attrs
 from tornado.testing import bind_unused_port
 
 import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
@@ -12,6 +13,8 @@
 from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.adapters.peercodec import Hello, PeerFrame, serialize_frame
 from marjoramgrade.adapters.peerlink import FRAMES_PER_TURN, PeerLink, PeerServer
+from marjoramgrade.decisions.intake.bounds import IntakeBounds
+from marjoramgrade.decisions.intake.connections import ConnectionUse
 from marjoramgrade.messages.peers import (
     InboundMessage,
     Member,
@@ -112,3 +115,37 @@
             assert len(receiver.received) <= FRAMES_PER_TURN
 
     asyncio.run(run())
+
+
+def test_frame_that_arrives_is_not_closed_for_the_bodies_of_clients():
+    # Guards against an instance that loses its connection to the leader, with all calls
+    # on it, because clients fill the budget while it sends a large frame.
+    size = 300_000
+
+    async def run():
+        receiver = Receiver()
+        socket, port = bind_unused_port()
+        bounds = attrs.evolve(IntakeBounds.from_config(), body_bytes=2 * size)
+        intake = Intake.from_config(attrs.evolve(bounds, small_bytes=0))
+        server = PeerServer(receiver, intake=intake)
+        async with contextlib.AsyncExitStack() as stack:
+            await receiver.start()
+            stack.push_async_callback(receiver.stop)
+            server.add_socket(socket)
+            stack.push_async_callback(server.close)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            stack.callback(writer.close)
+            hello = serialize_frame(PeerFrame(0, Hello("b")))
+            writer.write(len(hello).to_bytes(4, "big") + hello)
+            writer.write((size + 1).to_bytes(4, "big") + b"x" * size)
+            await wait_until(lambda: intake._budget.held_bytes == size)
+            (peer,) = intake._budget.uses
+            for _ in range(3):
+                body = ConnectionUse.opened(intake.now_ms())
+                intake._budget.open(body)
+                intake.begin_body(body)
+                intake.add_received(body, size - 50_000)
+            assert peer in intake._budget.uses
+            assert intake._budget.held_bytes <= 2 * size
+
+    asyncio.run(run())
