--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -137,6 +137,8 @@
         # 0 if no heartbeat has arrived, or if the leader has left or its process ended.
         self._last_heartbeat_ms = 0
         self._last_heartbeat_clock_ms = 0
+        # The leader that sent that heartbeat; its successor may not be heard yet.
+        self._heard_leader = LeaderRow(0, "")
         # Since when the current leader is known, heard or not.
         self._leader_since_ms = clock.now_ms()
         # Epoch of the last leader that has said that it leaves.
@@ -187,6 +189,7 @@
         if message.confirmed_age_ms < UNCONFIRMED_LIMIT_MS:
             self._last_heartbeat_ms = self._clock.now_ms()
             self._last_heartbeat_clock_ms = message.clock_ms
+            self._heard_leader = LeaderRow(message.epoch, message.leader_id)
         self._follow(LeaderRow(message.epoch, message.leader_id))
         self._tell_subscribers(message)
 
@@ -369,6 +372,7 @@
             return
         if not row.epoch and not self._has_member_list():
             return
+        is_unheard = False
         if row.leader_id and not is_own:
             is_leader_down = (
                 row.epoch == self._ended_epoch
@@ -376,9 +380,11 @@
                     self._last_heartbeat(), now_ms, len(self._members)
                 )
             )
-            if not is_leader_down and not await self._is_unheard_by_majority():
-                return
-        if await self._is_still_needed(self._candidacy()):
+            if not is_leader_down:
+                is_unheard = await self._is_unheard_by_majority()
+                if not is_unheard:
+                    return
+        if await self._is_still_needed(self._candidacy(), may_renew=is_unheard):
             await self._take_over()
 
     def _has_member_list(self) -> bool:
@@ -390,17 +396,25 @@
             self._clock.now_ms(),
         )
 
-    async def _is_still_needed(self, candidacy: Candidacy) -> bool:
-        """Wait for earlier candidates and return whether none of them leads."""
-        versions = self._monitor.row_version, self._monitor.renewal_version
+    async def _is_still_needed(self, candidacy: Candidacy, *, may_renew: bool) -> bool:
+        """Wait for earlier candidates and return whether none of them leads.
+
+        Args:
+            candidacy: The place of this instance among the candidates.
+            may_renew: Whether the leader is replaced even if it still renews its row.
+        """
+        row_version = self._monitor.row_version
+        renewal_version = self._monitor.renewal_version
         await asyncio.sleep(candidacy.takeover_delay_ms / 1000)
         if self._clock.now_ms() - self._last_heartbeat_ms < HEARTBEAT_TIMEOUT_MS:
             return False
         if not candidacy.must_read_again:
             return True
-        return await self._read_leadership() and versions == (
-            self._monitor.row_version,
-            self._monitor.renewal_version,
+        if not await self._read_leadership():
+            return False
+        is_renewed = self._monitor.renewal_version != renewal_version
+        return row_version == self._monitor.row_version and (
+            may_renew or not is_renewed
         )
 
     async def _read_leadership(self) -> bool:
@@ -429,7 +443,7 @@
 
     def _last_heartbeat(self) -> LastHeartbeat:
         return LastHeartbeat(
-            self._leader,
+            self._heard_leader,
             self._last_heartbeat_ms,
             self._last_heartbeat_clock_ms,
             has_left=self._left_epoch >= max(1, self._leader.epoch),
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -39,12 +39,15 @@
         progress_ms: Time of its last byte, in either direction.
         is_identified: Whether the other side has introduced itself, on a port where it
             has to.
+        is_peer: Whether it is that of another instance, which has introduced itself.
         phase: What it is doing.
         phase_since_ms: Time at which the phase began.
         is_waiting: Whether it waits for its turn; it then makes no progress, which is
             not its own fault.
         has_read: Whether bytes were received since the last message ended.
         turns: Number of turns used since it last waited for bytes of a new message.
+        messages_in_row: Number of messages read, the present one included, without a
+            wait for the other side and without a turn.
         received_bytes: Bytes held of a message that has not been answered.
         unsent_bytes: Bytes of responses that the other side has not read.
     """
@@ -52,11 +55,13 @@
     opened_ms: int
     progress_ms: int
     is_identified: bool = True
+    is_peer: bool = False
     phase: Phase = Phase.IDLE
     phase_since_ms: int = 0
     is_waiting: bool = False
     has_read: bool = False
     turns: int = 0
+    messages_in_row: int = 0
     received_bytes: int = 0
     unsent_bytes: int = 0
 
@@ -65,6 +70,10 @@
         """Return a connection that has just been opened."""
         return cls(now_ms, now_ms, is_identified, phase_since_ms=now_ms)
 
+    def identify_peer(self) -> None:
+        """Record that the other side has introduced itself as an instance."""
+        self.is_identified = self.is_peer = True
+
     @property
     def held_bytes(self) -> int:
         """Bytes that the process holds for this connection."""
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -5,15 +5,21 @@
 import asyncio
 import contextlib
 import socket
+import types
 
 import attrs
 import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.testing import bind_unused_port
 
 from marjoramgrade.actor import Actor
 from marjoramgrade.adapters import intake as intake_module
 from marjoramgrade.adapters.httpfront import HttpServerState, make_server
-from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
+from marjoramgrade.adapters.httpserver import (
+    DrainingHttpServer,
+    PortLimits,
+    _BoundedMessage,
+)
 from marjoramgrade.adapters.intake import BodyBuffer, Intake
 from marjoramgrade.adapters.peercodec import MAX_FRAME_BYTES
 from marjoramgrade.clock import ManualClock, SystemClock
@@ -26,6 +32,7 @@
     IntakeBounds,
 )
 from marjoramgrade.decisions.intake.budget import (
+    ACTIVE_PEER_MS,
     BodyBudget,
     choose_for_new,
     choose_to_close,
@@ -148,6 +155,16 @@
     assert (budget.held_bytes, budget.large_bytes, budget.uses) == (0, 0, {})
 
 
+def test_only_a_peer_that_makes_progress_comes_after_clients():
+    # Guards against strangers that say hello and then hold the budget.
+    body = used(100_000, progress_ms=5_000)
+    arriving = used(200_000, progress_ms=5_000, is_peer=True)
+    stalled = used(200_000, progress_ms=5_000 - ACTIVE_PEER_MS, is_peer=True)
+    assert choose_to_close([arriving, body], 5_000) is body
+    assert choose_to_close([stalled, body], 5_000) is stalled
+    assert choose_to_close([arriving], 5_000) is arriving
+
+
 def test_unidentified_peer_makes_room_first():
     # Guards against instances that lose their connections to strangers.
     peer = ConnectionUse.opened(0)
@@ -298,3 +315,32 @@
                 assert answer.startswith(b"HTTP/1.1 %d" % status)
 
     asyncio.run(run())
+
+
+def test_complete_body_that_waits_for_its_turn_is_not_closed():
+    # Guards against a submission that was read completely and gets no answer because
+    # other bodies fill the budget while it waits to be decoded.
+    size = 4 * SMALL_BODY_BYTES
+
+    async def run():
+        intake = make_intake(body_bytes=2 * size - 1, small_bytes=0)
+        complete, arriving = ConnectionUse.opened(0), ConnectionUse.opened(0)
+        intake._budget.open(complete)
+        intake._budget.open(arriving)
+        stream = types.SimpleNamespace(use=complete, closed=lambda: False)
+        limits = PortLimits(2 * size, 10)
+        message = _BoundedMessage(intake, limits, stream, None, None)
+        complete.has_read = True
+        await message.headers_received(
+            RequestStartLine("POST", "/", "HTTP/1.1"),
+            HTTPHeaders({"Content-Length": str(size)}),
+        )
+        reading = asyncio.create_task(message.data_received(b"x" * size))
+        await asyncio.sleep(0)
+        assert complete.is_waiting
+        intake.begin_body(arriving)
+        intake.add_received(arriving, size)
+        await reading
+        return list(intake._budget.uses) == [complete]
+
+    assert asyncio.run(run())
