--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -18,6 +18,7 @@
 from marjoramgrade.decisions.elections.candidacy import (
     MEMBER_LIST_WAIT_MS,
     MIN_READ_INTERVAL_MS,
+    MIN_STRENGTH_SHARE,
     Candidacy,
     has_member_list,
 )
@@ -94,9 +95,8 @@
 RELAY_HANDOVER_DELAY_MS = 700
 # An instance that lost its direct path to the store is no candidate for this long.
 INELIGIBLE_MS = 3_000
-# A leader releases the lead if its strength is below this fraction of the strongest
-# instance's strength. It checks once, this long after it began to lead.
-MIN_STRENGTH_RATIO = 0.6
+# A leader releases the lead if its strength is below `MIN_STRENGTH_SHARE` of the
+# strongest instance's. It checks once, this long after it began to lead.
 STRENGTH_CHECK_DELAY_MS = 1_500
 
 
@@ -484,7 +484,7 @@
         """Release the lead if a much stronger instance replies."""
         self._has_checked_strength = True
         best = max((self._own, *self._members), key=lambda member: member.strength)
-        if self._own.strength >= MIN_STRENGTH_RATIO * best.strength:
+        if self._own.strength >= MIN_STRENGTH_SHARE * best.strength:
             return
         if await self._probe.ask_leader_age(best.instance_id) is not None:
             await self._release("a stronger instance is available")
--- a/marjoramgrade/decisions/elections/candidacy.py
+++ b/marjoramgrade/decisions/elections/candidacy.py
@@ -29,6 +29,11 @@
 # Each candidate delays its takeover by this time multiplied by its rank, so that
 # usually only the first candidate tries.
 RANK_DELAY_MS = 30
+# A candidate whose strength is below this share of the strongest one's waits longer. A
+# weak instance that took the lead first could not read the state of 1,043 jobs over
+# its link within 2 s, and nobody led meanwhile.
+MIN_STRENGTH_SHARE = 0.6
+WEAK_DELAY_MS = 250
 # The candidates that read at the shortest interval in a fleet of any size. In a small
 # fleet, all candidates beyond them wait equally long.
 MAX_RANK = 10
@@ -71,10 +76,12 @@
     Attributes:
         rank: Number of candidates that try a takeover earlier.
         members: Number of known instances, this one included.
+        is_weak: Whether a much stronger candidate is known.
     """
 
     rank: int = 0
     members: int = 1
+    is_weak: bool = False
 
     @classmethod
     def from_members(
@@ -96,12 +103,11 @@
 
         listed = (m for m in members if m.instance_id == own.instance_id)
         own_key = sort_key(next(listed, own))
-        rank = sum(
-            1
-            for member in members
-            if member.instance_id != leader_id and sort_key(member) < own_key
-        )
-        return cls(rank, max(1, len(members)))
+        others = [member for member in members if member.instance_id != leader_id]
+        rank = sum(sort_key(member) < own_key for member in others)
+        best = max((member.strength for member in others), default=own.strength)
+        is_weak = own.strength < MIN_STRENGTH_SHARE * best
+        return cls(rank, max(1, len(members)), is_weak)
 
     @property
     def is_paced(self) -> bool:
@@ -132,6 +138,8 @@
     def takeover_delay_ms(self) -> int:
         """Time for which earlier candidates may take the lead instead."""
         delay_ms = min(self.rank, MAX_RANK) * RANK_DELAY_MS
+        if self.is_weak:
+            delay_ms += WEAK_DELAY_MS
         if not self.is_paced:
             return delay_ms
         spread_ms = (self.members - SMALL_FLEET) * SPREAD_PER_MEMBER_MS
@@ -146,7 +154,7 @@
         partition from the new leader. A read costs the partition nothing. The first
         candidates do without, since reads of a slow store take a tenth of a second.
         """
-        return self.rank >= MAX_RANK
+        return self.is_weak or self.rank >= MAX_RANK
 
     @property
     def majority_check_interval_ms(self) -> int:
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -153,3 +153,27 @@
     own = Member("a", "z", "h", 1, 0, 1_000)
     assert not has_member_list(own, (own,), 0, 0, UNREGISTERED_WAIT_MS - 1)
     assert has_member_list(own, (own,), 0, 0, UNREGISTERED_WAIT_MS)
+
+
+def test_weak_candidate_leaves_time_to_strong_ones():
+    # Guards against an instance on a slow link that takes the lead shortly before
+    # strong ones, and reads the stored state for 2 s while nobody leads.
+    def member(name, strength):
+        return Member(name, "z", "127.0.0.1", 1, strength=strength, row_version=1)
+
+    strong = [member(f"s{n}", 2_000) for n in range(5)]
+    weak = [member(f"w{n}", 100) for n in range(28)]
+    members = (*strong, *weak)
+
+    def candidacy(own, leader_id="s0"):
+        return Candidacy.from_members(own, members, leader_id)
+
+    last_strong_ms = max(candidacy(own).takeover_delay_ms for own in strong[1:])
+    first_weak = min(map(candidacy, weak), key=lambda c: c.takeover_delay_ms)
+    # A read of the rows and the spread of the times at which they are read.
+    assert first_weak.takeover_delay_ms >= last_strong_ms + 200
+    assert first_weak.must_read_again
+    # Where all are alike, nobody waits.
+    alike = Candidacy.from_members(weak[0], weak, "w1")
+    assert not alike.is_weak
+    assert alike.takeover_delay_ms == 0
