Look up free capacity again when the plan has used it

The plan looked once for the most that any worker has free. Waits for a rack ask for it before the first starts, so that later steps were compared with capacity that the same plan had given away: they waited for their rack with nothing free elsewhere, and each step of a backlog searched all workers.

The new test fails without the change.

--- a/marjoramgrade/decisions/stepplanning.py
+++ b/marjoramgrade/decisions/stepplanning.py
@@ -75,8 +75,12 @@
     _usual_capacity_by_pool: dict[str, Resources] = attrs.field(factory=dict)
     # Steps of a pool that the plan found no capacity for.
     _unplaced_by_pool: Counter[str] = attrs.field(factory=Counter)
-    # Most of each resource that any worker of a pool had free when the plan looked.
+    # Most of each resource that any worker of a pool had free when the plan looked,
+    # and the worker with most processor time, which placement fills last.
     _most_free_by_pool: dict[str, Resources] = attrs.field(factory=dict)
+    _freest_by_pool: dict[str, WorkerState] = attrs.field(factory=dict)
+    # Pools in which the plan has started tasks since.
+    _pools_with_starts: set[str] = attrs.field(factory=set)
     _workers_by_rack: dict[str, list[WorkerState]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -100,6 +104,7 @@
         self._usual_capacity_by_pool.clear()
         self._unplaced_by_pool.clear()
         self._most_free_by_pool.clear()
+        self._freest_by_pool.clear()
         self._workers_by_rack.clear()
         self.state.headroom.observe(now_ms)
         room_made_by_queue: Counter[str] = Counter()
@@ -302,6 +307,7 @@
         """Order the start of a task on a worker, if its team may run it."""
         if not self.state.place(step, {index: worker}, now_ms):
             return False
+        self._pools_with_starts.add(step.job.queue.pool)
         if self.rules.prefers_fast(step):
             self.count_by_outcome[f"urgent_{worker.speed.speed_class.value}"] += 1
         return True
@@ -357,17 +363,39 @@
         is_backlog = self._unplaced_by_pool[pool] >= BACKLOG_STEPS
         if step.step.uses_spare or not is_backlog:
             return False
-        return not step.step.resources.fits(self._most_free(pool, now_ms))
+        return not self._may_have_room(step, now_ms)
 
-    def _most_free(self, pool: str, now_ms: int) -> Resources:
-        """Return the most of each resource that any worker of a pool has free."""
+    def _may_have_room(self, step: StepProgress, now_ms: int) -> bool:
+        """Return whether a worker of the pool may have capacity for a task.
+
+        All workers are looked at again only if tasks were started meanwhile and the
+        worker that had most is full.
+        """
+        pool, need = step.job.queue.pool, step.step.resources
         most_free = self._most_free_by_pool.get(pool)
-        if most_free is None:
-            most_free = ZERO_RESOURCES
-            for worker in self.state.worker_by_id.values():
-                if worker.worker.pool == pool and worker.accepts_work(now_ms):
-                    most_free = most_free.maximum(worker.free_resources)
-            self._most_free_by_pool[pool] = most_free
+        if most_free is not None:
+            if not need.fits(most_free):
+                return False
+            freest = self._freest_by_pool.get(pool)
+            has_room = freest is not None and need.fits(freest.free_resources)
+            if has_room or pool not in self._pools_with_starts:
+                return True
+        return need.fits(self._look_up_most_free(pool, now_ms))
+
+    def _look_up_most_free(self, pool: str, now_ms: int) -> Resources:
+        """Return the most of each resource that any worker of a pool has free."""
+        most_free = ZERO_RESOURCES
+        freest: WorkerState | None = None
+        for worker in self.state.worker_by_id.values():
+            if worker.worker.pool == pool and worker.accepts_work(now_ms):
+                most_free = most_free.maximum(worker.free_resources)
+                # Of equal ones, the first is filled first.
+                if freest is None or worker.free_cpu_millis >= freest.free_cpu_millis:
+                    freest = worker
+        self._most_free_by_pool[pool] = most_free
+        if freest is not None:
+            self._freest_by_pool[pool] = freest
+        self._pools_with_starts.discard(pool)
         return most_free
 
     def _place_tasks(self, step: StepProgress, headroom: Resources, now_ms: int) -> str:
@@ -460,7 +488,7 @@
         None do if there is none elsewhere either: room is made for them as for others.
         """
         need = step.step.resources
-        if not need.fits(self._most_free(step.job.queue.pool, now_ms)):
+        if not self._may_have_room(step, now_ms):
             return 0
         usable = [
             worker
@@ -548,6 +576,7 @@
             chosen = self._choose_gang_workers(step, rack, now_ms) or chosen
         if not self.state.place(step, dict(enumerate(chosen)), now_ms):
             return "team_limit"
+        self._pools_with_starts.add(step.job.queue.pool)
         self._starts += len(chosen)
         if is_placed_together:
             racks = {worker.worker.rack for worker in chosen}
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -69,6 +69,21 @@
     return job(job_id, Step(count, cores(1), TASK_MS, data_rack="r1", **fields))
 
 
+def test_capacity_that_the_plan_has_given_away_does_not_count():
+    # Guards against a step that waits for its rack, and for which no room is made,
+    # although nothing is free elsewhere any more; and against a search of all workers
+    # for each step of a backlog, since the plan does not see that they are full.
+    harness = make_harness(*two_racks())
+    fill(harness, "near", percent=70)
+    for queued in (near_task("d1"), job("m", Step(2, cores(1), TASK_MS)), near_task()):
+        harness.add(queued)
+        harness.now_ms += 1
+    started = starts(harness.plan())
+    assert [start.worker_id for start in started] == ["far", "far"]
+    reasons = harness.planner.waiting_by_reason
+    assert reasons == {"urgent:awaits_rack": 1, "urgent:no_room": 1}
+
+
 @pytest.mark.parametrize(
     ("far_factor", "percent", "waits"),
     # 2 s of work, known from the average of the queue, whose error is half: the wait
