Start an instance whose system does not limit descriptors

The system reports no limit as -1, which was taken for the limit, so that the bounds left no connection and the process ended. The test fails without the change.

--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -243,8 +243,10 @@
 
 def _max_descriptors(settings: InstanceSettings) -> int:
     """Return the number of descriptors that the system lets the process open."""
+    wanted = settings.max_fds or DEFAULT_MAX_FDS
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return min(settings.max_fds or DEFAULT_MAX_FDS, allowed)
+    # It is a negative number.
+    return wanted if allowed == resource.RLIM_INFINITY else min(wanted, allowed)
 
 
 async def _serve(settings: InstanceSettings, path: pathlib.Path) -> int:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 import socket
 import types
 
@@ -43,6 +44,7 @@
 from marjoramgrade.decisions.intake.turns import SEGMENTS_PER_TURN, TurnQueue
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.platform import daemon
 from marjoramgrade.platform.frontend import (
     MAX_BODY_BYTES,
     MAX_DEADLINE_MS,
@@ -97,6 +99,23 @@
         IntakeBounds.from_config(max_fds=210)
 
 
+@pytest.mark.parametrize(
+    ("allowed", "max_fds", "expected"),
+    [
+        (resource.RLIM_INFINITY, 0, DEFAULT_MAX_FDS),
+        (resource.RLIM_INFINITY, 900, 900),
+        (1_024, 0, 1_024),
+        (1_024, 900, 900),
+    ],
+)
+def test_limit_of_the_system_on_descriptors(monkeypatch, allowed, max_fds, expected):
+    # Guards against an instance that does not start where there is no limit, and
+    # against bounds above that limit.
+    monkeypatch.setattr(daemon.resource, "getrlimit", lambda _: (allowed, allowed))
+    settings = types.SimpleNamespace(max_fds=max_fds)
+    assert daemon._max_descriptors(settings) == expected
+
+
 def test_most_bytes_for_the_longest_time_are_closed_first():
     # Guards against closing a body that is arriving while others stand still.
     arriving = used(200_000, progress_ms=1_000)
