--- a/marjoramgrade/decisions/locality/placing.py
+++ b/marjoramgrade/decisions/locality/placing.py
@@ -15,7 +15,6 @@
 from marjoramgrade.decisions.stepholds import CapacityHolds
 from marjoramgrade.decisions.stepprogress import StepProgress
 from marjoramgrade.decisions.stepworkers import WorkerState
-from marjoramgrade.resources import Resources
 
 
 @attrs.define
@@ -38,22 +37,16 @@
         self,
         step: StepProgress,
         near: list[WorkerState],
-        most_free: Resources,
         now_ms: int,
     ) -> int:
         """Return how many tasks of a step wait for capacity on their rack.
 
-        None do if there is none elsewhere either: room is made for them as for others.
-
         Args:
             step: The step.
             near: Permitted workers of the rack.
-            most_free: Most of each resource that any worker of the pool has free.
             now_ms: Current time.
         """
         need = step.step.resources
-        if not need.fits(most_free):
-            return 0
         usable = [
             worker
             for worker in near
