Repeat calls that the store refuses for its rate instead of relaying them

A response with 429 made the direct path count as lost: the call was sent through up to three relays, which multiplied the calls to a store over its rate, and a leader handed over after 0.7 s. It now has its own error, is repeated on the same path with growing, jittered pauses, and is counted.

--- a/marjoramgrade/controllers/hedging.py
+++ b/marjoramgrade/controllers/hedging.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from marjoramgrade.errors import TableUnavailableError
+from marjoramgrade.errors import TableRateLimitedError, TableUnavailableError
 
 
 @attrs.frozen
@@ -34,18 +34,24 @@
     response is arriving: over the same link it would slow that response down. The last
     one has its `lead_ms` to respond in.
 
+    After a refusal for the rate no further attempt starts, because each would add to
+    the rate; those that are running have the rest of the time.
+
     Args:
         attempts: The paths, in the order in which they are tried.
         silence_ms: Time without a byte after which a response that had begun to
             arrive is in doubt.
 
     Raises:
+        TableRateLimitedError: If an attempt was refused for the rate of calls and no
+            other has a response in time.
         TableUnavailableError: If no attempt has a response in time.
     """
     loop = asyncio.get_running_loop()
     failure = TableUnavailableError("no path to the store responded in time")
     running: set[asyncio.Future[Any]] = set()
     arrived_s = -math.inf
+    is_refused = False
 
     def record_arrival() -> None:
         nonlocal arrived_s
@@ -53,7 +59,8 @@
 
     try:
         for attempt in attempts:
-            running.add(asyncio.ensure_future(attempt.ask(record_arrival)))
+            if not is_refused:
+                running.add(asyncio.ensure_future(attempt.ask(record_arrival)))
             lead_s = loop.time() + attempt.lead_ms / 1000
             while running:
                 rest_s = max(lead_s, arrived_s + silence_ms / 1000) - loop.time()
@@ -67,7 +74,9 @@
                 for task, error in error_by_task.items():
                     if not isinstance(error, TableUnavailableError):
                         return task.result()
-                    failure = error
+                    if not is_refused:
+                        failure = error
+                    is_refused = isinstance(failure, TableRateLimitedError)
         raise failure
     finally:
         for task in running:
--- a/marjoramgrade/controllers/storerouter.py
+++ b/marjoramgrade/controllers/storerouter.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import math
 from collections.abc import Awaitable, Callable
@@ -17,12 +18,18 @@
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.controllers.hedging import Attempt, ask_hedged
+from marjoramgrade.decisions.raterefusals import (
+    MIN_SERVED,
+    RateBackoff,
+    RefusedAlone,
+)
 from marjoramgrade.decisions.relayorder import RelayOrder
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
     RefusedError,
     TableError,
+    TableRateLimitedError,
     TableUnavailableError,
     WriteOutcomeUnknownError,
 )
@@ -37,6 +44,7 @@
     WatchRows,
 )
 from marjoramgrade.messages.steps import StorePathStatus
+from marjoramgrade.metrics import MemoryMetrics, Metrics
 from marjoramgrade.pageparts import join_parts
 from marjoramgrade.steprows import MEMBERS_TABLE
 
@@ -94,6 +102,9 @@
 # Longer than a relay waits for the store, because a connection to a peer that does not
 # reply in time is closed together with the calls of others on it.
 HEDGED_RELAY_TIMEOUT_MS = 1_500
+# A call that is refused for its rate is repeated for this long. Callers have their own
+# limits and repeat writes.
+RATE_RETRY_MS = 1_000
 
 
 class StoreRouter(Actor):
@@ -103,13 +114,21 @@
         instance_id: Id of this instance.
         link: The direct connection to the store.
         peers: Sends messages to the other instances.
+        metrics: Counts refused calls.
     """
 
-    def __init__(self, instance_id: str, link: Actor, peers: Actor) -> None:
+    def __init__(
+        self,
+        instance_id: str,
+        link: Actor,
+        peers: Actor,
+        metrics: Metrics | None = None,
+    ) -> None:
         super().__init__()
         self._instance_id = instance_id
         self._link = link
         self._peers = peers
+        self._metrics = metrics or MemoryMetrics()
         self._members: list[Member] = []
         self._relay_order = RelayOrder()
         self._is_direct = True
@@ -121,6 +140,12 @@
         self._is_direct_doubtful = False
         self._overdue_ms = INITIAL_OVERDUE_MS
         self._subscribers: tuple[Actor, ...] = ()
+        self._read_backoff = RateBackoff()
+        self._write_backoff = RateBackoff()
+        self._refused_alone = RefusedAlone()
+        self._comparison: asyncio.Task[None] | None = None
+        # Whether the direct path is lost because the store refuses this instance alone.
+        self._is_refused_alone = False
 
     def connect(self, subscribers: tuple[Actor, ...]) -> None:
         """Set the controllers that are told which path works."""
@@ -139,15 +164,112 @@
 
     @handles(CommitRows)
     async def _commit(self, message: CommitRows) -> Any:
-        return self.spawn(self._send_write(message))
+        send = functools.partial(self._send_write, message)
+        return self.spawn(self._send_at_rate(send, self._write_backoff))
 
     @handles(ReadRows)
     async def _read(self, message: ReadRows) -> Any:
-        return self.spawn_for_sender(self._send_read(message))
+        send = functools.partial(self._send_read, message)
+        return self.spawn_for_sender(self._send_at_rate(send, self._read_backoff))
 
     @handles(WatchRows)
     async def _watch(self, message: WatchRows) -> Any:
-        return self.spawn_for_sender(self._send_watch(message))
+        send = functools.partial(self._send_watch, message)
+        return self.spawn_for_sender(self._send_at_rate(send, self._read_backoff))
+
+    # A call that the store refuses for its rate is repeated on the same path. The path
+    # is given up only if the store refuses all calls of this instance and serves
+    # others.
+
+    async def _send_at_rate(
+        self, send: Callable[[], Awaitable[Any]], backoff: RateBackoff
+    ) -> Any:
+        """Send a request again after a pause while it is refused for its rate.
+
+        Raises:
+            TableRateLimitedError: If it is refused for `RATE_RETRY_MS`.
+        """
+        end_ms = _now_ms() + RATE_RETRY_MS
+        while True:
+            if pause_ms := backoff.pause_ms(_now_ms()):
+                await asyncio.sleep(pause_ms / 1000)
+            try:
+                return await send()
+            except TableRateLimitedError:
+                if _now_ms() >= end_ms:
+                    raise
+
+    async def _ask_link(self, message: Message[Any]) -> Any:
+        """Send a request directly and record whether it was refused for its rate."""
+        sent_ms = _now_ms()
+        try:
+            answer = await self._link.ask(message)
+        except TableRateLimitedError:
+            self._record_refused(message, sent_ms)
+            raise
+        except (TableUnavailableError, WriteOutcomeUnknownError):
+            raise
+        except TableError:
+            # A failed check or lost history is a response of the store.
+            self._record_served(message)
+            raise
+        self._record_served(message)
+        return answer
+
+    def _backoff_of(self, message: Message[Any]) -> RateBackoff:
+        is_write = isinstance(message, CommitRows)
+        return self._write_backoff if is_write else self._read_backoff
+
+    def _record_served(self, message: Message[Any]) -> None:
+        self._backoff_of(message).record_served()
+        self._refused_alone.record_served()
+
+    def _record_refused(self, message: Message[Any], sent_ms: int) -> None:
+        kind = "write" if isinstance(message, CommitRows) else "read"
+        self._metrics.count(f"store_refused.{kind}")
+        if not self._backoff_of(message).record_refused(sent_ms, _now_ms()):
+            return
+        self._refused_alone.record_refused()
+        if self._is_direct and (self._comparison is None or self._comparison.done()):
+            self._comparison = self.spawn_critical(self._compare_with_others())
+
+    async def _compare_with_others(self) -> None:
+        """Give the direct path up if others are served while this instance is not."""
+        while self._refused_alone.is_refused and self._is_direct:
+            instances = len(self._members) + 1
+            pause_ms = self._refused_alone.next_comparison_ms(instances)
+            await asyncio.sleep(pause_ms / 1000)
+            if not self._refused_alone.should_compare or not await self._is_alone():
+                continue
+            self._metrics.count("store_refused.alone")
+            self._is_refused_alone = True
+            self._mark_direct_lost("the store refuses this instance and serves others")
+            # Relays serve this instance; its own pauses do not apply to them.
+            self._read_backoff.record_served()
+            self._write_backoff.record_served()
+            self._tell_subscribers(StorePathStatus(False, True))
+
+    async def _is_alone(self) -> bool:
+        """Ask a few others one by one to read, and read directly after each of them."""
+        served = failed = 0
+        relays = self._relay_order.first(MAX_RELAYS)
+        needed = min(MIN_SERVED, len(relays))
+        probe = ReadRows(MEMBERS_TABLE, "", limit=1, timeout_ms=PROBE_TIMEOUT_MS)
+        for relay in relays:
+            if served == needed or len(relays) - failed < needed:
+                break
+            try:
+                await self._peers.ask(CallPeer(relay, probe, PROBE_TIMEOUT_MS))
+            except MarjoramgradeError as error:
+                self._record_relay_failure(probe, relay, error)
+                failed += 1
+                continue
+            served += 1
+            with contextlib.suppress(MarjoramgradeError):
+                await self._ask_link(probe)
+            if not self._refused_alone.is_refused:
+                return False
+        return served == needed > 0
 
     async def _send_write(self, message: CommitRows) -> Any:
         """Write, but abandon a lost write once the store responds to reads.
@@ -229,15 +351,18 @@
             if self._is_direct:
                 return
 
-    async def _probe_until_response_s(self, interval_ms: int) -> float:
+    async def _probe_until_response_s(
+        self, interval_ms: int, *, counts_refusal: bool = False
+    ) -> float:
         """Probe the store until it responds; return how long that probe took."""
         loop = asyncio.get_running_loop()
+        probe_s = functools.partial(self._probe_s, counts_refusal=counts_refusal)
         probes: set[asyncio.Task[float | None]] = set()
         try:
             while True:
                 next_s = loop.time() + interval_ms / 1000
                 if len(probes) < MAX_PROBES:
-                    probes.add(asyncio.ensure_future(self._probe_s()))
+                    probes.add(asyncio.ensure_future(probe_s()))
                 done, probes = await asyncio.wait(
                     probes,
                     timeout=interval_ms / 1000,
@@ -252,17 +377,25 @@
             for probe in probes:
                 probe.cancel()
 
-    async def _probe_s(self, timeout_ms: int = PROBE_TIMEOUT_MS) -> float | None:
-        """Read a row directly; return how long it took, None if the read failed."""
+    async def _probe_s(
+        self, timeout_ms: int = PROBE_TIMEOUT_MS, *, counts_refusal: bool = False
+    ) -> float | None:
+        """Read a row directly; return how long it took, None if the read failed.
+
+        Args:
+            timeout_ms: Time for the response.
+            counts_refusal: Whether a refusal for the rate is a response.
+        """
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         try:
             await self._link.ask(
                 ReadRows(MEMBERS_TABLE, "", limit=1, timeout_ms=timeout_ms)
             )
-        except MarjoramgradeError:
-            # Whatever the error, the direct path does not work yet.
-            return None
+        except MarjoramgradeError as error:
+            if not (counts_refusal and isinstance(error, TableRateLimitedError)):
+                # Whatever the error, the direct path does not work yet.
+                return None
         return loop.time() - began_s
 
     # Writes are sent on one path at a time.
@@ -270,7 +403,9 @@
     async def _send_once(self, message: CommitRows) -> Any:
         if self._is_direct:
             try:
-                return await self._link.ask(message)
+                return await self._ask_link(message)
+            except TableRateLimitedError:
+                raise
             except WriteOutcomeUnknownError as error:
                 self._mark_direct_lost(error.message)
                 raise
@@ -287,6 +422,10 @@
                 answer = await self._peers.ask(
                     CallPeer(relay, message, RELAY_TIMEOUT_MS)
                 )
+            except TableRateLimitedError as error:
+                # Further relays would add to the rate; the next attempt uses another.
+                self._record_relay_failure(message, relay, error)
+                raise
             except (TableUnavailableError, RefusedError) as error:
                 failure = TableUnavailableError(error.message)
                 self._record_relay_failure(message, relay, error)
@@ -300,6 +439,7 @@
                 raise
             else:
                 self._relay_order.move_to_front(relay)
+                self._write_backoff.record_served()
                 self._tell_subscribers(StorePathStatus(self._is_direct, True))
                 return answer
         raise failure
@@ -370,6 +510,8 @@
         )
         try:
             return await ask_hedged(attempts, TRANSFER_SILENCE_MS)
+        except TableRateLimitedError:
+            raise
         except TableUnavailableError:
             # The link itself may wait longer before it reports the path as lost.
             self._doubt_direct_path()
@@ -389,9 +531,12 @@
         self, message: Message[Any], on_arrival: Callable[[], None]
     ) -> Any:
         try:
-            answer = await self._link.ask(message)
+            answer = await self._ask_link(message)
             if isinstance(answer, PageTransfer):
                 answer = await _fetch_page(answer, self._link.ask, on_arrival)
+        except TableRateLimitedError:
+            self._is_direct_doubtful = False
+            raise
         except TableUnavailableError as error:
             self._mark_direct_lost(error.message)
             raise
@@ -417,6 +562,9 @@
                 overdue_s = math.inf
                 call = functools.partial(self._call_relay, relay)
                 answer = await _fetch_page(answer, call, on_arrival)
+        except TableRateLimitedError as error:
+            self._record_relay_failure(message, relay, error)
+            raise
         except (TableUnavailableError, RefusedError, OutcomeUnknownError) as error:
             self._record_relay_failure(message, relay, error)
             raise TableUnavailableError(error.message) from None
@@ -438,6 +586,7 @@
     def _record_relay_response(self, relay: str) -> None:
         self._relay_order.move_to_front(relay)
         if not self._is_direct:
+            self._read_backoff.record_served()
             self._tell_subscribers(StorePathStatus(False, True))
         self._doubt_direct_path()
 
@@ -449,7 +598,7 @@
 
     async def _check_direct_path(self) -> None:
         """Find out whether the direct path is lost, which a relay is faster than."""
-        if await self._probe_s(DOUBT_TIMEOUT_MS) is None:
+        if await self._probe_s(DOUBT_TIMEOUT_MS, counts_refusal=True) is None:
             self._mark_direct_lost("other instances reach the store, this one does not")
         self._is_direct_doubtful = False
 
@@ -457,6 +606,10 @@
         self, message: Message[Any], relay: str, error: MarjoramgradeError
     ) -> None:
         self._relay_order.move_to_end(relay)
+        if isinstance(error, TableRateLimitedError):
+            self._metrics.count("store_refused.relayed")
+            sent_ms = _now_ms()
+            self._backoff_of(message).record_refused(sent_ms, sent_ms)
         logs.log_event(
             "relay_failed",
             request=type(message).__name__,
@@ -475,13 +628,18 @@
 
     async def _await_direct_path(self) -> None:
         while not self._is_direct:
-            await self._probe_until_response_s(PROBE_MS)
+            # A refusal shows that the path works, unless it was lost for refusals.
+            await self._probe_until_response_s(
+                PROBE_MS, counts_refusal=not self._is_refused_alone
+            )
             self._mark_direct_regained()
 
     def _mark_direct_regained(self) -> None:
         if self._is_direct:
             return
         self._is_direct = True
+        self._is_refused_alone = False
+        self._refused_alone.record_served()
         self._direct_works.set()
         logs.log_event("store_regained")
         self._tell_subscribers(StorePathStatus(True, False))
@@ -491,6 +649,10 @@
             subscriber.tell(message)
 
 
+def _now_ms() -> int:
+    return round(asyncio.get_running_loop().time() * 1000)
+
+
 async def _fetch_page(
     transfer: PageTransfer,
     ask: Callable[[Message[PagePart]], Awaitable[PagePart]],
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -286,6 +286,12 @@
     code = "table_unavailable"
 
 
+class TableRateLimitedError(TableUnavailableError):
+    """The table refused a call for its rate; the path to it works."""
+
+    code = "table_rate_limited"
+
+
 class WriteOutcomeUnknownError(TableError):
     """A write was sent and its response was lost."""
 
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -145,6 +145,13 @@
     "rows",
     "Rows of the leader that the store refused as invalid.",
 )
+declare(
+    "store_refused.*",
+    MetricKind.COUNTER,
+    "calls",
+    "Calls that the store refused for their rate: `read`, `write`, `relayed`; and "
+    "`alone`, each time that others were served meanwhile.",
+)
 declare(
     "stopped.*",
     MetricKind.COUNTER,
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -121,7 +121,7 @@
             store_client,
             lambda member: PeerLink(own_member.instance_id, own_member.host, member),
         )
-        router = StoreRouter(own_member.instance_id, store_client, peers)
+        router = StoreRouter(own_member.instance_id, store_client, peers, self._metrics)
         bounds = LeaderBounds(
             min(MAX_WORKER_LEASE_MS, settings.longest_lease_ms),
             settings.longest_lease_ms,
--- a/marjoramgrade/platform/store.py
+++ b/marjoramgrade/platform/store.py
@@ -27,6 +27,7 @@
     RowCheckFailedError,
     RowsRejectedError,
     TableError,
+    TableRateLimitedError,
     TableUnavailableError,
     WriteOutcomeUnknownError,
 )
@@ -232,7 +233,9 @@
             raise TableUnavailableError(error.message) from None
         except HttpNoResponseError as error:
             raise _failed_call_error(method, error.message) from None
-        if answer.status in (429, 503, 507):
+        if answer.status == 429:
+            raise TableRateLimitedError("the store responded with status 429")
+        if answer.status in (503, 507):
             raise TableUnavailableError(
                 f"the store responded with status {answer.status}"
             )
