Serialize a heartbeat once and write it to open connections without a task

A message to all peers was serialized, and a task was started, for each of them. Messages that come while the connection is made keep their order; before, a later one could be sent first.

--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -17,7 +17,7 @@
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
-from marjoramgrade.actor import Actor, handles
+from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.adapters.httppool import (
     UNACKNOWLEDGED_TIMEOUT_MS,
     set_tcp_options,
@@ -124,9 +124,31 @@
     Raises:
         OversizedInputError: If the frame is too large.
     """
+    # Tornado retrieves the exception of the write itself.
+    stream.write(_serialize(frame))
+
+
+def _serialize(frame: PeerFrame) -> bytes:
     data = serialize_frame(frame)
-    future = stream.write(_LENGTH.pack(len(data)) + data)
-    future.add_done_callback(lambda done: done.exception())
+    return _LENGTH.pack(len(data)) + data
+
+
+def serialize_notice(message: Message[Any]) -> bytes:
+    """Return a message that expects no reply as it is sent on any connection.
+
+    Raises:
+        ProtocolError: If no encoder is registered for the message.
+        OversizedInputError: If the message is too large for a frame.
+    """
+    return _serialize(PeerFrame(0, message))
+
+
+def _send_notice(stream: IOStream, message: TellOverLink) -> None:
+    """Send a message that expects no reply, or drop it if that fails."""
+    with contextlib.suppress(
+        MarjoramgradeError, StreamClosedError, StreamBufferFullError
+    ):
+        stream.write(message.frame or serialize_notice(message.message))
 
 
 class PeerLink(Actor):
@@ -149,6 +171,7 @@
         self._frames_read = 0
         self._reply_by_correlation: dict[int, asyncio.Future[Any]] = {}
         self._exchanges: set[asyncio.Task[Any]] = set()
+        self._waiting_notices: list[TellOverLink] = []
 
     async def on_stop(self) -> None:
         """Close the connection."""
@@ -164,7 +187,15 @@
 
     @handles(TellOverLink)
     async def _tell(self, message: TellOverLink) -> None:
-        self.spawn(self._send_without_reply(message))
+        stream = self._stream
+        # Notices keep their order, also behind those that wait for the connection.
+        if self._waiting_notices:
+            self._waiting_notices.append(message)
+        elif stream is None or stream.closed():
+            self._waiting_notices.append(message)
+            self.spawn(self._send_waiting_notices())
+        else:
+            _send_notice(stream, message)
 
     @handles(FinishCalls)
     async def _finish_calls(self, message: FinishCalls) -> Any:
@@ -174,11 +205,13 @@
         if self._exchanges:
             await asyncio.wait(self._exchanges, timeout=timeout_ms / 1000)
 
-    async def _send_without_reply(self, message: TellOverLink) -> None:
-        try:
-            write_frame(await self._get_stream(), PeerFrame(0, message.message))
-        except (MarjoramgradeError, StreamClosedError, StreamBufferFullError):
-            return
+    async def _send_waiting_notices(self) -> None:
+        """Connect and send the waiting notices, or drop them if that fails."""
+        with contextlib.suppress(MarjoramgradeError):
+            stream = await self._get_stream()
+            for message in self._waiting_notices:
+                _send_notice(stream, message)
+        self._waiting_notices.clear()
 
     async def _exchange(self, call: CallOverLink) -> Any:
         stream = await self._get_stream()
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from marjoramgrade import logs
-from marjoramgrade.actor import Actor, handles
+from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.controllers.tablereader import read_all_rows
 from marjoramgrade.errors import (
     InvalidInputError,
@@ -56,15 +56,22 @@
         own: This instance as a member.
         store: Reads and writes rows.
         make_link: Creates the link to another instance.
+        serialize: Returns a message as the links send it, or None if each link is to
+            serialize what it sends.
     """
 
     def __init__(
-        self, own: Member, store: Actor, make_link: Callable[[Member], Actor]
+        self,
+        own: Member,
+        store: Actor,
+        make_link: Callable[[Member], Actor],
+        serialize: Callable[[Message[Any]], bytes] | None = None,
     ) -> None:
         super().__init__()
         self._own = own
         self._store = store
         self._make_link = make_link
+        self._serialize = serialize
         self._member_by_id: dict[str, Member] = {own.instance_id: own}
         self._link_by_id: dict[str, Actor] = {}
         self._retired_links: set[Actor] = set()
@@ -94,8 +101,11 @@
 
     @handles(TellPeers)
     async def _tell(self, message: TellPeers) -> None:
+        # A heartbeat goes to hundreds of peers several times a second.
+        frame = self._serialize(message.message) if self._serialize else b""
+        order = TellOverLink(message.message, frame)
         for link in self._link_by_id.values():
-            link.tell(TellOverLink(message.message))
+            link.tell(order)
 
     async def _run(self) -> None:
         refreshes = 0
--- a/marjoramgrade/messages/peers.py
+++ b/marjoramgrade/messages/peers.py
@@ -71,9 +71,15 @@
 
 @attrs.frozen
 class TellOverLink(Message[None]):
-    """Asks the link to one peer to send a message, or to drop it if sending fails."""
+    """Asks the link to one peer to send a message, or to drop it if sending fails.
+
+    Attributes:
+        message: The message.
+        frame: The same as it is sent, if it was serialized for several links.
+    """
 
     message: Message[Any]
+    frame: bytes = b""
 
 
 @attrs.frozen
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -16,7 +16,7 @@
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, ActorGroup
 from marjoramgrade.adapters.intake import Intake
-from marjoramgrade.adapters.peerlink import PeerLink, PeerServer
+from marjoramgrade.adapters.peerlink import PeerLink, PeerServer, serialize_notice
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.controllers.advising import AdvisingController
 from marjoramgrade.controllers.commits import max_batch_bytes
@@ -120,6 +120,7 @@
             own_member,
             store_client,
             lambda member: PeerLink(own_member.instance_id, own_member.host, member),
+            serialize_notice,
         )
         router = StoreRouter(own_member.instance_id, store_client, peers, self._metrics)
         bounds = LeaderBounds(
