Let a new leader list the workers with stored placements first, 200 at a time

A takeover made the links to all workers of the roster at once, in the order of the roster, so runs were settled behind thousands of idle workers.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -19,6 +19,7 @@
 )
 from marjoramgrade.controllers.leaderpolicies import LeaderPolicies
 from marjoramgrade.controllers.stepworkerlink import ConnectWorker, StepWorkerLink
+from marjoramgrade.decisions.listings.takeover import SLOT_MS, FirstListings
 from marjoramgrade.decisions.planpacing import PlanPacer
 from marjoramgrade.decisions.stepactions import (
     AskAdvice,
@@ -158,6 +159,8 @@
         planner: Assigns tasks to workers.
         supervisor: Monitors runs.
         link_by_worker: Links to the workers, by worker id.
+        first_listings: Decides when the link to a worker is made.
+        first_listing_ended: Set when a worker has responded to its first listing.
         pending_submission_by_job: Submissions that are being stored, by job id.
         roster: Ids of the workers that are stored as possible holders of runs.
         recovered_workers: Ids of the workers in the roster of an earlier leader.
@@ -181,6 +184,8 @@
     planner: Planner
     supervisor: Supervisor
     link_by_worker: dict[str, StepWorkerLink] = attrs.field(factory=dict)
+    first_listings: FirstListings = attrs.field(factory=FirstListings)
+    first_listing_ended: asyncio.Event = attrs.field(factory=asyncio.Event)
     pending_submission_by_job: dict[str, asyncio.Task[StepJobAccepted]] = attrs.field(
         factory=dict
     )
@@ -381,7 +386,6 @@
         state = lead.state.worker_by_id.get(action.worker_id)
         if state is None:
             return
-        is_recovered = action.worker_id in lead.recovered_workers
         if action.worker_id not in lead.roster:
             lead.roster = lead.roster | {action.worker_id}
             await self._save_roster(lead, roster_row_number(action.worker_id))
@@ -392,7 +396,27 @@
             # The fence was raised again while the roster was being stored.
             link.tell(RaiseFence(action.fence))
             return
-        await self._add_link(lead, state.worker, action.fence, is_recovered)
+        was_waiting = lead.first_listings.is_waiting
+        lead.first_listings.request(action.worker_id, bool(state.run_by_task))
+        if not was_waiting:
+            self._spawn_for_lead(lead.epoch, self._begin_first_listings(lead))
+
+    async def _begin_first_listings(self, lead: LeaderState) -> None:
+        """Make the links to the waiting workers as earlier ones have responded."""
+        while self._lead is lead:
+            lead.first_listing_ended.clear()
+            for worker_id in lead.first_listings.pop_due(self._clock.now_ms()):
+                state = lead.state.worker_by_id.get(worker_id)
+                if state is None or worker_id in lead.link_by_worker:
+                    lead.first_listings.settle(worker_id)
+                    continue
+                is_recovered = worker_id in lead.recovered_workers
+                await self._add_link(lead, state.worker, state.fence, is_recovered)
+            if not lead.first_listings.is_waiting:
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SLOT_MS / 1000):
+                    await lead.first_listing_ended.wait()
 
     async def _add_link(
         self, lead: LeaderState, worker: StepWorker, fence: int, is_recovered: bool
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -305,6 +305,8 @@
         worker = lead and lead.state.worker_by_id.get(message.worker_id)
         if lead is None or not worker:
             return
+        lead.first_listings.settle(message.worker_id)
+        lead.first_listing_ended.set()
         was_synced, speed_class = worker.synced, worker.speed.speed_class
         self._log_new_ends(worker, message.listing)
         lead.state.apply_listing(
