Put the new decisions into packages by concept

Change: preempting/price.py, workerspeeds/learning.py and storeaccess/raterefusals.py; no code changed but imports.

--- a/marjoramgrade/controllers/storerouter.py
+++ b/marjoramgrade/controllers/storerouter.py
@@ -18,12 +18,12 @@
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.controllers.hedging import Attempt, ask_hedged
-from marjoramgrade.decisions.raterefusals import (
+from marjoramgrade.decisions.relayorder import RelayOrder
+from marjoramgrade.decisions.storeaccess.raterefusals import (
     MIN_SERVED,
     RateBackoff,
     RefusedAlone,
 )
-from marjoramgrade.decisions.relayorder import RelayOrder
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
--- a/marjoramgrade/decisions/stepplacement.py
+++ b/marjoramgrade/decisions/stepplacement.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from marjoramgrade.decisions.preemption_price import (
+from marjoramgrade.decisions.preempting.price import (
     PREEMPTION_RULES,
     ByPriority,
     PreemptionRule,
--- a/marjoramgrade/decisions/steppreemption.py
+++ b/marjoramgrade/decisions/steppreemption.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from marjoramgrade.decisions.preemption_price import (
+from marjoramgrade.decisions.preempting.price import (
     ByPriority,
     Exchange,
     PreemptionRule,
--- a/marjoramgrade/decisions/stepprogress.py
+++ b/marjoramgrade/decisions/stepprogress.py
@@ -57,7 +57,7 @@
         done_count: Number of tasks that are done.
         done_durations: Durations of completed runs near their data, in milliseconds.
         run_durations: Workers and durations of the completed runs whose speeds are
-            compared once the step is done; see `workerspeed`.
+            compared once the step is done; see `workerspeeds`.
         rack_in_use: Rack of the runs if they should share a rack, or empty.
         wait_reason: Why the last plan left tasks waiting, or empty.
         wait_since_ms: When `wait_reason` was last recorded.
--- a/marjoramgrade/decisions/stepstate.py
+++ b/marjoramgrade/decisions/stepstate.py
@@ -14,7 +14,7 @@
 from marjoramgrade.decisions.steprun import Run, RunPhase
 from marjoramgrade.decisions.steptracker import StepTracker
 from marjoramgrade.decisions.stepworkers import WorkerState
-from marjoramgrade.decisions.workerspeed import record_completion
+from marjoramgrade.decisions.workerspeeds.learning import record_completion
 from marjoramgrade.stepjobs import (
     RunEnd,
     RunEndStatus,
--- a/marjoramgrade/decisions/stepworkers.py
+++ b/marjoramgrade/decisions/stepworkers.py
@@ -5,7 +5,7 @@
 import attrs
 
 from marjoramgrade.decisions.steprun import Run
-from marjoramgrade.decisions.workerspeed import WorkerSpeed
+from marjoramgrade.decisions.workerspeeds.learning import WorkerSpeed
 from marjoramgrade.resources import ZERO_RESOURCES, Resources
 from marjoramgrade.stepjobs import StepWorker, TaskRef
 
--- /dev/null
+++ b/marjoramgrade/decisions/storeaccess/__init__.py
@@ -0,0 +1,1 @@
+"""Decides how calls that the store refuses are repeated."""
--- /dev/null
+++ b/marjoramgrade/decisions/workerspeeds/__init__.py
@@ -0,0 +1,1 @@
+"""Learns how fast workers run tasks."""
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -14,7 +14,7 @@
 from marjoramgrade.decisions.admission.gate import ADMISSION_POLICIES
 from marjoramgrade.decisions.intake.bounds import IntakeBounds
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
-from marjoramgrade.decisions.preemption_price import PREEMPTION_RULES
+from marjoramgrade.decisions.preempting.price import PREEMPTION_RULES
 from marjoramgrade.decisions.stepplacement import SELECTABLE_PLACEMENTS
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
 from marjoramgrade.platform.decoding import check_address
--- a/tests/test_store_rate.py
+++ b/tests/test_store_rate.py
@@ -10,7 +10,7 @@
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.controllers.storerouter import StoreRouter
-from marjoramgrade.decisions.raterefusals import MAX_PAUSE_MS, RateBackoff
+from marjoramgrade.decisions.storeaccess.raterefusals import MAX_PAUSE_MS, RateBackoff
 from marjoramgrade.errors import TableRateLimitedError, TableUnavailableError
 from marjoramgrade.messages.peers import CallPeer, Member, MembersChanged
 from marjoramgrade.messages.rows import (
--- a/tests/test_workerspeed.py
+++ b/tests/test_workerspeed.py
@@ -14,7 +14,7 @@
 from marjoramgrade.decisions.stepactions import AskAdvice
 from marjoramgrade.decisions.stepplacement import PlacementRules
 from marjoramgrade.decisions.stepplanning import Planner
-from marjoramgrade.decisions.workerspeed import SpeedClass
+from marjoramgrade.decisions.workerspeeds.learning import SpeedClass
 from marjoramgrade.errors import SettingsError
 from marjoramgrade.platform.settings import InstanceSettings, read_settings
 from marjoramgrade.registry import UnknownNameError
