Test crowds that reconnect, wait for the store, or arrive with other changes

Cause: the tests of clients that do not keep the limits let each crowd connect once and stay.

Change: crowds that leave within a body and come back, with a close or a reset, beside ordinary callers; complete bodies and frames that wait for a stopped store, and whose clients leave; accepted jobs with much text; bytes that the kernel holds; crowds while an instance starts, is reloaded, shuts down or takes over, or has two tenths of a core; on the port of the instances; and in chunks of one byte beside forwarded submissions.

--- a/soak/cell.py
+++ b/soak/cell.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import random
+import string
 import time
 from typing import Any
 
@@ -21,7 +23,10 @@
 
 INSTANCES = ("a", "b", "c")
 # Each instance has an address of its own, by which the relay tells who connects.
-HOST_BY_INSTANCE = {"a": "127.0.0.11", "b": "127.0.0.12", "c": "127.0.0.13"}
+HOST_BY_INSTANCE = {
+    name: f"127.0.0.{number}"
+    for number, name in enumerate(string.ascii_lowercase, start=11)
+}
 WORKERS = 4
 WORKER_CPU = 4_000
 SHUTDOWN_S = 4
@@ -46,6 +51,10 @@
             no response.
         relay_rules: Source, target and mode of each rule in force in the relay; an
             empty source stands for every source.
+        names: Names of the instances.
+        limits: Further settings of all instances, such as `memory_mb`.
+        pool_by_name: Connections that clients keep to each instance.
+        peak_mb: Largest memory that a process of an instance has used, in MB.
         start_s: Monotonic time of the start.
         control_port: Control port of the stand-in fleet.
         relay_port: Control port of the relay.
@@ -61,6 +70,10 @@
     accepted: dict[str, float] = attrs.field(factory=dict)
     statuses_by_job: dict[str, list[int]] = attrs.field(factory=dict)
     relay_rules: list[list[str]] = attrs.field(factory=list)
+    names: tuple[str, ...] = INSTANCES
+    limits: dict[str, Any] = attrs.field(factory=dict)
+    pool_by_name: dict[str, HttpPool] = attrs.field(factory=dict)
+    peak_mb: float = 0.0
     start_s: float = attrs.field(factory=time.monotonic)
     control_port: int = 0
     relay_port: int = 0
@@ -86,7 +99,7 @@
             "workers": workers,
             "config": _config(),
         }
-        for name in INSTANCES:
+        for name in self.names:
             relayed = pick()
             routes.append(_route(f"store-{name}", relayed, store))
             peer_port = pick()
@@ -105,7 +118,7 @@
             str(self.relay_port),
         )
         await asyncio.sleep(1.0)
-        for name in INSTANCES:
+        for name in self.names:
             self.start_instance(name)
 
     def start_instance(self, name: str) -> None:
@@ -145,6 +158,7 @@
                 "longest_lease_ms": 6_000,
                 "status_s": 120,
                 "shutdown_s": SHUTDOWN_S,
+                **self.limits,
             },
         )
 
@@ -180,8 +194,17 @@
         rules = {"rules": self.relay_rules}
         await send_request(f"{HOST}:{self.relay_port}", "POST", "/control", rules)
 
+    def measure_memory(self) -> None:
+        """Record the largest memory that the running instances have used so far."""
+        for name in self.names:
+            process = self.process_by_name[name]
+            with contextlib.suppress(OSError):
+                self.peak_mb = max(self.peak_mb, process.peak_mb)
+
     async def stop(self) -> None:
         """End every process that this soak started."""
+        for pool in self.pool_by_name.values():
+            pool.close()
         for process in self.started:
             process.end()
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -90,6 +90,19 @@
         if self.popen.poll() is None:
             self.popen.send_signal(signal_number)
 
+    @property
+    def peak_mb(self) -> float:
+        """Largest memory that the running process has used, in MB.
+
+        Raises:
+            OSError: If it has ended.
+        """
+        path = pathlib.Path(f"/proc/{self.popen.pid}/status")
+        for line in path.read_text(encoding="utf-8").splitlines():
+            if line.startswith("VmHWM"):
+                return int(line.split()[1]) / 1_024
+        raise ProcessLookupError(f"the process {self.name} has ended")
+
     def end(self) -> None:
         """Kill the process, even if a signal has stopped it, and wait for its end."""
         if self.popen.poll() is None:
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -7,186 +7,35 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import fcntl
 import json
-import pathlib
-import socket
-import tempfile
 
-import attrs
 import pytest
 
-import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
-from marjoramgrade.adapters.peercodec import Hello, PeerFrame, serialize_frame
+from marjoramgrade.adapters.peercodec import Hello
 from marjoramgrade.messages.steps import LeaderBeat
-from soak.cell import send_request
-from standins.processes import HOST, PortPicker, Process
-
-MEMORY_MB = 96
-# 300 unfinished bodies of the largest legal size are 79 MB, the instance itself 45 MB.
-CLIENTS = 300
-MAX_BODY_BYTES = 262_144
-# An ordinary client gives up after this time; also the bound of a hanging test.
-ANSWER_TIMEOUT_MS = 10_000
+from tests.untrusted import (
+    ANSWER_TIMEOUT_MS,
+    CHUNKED_HEAD,
+    CLIENTS,
+    FRAME_BYTES,
+    LENGTH_HEAD,
+    MAX_BODY_BYTES,
+    ORDINARY_JOB,
+    alone,  # noqa: F401 (a fixture for all tests)
+    connect_all,
+    frame_bytes,
+    one_large_chunk,
+    run_with,
+    send_all,
+    whole_but_one_byte,
+)
+
 PEER_CLIENTS = 40
-FRAME_BYTES = 4 * 1_048_576
 FRAMES = 50_000
 REQUESTS = 200
 MAX_FDS = 600
 MAX_OPEN_DESCRIPTORS = 250
-SEND_TIMEOUT_S = 4.0
 PIECE_BYTES = 16_384
-LENGTH_HEAD = (
-    "POST /q/{:016x} HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: {}\r\n\r\n"
-)
-CHUNKED_HEAD = (
-    "POST /q/{:016x} HTTP/1.1\r\nHost: jobs.example\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n"
-)
-ORDINARY_JOB = {"spec": "100:50", "steps": [{"count": 1, "cpu": 100, "estMs": 50}]}
-
-
-@pytest.fixture(autouse=True)
-def alone():
-    """Let one test of this kind run at a time, also in concurrent test runs."""
-    path = pathlib.Path(tempfile.gettempdir()) / "marjoramgrade-untrusted.lock"
-    with path.open("w") as lock:
-        fcntl.flock(lock, fcntl.LOCK_EX)
-        yield
-
-
-@attrs.define
-class Instance:
-    """One instance with a stand-in fleet."""
-
-    process: Process
-    address_by_port: dict[str, str]
-
-    def _status_kb(self, name):
-        path = pathlib.Path(f"/proc/{self.process.popen.pid}/status")
-        for line in path.read_text().splitlines():
-            if line.startswith(name):
-                return int(line.split()[1])
-        raise KeyError(name)
-
-    @property
-    def peak_mb(self):
-        return self._status_kb("VmHWM") / 1_024
-
-    @property
-    def open_descriptors(self):
-        folder = pathlib.Path(f"/proc/{self.process.popen.pid}/fd")
-        return len(list(folder.iterdir()))
-
-    async def submit(self, number=1):
-        return await send_request(
-            self.address_by_port["front"],
-            "POST",
-            f"/q/{number:016x}",
-            ORDINARY_JOB,
-            {"Host": "jobs.example"},
-            ANSWER_TIMEOUT_MS,
-        )
-
-    async def assert_serves(self, number=2):
-        assert await self.submit(number) is not None
-        print(f"peak {self.peak_mb:.1f} MB, {self.open_descriptors} descriptors")
-        assert self.process.popen.poll() is None
-        assert self.peak_mb < MEMORY_MB
-
-
-@contextlib.asynccontextmanager
-async def running_instance(folder, **limits):
-    ports = PortPicker()
-    store, worker, peer, metrics = (ports.pick() for _ in range(4))
-    entry = {"id": "w0", "addr": f"{HOST}:{worker}", "port": worker, "cpu": 4_000}
-    route = {"name": "q", "host": "jobs.example", "pathPrefix": "/q/"}
-    route |= {"service": "pool", "attempts": 3, "sloMs": 500, "public": True}
-    plan = {
-        "store": store,
-        "control": ports.pick(),
-        "workers": [entry],
-        "config": {"version": 1, "routes": [route], "services": [{"name": "pool"}]},
-    }
-    address_by_port = {
-        "front": f"{HOST}:{ports.pick()}",
-        "ready": f"{HOST}:{ports.pick()}",
-        "peer": f"{HOST}:{peer}",
-        "metrics": f"{HOST}:{metrics}",
-    }
-    settings = {
-        "instance_id": "a",
-        "zone": "north",
-        "host": HOST,
-        "front": address_by_port["front"],
-        "ready": address_by_port["ready"],
-        "peer_port": peer,
-        "metrics_port": metrics,
-        "store": f"{HOST}:{store}",
-        "cpu_share": 1.0,
-        "cores": 1.0,
-        "link_mbps": 1_000.0,
-        "longest_lease_ms": 6_000,
-        "status_s": 120,
-        "shutdown_s": 2,
-        "memory_mb": MEMORY_MB,
-        **limits,
-    }
-    for name, document in (("plan", plan), ("settings", settings)):
-        (folder / name).write_text(json.dumps(document))
-    fleet = Process.spawn("fleet", folder, "standins.fleet", str(folder / "plan"))
-    process = Process.spawn("a", folder, "soak.instance", str(folder / "settings"))
-    try:
-        instance = Instance(process, address_by_port)
-        async with asyncio.timeout(10):
-            while (answer := await instance.submit()) is None or answer.status != 200:
-                await asyncio.sleep(0.1)
-        yield instance
-    finally:
-        process.end()
-        fleet.end()
-
-
-async def send(client, data):
-    """Send what the instance takes; it may close the connection at any time."""
-    with contextlib.suppress(OSError, TimeoutError):
-        async with asyncio.timeout(SEND_TIMEOUT_S):
-            await asyncio.get_running_loop().sock_sendall(client, data)
-
-
-async def send_all(clients, data_of):
-    await asyncio.gather(*(send(c, data_of(n)) for n, c in enumerate(clients)))
-
-
-def whole_but_one_byte(number):
-    head = LENGTH_HEAD.format(number + 16, MAX_BODY_BYTES).encode()
-    return head + b"x" * (MAX_BODY_BYTES - 1)
-
-
-def one_large_chunk(number):
-    head = CHUNKED_HEAD.format(number + 16).encode()
-    return head + f"{MAX_BODY_BYTES:x}\r\n".encode() + b"x" * (MAX_BODY_BYTES - 1)
-
-
-def run_with(folder, play, **limits):
-    async def run():
-        async with running_instance(folder, **limits) as instance:
-            with contextlib.ExitStack() as stack:
-                await play(instance, stack)
-
-    asyncio.run(run())
-
-
-async def connect_all(stack, address, count):
-    host, _, port = address.rpartition(":")
-    clients = [stack.enter_context(socket.socket()) for _ in range(count)]
-    loop = asyncio.get_running_loop()
-    for client in clients:
-        client.setblocking(False)
-        with contextlib.suppress(OSError):
-            await loop.sock_connect(client, (host, int(port)))
-    return clients
 
 
 @pytest.mark.parametrize("port", ["front", "ready", "metrics"])
@@ -250,11 +99,6 @@
     run_with(tmp_path, play)
 
 
-def frame_bytes(message, correlation=0):
-    data = serialize_frame(PeerFrame(correlation, message))
-    return len(data).to_bytes(4, "big") + data
-
-
 def test_unfinished_frames_after_a_hello_do_not_fill_the_memory(tmp_path):
     # Guards against a bound that holds only until the other side has named itself.
     async def play(instance, stack):
