Free what a closed connection has sent

Cause: the budget forgot a closed connection, while the task that read its body waited for a turn which new connections kept taking. What had been read into the stream was then handed out uncounted, and streams in reference cycles kept their read buffers.

Change: closing a connection ends its wait. Nothing is read from a closed stream, and its buffer is cleared. The budget counts an unfinished message until its owner has dropped it. EPOLLRDHUP shows that a client has left while its body waits for a turn. Frames that an instance has sent before it left are still read.

--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -28,7 +28,9 @@
     Intake,
     MeasuredStream,
 )
-from marjoramgrade.decisions.intake.bounds import SMALL_BODY_BYTES
+from marjoramgrade.decisions.intake.bounds import (
+    SMALL_BODY_BYTES,
+)
 from marjoramgrade.decisions.intake.connections import ConnectionUse
 from marjoramgrade.decisions.intake.turns import CHUNKED_SEGMENT_BYTES
 from marjoramgrade.errors import OversizedInputError
@@ -174,6 +176,7 @@
     def on_connection_close(self) -> None:
         """Drop what was received."""
         self._body = BodyBuffer()
+        self.intake.drop_message(self.stream.use)
 
     def _refuse(self, *, is_waiting: bool = False) -> None:
         self._is_refused = True
@@ -219,8 +222,8 @@
             kwargs.update(max_body_size=NO_LIMIT, chunk_size=READ_BYTES)
         super().initialize(*args, **kwargs)
         self._listening: list[socket.socket] = []
-        self._intake = intake
         self._limits = limits
+        self._intake = intake
         self._uses: set[ConnectionUse] = set()
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -8,11 +8,14 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable
+from typing import Any
 
 import attrs
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from marjoramgrade import logs
+from marjoramgrade.adapters.hangups import HangupWatcher
 from marjoramgrade.clock import Clock, SystemClock
 from marjoramgrade.decisions.intake.bounds import IntakeBounds
 from marjoramgrade.decisions.intake.budget import BodyBudget, choose_for_new
@@ -58,6 +61,27 @@
         self._unsent_bytes = 0
         self.use = use
 
+    def read_bytes(self, *args: Any, **kwargs: Any) -> Awaitable[bytes]:
+        """Read bytes; see `IOStream.read_bytes`."""
+        self._check_readable()
+        return super().read_bytes(*args, **kwargs)
+
+    def read_until(self, *args: Any, **kwargs: Any) -> Awaitable[bytes]:
+        """Read up to a delimiter; see `IOStream.read_until`."""
+        self._check_readable()
+        return super().read_until(*args, **kwargs)
+
+    def read_until_regex(self, *args: Any, **kwargs: Any) -> Awaitable[bytes]:
+        """Read up to a match; see `IOStream.read_until_regex`."""
+        self._check_readable()
+        return super().read_until_regex(*args, **kwargs)
+
+    def _check_readable(self) -> None:
+        # tornado would hand out what was read before the connection was closed, piece
+        # by piece and without a pause.
+        if self.closed():
+            raise StreamClosedError(real_error=self.error)
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket and record that the other side makes progress."""
         count = super().read_from_fd(buf)
@@ -89,8 +113,12 @@
 
     def close_fd(self) -> None:
         """Close the socket and release what the connection holds."""
+        descriptor = self.socket.fileno()
+        self._intake.release(self.use, descriptor)
         super().close_fd()
-        self._intake.release(self.use)
+        # The stream can outlive its connection in a reference cycle.
+        self._read_buffer.clear()
+        self._read_buffer_size = 0
 
 
 @attrs.define
@@ -150,8 +178,13 @@
     clock: Clock
     metrics: Metrics
     _budget: BodyBudget
-    _turns: TurnQueue[asyncio.Future[None]] = attrs.field(factory=TurnQueue)
+    _turns: TurnQueue[asyncio.Future[bool]] = attrs.field(factory=TurnQueue)
+    _turn_by_use: dict[ConnectionUse, asyncio.Future[bool]] = attrs.field(factory=dict)
     _stream_by_use: dict[ConnectionUse, IOStream] = attrs.field(factory=dict)
+    _use_by_descriptor: dict[int, ConnectionUse] = attrs.field(factory=dict)
+    _hangups: HangupWatcher = attrs.field(
+        default=attrs.Factory(lambda self: HangupWatcher(self._left), takes_self=True)
+    )
     _refusing: _Refusing | None = None
     _sweeping: asyncio.TimerHandle | None = None
     _turning: asyncio.Handle | None = None
@@ -210,21 +243,47 @@
         others.add(use)
         self._budget.open(use)
         self._stream_by_use[use] = stream
+        self._use_by_descriptor[connection.fileno()] = use
         self._schedule_sweep()
         return stream
 
-    def release(self, use: ConnectionUse) -> None:
-        """Forget a connection whose stream has been closed."""
-        self._budget.close(use)
+    def release(self, use: ConnectionUse, descriptor: int) -> None:
+        """Forget a connection whose stream is being closed.
+
+        What waits for its turn goes on at once, to free what it holds.
+        """
+        self._budget.disconnect(use)
         self._stream_by_use.pop(use, None)
+        self._use_by_descriptor.pop(descriptor, None)
+        self._hangups.forget(descriptor)
+        turn = self._turn_by_use.get(use)
+        if turn is not None:
+            self._turns.remove(turn)
+            if not turn.done():
+                turn.set_result(False)
+
+    def _left(self, descriptor: int) -> None:
+        """Record that the other side has closed a connection.
+
+        A client waits for no answer any more. What another instance has sent before is
+        still read.
+        """
+        use = self._use_by_descriptor[descriptor]
+        use.has_left = True
+        if use in self._turn_by_use and self._is_abandoned(use):
+            self._close(use, CloseReason.LEFT)
 
     def begin_message(self, use: ConnectionUse) -> None:
         """Record that a connection is idle; what its last message held is released."""
-        if use.received_bytes:
-            self._budget.change(use, received=-use.received_bytes)
+        self.drop_message(use)
         use.enter(Phase.IDLE, self.now_ms())
         use.has_read = False
 
+    def drop_message(self, use: ConnectionUse) -> None:
+        """Record that what was received of an unfinished message has been freed."""
+        if use.received_bytes:
+            self._budget.change(use, received=-use.received_bytes)
+
     def begin_body(self, use: ConnectionUse) -> None:
         """Record that the body of a message begins."""
         use.enter(Phase.RECEIVING, self.now_ms())
@@ -256,25 +315,43 @@
         else:
             await self.await_turn(use)
 
-    async def await_turn(self, use: ConnectionUse) -> None:
-        """Wait until more of an unfinished body may be read."""
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    async def await_turn(self, use: ConnectionUse) -> bool:
+        """Wait until more of an unfinished body may be read.
+
+        Returns:
+            Whether the connection is still open. What it held must be freed if not.
+        """
+        if use.has_left and self._is_abandoned(use):
+            self._close(use, CloseReason.LEFT)
+        if use not in self._budget.uses:
+            return False
+        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._turn_by_use[use] = turn
+        stream = self._stream_by_use.get(use)
+        if stream is not None:
+            self._hangups.watch(stream.socket.fileno())
         self._turns.add(turn, use.turns)
         use.turns += 1
         use.is_waiting = True
         if self._turning is None:
             self._turning = asyncio.get_running_loop().call_soon(self._give_turns)
         try:
-            await turn
+            return await turn
         finally:
+            self._turns.remove(turn)
+            self._turn_by_use.pop(use, None)
             use.is_waiting = False
             use.progress_ms = self.now_ms()
 
+    @staticmethod
+    def _is_abandoned(use: ConnectionUse) -> bool:
+        return use.is_identified and not use.is_peer and use.phase is Phase.RECEIVING
+
     def _give_turns(self) -> None:
         self._turning = None
         for turn in self._turns.take():
             if not turn.done():
-                turn.set_result(None)
+                turn.set_result(True)
         if self._turns:
             self._turning = asyncio.get_running_loop().call_soon(self._give_turns)
 
@@ -284,8 +361,8 @@
 
     def _close(self, use: ConnectionUse, reason: CloseReason) -> None:
         self._record_closed(reason)
+        self._budget.disconnect(use)
         stream = self._stream_by_use.get(use)
-        self.release(use)
         if stream is not None:
             stream.close()
 
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -103,14 +103,16 @@
     prefix += await stream.read_bytes(_LENGTH.size - 1)
     length = _parse_length(prefix, max_bytes)
     data = BodyBuffer()
-    while len(data) < length:
-        count = min(length - len(data), READ_BYTES)
-        part = await stream.read_bytes(count, partial=True)
-        data.add(part)
-        intake.add_received(stream.use, len(part))
-        if len(data) < length:
-            await intake.await_turn(stream.use)
-    intake.begin_message(stream.use)
+    try:
+        while len(data) < length:
+            count = min(length - len(data), READ_BYTES)
+            part = await stream.read_bytes(count, partial=True)
+            data.add(part)
+            intake.add_received(stream.use, len(part))
+            if len(data) < length and not await intake.await_turn(stream.use):
+                raise StreamClosedError
+    finally:
+        intake.begin_message(stream.use)
     return parse_frame(data.take())
 
 
--- a/marjoramgrade/decisions/intake/budget.py
+++ b/marjoramgrade/decisions/intake/budget.py
@@ -65,7 +65,9 @@
         small_bytes: Part of it that only connections with at most `SMALL_BODY_BYTES`
             may use.
         uses: The open connections, in the order in which they were opened.
-        held_bytes: Bytes that all connections hold.
+        held_bytes: Bytes that all connections hold, except `ending_bytes`.
+        ending_bytes: Bytes of unfinished messages whose connections are closed. They
+            are about to be freed, so no further connection is closed for them.
         large_bytes: Bytes held by connections that hold more than `SMALL_BODY_BYTES`.
     """
 
@@ -73,7 +75,9 @@
     small_bytes: int
     uses: dict[ConnectionUse, None] = attrs.field(factory=dict)
     held_bytes: int = 0
+    ending_bytes: int = 0
     large_bytes: int = 0
+    _ending: set[ConnectionUse] = attrs.field(factory=set)
 
     @classmethod
     def from_config(cls, bounds: IntakeBounds) -> BodyBudget:
@@ -84,20 +88,41 @@
         """Take a connection in."""
         self.uses[use] = None
 
-    def close(self, use: ConnectionUse) -> None:
-        """Release all that a connection holds; without effect for a closed one."""
-        if use in self.uses:
-            self.change(use, received=-use.received_bytes, unsent=-use.unsent_bytes)
-            del self.uses[use]
+    def disconnect(self, use: ConnectionUse) -> None:
+        """Record that a connection is closed; without effect for a closed one.
 
-    def change(self, use: ConnectionUse, *, received: int = 0, unsent: int = 0) -> None:
-        """Add to the bytes that an open connection holds."""
+        Its messages stay counted until whoever holds them frees them.
+        """
         if use not in self.uses:
             return
+        self.change(use, unsent=-use.unsent_bytes)
+        self._count(use, -1)
+        del self.uses[use]
+        if use.held_bytes:
+            self._ending.add(use)
+        self._count(use, 1)
+
+    def close(self, use: ConnectionUse) -> None:
+        """Release a connection with all that it holds."""
+        self.disconnect(use)
+        self.change(use, received=-use.received_bytes)
+
+    def change(
+        self,
+        use: ConnectionUse,
+        *,
+        received: int = 0,
+        unsent: int = 0,
+    ) -> None:
+        """Add to the bytes that a connection holds; a closed one can only free them."""
+        if use not in self.uses and use not in self._ending:
+            return
         self._count(use, -1)
         use.received_bytes += received
         use.unsent_bytes += unsent
         self._count(use, 1)
+        if not use.held_bytes:
+            self._ending.discard(use)
 
     def choose_excess(self, now_ms: int) -> ConnectionUse | None:
         """Return the connection to close because the budget is exceeded, or None.
@@ -115,9 +140,13 @@
         return None
 
     def _count(self, use: ConnectionUse, sign: int) -> None:
-        self.held_bytes += sign * use.held_bytes
-        if _is_large(use):
-            self.large_bytes += sign * use.held_bytes
+        held_bytes = use.held_bytes
+        if use not in self.uses:
+            held_bytes -= use.received_bytes
+            self.ending_bytes += sign * use.received_bytes
+        self.held_bytes += sign * held_bytes
+        if held_bytes > SMALL_BODY_BYTES:
+            self.large_bytes += sign * held_bytes
 
 
 def _is_large(use: ConnectionUse) -> bool:
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -25,6 +25,7 @@
 
     BUDGET = "budget"
     CONNECTIONS = "connections"
+    LEFT = "left"
     SILENT = "silent"
     SLOW = "slow"
     UNREAD = "unread"
@@ -34,6 +35,9 @@
 class ConnectionUse:
     """What one connection uses.
 
+    The bytes of a connection are counted until they are free, which can be after its
+    socket was closed.
+
     Attributes:
         opened_ms: Time of its opening.
         progress_ms: Time of its last byte, in either direction.
@@ -44,6 +48,8 @@
         phase_since_ms: Time at which the phase began.
         is_waiting: Whether it waits for its turn; it then makes no progress, which is
             not its own fault.
+        has_left: Whether the other side has closed the connection, which shows before
+            its last bytes have been read.
         has_read: Whether bytes were received since the last message ended.
         turns: Number of turns used since it last waited for bytes of a new message.
         messages_in_row: Number of messages read, the present one included, without a
@@ -59,6 +65,7 @@
     phase: Phase = Phase.IDLE
     phase_since_ms: int = 0
     is_waiting: bool = False
+    has_left: bool = False
     has_read: bool = False
     turns: int = 0
     messages_in_row: int = 0
@@ -83,10 +90,11 @@
     def may_close(self) -> bool:
         """Whether no request would be left without an answer.
 
-        A request that was read completely is always answered. A response that is not
-        read has been given.
+        A request that was read completely is answered as long as its client waits. A
+        response that is not read has been given.
         """
-        return self.phase is not Phase.SERVED or self.unsent_bytes > 0
+        is_awaited = self.phase is Phase.SERVED and not self.has_left
+        return not is_awaited or self.unsent_bytes > 0
 
     def enter(self, phase: Phase, now_ms: int) -> None:
         """Begin a phase."""
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -6,6 +6,7 @@
 import contextlib
 import resource
 import socket
+import struct
 import types
 
 import attrs
@@ -363,3 +364,63 @@
         return list(intake._budget.uses) == [complete]
 
     assert asyncio.run(run())
+
+
+HEAD = "POST /q/1 HTTP/1.1\r\nHost: a\r\nRequest-Id: id7\r\nContent-Length: {}\r\n\r\n"
+
+
+def stop_turns(intake):
+    """Let no waiter have its turn."""
+    intake._turning = asyncio.get_running_loop().call_later(60, lambda: None)
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_body_whose_client_has_left_does_not_wait_for_its_turn(resets):
+    # Guards against bytes that stay in memory, uncounted, until a turn that may never
+    # come.
+    async def run():
+        intake = make_intake()
+        async with serving(plain_server(intake, lambda _: None)) as connect:
+            stop_turns(intake)
+            # The end of the connection arrives behind bytes that are not read yet.
+            client = connect(HEAD.format(99_999).encode() + b"x" * 24_000)
+            await wait_for(lambda: intake._turns)
+            if resets:
+                linger = struct.pack("ii", 1, 0)
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            client.close()
+            await wait_for(lambda: not intake._stream_by_use)
+            await wait_for(lambda: not intake._budget.ending_bytes)
+            assert not intake._turns
+            assert intake._budget.held_bytes == 0
+
+    asyncio.run(run())
+
+
+def test_what_was_received_is_not_read_on_after_the_connection_was_closed(monkeypatch):
+    # Guards against an event loop that parses the rest of a closed chunked body, up to
+    # the size of the read buffer, without a pause.
+    parts = []
+    collect = _BoundedMessage.data_received
+
+    async def data_received(self, chunk):
+        parts.append(chunk)
+        await collect(self, chunk)
+
+    monkeypatch.setattr(_BoundedMessage, "data_received", data_received)
+
+    async def run():
+        intake = make_intake()
+        async with serving(plain_server(intake, lambda _: None)) as connect:
+            head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            stop_turns(intake)
+            connect(head + b"1\r\nx\r\n" * 10_000)
+            await wait_for(lambda: intake._turns)
+            (use,) = intake._budget.uses
+            stream = intake._stream_by_use[use]
+            intake._close(use, CloseReason.BUDGET)
+            await asyncio.sleep(0.05)
+            assert len(parts) <= 1
+            assert stream._read_buffer_size == len(stream._read_buffer) == 0
+
+    asyncio.run(run())
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -149,3 +149,38 @@
             assert intake._budget.held_bytes <= 2 * size
 
     asyncio.run(run())
+
+
+@contextlib.asynccontextmanager
+async def serving_peers(receiver, intake):
+    """Yield the port of a server of other instances."""
+    socket, port = bind_unused_port()
+    server = PeerServer(receiver, intake=intake)
+    async with contextlib.AsyncExitStack() as stack:
+        await receiver.start()
+        stack.push_async_callback(receiver.stop)
+        server.add_socket(socket)
+        stack.push_async_callback(server.close)
+        yield port
+
+
+def test_frames_of_an_instance_that_has_left_are_still_read():
+    # Guards against the last message of an instance that ends, which is lost if its
+    # connection is closed while it waits for a turn.
+    async def run():
+        receiver = Receiver()
+        intake = Intake.from_config()
+        async with serving_peers(receiver, intake) as port:
+            intake._turning = asyncio.get_running_loop().call_later(60, lambda: None)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            beats = [LeaderBeat(count, "b") for count in range(2 * FRAMES_PER_TURN)]
+            for frame in (Hello("b"), *beats):
+                data = serialize_frame(PeerFrame(0, frame))
+                writer.write(len(data).to_bytes(4, "big") + data)
+            await writer.drain()
+            writer.close()
+            await wait_until(lambda: any(use.has_left for use in intake._budget.uses))
+            intake._give_turns()
+            await wait_until(lambda: receiver.received[: len(beats)] == beats)
+
+    asyncio.run(run())
