Close connections of ordinary callers last

Seen by callers: requests beside a crowd that lose their connection without an answer.

Cause, by a trace of 35 such callers: the port has its limit of connections, most of them departed clients whose end has not arrived behind their unread bytes. Waiting for a turn counts as no time without progress, so that a caller which was accepted a few milliseconds ago was closed before 250 KB that nobody waits for.

Ruled out: requests that were read completely are never closed; no caller waited behind the turns of large bodies; time limits and the budget of bytes closed none of them.

Change: decisions/intake/precedence.py is the one rule on whom to close. Callers with small requests that made progress within a second come after all messages that are arriving. A connection whose request has not been read is not closed for another within 200 ms; while there are no others, the port accepts none, and they wait in the queue of the kernel.

--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -22,6 +22,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from marjoramgrade.adapters.accepting import BoundedTcpServer
 from marjoramgrade.adapters.intake import (
     READ_BYTES,
     BodyBuffer,
@@ -31,7 +32,7 @@
 from marjoramgrade.decisions.intake.bounds import (
     SMALL_BODY_BYTES,
 )
-from marjoramgrade.decisions.intake.connections import ConnectionUse
+from marjoramgrade.decisions.intake.connections import UNKNOWN_LENGTH
 from marjoramgrade.decisions.intake.turns import CHUNKED_SEGMENT_BYTES
 from marjoramgrade.errors import OversizedInputError
 
@@ -121,7 +122,7 @@
     receiver: HTTPMessageDelegate
     _start: tuple[RequestStartLine, HTTPHeaders] | None = None
     _body: BodyBuffer = attrs.field(factory=BodyBuffer)
-    _expected_bytes: int = -1
+    _expected_bytes: int = UNKNOWN_LENGTH
     _is_refused: bool = False
 
     async def headers_received(
@@ -133,14 +134,18 @@
         assert isinstance(start_line, RequestStartLine)
         self._start = (start_line, headers)
         await self.intake.await_turn_of_next(self.stream.use)
-        self.intake.begin_body(self.stream.use)
         length = headers.get("Content-Length", "")
+        is_chunked = "Transfer-Encoding" in headers
         if length.isascii() and length.isdigit():
             # A number with more digits is above the limit and slow to convert.
             self._expected_bytes = int(length[:18])
+        elif not is_chunked:
+            self._expected_bytes = 0
+        self.intake.begin_body(self.stream.use, self._expected_bytes)
+        if not is_chunked:
             if self._expected_bytes > self.limits.max_body_bytes:
                 self._refuse(is_waiting="Expect" in headers)
-        elif "Transfer-Encoding" in headers:
+        else:
             # Shared by all connections of the server.
             self.connection.params = copy.copy(self.connection.params)
             self.connection.params.chunk_size = CHUNKED_SEGMENT_BYTES
@@ -197,7 +202,7 @@
         loop.call_later(LINGER_MS / 1_000, self.stream.close)
 
 
-class DrainingHttpServer(HTTPServer):
+class DrainingHttpServer(BoundedTcpServer, HTTPServer):
     """An HTTP server that serves every connection that the kernel has accepted.
 
     Closing a listening socket resets the connections that wait in its queue, and their
@@ -223,8 +228,8 @@
         super().initialize(*args, **kwargs)
         self._listening: list[socket.socket] = []
         self._limits = limits
-        self._intake = intake
-        self._uses: set[ConnectionUse] = set()
+        if intake is not None and limits is not None:
+            self.bound_connections(intake, limits.max_connections)
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Start accepting connections on listening sockets."""
@@ -234,16 +239,10 @@
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a connection, unless there are too many."""
-        if self._intake is None or self._limits is None:
+        if self._intake is None:
             super().handle_stream(stream, address)
             return
-        # The stream that tornado made has not been used and does not own the socket.
-        measured = self._intake.open(
-            stream.socket,
-            self._uses,
-            self._limits.max_connections,
-            self.max_buffer_size,
-        )
+        measured = self.open_stream(stream)
         if measured is not None:
             super().handle_stream(measured, address)
 
--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -18,12 +18,17 @@
 from marjoramgrade.adapters.hangups import HangupWatcher
 from marjoramgrade.clock import Clock, SystemClock
 from marjoramgrade.decisions.intake.bounds import IntakeBounds
-from marjoramgrade.decisions.intake.budget import BodyBudget, choose_for_new
+from marjoramgrade.decisions.intake.budget import BodyBudget
 from marjoramgrade.decisions.intake.connections import (
+    UNKNOWN_LENGTH,
     CloseReason,
     ConnectionUse,
     Phase,
 )
+from marjoramgrade.decisions.intake.precedence import (
+    choose_for_new,
+    may_make_room,
+)
 from marjoramgrade.decisions.intake.turns import TurnQueue
 from marjoramgrade.metrics import MemoryMetrics, Metrics
 
@@ -86,7 +91,7 @@
         """Read from the socket and record that the other side makes progress."""
         count = super().read_from_fd(buf)
         if count:
-            self.use.has_read = True
+            self.use.has_read, self.use.is_unused = True, False
             self.use.progress_ms = self._intake.now_ms()
         return count
 
@@ -247,6 +252,21 @@
         self._schedule_sweep()
         return stream
 
+    def has_room(self, others: set[ConnectionUse], max_connections: int) -> bool:
+        """Return whether a port can accept a further connection.
+
+        Args:
+            others: The connections of the port, of which some may have been closed.
+            max_connections: Limit for them.
+        """
+        if len(others) < max_connections:
+            return True
+        others.intersection_update(self._stream_by_use.keys())
+        if len(others) < max_connections:
+            return True
+        now_ms = self.now_ms()
+        return any(may_make_room(use, now_ms) for use in others)
+
     def release(self, use: ConnectionUse, descriptor: int) -> None:
         """Forget a connection whose stream is being closed.
 
@@ -277,6 +297,7 @@
         """Record that a connection is idle; what its last message held is released."""
         self.drop_message(use)
         use.enter(Phase.IDLE, self.now_ms())
+        use.expected_bytes = UNKNOWN_LENGTH
         use.has_read = False
 
     def drop_message(self, use: ConnectionUse) -> None:
@@ -284,9 +305,12 @@
         if use.received_bytes:
             self._budget.change(use, received=-use.received_bytes)
 
-    def begin_body(self, use: ConnectionUse) -> None:
-        """Record that the body of a message begins."""
+    def begin_body(
+        self, use: ConnectionUse, expected_bytes: int = UNKNOWN_LENGTH
+    ) -> None:
+        """Record that the body of a message begins, with its length if it is known."""
         use.enter(Phase.RECEIVING, self.now_ms())
+        use.expected_bytes = expected_bytes
 
     def end_body(self, use: ConnectionUse) -> None:
         """Record that a message was read completely; it holds its bytes until answered.
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -14,9 +14,9 @@
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
-from tornado.tcpserver import TCPServer
 
 from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.adapters.accepting import BoundedTcpServer
 from marjoramgrade.adapters.httppool import (
     UNACKNOWLEDGED_TIMEOUT_MS,
     set_tcp_options,
@@ -35,7 +35,6 @@
     parse_frame,
     serialize_frame,
 )
-from marjoramgrade.decisions.intake.connections import ConnectionUse
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -300,7 +299,7 @@
         self._reply_by_correlation.clear()
 
 
-class PeerServer(TCPServer):
+class PeerServer(BoundedTcpServer):
     """Accepts connections from other entry instances.
 
     Args:
@@ -319,20 +318,14 @@
         super().__init__()
         self._receiver = receiver
         self._disconnect_receiver = disconnect_receiver
-        self._intake = intake or Intake.from_config()
-        self._uses: set[ConnectionUse] = set()
+        intake = intake or Intake.from_config()
+        self.bound_connections(intake, intake.bounds.peer_connections)
         self._streams: set[IOStream] = set()
         self._call_tasks: set[asyncio.Task[None]] = set()
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve one connection until it is closed."""
-        # The stream that tornado made has not been used and does not own the socket.
-        measured = self._intake.open(
-            stream.socket,
-            self._uses,
-            self._intake.bounds.peer_connections,
-            is_identified=False,
-        )
+        measured = self.open_stream(stream, is_identified=False)
         if measured is not None:
             await self._serve_stream(measured)
 
@@ -341,7 +334,7 @@
         stream.set_nodelay(True)
         stream.max_write_buffer_size = MAX_UNSENT_BYTES
         try:
-            frame = await read_bounded_frame(stream, self._intake, MAX_HELLO_BYTES)
+            frame = await read_bounded_frame(stream, self.intake, MAX_HELLO_BYTES)
             hello = frame.body
             if not isinstance(hello, Hello):
                 raise ProtocolError("the first frame of a connection must be a hello")
@@ -358,10 +351,10 @@
         calls = asyncio.Semaphore(MAX_CALLS)
         try:
             while True:
-                frame = await read_bounded_frame(stream, self._intake, MAX_FRAME_BYTES)
+                frame = await read_bounded_frame(stream, self.intake, MAX_FRAME_BYTES)
                 if stream.use.messages_in_row >= FRAMES_PER_TURN:
                     stream.use.messages_in_row = 0
-                    await self._intake.await_turn(stream.use)
+                    await self.intake.await_turn(stream.use)
                 await calls.acquire()
                 self._spawn(self._serve(stream, peer_id, frame), calls)
         finally:
--- a/marjoramgrade/decisions/intake/budget.py
+++ b/marjoramgrade/decisions/intake/budget.py
@@ -1,4 +1,4 @@
-"""The bytes of all unfinished bodies of a process, and which connection to close.
+"""The bytes that all connections of a process hold, and what does not fit.
 
 Handles many concurrent large bodies of legal size, most of which stop just short of
 their end: their sum is bounded, and bodies of ordinary size keep a part of it.
@@ -6,54 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import attrs
 
-from marjoramgrade.decisions.intake.bounds import (
-    CONNECTION_BYTES,
-    SMALL_BODY_BYTES,
-    IntakeBounds,
-)
+from marjoramgrade.decisions.intake.bounds import SMALL_BODY_BYTES, IntakeBounds
 from marjoramgrade.decisions.intake.connections import ConnectionUse
-
-# A connection of another instance carries the calls of all its clients. It is closed
-# only if nothing else can be, as long as it made progress within this time; a frame on
-# a slow link pauses for a few round trips at most.
-ACTIVE_PEER_MS = 1_000
-
-
-def choose_to_close(
-    uses: Iterable[ConnectionUse], now_ms: int, connection_bytes: int = 0
-) -> ConnectionUse | None:
-    """Return the connection to close first, or None if none may be closed.
-
-    It is the one with the most bytes multiplied by the time without progress: neither a
-    large body that is arriving nor a small one that has just stopped. Connections that
-    have not identified themselves come before all others, and those of instances that
-    make progress after them.
-
-    Args:
-        uses: The connections to choose from.
-        now_ms: The time.
-        connection_bytes: Counted for a connection beside the bytes that it holds; 0 if
-            closing helps only with bytes.
-    """
-
-    def loss(use: ConnectionUse) -> tuple[bool, bool, int]:
-        size, idle_ms = use.held_bytes + connection_bytes, use.idle_ms(now_ms)
-        is_active_peer = use.is_peer and idle_ms < ACTIVE_PEER_MS
-        return (not use.is_identified, not is_active_peer, size * (idle_ms + 1))
-
-    candidates = (
-        use for use in uses if use.may_close and use.held_bytes + connection_bytes
-    )
-    return max(candidates, key=loss, default=None)
-
-
-def choose_for_new(uses: Iterable[ConnectionUse], now_ms: int) -> ConnectionUse | None:
-    """Return the connection to close so that a new one can be opened, or None."""
-    return choose_to_close(uses, now_ms, CONNECTION_BYTES)
+from marjoramgrade.decisions.intake.precedence import choose_to_close
 
 
 @attrs.define
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -9,7 +9,9 @@
 
 import attrs
 
-from marjoramgrade.decisions.intake.bounds import IntakeBounds
+from marjoramgrade.decisions.intake.bounds import SMALL_BODY_BYTES, IntakeBounds
+
+UNKNOWN_LENGTH = -1
 
 
 class Phase(enum.Enum):
@@ -50,10 +52,12 @@
             not its own fault.
         has_left: Whether the other side has closed the connection, which shows before
             its last bytes have been read.
+        is_unused: Whether nothing has been received yet.
         has_read: Whether bytes were received since the last message ended.
         turns: Number of turns used since it last waited for bytes of a new message.
         messages_in_row: Number of messages read, the present one included, without a
             wait for the other side and without a turn.
+        expected_bytes: Declared length of the body that is arriving.
         received_bytes: Bytes held of a message that has not been answered.
         unsent_bytes: Bytes of responses that the other side has not read.
     """
@@ -66,9 +70,11 @@
     phase_since_ms: int = 0
     is_waiting: bool = False
     has_left: bool = False
+    is_unused: bool = True
     has_read: bool = False
     turns: int = 0
     messages_in_row: int = 0
+    expected_bytes: int = UNKNOWN_LENGTH
     received_bytes: int = 0
     unsent_bytes: int = 0
 
@@ -86,6 +92,17 @@
         """Bytes that the process holds for this connection."""
         return self.received_bytes + self.unsent_bytes
 
+    @property
+    def is_small(self) -> bool:
+        """Whether its message, as far as known, is at most `SMALL_BODY_BYTES` long.
+
+        A chunked body that is arriving can be of any length.
+        """
+        is_unknown = self.expected_bytes == UNKNOWN_LENGTH
+        if is_unknown and self.phase is Phase.RECEIVING:
+            return False
+        return max(self.held_bytes, self.expected_bytes) <= SMALL_BODY_BYTES
+
     @property
     def may_close(self) -> bool:
         """Whether no request would be left without an answer.
--- /dev/null
+++ b/marjoramgrade/decisions/intake/precedence.py
@@ -0,0 +1,82 @@
+"""Which connection is closed first when there is no room for all.
+
+Handles crowds of clients that send more than is held, stop within a message, or leave
+and come back, beside ordinary callers whose requests are small. One rule serves all
+cases, from the first to be given up to the last:
+
+1. connections whose other side has left;
+2. connections that have not introduced themselves on the port of instances;
+3. messages that are arriving or whose responses are not read, those with the most bytes
+   for the longest time without progress first;
+4. connections that have been opened or made progress recently and, as far as known,
+   carry small requests;
+5. connections of other instances that have made progress recently.
+
+Complete requests that wait for their answer are never closed. A new connection is not
+closed to make room for another one before its client can have sent its request and the
+header has been read; no further connection is accepted meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from marjoramgrade.decisions.intake.bounds import CONNECTION_BYTES
+from marjoramgrade.decisions.intake.connections import (
+    ConnectionUse,
+    Phase,
+)
+
+# A connection of another instance carries the calls of all its clients. It is closed
+# only if nothing else can be, as long as it made progress within this time; a frame on
+# a slow link pauses for a few round trips at most.
+ACTIVE_PEER_MS = 1_000
+# A new connection has not sent its request for a few round trips, and an event loop
+# that is busy reads it only some turns later.
+RECENT_CALLER_MS = 1_000
+# A few round trips and turns of a busy event loop until a new connection sends, or is
+# read for, the first time.
+NEW_CONNECTION_MS = 200
+
+
+def choose_to_close(
+    uses: Iterable[ConnectionUse], now_ms: int, connection_bytes: int = 0
+) -> ConnectionUse | None:
+    """Return the connection to close first, or None if none may be closed.
+
+    Args:
+        uses: The connections to choose from.
+        now_ms: The time.
+        connection_bytes: Counted for a connection beside the bytes that it holds; 0 if
+            closing helps only with bytes.
+    """
+
+    def precedence(use: ConnectionUse) -> tuple[bool, bool, bool, bool, int]:
+        size, idle_ms = use.held_bytes + connection_bytes, use.idle_ms(now_ms)
+        is_active_peer = use.is_peer and idle_ms < ACTIVE_PEER_MS
+        is_caller = not use.is_peer and use.is_small and idle_ms < RECENT_CALLER_MS
+        return (
+            use.has_left,
+            not use.is_identified,
+            not is_active_peer,
+            not is_caller,
+            size * (idle_ms + 1),
+        )
+
+    candidates = (
+        use for use in uses if use.may_close and use.held_bytes + connection_bytes
+    )
+    return max(candidates, key=precedence, default=None)
+
+
+def choose_for_new(uses: Iterable[ConnectionUse], now_ms: int) -> ConnectionUse | None:
+    """Return the connection to close so that a new one can be opened, or None."""
+    candidates = (use for use in uses if may_make_room(use, now_ms))
+    return choose_to_close(candidates, now_ms, CONNECTION_BYTES)
+
+
+def may_make_room(use: ConnectionUse, now_ms: int) -> bool:
+    """Return whether a connection may be closed so that a new one can be opened."""
+    is_sending = use.is_unused or use.has_read
+    is_new = is_sending and now_ms - use.progress_ms < NEW_CONNECTION_MS
+    return use.may_close and (use.has_left or use.phase is not Phase.IDLE or not is_new)
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -33,17 +33,17 @@
     SMALL_BODY_BYTES,
     IntakeBounds,
 )
-from marjoramgrade.decisions.intake.budget import (
-    ACTIVE_PEER_MS,
-    BodyBudget,
-    choose_for_new,
-    choose_to_close,
-)
+from marjoramgrade.decisions.intake.budget import BodyBudget
 from marjoramgrade.decisions.intake.connections import (
     CloseReason,
     ConnectionUse,
     Phase,
 )
+from marjoramgrade.decisions.intake.precedence import (
+    ACTIVE_PEER_MS,
+    choose_for_new,
+    choose_to_close,
+)
 from marjoramgrade.decisions.intake.turns import SEGMENTS_PER_TURN, TurnQueue
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.filters.chain import FilterChain
--- a/tests/test_intake_precedence.py
+++ b/tests/test_intake_precedence.py
@@ -1,4 +1,4 @@
-"""Tests of the decisions on what connections hold, without a network."""
+"""Tests of the rule on whom to close, refuse or read first, without a network."""
 
 from __future__ import annotations
 
@@ -9,9 +9,15 @@
 )
 from marjoramgrade.decisions.intake.budget import BodyBudget
 from marjoramgrade.decisions.intake.connections import ConnectionUse, Phase
+from marjoramgrade.decisions.intake.precedence import (
+    NEW_CONNECTION_MS,
+    RECENT_CALLER_MS,
+    choose_for_new,
+)
 from marjoramgrade.decisions.intake.turns import (
     TurnQueue,
 )
+from marjoramgrade.platform.frontend import MAX_BODY_BYTES
 
 NOW_MS = 10_000
 LARGE = 2 * SMALL_BODY_BYTES
@@ -20,11 +26,58 @@
 def using(phase=Phase.IDLE, *, age_ms=0, **fields):
     use = ConnectionUse.opened(NOW_MS - age_ms)
     use.enter(phase, NOW_MS - age_ms)
+    use.is_unused = phase is Phase.IDLE
     return attrs.evolve(use, **fields)
 
 
-def receiving(size, **fields):
-    return using(Phase.RECEIVING, received_bytes=size, **fields)
+def receiving(size, expected=MAX_BODY_BYTES, **fields):
+    return using(
+        Phase.RECEIVING, received_bytes=size, expected_bytes=expected, **fields
+    )
+
+
+def test_connections_are_closed_in_the_order_of_the_rule():
+    # Guards against a caller that loses its connection to make room for one that has
+    # left or sends what it does not finish.
+    in_order = [
+        receiving(100, is_waiting=True, has_left=True),
+        using(is_identified=False, age_ms=NEW_CONNECTION_MS),
+        receiving(LARGE, age_ms=RECENT_CALLER_MS),
+        receiving(LARGE),
+        receiving(LARGE - 1, is_waiting=True),
+        using(age_ms=RECENT_CALLER_MS - 1),
+        receiving(10, expected=100),
+        using(is_peer=True, age_ms=NEW_CONNECTION_MS),
+    ]
+    served = using(Phase.SERVED, received_bytes=LARGE)
+    left = [*reversed(in_order), served]
+    for expected in in_order:
+        chosen = choose_for_new(left, NOW_MS)
+        assert chosen is expected
+        left.remove(chosen)
+    assert choose_for_new(left, NOW_MS) is None
+
+
+def test_unfinished_chunked_body_counts_as_large():
+    # Guards against clients that keep their connections by hiding the length of what
+    # they send.
+    chunked = receiving(10, expected=-1, is_waiting=True)
+    caller = using(age_ms=RECENT_CALLER_MS - 1)
+    assert choose_for_new([caller, chunked], NOW_MS) is chunked
+
+
+def test_new_connection_has_time_to_send_its_request():
+    # Guards against callers that are accepted and closed again before they can send.
+    new = using(age_ms=NEW_CONNECTION_MS - 1)
+    assert choose_for_new([new], NOW_MS) is None
+    header_read = attrs.evolve(new, is_unused=False, has_read=True)
+    assert choose_for_new([new, header_read], NOW_MS) is None
+    kept = attrs.evolve(new, is_unused=False)
+    assert choose_for_new([new, kept], NOW_MS) is kept
+    left = attrs.evolve(new, has_left=True)
+    assert choose_for_new([new, left], NOW_MS) is left
+    late = using(age_ms=NEW_CONNECTION_MS)
+    assert choose_for_new([new, late], NOW_MS) is late
 
 
 def test_removed_waiter_gets_no_turn_and_is_not_kept():
