Finish bodies that are nearly complete before others

Seen by callers: with 300 clients that each send a large body, none is answered.

Cause: the body that had used the fewest turns went first. All grew together, filled the budget at 31 KB each, and those with the most bytes were closed. Clients that came back began anew.

Change: the body that needs the fewest turns goes first. Rounds of the queue age those that wait. The rest of a small request, complete bodies and the rest of a frame of another instance come before all others.

--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -27,17 +27,17 @@
 )
 from marjoramgrade.decisions.intake.precedence import (
     choose_for_new,
+    count_turns_left,
+    is_read_first,
     may_make_room,
 )
-from marjoramgrade.decisions.intake.turns import TurnQueue
+from marjoramgrade.decisions.intake.turns import SEGMENT_BYTES, TurnQueue
 from marjoramgrade.metrics import MemoryMetrics, Metrics
 
 SWEEP_MS = 500
 # Refusing has ended once no connection was closed to make room for this long.
 REFUSING_MS = 2_000
-# Small enough that 640 connections that wait for their turn hold 10 MB, and large
-# enough that a body of the largest size takes 16 turns.
-READ_BYTES = 16_384
+READ_BYTES = SEGMENT_BYTES
 BLOCK_BYTES = 16_384
 _ROOM_REASONS = (CloseReason.BUDGET, CloseReason.CONNECTIONS)
 
@@ -354,7 +354,7 @@
         stream = self._stream_by_use.get(use)
         if stream is not None:
             self._hangups.watch(stream.socket.fileno())
-        self._turns.add(turn, use.turns)
+        self._turns.add(turn, count_turns_left(use), is_first=is_read_first(use))
         use.turns += 1
         use.is_waiting = True
         if self._turning is None:
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -101,6 +101,7 @@
     intake.begin_body(stream.use)
     prefix += await stream.read_bytes(_LENGTH.size - 1)
     length = _parse_length(prefix, max_bytes)
+    stream.use.expected_bytes = length
     data = BodyBuffer()
     try:
         while len(data) < length:
--- a/marjoramgrade/decisions/intake/precedence.py
+++ b/marjoramgrade/decisions/intake/precedence.py
@@ -1,4 +1,4 @@
-"""Which connection is closed first when there is no room for all.
+"""Which connection is closed, refused or read on first when there is no room for all.
 
 Handles crowds of clients that send more than is held, stop within a message, or leave
 and come back, beside ordinary callers whose requests are small. One rule serves all
@@ -19,13 +19,16 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from marjoramgrade.decisions.intake.bounds import CONNECTION_BYTES
 from marjoramgrade.decisions.intake.connections import (
+    UNKNOWN_LENGTH,
     ConnectionUse,
     Phase,
 )
+from marjoramgrade.decisions.intake.turns import SEGMENT_BYTES
 
 # A connection of another instance carries the calls of all its clients. It is closed
 # only if nothing else can be, as long as it made progress within this time; a frame on
@@ -80,3 +83,27 @@
     is_sending = use.is_unused or use.has_read
     is_new = is_sending and now_ms - use.progress_ms < NEW_CONNECTION_MS
     return use.may_close and (use.has_left or use.phase is not Phase.IDLE or not is_new)
+
+
+def is_read_first(use: ConnectionUse) -> bool:
+    """Return whether a connection gets its turn before all that wait for one.
+
+    These are the rest of a small request, so that ordinary callers do not wait for
+    large bodies; a complete body, which takes most memory until it is answered; and
+    frames of other instances, which carry the calls of many clients.
+    """
+    if use.phase is Phase.RECEIVING:
+        return use.is_peer or use.is_small
+    return use.phase is Phase.SERVED
+
+
+def count_turns_left(use: ConnectionUse) -> int:
+    """Return about how many turns a message needs; those with the fewest go first.
+
+    Bodies that are nearly complete are then finished, and free what they hold, before
+    others are begun. A chunked body is taken to need as many as it has used.
+    """
+    left_bytes = use.expected_bytes - use.received_bytes
+    if use.expected_bytes == UNKNOWN_LENGTH or left_bytes <= 0:
+        return use.turns
+    return math.ceil(left_bytes / SEGMENT_BYTES)
--- a/tests/test_intake_precedence.py
+++ b/tests/test_intake_precedence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from marjoramgrade.decisions.intake.bounds import (
     SMALL_BODY_BYTES,
@@ -13,8 +14,12 @@
     NEW_CONNECTION_MS,
     RECENT_CALLER_MS,
     choose_for_new,
+    count_turns_left,
+    is_read_first,
 )
 from marjoramgrade.decisions.intake.turns import (
+    SEGMENT_BYTES,
+    SEGMENTS_PER_TURN,
     TurnQueue,
 )
 from marjoramgrade.platform.frontend import MAX_BODY_BYTES
@@ -80,6 +85,47 @@
     assert choose_for_new([new, late], NOW_MS) is late
 
 
+def test_bodies_that_are_nearly_complete_are_finished_first():
+    # Guards against many large bodies that arrive at once, fill the budget together and
+    # are closed before any is complete.
+    size = 16 * SEGMENT_BYTES
+    begun = receiving(SEGMENT_BYTES, expected=size)
+    nearly = receiving(size - 1, expected=size)
+    assert count_turns_left(nearly) == 1 < count_turns_left(begun) == 15
+    # A chunked body may end at any time; the longer it is, the later that is expected.
+    assert count_turns_left(receiving(size, expected=-1, turns=100)) == 100
+    assert count_turns_left(receiving(0, expected=-1)) == 0
+
+
+def test_rest_of_a_small_request_is_read_first():
+    # Guards against ordinary requests that arrive in two pieces and wait behind large
+    # bodies.
+    assert is_read_first(receiving(100, expected=SMALL_BODY_BYTES))
+    assert is_read_first(using(Phase.SERVED, received_bytes=MAX_BODY_BYTES))
+    assert not is_read_first(receiving(100, expected=SMALL_BODY_BYTES + 1))
+    assert not is_read_first(receiving(100, expected=-1))
+    assert is_read_first(receiving(100, is_peer=True))
+    # Requests that a client sends without waiting for the answers.
+    assert not is_read_first(using())
+    assert not is_read_first(using(is_peer=True))
+    turns = TurnQueue()
+    turns.add("large", 0)
+    turns.add("small", 9, is_first=True)
+    assert turns.take() == ["small", "large"]
+
+
+def test_long_body_is_read_on_while_new_ones_keep_coming():
+    # Guards against a body that waits for ever behind connections that come and go.
+    turns = TurnQueue()
+    turns.add("long", turns=10)
+    for number in range(100):
+        for new in range(SEGMENTS_PER_TURN):
+            turns.add((number, new), turns=0)
+        if "long" in turns.take():
+            return
+    pytest.fail("the long body got no turn")
+
+
 def test_removed_waiter_gets_no_turn_and_is_not_kept():
     # Guards against a queue that holds what closed connections have sent.
     turns = TurnQueue()
