Bound the complete requests that wait for their answer

Cause: a request that was read completely is never closed, and nothing bounded their sum. The text was kept beside the decoded job.

Change: the task that handles a request holds its bytes of the budget until it is done, whether or not its client is still there. Without room, the request is answered at once with 504 and Retry-After, which is true whatever became of earlier attempts. The text is dropped once it is decoded, and the job counts with its size. Small requests keep a part of their own.

--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -20,7 +20,7 @@
 from marjoramgrade.adapters.httperrors import error_document, status_of
 from marjoramgrade.adapters.httpresources import HttpCall, Operation, iter_paths
 from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
-from marjoramgrade.adapters.intake import Intake
+from marjoramgrade.adapters.intake import Intake, MeasuredStream
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.watch import Subscribe, Unsubscribe
 from marjoramgrade.documents import serialize_watch_event
@@ -94,6 +94,12 @@
             self.set_header("Connection", "close")
         return super().finish(chunk)
 
+    def on_finish(self) -> None:
+        """Free what the request holds; called also if its client has left."""
+        connection: Any = self.request.connection
+        if isinstance(connection.stream, MeasuredStream):
+            connection.stream.end_service()
+
     def secret(self) -> str:
         """Return the bearer token, which is the secret of a key, or an empty string."""
         value = self.request.headers.get("Authorization", "")
--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import copy
 import select
 import socket
@@ -34,7 +35,7 @@
 )
 from marjoramgrade.decisions.intake.connections import UNKNOWN_LENGTH
 from marjoramgrade.decisions.intake.turns import CHUNKED_SEGMENT_BYTES
-from marjoramgrade.errors import OversizedInputError
+from marjoramgrade.errors import OutcomeUnknownError, OversizedInputError
 
 # How long open connections are served after the server has stopped accepting.
 FINISH_MS = 700
@@ -50,6 +51,13 @@
 TOO_LARGE = (
     b"HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
+# Answers a complete request that can't be held until it has been handled. An earlier
+# attempt may have run elsewhere, so the outcome is unknown.
+NOT_HELD = (
+    b"HTTP/1.1 504 Gateway Timeout\r\nConnection: close\r\nRetry-After: 1\r\n"
+    b"Ran: unknown\r\nContent-Type: application/json\r\nContent-Length: 27\r\n\r\n"
+    b'{"error":"outcome_unknown"}'
+)
 
 
 @attrs.frozen
@@ -65,17 +73,23 @@
     max_connections: int
 
 
+# Handles a request; a future that it returns is done once the request is handled.
+RequestCallback = Callable[[HTTPServerRequest], "asyncio.Future[None] | None"]
+
+
 @attrs.define(eq=False)
 class _PlainMessage(HTTPMessageDelegate):
     """Passes a request to a callback; tornado's own receiver also decodes forms.
 
     Attributes:
         connection: Connection of the request.
+        stream: Its stream.
         callback: Receives the request.
     """
 
     connection: HTTP1Connection
-    callback: Callable[[HTTPServerRequest], None]
+    stream: MeasuredStream
+    callback: RequestCallback
     _request: HTTPServerRequest | None = None
 
     def headers_received(
@@ -95,9 +109,17 @@
         self._request.body = chunk
 
     def finish(self) -> None:
-        """Pass the request on."""
+        """Pass the request on, and free what it holds once it has been handled."""
         assert self._request is not None
-        self.callback(self._request)
+        request, self._request = self._request, None
+        handling: asyncio.Future[None] | None = None
+        try:
+            handling = self.callback(request)
+        finally:
+            if handling is None:
+                self.stream.end_service()
+            else:
+                handling.add_done_callback(lambda _: self.stream.end_service())
 
 
 @attrs.define(eq=False)
@@ -169,11 +191,19 @@
             await self.intake.await_turn(self.stream.use)
 
     def finish(self) -> None:
-        """Pass the complete request on."""
+        """Pass the complete request on, or answer it if it can't be held."""
         if self._is_refused or self._start is None:
             self.stream.close()
             return
         self.intake.end_body(self.stream.use)
+        if not self.stream.begin_service():
+            self._body = BodyBuffer()
+            error = OutcomeUnknownError("there is no room to hold the request")
+            self.intake.metrics.refused(error)
+            with contextlib.suppress(StreamClosedError):
+                self.stream.write(NOT_HELD)
+            self.stream.close()
+            return
         self.receiver.headers_received(*self._start)
         self.receiver.data_received(self._body.take())
         self.receiver.finish()
@@ -261,7 +291,7 @@
         if isinstance(callback, HTTPServerConnectionDelegate):
             receiver = callback.start_request(server_conn, request_conn)
         else:
-            receiver = _PlainMessage(request_conn, callback)
+            receiver = _PlainMessage(request_conn, stream, callback)
         return _BoundedMessage(
             self._intake, self._limits, stream, request_conn, receiver
         )
--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -64,8 +64,29 @@
         )
         self._intake = intake
         self._unsent_bytes = 0
+        self._service_bytes = 0
         self.use = use
 
+    def begin_service(self) -> bool:
+        """Hold a complete request until `end_service`; return whether there is room."""
+        size = self.use.received_bytes
+        if not self._intake.begin_service(self.use):
+            return False
+        self._service_bytes = size
+        return True
+
+    def resize_service(self, size: int) -> bool:
+        """Hold another number of bytes for it; return whether there is room."""
+        if not self._intake.resize_service(self.use, self._service_bytes, size):
+            return False
+        self._service_bytes = size
+        return True
+
+    def end_service(self) -> None:
+        """Free what the request holds; without effect if that was done before."""
+        self._intake.end_service(self.use, self._service_bytes)
+        self._service_bytes = 0
+
     def read_bytes(self, *args: Any, **kwargs: Any) -> Awaitable[bytes]:
         """Read bytes; see `IOStream.read_bytes`."""
         self._check_readable()
@@ -294,7 +315,7 @@
             self._close(use, CloseReason.LEFT)
 
     def begin_message(self, use: ConnectionUse) -> None:
-        """Record that a connection is idle; what its last message held is released."""
+        """Record that a connection is idle; its last message is held by others."""
         self.drop_message(use)
         use.enter(Phase.IDLE, self.now_ms())
         use.expected_bytes = UNKNOWN_LENGTH
@@ -313,12 +334,46 @@
         use.expected_bytes = expected_bytes
 
     def end_body(self, use: ConnectionUse) -> None:
-        """Record that a message was read completely; it holds its bytes until answered.
+        """Record that a request was read completely; it holds its bytes until answered.
 
         The connection is not closed before that.
         """
         use.enter(Phase.SERVED, self.now_ms())
 
+    def begin_service(self, use: ConnectionUse) -> bool:
+        """Hand the bytes of a complete message to whoever handles it.
+
+        Returns:
+            Whether there is room to hold them until `end_service`. If not, nothing is
+            held, and the message must be refused at once.
+        """
+        size = use.received_bytes
+        has_room = self._budget.may_serve(use, size)
+        self._budget.change(use, received=-size, serving=size if has_room else 0)
+        if not has_room:
+            self.metrics.count("not_held")
+        return has_room
+
+    def resize_service(self, use: ConnectionUse, old_bytes: int, size: int) -> bool:
+        """Record that a message being handled takes less or more room than before.
+
+        Args:
+            use: Its connection.
+            old_bytes: What it has held so far.
+            size: What it holds from now on.
+
+        Returns:
+            Whether there is room; if not, nothing has changed.
+        """
+        self._budget.change(use, serving=-old_bytes)
+        has_room = size <= old_bytes or self._budget.may_serve(use, size)
+        self._budget.change(use, serving=size if has_room else old_bytes)
+        return has_room
+
+    def end_service(self, use: ConnectionUse, size: int) -> None:
+        """Record that a message has been handled and what it held is free."""
+        self._budget.change(use, serving=-size)
+
     def add_received(self, use: ConnectionUse, count: int) -> None:
         """Record bytes of a body and close connections beyond the budget."""
         self._budget.change(use, received=count)
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -58,7 +58,8 @@
         messages_in_row: Number of messages read, the present one included, without a
             wait for the other side and without a turn.
         expected_bytes: Declared length of the body that is arriving.
-        received_bytes: Bytes held of a message that has not been answered.
+        received_bytes: Bytes held of the message that is arriving.
+        serving_bytes: Bytes held of complete messages that are being handled.
         unsent_bytes: Bytes of responses that the other side has not read.
     """
 
@@ -76,6 +77,7 @@
     messages_in_row: int = 0
     expected_bytes: int = UNKNOWN_LENGTH
     received_bytes: int = 0
+    serving_bytes: int = 0
     unsent_bytes: int = 0
 
     @classmethod
@@ -90,6 +92,11 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that the process holds for this connection."""
+        return self.received_bytes + self.serving_bytes + self.unsent_bytes
+
+    @property
+    def freed_by_closing(self) -> int:
+        """Bytes that are free once the connection is closed."""
         return self.received_bytes + self.unsent_bytes
 
     @property
--- a/marjoramgrade/decisions/intake/precedence.py
+++ b/marjoramgrade/decisions/intake/precedence.py
@@ -12,9 +12,10 @@
    carry small requests;
 5. connections of other instances that have made progress recently.
 
-Complete requests that wait for their answer are never closed. A new connection is not
-closed to make room for another one before its client can have sent its request and the
-header has been read; no further connection is accepted meanwhile.
+Complete requests that wait for their answer are never closed. Those that can't be held
+are answered at once. A new connection is not closed to make room for another one before
+its client can have sent its request and the header has been read; no further connection
+is accepted meanwhile.
 """
 
 from __future__ import annotations
@@ -55,7 +56,7 @@
     """
 
     def precedence(use: ConnectionUse) -> tuple[bool, bool, bool, bool, int]:
-        size, idle_ms = use.held_bytes + connection_bytes, use.idle_ms(now_ms)
+        size, idle_ms = use.freed_by_closing + connection_bytes, use.idle_ms(now_ms)
         is_active_peer = use.is_peer and idle_ms < ACTIVE_PEER_MS
         is_caller = not use.is_peer and use.is_small and idle_ms < RECENT_CALLER_MS
         return (
@@ -67,7 +68,7 @@
         )
 
     candidates = (
-        use for use in uses if use.may_close and use.held_bytes + connection_bytes
+        use for use in uses if use.may_close and use.freed_by_closing + connection_bytes
     )
     return max(candidates, key=precedence, default=None)
 
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -184,6 +184,12 @@
     "connections",
     "Connections closed for what they used or how long they took, by the reason.",
 )
+declare(
+    "not_held",
+    MetricKind.COUNTER,
+    "messages",
+    "Complete requests refused because there was no room to hold them.",
+)
 
 
 def iter_metrics() -> Iterator[Metric]:
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -13,8 +13,11 @@
 from tornado.iostream import StreamClosedError
 
 from marjoramgrade import logs
-from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
-from marjoramgrade.adapters.intake import Intake
+from marjoramgrade.adapters.httpserver import (
+    DrainingHttpServer,
+    PortLimits,
+)
+from marjoramgrade.adapters.intake import Intake, MeasuredStream
 from marjoramgrade.clock import Clock
 from marjoramgrade.errors import (
     ForbiddenError,
@@ -138,10 +141,11 @@
         """Whether any client connection is open; false before `make_server`."""
         return self._server is not None and self._server.has_connections
 
-    def _accept(self, request: HTTPServerRequest) -> None:
+    def _accept(self, request: HTTPServerRequest) -> asyncio.Future[None]:
         task = asyncio.ensure_future(self._serve(request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _serve(self, request: HTTPServerRequest) -> None:
         self.in_flight += 1
@@ -214,8 +218,11 @@
                 # been refused by another one since.
                 raise OutcomeUnknownError("the client left before the request was read")
             job = parse_job(request.body)
+            _hold_instead_of_body(request, job.size_bytes)
             connection: Any = request.connection
             connection.set_close_callback(presence.mark_left)
+        else:
+            _hold_instead_of_body(request, 0)
         host = request.host.rpartition(":")[0] or request.host
         secret = request.headers.get("Authorization", "")
         return RequestContext(
@@ -280,6 +287,23 @@
     return b"{}"
 
 
+def _hold_instead_of_body(request: HTTPServerRequest, size: int) -> None:
+    """Free the body of a request that has been decoded.
+
+    Args:
+        request: The request.
+        size: What is held instead, in bytes.
+
+    Raises:
+        OutcomeUnknownError: If there is no room for that.
+    """
+    request.body = b""
+    connection: Any = request.connection
+    stream = connection.stream
+    if isinstance(stream, MeasuredStream) and not stream.resize_service(size):
+        raise OutcomeUnknownError("there is no room to hold the job")
+
+
 def _has_left(request: HTTPServerRequest) -> bool:
     """Return whether the client has closed the connection of a request."""
     connection: Any = request.connection
@@ -350,9 +374,7 @@
         resources=get_total_resources(fields),
         estimate_ms=get_integer(fields, "estMs"),
         # A repeated predecessor means the same as one.
-        after=tuple(
-            sorted({to_integer(index, "after") for index in get_list(fields, "after")})
-        ),
+        after=_parse_predecessors(fields),
         gang=get_flag(fields, "gang"),
         same_rack=get_flag(fields, "sameRack"),
         required_label=get_text(fields, "constraints"),
@@ -369,6 +391,13 @@
     )
 
 
+def _parse_predecessors(fields: dict[str, Any]) -> tuple[int, ...]:
+    indexes = {to_integer(index, "after") for index in get_list(fields, "after")}
+    if len(indexes) > MAX_STEPS:
+        raise InvalidInputError(f"a step has more than {MAX_STEPS} predecessors")
+    return tuple(sorted(indexes))
+
+
 class ReadinessEndpoint:
     """Serves the load balancer's readiness checks.
 
--- a/marjoramgrade/stepjobs.py
+++ b/marjoramgrade/stepjobs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import sys
 
 import attrs
 
@@ -15,6 +16,9 @@
 
 # A job of this size fits into one row of the store, with space for its progress.
 MAX_STEPS = 64
+# Memory of a step without its texts, and of a reference to an earlier step.
+STEP_BYTES = 1_024
+REFERENCE_BYTES = 8
 MAX_TASKS_PER_STEP = 2_000
 
 
@@ -139,6 +143,23 @@
         """Number of times that the steps run."""
         return self.schedule.times or 1
 
+    @property
+    def text_bytes(self) -> int:
+        """Memory that the texts of the job take, in bytes."""
+        size = sys.getsizeof(self.payload)
+        for step in self.steps:
+            for text in (step.required_label, step.data_rack, step.image):
+                # All empty texts are one object.
+                size += sys.getsizeof(text) if text else 0
+        return size
+
+    @property
+    def size_bytes(self) -> int:
+        """About how much memory the job takes, in bytes."""
+        references = sum(len(step.after) for step in self.steps)
+        steps_bytes = STEP_BYTES * len(self.steps) + REFERENCE_BYTES * references
+        return steps_bytes + self.text_bytes
+
     def chain_lengths(self) -> tuple[int, ...]:
         """Return the length of the longest dependency chain that begins with each step.
 
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -45,14 +45,15 @@
     choose_to_close,
 )
 from marjoramgrade.decisions.intake.turns import SEGMENTS_PER_TURN, TurnQueue
-from marjoramgrade.errors import InvalidInputError
-from marjoramgrade.filters.chain import FilterChain
+from marjoramgrade.errors import InvalidInputError, OutcomeUnknownError
+from marjoramgrade.filters.chain import Filter, FilterChain
 from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.platform import daemon
 from marjoramgrade.platform.frontend import (
     MAX_BODY_BYTES,
     MAX_DEADLINE_MS,
     MAX_HEADER_BYTES,
+    ClientFrontend,
 )
 
 IDLE_INSTANCE_MB = 45
@@ -424,3 +425,109 @@
             assert stream._read_buffer_size == len(stream._read_buffer) == 0
 
     asyncio.run(run())
+
+
+def test_complete_request_that_cannot_be_held_is_answered_at_once():
+    # Guards against complete bodies without a bound while nothing answers them, and
+    # against a refusal that promises more than is known of earlier attempts.
+    size = 2 * SMALL_BODY_BYTES
+    handling = []
+
+    def handle(_):
+        handling.append(asyncio.get_running_loop().create_future())
+        return handling[-1]
+
+    async def run():
+        intake = make_intake(body_bytes=5 * size, small_bytes=size)
+        loop = asyncio.get_running_loop()
+        async with serving(plain_server(intake, handle)) as connect:
+            request = HEAD.format(size).encode() + b"x" * size
+            clients = [connect(request) for _ in range(2)]
+            await wait_for(lambda: len(handling) == 2)
+            client = connect(request)
+            answer = await asyncio.wait_for(loop.sock_recv(client, 999), 5)
+            assert answer.startswith(b"HTTP/1.1 504 ")
+            assert b"\r\nRetry-After: 1\r\n" in answer
+            assert len(handling) == 2
+            small = connect(HEAD.format(9).encode() + b"x" * 9)
+            await wait_for(lambda: len(handling) == 3)
+            # What is handled is held, whether or not its client still waits.
+            for sender in (*clients, small):
+                sender.close()
+            await wait_for(lambda: not intake._stream_by_use)
+            assert intake._budget.held_bytes == 2 * size + 9
+            for future in handling:
+                future.set_result(None)
+            await wait_for(lambda: not intake._budget.held_bytes)
+
+    asyncio.run(run())
+
+
+def test_large_body_is_not_kept_once_it_was_decoded():
+    # Guards against 262 KB for each waiting job of a few hundred bytes.
+    release = asyncio.Event()
+    contexts = []
+
+    class HoldingFilter(Filter):
+        @classmethod
+        def from_config(cls, environment):
+            return cls()
+
+        async def apply(self, context, proceed):
+            contexts.append(context)
+            await release.wait()
+            raise OutcomeUnknownError("the leader did not answer")
+
+    async def run():
+        intake = make_intake()
+        chain = FilterChain([HoldingFilter()], intake.metrics)
+        front = ClientFrontend(chain, SystemClock(), intake.metrics, intake)
+        async with serving(front.make_server()) as connect:
+            document = b'{"spec": "1:1", "steps": [{"count": 1, "cpu": 1}]'
+            body = document + b" " * (MAX_BODY_BYTES - len(document) - 1) + b"}"
+            client = connect(HEAD.format(len(body)).encode() + body)
+            await wait_for(lambda: contexts)
+            job = contexts[0].message.job
+            assert intake._budget.held_bytes == job.size_bytes < 2_000
+            release.set()
+            answer = asyncio.get_running_loop().sock_recv(client, 99)
+            assert (await asyncio.wait_for(answer, 5)).startswith(b"HTTP/1.1 504")
+            await wait_for(lambda: not intake._budget.held_bytes)
+
+    asyncio.run(run())
+
+
+def test_v1_request_is_held_until_its_handler_has_finished():
+    # Guards against bodies that are not counted while their operation waits.
+    release = asyncio.Event()
+
+    class HoldingFilter(Filter):
+        @classmethod
+        def from_config(cls, environment):
+            return cls()
+
+        async def apply(self, context, proceed):
+            await release.wait()
+            raise OutcomeUnknownError("nothing answered")
+
+    async def run():
+        intake = make_intake()
+        state = HttpServerState(
+            FilterChain([HoldingFilter()], intake.metrics),
+            Actor(),
+            intake.clock,
+            intake.metrics,
+            2_000,
+        )
+        head = "PUT /v1/zones/north HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n"
+        body = b'{"state": "in"}'
+        async with serving(make_server(state, 2_000, intake)) as connect:
+            client = connect(head.format(len(body)).encode() + body)
+            await wait_for(lambda: intake._budget.serving_bytes == len(body))
+            client.close()
+            await wait_for(lambda: not intake._stream_by_use)
+            assert intake._budget.held_bytes == len(body)
+            release.set()
+            await wait_for(lambda: not intake._budget.held_bytes)
+
+    asyncio.run(run())
--- a/tests/test_intake_precedence.py
+++ b/tests/test_intake_precedence.py
@@ -5,15 +5,19 @@
 import attrs
 import pytest
 
+import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
+from marjoramgrade.adapters.accepting import PAUSE_MS
+from marjoramgrade.adapters.peercodec import PeerFrame, serialize_frame
 from marjoramgrade.decisions.intake.bounds import (
     SMALL_BODY_BYTES,
 )
-from marjoramgrade.decisions.intake.budget import BodyBudget
+from marjoramgrade.decisions.intake.budget import TINY_MESSAGE_BYTES, BodyBudget
 from marjoramgrade.decisions.intake.connections import ConnectionUse, Phase
 from marjoramgrade.decisions.intake.precedence import (
     NEW_CONNECTION_MS,
     RECENT_CALLER_MS,
     choose_for_new,
+    choose_to_close,
     count_turns_left,
     is_read_first,
 )
@@ -22,10 +26,12 @@
     SEGMENTS_PER_TURN,
     TurnQueue,
 )
+from marjoramgrade.messages.steps import LeaderBeat
 from marjoramgrade.platform.frontend import MAX_BODY_BYTES
 
 NOW_MS = 10_000
 LARGE = 2 * SMALL_BODY_BYTES
+SLOWEST_LINK_MBPS = 5
 
 
 def using(phase=Phase.IDLE, *, age_ms=0, **fields):
@@ -71,6 +77,17 @@
     assert choose_for_new([caller, chunked], NOW_MS) is chunked
 
 
+def test_bytes_that_closing_does_not_free_are_no_reason_to_close():
+    # Guards against connections that are closed one after the other while the requests
+    # that hold the memory are still being handled.
+    peer = using(is_peer=True, serving_bytes=100 * LARGE, age_ms=5_000)
+    assert choose_to_close([peer], NOW_MS) is None
+    served = using(Phase.SERVED, serving_bytes=LARGE)
+    assert choose_to_close([served], NOW_MS) is None
+    gone = attrs.evolve(served, has_left=True)
+    assert choose_for_new([served, gone], NOW_MS) is gone
+
+
 def test_new_connection_has_time_to_send_its_request():
     # Guards against callers that are accepted and closed again before they can send.
     new = using(age_ms=NEW_CONNECTION_MS - 1)
@@ -142,18 +159,63 @@
     return BodyBudget(limit_bytes=10 * LARGE, small_bytes=2 * LARGE)
 
 
+def serve(budget, use, size):
+    if not budget.may_serve(use, size):
+        return False
+    budget.change(use, serving=size)
+    return True
+
+
+def test_complete_requests_are_bounded_and_leave_room_for_small_ones():
+    # Guards against complete bodies that are all held while the store does not answer,
+    # and against small requests that are refused because of them.
+    whole = budget()
+    uses = [using(Phase.SERVED) for _ in range(12)]
+    for use in uses:
+        whole.open(use)
+    assert [serve(whole, use, LARGE) for use in uses].count(True) == 4
+    small = [using(Phase.SERVED) for _ in range(20)]
+    for use in small:
+        whole.open(use)
+    served = [serve(whole, use, SMALL_BODY_BYTES) for use in small]
+    assert served.count(True) == 2 * LARGE // SMALL_BODY_BYTES
+    assert whole.held_bytes == 6 * LARGE
+    heartbeat = using(is_peer=True)
+    whole.open(heartbeat)
+    assert serve(whole, heartbeat, TINY_MESSAGE_BYTES)
+    whole.close(heartbeat)
+    # The rest is for messages that are arriving.
+    body = receiving(0)
+    whole.open(body)
+    whole.change(body, received=4 * LARGE)
+    assert whole.choose_excess(NOW_MS) is None
+
+
+def test_calls_of_one_connection_count_together():
+    # Guards against an instance, or a stranger, that sends many small calls at once and
+    # uses the part of all others.
+    whole = budget()
+    peer = using(is_peer=True)
+    whole.open(peer)
+    calls = [serve(whole, peer, SMALL_BODY_BYTES) for _ in range(40)]
+    assert calls.count(True) == 4 * LARGE // SMALL_BODY_BYTES
+
+
 def test_bytes_are_counted_until_they_are_free():
     # Guards against memory that is free for the budget, but not for the process, while
-    # a task ends whose connection was closed.
+    # a request is handled whose connection was closed.
     whole = budget()
     use = receiving(0)
     whole.open(use)
-    whole.change(use, received=LARGE, unsent=5)
+    whole.change(use, received=LARGE, serving=LARGE, unsent=5)
     whole.disconnect(use)
     whole.disconnect(use)
-    assert (whole.held_bytes, whole.ending_bytes) == (0, LARGE)
+    assert (whole.held_bytes, whole.ending_bytes) == (LARGE, LARGE)
+    assert whole.serving_large_bytes == LARGE
     whole.change(use, received=-LARGE)
-    assert (whole.held_bytes, whole.large_bytes) == (0, 0)
+    assert (whole.held_bytes, whole.ending_bytes) == (LARGE, 0)
+    whole.change(use, serving=-LARGE)
+    assert (whole.held_bytes, whole.large_bytes, whole.serving_large_bytes) == (0, 0, 0)
     whole.change(use, received=7)
     assert (whole.held_bytes, whole.ending_bytes) == (0, 0)
 
@@ -170,3 +232,14 @@
         whole.disconnect(chosen)
         closed += 1
     assert closed == 2
+
+
+def test_times_and_sizes_fit_the_slowest_link_and_heartbeats():
+    # Guards against callers that count as idle while they send on a slow link, against
+    # ports that wait for room longer than a new connection is kept, and against
+    # heartbeats that share the part of ordinary calls.
+    sending_ms = SMALL_BODY_BYTES * 8 / SLOWEST_LINK_MBPS / 1_000
+    assert sending_ms < RECENT_CALLER_MS / 10
+    assert PAUSE_MS <= NEW_CONNECTION_MS / 10
+    heartbeat = LeaderBeat(2**40, "i" * 64, 2**40)
+    assert len(serialize_frame(PeerFrame(0, heartbeat))) <= TINY_MESSAGE_BYTES
