Count frames until their calls are done

Cause, found by reading: a frame left the budget when it was complete.

Change: a call holds its frame until it is done, also when its connection is closed. Without room it is answered with owner_unreachable, which says that it has not run and lets its sender try another way.

Measured: test_frames_are_held_until_their_calls_are_done fails before.

--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable
 from typing import Any
 
+import attrs
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 
@@ -35,6 +36,7 @@
     parse_frame,
     serialize_frame,
 )
+from marjoramgrade.decisions.intake.connections import ConnectionUse
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -76,10 +78,26 @@
     return parse_frame(await stream.read_bytes(length))
 
 
+@attrs.frozen
+class HeldFrame:
+    """A frame that was read completely.
+
+    Attributes:
+        frame: The frame.
+        held_bytes: What it holds of the budget until it has been handled; 0 if there
+            was no room to hold it.
+    """
+
+    frame: PeerFrame
+    held_bytes: int
+
+
 async def read_bounded_frame(
     stream: MeasuredStream, intake: Intake, max_bytes: int
-) -> PeerFrame:
-    """Read one frame that counts against the budget of the process while it arrives.
+) -> HeldFrame:
+    """Read one frame that counts against the budget of the process from its first byte.
+
+    Whoever handles it ends its service.
 
     Args:
         stream: The connection.
@@ -111,9 +129,15 @@
             intake.add_received(stream.use, len(part))
             if len(data) < length and not await intake.await_turn(stream.use):
                 raise StreamClosedError
+        has_room = intake.begin_service(stream.use)
     finally:
         intake.begin_message(stream.use)
-    return parse_frame(data.take())
+    try:
+        return HeldFrame(parse_frame(data.take()), length if has_room else 0)
+    except ProtocolError:
+        if has_room:
+            intake.end_service(stream.use, length)
+        raise
 
 
 def _parse_length(prefix: bytes, max_bytes: int) -> int:
@@ -300,6 +324,15 @@
         self._reply_by_correlation.clear()
 
 
+def _refuse_call(stream: IOStream, frame: PeerFrame) -> None:
+    """Answer a call that there is no room to hold; it has not run."""
+    if frame.correlation == 0 or stream.closed():
+        return
+    error = OwnerUnreachableError("there is no room to hold the call")
+    with contextlib.suppress(StreamBufferFullError):
+        write_frame(stream, PeerFrame(frame.correlation, error))
+
+
 class PeerServer(BoundedTcpServer):
     """Accepts connections from other entry instances.
 
@@ -335,8 +368,9 @@
         stream.set_nodelay(True)
         stream.max_write_buffer_size = MAX_UNSENT_BYTES
         try:
-            frame = await read_bounded_frame(stream, self.intake, MAX_HELLO_BYTES)
-            hello = frame.body
+            first = await read_bounded_frame(stream, self.intake, MAX_HELLO_BYTES)
+            self.intake.end_service(stream.use, first.held_bytes)
+            hello = first.frame.body
             if not isinstance(hello, Hello):
                 raise ProtocolError("the first frame of a connection must be a hello")
             stream.use.identify_peer()
@@ -352,12 +386,16 @@
         calls = asyncio.Semaphore(MAX_CALLS)
         try:
             while True:
-                frame = await read_bounded_frame(stream, self.intake, MAX_FRAME_BYTES)
+                held = await read_bounded_frame(stream, self.intake, MAX_FRAME_BYTES)
+                if not held.held_bytes:
+                    _refuse_call(stream, held.frame)
+                    continue
                 if stream.use.messages_in_row >= FRAMES_PER_TURN:
                     stream.use.messages_in_row = 0
                     await self.intake.await_turn(stream.use)
                 await calls.acquire()
-                self._spawn(self._serve(stream, peer_id, frame), calls)
+                task = self._spawn(self._serve(stream, peer_id, held.frame), calls)
+                self._hold_until_done(stream.use, held, task)
         finally:
             if self._disconnect_receiver is not None:
                 with contextlib.suppress(ShuttingDownError):
@@ -370,11 +408,20 @@
         for stream in list(self._streams):
             stream.close()
 
-    def _spawn(self, awaitable: Awaitable[None], calls: asyncio.Semaphore) -> None:
+    def _spawn(
+        self, awaitable: Awaitable[None], calls: asyncio.Semaphore
+    ) -> asyncio.Future[None]:
         task = asyncio.ensure_future(awaitable)
         self._call_tasks.add(task)
         task.add_done_callback(self._call_tasks.discard)
         task.add_done_callback(lambda _: calls.release())
+        return task
+
+    def _hold_until_done(
+        self, use: ConnectionUse, held: HeldFrame, task: asyncio.Future[None]
+    ) -> None:
+        size = held.held_bytes
+        task.add_done_callback(lambda _: self.intake.end_service(use, size))
 
     async def _serve(self, stream: IOStream, peer_id: str, frame: PeerFrame) -> None:
         try:
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -188,7 +188,7 @@
     "not_held",
     MetricKind.COUNTER,
     "messages",
-    "Complete requests refused because there was no room to hold them.",
+    "Complete requests and frames refused because there was no room to hold them.",
 )
 
 
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -6,6 +6,7 @@
 import contextlib
 
 import attrs
+import pytest
 from tornado.testing import bind_unused_port
 
 import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
@@ -13,15 +14,18 @@
 from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.adapters.peercodec import Hello, PeerFrame, serialize_frame
 from marjoramgrade.adapters.peerlink import FRAMES_PER_TURN, PeerLink, PeerServer
-from marjoramgrade.decisions.intake.bounds import IntakeBounds
+from marjoramgrade.decisions.intake.bounds import SMALL_BODY_BYTES, IntakeBounds
 from marjoramgrade.decisions.intake.connections import ConnectionUse
+from marjoramgrade.errors import OwnerUnreachableError
 from marjoramgrade.messages.peers import (
+    CallOverLink,
     InboundMessage,
     Member,
     PeerDisconnected,
     TellOverLink,
 )
-from marjoramgrade.messages.steps import LeaderBeat
+from marjoramgrade.messages.steps import LeaderBeat, SubmitStepJob
+from marjoramgrade.stepjobs import Step, StepJob
 
 
 class Receiver(Actor):
@@ -164,6 +168,51 @@
         yield port
 
 
+def test_frames_are_held_until_their_calls_are_done():
+    # Guards against decoded frames that no bound counts while nothing answers them, and
+    # against heartbeats that are refused because of them.
+    size = 3 * SMALL_BODY_BYTES
+    release = asyncio.Event()
+
+    class WaitingReceiver(Receiver):
+        @handles(InboundMessage)
+        async def _inbound(self, message):
+            if isinstance(message.message, LeaderBeat):
+                self.received.append(message.message)
+                return None
+            return self.spawn(release.wait())
+
+    async def run():
+        receiver = WaitingReceiver()
+        bounds = attrs.evolve(IntakeBounds.from_config(), body_bytes=6 * size)
+        intake = Intake.from_config(attrs.evolve(bounds, small_bytes=size))
+        job = StepJob("", "", "", "x" * size, (Step(1),))
+        async with contextlib.AsyncExitStack() as stack:
+            port = await stack.enter_async_context(serving_peers(receiver, intake))
+            link = PeerLink("b", "127.0.0.1", Member("a", "north", "127.0.0.1", port))
+            await link.start()
+            stack.push_async_callback(link.stop)
+            calls = [
+                asyncio.ensure_future(link.ask(CallOverLink(SubmitStepJob(job), 9_000)))
+                for _ in range(3)
+            ]
+            done, held = await asyncio.wait(
+                calls, timeout=5, return_when=asyncio.FIRST_COMPLETED
+            )
+            (refused,) = done
+            with pytest.raises(OwnerUnreachableError):
+                await refused
+            assert len(held) == 2
+            assert intake._budget.serving_bytes >= 2 * size
+            link.tell(TellOverLink(LeaderBeat(1, "b")))
+            await wait_until(lambda: LeaderBeat(1, "b") in receiver.received)
+            release.set()
+            await asyncio.wait(held)
+            await wait_until(lambda: not intake._budget.held_bytes)
+
+    asyncio.run(run())
+
+
 def test_frames_of_an_instance_that_has_left_are_still_read():
     # Guards against the last message of an instance that ends, which is lost if its
     # connection is closed while it waits for a turn.
