Bound what the kernel receives for a connection

Cause, found by reading: bytes that have been received and not read count against the memory of an instance, and the kernel received on for connections that wait for a turn.

Change: listening sockets have a receive buffer of 16 KB, on the port of instances of 64 KB, which their connections take over. The number of connections of instances follows from the memory as well as from the descriptors.

Measured, 300 clients in chunks of one byte and 300 connections with frames: 41 MB unread beside 91 MB of the process on; now 17 and 73 MB, of 96.

--- a/marjoramgrade/adapters/accepting.py
+++ b/marjoramgrade/adapters/accepting.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Iterable
 
 from tornado.iostream import IOStream
 from tornado.netutil import add_accept_handler
@@ -25,15 +26,20 @@
 
     _intake: Intake | None = None
 
-    def bound_connections(self, intake: Intake, max_connections: int) -> None:
+    def bound_connections(
+        self, intake: Intake, max_connections: int, receive_buffer_bytes: int
+    ) -> None:
         """Bound the connections; called before sockets are added.
 
         Args:
             intake: Bounds the connections of the process.
             max_connections: Limit of open connections.
+            receive_buffer_bytes: What the kernel receives for each connection before
+                it is read, in bytes.
         """
         self._intake = intake
         self._max_connections = max_connections
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._uses: set[ConnectionUse] = set()
         self._is_paused = False
 
@@ -43,6 +49,17 @@
         assert self._intake is not None
         return self._intake
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Start accepting connections on listening sockets."""
+        listening = list(sockets)
+        if self._intake is not None:
+            for each in listening:
+                # Connections take the size over when they are accepted.
+                each.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes
+                )
+        super().add_sockets(listening)
+
     def open_stream(
         self,
         stream: IOStream,
--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -31,6 +31,7 @@
     MeasuredStream,
 )
 from marjoramgrade.decisions.intake.bounds import (
+    RECEIVE_BUFFER_BYTES,
     SMALL_BODY_BYTES,
 )
 from marjoramgrade.decisions.intake.connections import UNKNOWN_LENGTH
@@ -259,7 +260,7 @@
         self._listening: list[socket.socket] = []
         self._limits = limits
         if intake is not None and limits is not None:
-            self.bound_connections(intake, limits.max_connections)
+            self.bound_connections(intake, limits.max_connections, RECEIVE_BUFFER_BYTES)
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Start accepting connections on listening sockets."""
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -36,6 +36,7 @@
     parse_frame,
     serialize_frame,
 )
+from marjoramgrade.decisions.intake.bounds import PEER_RECEIVE_BUFFER_BYTES
 from marjoramgrade.decisions.intake.connections import ConnectionUse
 from marjoramgrade.errors import (
     MarjoramgradeError,
@@ -353,7 +354,11 @@
         self._receiver = receiver
         self._disconnect_receiver = disconnect_receiver
         intake = intake or Intake.from_config()
-        self.bound_connections(intake, intake.bounds.peer_connections)
+        self.bound_connections(
+            intake,
+            intake.bounds.peer_connections,
+            PEER_RECEIVE_BUFFER_BYTES,
+        )
         self._streams: set[IOStream] = set()
         self._call_tasks: set[asyncio.Task[None]] = set()
 
--- a/marjoramgrade/decisions/intake/bounds.py
+++ b/marjoramgrade/decisions/intake/bounds.py
@@ -19,9 +19,16 @@
 # the copies made while a body is decoded come on top.
 BODY_MEMORY_SHARE = 1 / 8
 CONNECTION_MEMORY_SHARE = 1 / 10
+# Room for twice the instances of the largest deployment on the smallest instances.
+PEER_MEMORY_SHARE = 3 / 10
 # Objects of a connection (12 KB) and its read buffer, which holds a header of at most
 # 16 KB before the first byte of a body.
 CONNECTION_BYTES = 32_768
+# Kernel buffers for bytes that a connection has received and the process has not read:
+# they count against the memory of an instance. That of a peer is larger, because a
+# relayed commit of 800 KB has to arrive within 200 ms.
+RECEIVE_BUFFER_BYTES = 16_384
+PEER_RECEIVE_BUFFER_BYTES = 65_536
 # Part of the budget that only small bodies may use. Ordinary jobs are a few KB.
 SMALL_BODY_SHARE = 1 / 4
 SMALL_BODY_BYTES = 16_384
@@ -78,11 +85,13 @@
         sockets = (max_fds or DEFAULT_MAX_FDS) - FILE_DESCRIPTORS
         body_bytes = int(memory_bytes * BODY_MEMORY_SHARE)
         by_memory = int(memory_bytes * CONNECTION_MEMORY_SHARE) // CONNECTION_BYTES
+        peer_bytes = CONNECTION_BYTES + PEER_RECEIVE_BUFFER_BYTES
+        peers_by_memory = int(memory_bytes * PEER_MEMORY_SHARE) // peer_bytes
         bounds = cls(
             body_bytes,
             int(body_bytes * SMALL_BODY_SHARE),
             min(int(sockets * CLIENT_DESCRIPTOR_SHARE), by_memory),
-            int(sockets * PEER_DESCRIPTOR_SHARE),
+            min(int(sockets * PEER_DESCRIPTOR_SHARE), peers_by_memory),
             int(sockets * SIDE_DESCRIPTOR_SHARE),
         )
         if bounds.side_connections < 1 or bounds.client_connections < 1:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -30,6 +30,8 @@
     DEFAULT_MAX_FDS,
     DEFAULT_MEMORY_MB,
     MEGABYTE,
+    PEER_RECEIVE_BUFFER_BYTES,
+    RECEIVE_BUFFER_BYTES,
     SMALL_BODY_BYTES,
     IntakeBounds,
 )
@@ -86,6 +88,10 @@
     assert IDLE_INSTANCE_MB + used_bytes / MEGABYTE < DEFAULT_MEMORY_MB / 2
     used_bytes += bounds.peer_connections * CONNECTION_BYTES
     assert IDLE_INSTANCE_MB + used_bytes / MEGABYTE < DEFAULT_MEMORY_MB * 0.7
+    # Bytes that the kernel holds for them count as well.
+    used_bytes += connections * RECEIVE_BUFFER_BYTES
+    used_bytes += bounds.peer_connections * PEER_RECEIVE_BUFFER_BYTES
+    assert IDLE_INSTANCE_MB + used_bytes / MEGABYTE < DEFAULT_MEMORY_MB
     assert CONNECTION_BYTES >= MAX_HEADER_BYTES + intake_module.READ_BYTES
     assert connections + bounds.peer_connections < DEFAULT_MAX_FDS * 0.6
     # A restarted peer connects again before its earlier connection has ended.
@@ -531,3 +537,18 @@
             await wait_for(lambda: not intake._budget.held_bytes)
 
     asyncio.run(run())
+
+
+def test_kernel_receives_a_bounded_number_of_bytes():
+    # Guards against bytes that no budget counts because they have not been read.
+    async def run():
+        intake = make_intake()
+        async with serving(plain_server(intake, lambda _: None)) as connect:
+            connect(b"")
+            await wait_for(lambda: intake._stream_by_use)
+            (stream,) = intake._stream_by_use.values()
+            size = stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            # The kernel doubles the size for what it needs itself.
+            assert size <= 2 * RECEIVE_BUFFER_BYTES
+
+    asyncio.run(run())
--- a/tests/test_intake_precedence.py
+++ b/tests/test_intake_precedence.py
@@ -8,8 +8,12 @@
 import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
 from marjoramgrade.adapters.accepting import PAUSE_MS
 from marjoramgrade.adapters.peercodec import PeerFrame, serialize_frame
+from marjoramgrade.controllers.commits import MAX_BATCH_BYTES, MAX_SENDING_MS
 from marjoramgrade.decisions.intake.bounds import (
+    PEER_RECEIVE_BUFFER_BYTES,
+    RECEIVE_BUFFER_BYTES,
     SMALL_BODY_BYTES,
+    IntakeBounds,
 )
 from marjoramgrade.decisions.intake.budget import TINY_MESSAGE_BYTES, BodyBudget
 from marjoramgrade.decisions.intake.connections import ConnectionUse, Phase
@@ -31,6 +35,9 @@
 
 NOW_MS = 10_000
 LARGE = 2 * SMALL_BODY_BYTES
+# Round trips of a client on another continent, and of instances of one deployment.
+CLIENT_ROUND_TRIP_MS = 250
+PEER_ROUND_TRIP_MS = 4
 SLOWEST_LINK_MBPS = 5
 
 
@@ -234,6 +241,16 @@
     assert closed == 2
 
 
+def test_receive_buffers_carry_the_largest_messages_in_time():
+    # Guards against buffers that slow down a legal request on a long way, or a relayed
+    # commit between instances.
+    trips = MAX_BODY_BYTES / RECEIVE_BUFFER_BYTES
+    assert trips * CLIENT_ROUND_TRIP_MS < IntakeBounds.from_config().body_ms / 10
+    encoded_bytes = MAX_BATCH_BYTES * 4 / 3
+    trips = encoded_bytes / PEER_RECEIVE_BUFFER_BYTES
+    assert trips * PEER_ROUND_TRIP_MS < MAX_SENDING_MS
+
+
 def test_times_and_sizes_fit_the_slowest_link_and_heartbeats():
     # Guards against callers that count as idle while they send on a slow link, against
     # ports that wait for room longer than a new connection is kept, and against
