Free refused messages without a garbage collection

Cause: an error that passes actors refers to the frames that it passed, they to the message and the future of its reply, and that to the error. The cycle is freed by a garbage collection, which counts objects and not their bytes.

Change: the tracebacks of typed errors are dropped where they leave an actor, an attempt or a request. An actor keeps no message while its mailbox is empty.

Measured: test_failed_message_is_freed_at_once fails before.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -20,6 +20,7 @@
     OverloadedError,
     ShuttingDownError,
     WorkCancelledError,
+    drop_frames,
 )
 
 R = TypeVar("R")
@@ -149,7 +150,11 @@
         """
         reply: asyncio.Future[R] = asyncio.get_running_loop().create_future()
         self._put(_Envelope(message, reply))
-        return await reply
+        try:
+            return await reply
+        finally:
+            # A reply that is an error refers to this frame; see `drop_frames`.
+            del reply
 
     def spawn(self, work: Awaitable[Any]) -> asyncio.Task[Any]:
         """Run a background task that is cancelled when the actor stops."""
@@ -193,6 +198,8 @@
             if envelope is None:
                 return
             await self._handle(envelope)
+            # Not kept while the mailbox is empty.
+            del envelope
 
     async def _handle(self, envelope: _Envelope) -> None:
         handler = self._handler_by_type[type(envelope.message)]
@@ -202,7 +209,7 @@
             if envelope.reply is None:
                 self.on_failure(envelope.message, error)
             elif not envelope.reply.done():
-                envelope.reply.set_exception(error)
+                envelope.reply.set_exception(drop_frames(error))
             return
         except Exception as error:
             if envelope.reply is None or envelope.reply.done():
@@ -233,6 +240,8 @@
     if source.cancelled():
         target.set_exception(WorkCancelledError("the work was cancelled"))
     elif (error := source.exception()) is not None:
+        if isinstance(error, MarjoramgradeError):
+            drop_frames(error)
         target.set_exception(error)
     else:
         target.set_result(source.result())
--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -27,6 +27,7 @@
     StoredRowError,
     TableError,
     TableUnavailableError,
+    drop_frames,
 )
 from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.rows import ReadRows, RowsPage
@@ -197,7 +198,7 @@
                     await self._check_absence(message, error)
                     may_be_accepted = True
             except MarjoramgradeError as error:
-                failure = error
+                failure = drop_frames(error)
                 if error.ran is not Ran.NO:
                     may_be_accepted = True
                 elif _is_unconfirmed(message, error):
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -4,10 +4,12 @@
 
 import enum
 from collections.abc import Mapping
-from typing import Self
+from typing import Self, TypeVar
 
 import attrs
 
+E = TypeVar("E", bound=BaseException)
+
 # Name of the detail that a confirmed refusal has, also between instances.
 _CONFIRMED_EPOCH = "confirmed_epoch"
 # Name of the detail that tells when an overloaded queue may take the work.
@@ -51,6 +53,20 @@
         return error
 
 
+def drop_frames(error: E) -> E:
+    """Remove the tracebacks of an error and its causes, and return it.
+
+    The frames of a traceback refer to the message that failed, and through its reply to
+    the error. In such a cycle a large message stays in memory until the next garbage
+    collection, which its size does not bring nearer.
+    """
+    link: BaseException | None = error
+    while link is not None and link.__traceback__ is not None:
+        link.__traceback__ = None
+        link = link.__cause__ or link.__context__
+    return error
+
+
 class InvalidInputError(MarjoramgradeError):
     """Input from outside the process has the wrong form."""
 
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -30,6 +30,7 @@
     Ran,
     RefusedError,
     UnauthenticatedError,
+    drop_frames,
 )
 from marjoramgrade.filters.chain import FilterChain
 from marjoramgrade.filters.context import RequestContext
@@ -185,6 +186,7 @@
                 config=context.config_version if context is not None else 0,
                 config_age_ms=context.config_age_ms if context is not None else 0,
             )
+            drop_frames(error)
             body = msgspec.json.encode({"error": error.code})
             return ClientResponse(status, body, retry_after_s(error))
 
--- a/tests/test_actor.py
+++ b/tests/test_actor.py
@@ -1,6 +1,9 @@
 import asyncio
+import contextlib
+import gc
 import pathlib
 import re
+import weakref
 from typing import Any
 
 import attrs
@@ -8,7 +11,9 @@
 
 from marjoramgrade.actor import Actor, ActorGroup, Message, handles
 from marjoramgrade.errors import (
+    InvalidInputError,
     NotFoundError,
+    OverloadedError,
     Ran,
     ShuttingDownError,
     WorkCancelledError,
@@ -186,3 +191,47 @@
         await worker.stop()
 
     asyncio.run(run())
+
+
+def test_failed_message_is_freed_at_once():
+    # Guards against large messages that stay in memory until the next garbage
+    # collection, which counts objects and not bytes, after they were refused.
+    class Payload:
+        pass
+
+    class Refuse(Message):
+        def __init__(self, payload):
+            self.payload = payload
+
+    class Refusing(Actor):
+        @handles(Refuse)
+        async def _refuse(self, message):
+            return self.spawn(self._fail(message))
+
+        async def _fail(self, message):
+            try:
+                raise InvalidInputError("no")
+            except InvalidInputError as error:
+                refusal = OverloadedError(f"refused: {message.payload}")
+                raise refusal from error
+
+    async def ask(actor, payload):
+        with contextlib.suppress(OverloadedError):
+            await actor.ask(Refuse(payload))
+
+    async def run():
+        actor = Refusing()
+        await actor.start()
+        payload = Payload()
+        payload_ref = weakref.ref(payload)
+        gc.disable()
+        try:
+            await ask(actor, payload)
+            del payload
+            await asyncio.sleep(0)
+            assert payload_ref() is None
+        finally:
+            gc.enable()
+            await actor.stop()
+
+    asyncio.run(run())
