Bound the texts of accepted jobs

Seen by test: 300 accepted jobs with 240 KB of text each take 135 MB of 96.

Cause: a leader bounds the number of its open jobs, not their size. Texts that compress well fit into a row of the store.

Change: the texts of all jobs take at most an eighth of the memory; beyond that, and for jobs of more than 16 KB of text beyond three quarters of it, every admission policy refuses with 429. 5,000 jobs with the longest text of the protocol take less.

--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -86,6 +86,8 @@
         status_retention_ms: How long the state of an ended job can be queried.
         max_row_bytes: Largest row that the store accepts.
         max_batch_bytes: Size of the rows that one transaction may hold, in bytes.
+        max_text_bytes: Memory of the texts of all jobs above which none is accepted, in
+            bytes; 0 for no limit.
     """
 
     worker_lease_ms: int
@@ -93,6 +95,7 @@
     status_retention_ms: int
     max_row_bytes: int = 65_536
     max_batch_bytes: int = MAX_BATCH_BYTES
+    max_text_bytes: int = 0
 
 
 @attrs.frozen
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -160,7 +160,12 @@
         if not lead.is_store_reachable:
             raise TableRequiredError("the store is unreachable")
         submission = Submission(
-            job, queue, MAX_OPEN_JOBS, self._clock.now_ms(), self._clock.unix_ms()
+            job,
+            queue,
+            MAX_OPEN_JOBS,
+            self._clock.now_ms(),
+            self._clock.unix_ms(),
+            self._bounds.max_text_bytes,
         )
         refusal = lead.admission.check(submission)
         if refusal is not None:
--- a/marjoramgrade/decisions/admission/gate.py
+++ b/marjoramgrade/decisions/admission/gate.py
@@ -19,7 +19,7 @@
     AdmissionPolicyFactory,
     Refusal,
     Submission,
-    check_open_jobs,
+    check_room,
 )
 from marjoramgrade.decisions.admission.returns import RefusedJob, RefusedJobs
 from marjoramgrade.decisions.stepprogress import JobProgress
@@ -91,7 +91,7 @@
     def check(self, submission: Submission) -> Refusal | None:
         """Return why a job is refused, or None if it is accepted."""
         self._last = None
-        if refusal := check_open_jobs(self.state, submission.max_open_jobs):
+        if refusal := check_room(self.state, submission):
             return refusal
         job, queue, now_ms = submission.job, submission.queue, submission.now_ms
         if job.schedule.times or any(step.long_running for step in job.steps):
--- a/marjoramgrade/decisions/admission/policies.py
+++ b/marjoramgrade/decisions/admission/policies.py
@@ -17,6 +17,11 @@
 from marjoramgrade.stepconfig import Queue
 from marjoramgrade.stepjobs import StepJob
 
+# Jobs with more text leave a part of the limit to all others. Clients inside the limits
+# of the protocol send 4,000 bytes and some names.
+SMALL_TEXT_BYTES = 16_384
+LARGE_TEXT_SHARE = 3 / 4
+
 
 @attrs.frozen
 class Submission:
@@ -28,6 +33,8 @@
         max_open_jobs: Number of open jobs from which on no policy accepts one.
         now_ms: Current time.
         unix_ms: Current time, in milliseconds since 1970.
+        max_text_bytes: Memory of the texts of all jobs above which no policy accepts
+            one, in bytes; 0 for no limit.
     """
 
     job: StepJob
@@ -35,6 +42,7 @@
     max_open_jobs: int
     now_ms: int
     unix_ms: int
+    max_text_bytes: int = 0
 
 
 @attrs.frozen
@@ -90,11 +98,17 @@
 ADMISSION_POLICIES: Registry[AdmissionPolicyFactory] = Registry("admission policy")
 
 
-def check_open_jobs(state: StepState, max_open_jobs: int) -> Refusal | None:
-    """Return a refusal if the leader has as many open jobs as it can hold."""
-    if len(state.open_job_by_id) < max_open_jobs:
-        return None
-    return Refusal("open_jobs", "too many jobs are open")
+def check_room(state: StepState, submission: Submission) -> Refusal | None:
+    """Return a refusal if the leader can't hold another job, or not one that large."""
+    if len(state.open_job_by_id) >= submission.max_open_jobs:
+        return Refusal("open_jobs", "too many jobs are open")
+    limit_bytes: float = submission.max_text_bytes
+    own_bytes = submission.job.text_bytes
+    if own_bytes > SMALL_TEXT_BYTES:
+        limit_bytes *= LARGE_TEXT_SHARE
+    if limit_bytes and state.text_bytes + own_bytes > limit_bytes:
+        return Refusal("text_bytes", "the jobs have too much text")
+    return None
 
 
 @ADMISSION_POLICIES.register("open_jobs")
@@ -106,7 +120,7 @@
 
     def check(self, submission: Submission) -> Refusal | None:
         """Return why a job is refused, or None if it is accepted."""
-        return check_open_jobs(self.state, submission.max_open_jobs)
+        return check_room(self.state, submission)
 
     def record_accepted(self, submission: Submission, progress: JobProgress) -> None:
         """Do nothing: nothing is learned."""
--- a/marjoramgrade/decisions/intake/bounds.py
+++ b/marjoramgrade/decisions/intake/bounds.py
@@ -29,6 +29,9 @@
 # relayed commit of 800 KB has to arrive within 200 ms.
 RECEIVE_BUFFER_BYTES = 16_384
 PEER_RECEIVE_BUFFER_BYTES = 65_536
+# Texts of the jobs that a leader holds. A text of 4,000 bytes for each of 5,000 open
+# jobs is less.
+JOB_TEXT_MEMORY_SHARE = 1 / 8
 # Part of the budget that only small bodies may use. Ordinary jobs are a few KB.
 SMALL_BODY_SHARE = 1 / 4
 SMALL_BODY_BYTES = 16_384
@@ -56,6 +59,7 @@
         client_connections: Open connections of clients.
         peer_connections: Open connections of other instances.
         side_connections: Open connections to each of the other ports.
+        job_text_bytes: Memory of the texts of all jobs that a leader holds.
         silence_ms: Longest time without a byte within a body, a frame or a response.
         body_ms: Longest time from the first byte of a body or frame to the last.
         hello_ms: Longest time until a peer has identified itself.
@@ -66,6 +70,7 @@
     client_connections: int
     peer_connections: int
     side_connections: int
+    job_text_bytes: int
     silence_ms: int = SILENCE_MS
     body_ms: int = BODY_DURATION_MS
     hello_ms: int = HELLO_MS
@@ -93,6 +98,7 @@
             min(int(sockets * CLIENT_DESCRIPTOR_SHARE), by_memory),
             min(int(sockets * PEER_DESCRIPTOR_SHARE), peers_by_memory),
             int(sockets * SIDE_DESCRIPTOR_SHARE),
+            int(memory_bytes * JOB_TEXT_MEMORY_SHARE),
         )
         if bounds.side_connections < 1 or bounds.client_connections < 1:
             raise InvalidInputError(
--- a/marjoramgrade/decisions/steptracker.py
+++ b/marjoramgrade/decisions/steptracker.py
@@ -58,6 +58,7 @@
         evacuated_zones: Zones whose workers must not get work.
         job_by_id: All jobs in memory.
         open_job_by_id: Jobs that are not final or still have runs.
+        text_bytes: Memory of the texts of all jobs, in bytes.
         worker_by_id: All known workers.
         usage: Resources in use by team.
         headroom: Urgent use by team, for which a part of each limit stays free.
@@ -73,6 +74,7 @@
     evacuated_zones: frozenset[str] = frozenset()
     job_by_id: dict[str, JobProgress] = attrs.field(factory=dict)
     open_job_by_id: dict[str, JobProgress] = attrs.field(factory=dict)
+    text_bytes: int = 0
     worker_by_id: dict[str, WorkerState] = attrs.field(factory=dict)
     usage: TeamUsage = attrs.field(factory=TeamUsage)
     headroom: TeamHeadroom = attrs.field(factory=TeamHeadroom)
@@ -178,6 +180,7 @@
         """Remove a job and its runs, whose starts were never sent."""
         progress = self.job_by_id.pop(job_id, None)
         if progress is not None:
+            self.text_bytes -= progress.job.text_bytes
             for step in progress.iter_steps():
                 for run in list(step.iter_runs()):
                     self._detach(run)
@@ -224,6 +227,7 @@
 
     def _register_job(self, progress: JobProgress) -> None:
         self.job_by_id[progress.job.job_id] = progress
+        self.text_bytes += progress.job.text_bytes
         self.open_job_by_id[progress.job.job_id] = progress
         self._close_if_finished(progress)
 
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -72,10 +72,12 @@
         self._clock = SystemClock()
         self._metrics = PrometheusMetrics()
         self._stack = ActorGroup()
-        bounds = IntakeBounds.from_config(
+        self._intake_bounds = IntakeBounds.from_config(
             settings.memory_mb, _max_descriptors(settings)
         )
-        self._intake = Intake.from_config(bounds, self._clock, self._metrics)
+        self._intake = Intake.from_config(
+            self._intake_bounds, self._clock, self._metrics
+        )
         self._readiness_endpoint = ReadinessEndpoint(self._intake)
         self._frontend: ClientFrontend | None = None
         self._leadership: LeadershipController | None = None
@@ -129,6 +131,7 @@
             settings.status_s * 1_000,
             settings.row_bytes,
             max_batch_bytes(settings.link_mbps),
+            self._intake_bounds.job_text_bytes,
         )
         scheduler = StepSchedulerController(
             own_member.instance_id,
--- a/tests/test_admission_estimate.py
+++ b/tests/test_admission_estimate.py
@@ -338,3 +338,30 @@
     assert (refusal.reason, refusal.retry_after_ms) == ("open_jobs", 0)
     assert not policy.observe(0, 0)
     assert StepConfig().team_by_name == {}
+
+
+@pytest.mark.parametrize("name", list(ADMISSION_POLICIES.iter_names()))
+def test_texts_of_all_jobs_are_bounded(name):
+    # Guards against a leader that runs out of memory because of jobs with much text,
+    # and against small jobs that are refused because of them.
+    cell = Cell.make()
+    state = cell.harness.state
+    policy = ADMISSION_POLICIES.get(name)(state)
+
+    def submit(number, size):
+        new = attrs.evolve(job(f"{number:016x}", CHECK), payload="x" * size)
+        now_ms = cell.now_ms
+        submission = Submission(new, URGENT, 5_000, now_ms, now_ms, 2_000_000)
+        refusal = policy.check(submission)
+        if refusal is None:
+            cell.harness.add(new)
+        return refusal
+
+    refusals = [submit(number, 100_000) for number in range(20)]
+    assert refusals.count(None) == 14
+    assert {refusal.reason for refusal in refusals if refusal} == {"text_bytes"}
+    small = [submit(100 + number, 4_000) for number in range(50)]
+    assert small == [None] * 50
+    for job_id in list(state.job_by_id):
+        state.remove_job(job_id)
+    assert state.text_bytes == 0
