Explain closed connections, and close unread responses at once

Cause: a counter told why connections were closed, not which. A 413 was followed by a shutdown of the sending side, which could lose it.

Change: connections_closed has the address, the reason, the state and the Request-Id of each connection that an instance closes. Gauges have the open connections and the bytes held. Responses are checked in the next turn of the event loop, and the sending side is shut down once a 413 has been sent.

Measured: test_closed_connection_can_be_explained_from_its_address is new.

--- a/marjoramgrade/adapters/accepting.py
+++ b/marjoramgrade/adapters/accepting.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from tornado.iostream import IOStream
 from tornado.netutil import add_accept_handler
@@ -27,7 +28,7 @@
     _intake: Intake | None = None
 
     def bound_connections(
-        self, intake: Intake, max_connections: int, receive_buffer_bytes: int
+        self, intake: Intake, max_connections: int, receive_buffer_bytes: int, name: str
     ) -> None:
         """Bound the connections; called before sockets are added.
 
@@ -36,10 +37,12 @@
             max_connections: Limit of open connections.
             receive_buffer_bytes: What the kernel receives for each connection before
                 it is read, in bytes.
+            name: Name of the port in the log.
         """
         self._intake = intake
         self._max_connections = max_connections
         self._receive_buffer_bytes = receive_buffer_bytes
+        self._name = name
         self._uses: set[ConnectionUse] = set()
         self._is_paused = False
 
@@ -63,6 +66,7 @@
     def open_stream(
         self,
         stream: IOStream,
+        address: tuple[Any, ...],
         *,
         is_identified: bool = True,
     ) -> MeasuredStream | None:
@@ -71,6 +75,7 @@
         Args:
             stream: The stream that tornado made. It has not been used and does not own
                 its socket.
+            address: Address of the other side.
             is_identified: Whether the other side need not introduce itself.
 
         Returns:
@@ -81,6 +86,7 @@
             self._uses,
             self._max_connections,
             self.max_buffer_size,
+            name=f"{self._name}:{address[0]}:{address[1]}",
             is_identified=is_identified,
         )
         if not self.intake.has_room(self._uses, self._max_connections):
--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -289,5 +289,5 @@
         intake=intake,
         # A larger body gets a response without content; a body between the two limits
         # gets a typed error response.
-        limits=PortLimits(2 * max_body_bytes, intake.bounds.client_connections),
+        limits=PortLimits(2 * max_body_bytes, intake.bounds.client_connections, "v1"),
     )
--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import copy
 import select
 import socket
@@ -59,6 +58,8 @@
     b"Ran: unknown\r\nContent-Type: application/json\r\nContent-Length: 27\r\n\r\n"
     b'{"error":"outcome_unknown"}'
 )
+# Characters of the id of a request in the log; a longer one is cut.
+MAX_REQUEST_ID_LENGTH = 32
 
 
 @attrs.frozen
@@ -68,10 +69,12 @@
     Attributes:
         max_body_bytes: Largest body that is accepted.
         max_connections: Limit of open connections.
+        name: Name of the port in the log.
     """
 
     max_body_bytes: int
     max_connections: int
+    name: str = "http"
 
 
 # Handles a request; a future that it returns is done once the request is handled.
@@ -156,6 +159,7 @@
         """Refuse a body that is too large, and read a chunked one in small parts."""
         assert isinstance(start_line, RequestStartLine)
         self._start = (start_line, headers)
+        self.stream.use.request_id = parse_request_id(headers)
         await self.intake.await_turn_of_next(self.stream.use)
         length = headers.get("Content-Length", "")
         is_chunked = "Transfer-Encoding" in headers
@@ -201,9 +205,7 @@
             self._body = BodyBuffer()
             error = OutcomeUnknownError("there is no room to hold the request")
             self.intake.metrics.refused(error)
-            with contextlib.suppress(StreamClosedError):
-                self.stream.write(NOT_HELD)
-            self.stream.close()
+            self._respond_and_close(NOT_HELD)
             return
         self.receiver.headers_received(*self._start)
         self.receiver.data_received(self._body.take())
@@ -219,18 +221,36 @@
         self._body = BodyBuffer()
         self.intake.begin_message(self.stream.use)
         self.intake.metrics.refused(OversizedInputError("the body is too large"))
+        if is_waiting:
+            # The client has not sent its body.
+            self._respond_and_close(TOO_LARGE)
+        elif self._respond(TOO_LARGE, self._end_sending):
+            loop = asyncio.get_running_loop()
+            loop.call_later(LINGER_MS / 1_000, self.stream.close)
+
+    def _respond_and_close(self, response: bytes) -> None:
+        self._respond(response, self.stream.close)
+
+    def _respond(self, response: bytes, on_sent: Callable[[], None]) -> bool:
+        """Send a response; return whether the connection is still open."""
+        try:
+            sent = self.stream.write(response)
+        except StreamClosedError:
+            return False
+
+        def finish(done: asyncio.Future[None]) -> None:
+            if not done.cancelled() and done.exception() is None:
+                on_sent()
+
+        sent.add_done_callback(finish)
+        return not self.stream.closed()
+
+    def _end_sending(self) -> None:
         try:
-            self.stream.write(TOO_LARGE)
-            if is_waiting:
-                # The client has not sent its body.
-                self.stream.close()
-                return
             self.stream.socket.shutdown(socket.SHUT_WR)
-        except (OSError, StreamClosedError):
+        except (AttributeError, OSError):
+            # The connection was closed meanwhile.
             self.stream.close()
-            return
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_MS / 1_000, self.stream.close)
 
 
 class DrainingHttpServer(BoundedTcpServer, HTTPServer):
@@ -260,7 +280,9 @@
         self._listening: list[socket.socket] = []
         self._limits = limits
         if intake is not None and limits is not None:
-            self.bound_connections(intake, limits.max_connections, RECEIVE_BUFFER_BYTES)
+            self.bound_connections(
+                intake, limits.max_connections, RECEIVE_BUFFER_BYTES, limits.name
+            )
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Start accepting connections on listening sockets."""
@@ -273,7 +295,7 @@
         if self._intake is None:
             super().handle_stream(stream, address)
             return
-        measured = self.open_stream(stream)
+        measured = self.open_stream(stream, address)
         if measured is not None:
             super().handle_stream(measured, address)
 
@@ -323,3 +345,9 @@
         for listening in self._listening:
             poll.register(listening, select.POLLIN)
         return bool(poll.poll(0))
+
+
+def parse_request_id(headers: HTTPHeaders) -> str:
+    """Return the id that the client gave the request, or "" if it cannot be logged."""
+    text = headers.get("Request-Id", "")[:MAX_REQUEST_ID_LENGTH]
+    return text if text.isascii() and text.isalnum() else ""
--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -214,6 +214,7 @@
     _refusing: _Refusing | None = None
     _sweeping: asyncio.TimerHandle | None = None
     _turning: asyncio.Handle | None = None
+    _enforcing: asyncio.Handle | None = None
 
     @classmethod
     def from_config(
@@ -238,6 +239,7 @@
         max_connections: int,
         max_buffer_size: int | None = None,
         *,
+        name: str = "",
         is_identified: bool = True,
     ) -> MeasuredStream | None:
         """Take in a new connection of a port.
@@ -248,6 +250,7 @@
                 the new one is added.
             max_connections: Limit for them.
             max_buffer_size: Limit of the read buffer in bytes.
+            name: Port and address of the other side, for the log.
             is_identified: Whether the other side need not introduce itself.
 
         Returns:
@@ -259,12 +262,14 @@
         if len(others) >= max_connections:
             chosen = choose_for_new(others, now_ms)
             if chosen is None:
-                self._record_closed(CloseReason.CONNECTIONS)
+                self._record_closed(
+                    ConnectionUse.opened(now_ms, name=name), CloseReason.CONNECTIONS
+                )
                 connection.close()
                 return None
             others.discard(chosen)
             self._close(chosen, CloseReason.CONNECTIONS)
-        use = ConnectionUse.opened(now_ms, is_identified=is_identified)
+        use = ConnectionUse.opened(now_ms, is_identified=is_identified, name=name)
         stream = MeasuredStream(connection, self, use, max_buffer_size)
         others.add(use)
         self._budget.open(use)
@@ -380,8 +385,19 @@
         self._enforce_budget()
 
     def record_unsent(self, use: ConnectionUse, count: int) -> None:
-        """Record how many bytes of responses are to be sent."""
+        """Record how many bytes of responses are to be sent.
+
+        Connections beyond the budget are closed in the next turn of the event loop: a
+        stream must not be closed while it writes.
+        """
         self._budget.change(use, unsent=count - use.unsent_bytes)
+        if self._enforcing is None and count:
+            loop = asyncio.get_running_loop()
+            self._enforcing = loop.call_soon(self._enforce_later)
+
+    def _enforce_later(self) -> None:
+        self._enforcing = None
+        self._enforce_budget()
 
     async def await_turn_of_next(self, use: ConnectionUse) -> None:
         """Wait before a message that was received together with the one before it.
@@ -439,14 +455,18 @@
             self._close(use, CloseReason.BUDGET)
 
     def _close(self, use: ConnectionUse, reason: CloseReason) -> None:
-        self._record_closed(reason)
+        self._record_closed(use, reason)
         self._budget.disconnect(use)
         stream = self._stream_by_use.get(use)
         if stream is not None:
             stream.close()
 
-    def _record_closed(self, reason: CloseReason) -> None:
+    def _record_closed(self, use: ConnectionUse, reason: CloseReason) -> None:
         self.metrics.count(f"closed.{reason.value}")
+        if reason is not CloseReason.LEFT:
+            logs.log_batched(
+                "connections_closed", _describe(use, reason, self.now_ms())
+            )
         if reason not in _ROOM_REASONS:
             return
         now_ms = self.now_ms()
@@ -476,11 +496,26 @@
             reason = use.overdue(now_ms, self.bounds)
             if reason is not None:
                 self._close(use, reason)
-        # Responses that are not read count as well, and are recorded without a check.
-        self._enforce_budget()
+        self.metrics.gauge("intake_connections", len(self._stream_by_use))
+        held_bytes = self._budget.held_bytes + self._budget.ending_bytes
+        self.metrics.gauge("intake_held_bytes", held_bytes)
         refusing = self._refusing
         if refusing is not None and now_ms - refusing.last_ms >= REFUSING_MS:
             logs.log_event("intake_accepting", closed=refusing.closed)
             self._refusing = None
         if self._stream_by_use or self._refusing is not None:
             self._schedule_sweep()
+
+
+def _describe(use: ConnectionUse, reason: CloseReason, now_ms: int) -> str:
+    """Return why a connection is closed, as an entry of a batch of the log."""
+    fields = (
+        use.name or "unnamed",
+        reason.value,
+        use.phase.value,
+        str(use.held_bytes),
+        str(now_ms - use.opened_ms),
+        str(use.idle_ms(now_ms)),
+        use.request_id,
+    )
+    return "/".join(fields)
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -358,13 +358,14 @@
             intake,
             intake.bounds.peer_connections,
             PEER_RECEIVE_BUFFER_BYTES,
+            "peer",
         )
         self._streams: set[IOStream] = set()
         self._call_tasks: set[asyncio.Task[None]] = set()
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve one connection until it is closed."""
-        measured = self.open_stream(stream, is_identified=False)
+        measured = self.open_stream(stream, address, is_identified=False)
         if measured is not None:
             await self._serve_stream(measured)
 
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -46,6 +46,8 @@
         is_identified: Whether the other side has introduced itself, on a port where it
             has to.
         is_peer: Whether it is that of another instance, which has introduced itself.
+        name: Port and address of the other side, for the log.
+        request_id: Id that the client gave its last request, or empty.
         phase: What it is doing.
         phase_since_ms: Time at which the phase began.
         is_waiting: Whether it waits for its turn; it then makes no progress, which is
@@ -67,6 +69,8 @@
     progress_ms: int
     is_identified: bool = True
     is_peer: bool = False
+    name: str = ""
+    request_id: str = ""
     phase: Phase = Phase.IDLE
     phase_since_ms: int = 0
     is_waiting: bool = False
@@ -81,9 +85,11 @@
     unsent_bytes: int = 0
 
     @classmethod
-    def opened(cls, now_ms: int, *, is_identified: bool = True) -> ConnectionUse:
+    def opened(
+        cls, now_ms: int, *, is_identified: bool = True, name: str = ""
+    ) -> ConnectionUse:
         """Return a connection that has just been opened."""
-        return cls(now_ms, now_ms, is_identified, phase_since_ms=now_ms)
+        return cls(now_ms, now_ms, is_identified, name=name, phase_since_ms=now_ms)
 
     def identify_peer(self) -> None:
         """Record that the other side has introduced itself as an instance."""
--- a/marjoramgrade/exposition.py
+++ b/marjoramgrade/exposition.py
@@ -121,7 +121,9 @@
             max_header_size=MAX_HEADER_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
             intake=intake,
-            limits=PortLimits(MAX_BODY_BYTES, intake.bounds.side_connections),
+            limits=PortLimits(
+                MAX_BODY_BYTES, intake.bounds.side_connections, "metrics"
+            ),
         )
 
     def _render_recent(self) -> bytes:
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -184,6 +184,18 @@
     "connections",
     "Connections closed for what they used or how long they took, by the reason.",
 )
+declare(
+    "intake_connections",
+    MetricKind.GAUGE,
+    "connections",
+    "Connections from outside that are open.",
+)
+declare(
+    "intake_held_bytes",
+    MetricKind.GAUGE,
+    "bytes",
+    "Bytes of bodies, frames and unread responses that connections from outside hold.",
+)
 declare(
     "not_held",
     MetricKind.COUNTER,
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -16,6 +16,7 @@
 from marjoramgrade.adapters.httpserver import (
     DrainingHttpServer,
     PortLimits,
+    parse_request_id,
 )
 from marjoramgrade.adapters.intake import Intake, MeasuredStream
 from marjoramgrade.clock import Clock
@@ -60,8 +61,6 @@
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 262_144
 IDLE_TIMEOUT_MS = 60_000
-# Characters of the id of a request in the log; a longer one is cut.
-MAX_REQUEST_ID_LENGTH = 32
 # Delay after which a client may retry: takeovers and short outages of the
 # store end within 1 s.
 RETRY_AFTER_S = 1
@@ -133,7 +132,9 @@
             max_header_size=MAX_HEADER_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
             intake=self.intake,
-            limits=PortLimits(MAX_BODY_BYTES, self.intake.bounds.client_connections),
+            limits=PortLimits(
+                MAX_BODY_BYTES, self.intake.bounds.client_connections, "front"
+            ),
         )
         return self._server
 
@@ -163,7 +164,7 @@
     async def _respond(
         self, request: HTTPServerRequest, started_ms: int
     ) -> ClientResponse:
-        request_id = _request_id(request.headers)
+        request_id = parse_request_id(request.headers)
         context: RequestContext | None = None
         try:
             context = self._make_context(request, started_ms)
@@ -322,12 +323,6 @@
     return not data
 
 
-def _request_id(headers: HTTPHeaders) -> str:
-    """Return the id that the client gave the request, or "" if it cannot be logged."""
-    text = headers.get("Request-Id", "")[:MAX_REQUEST_ID_LENGTH]
-    return text if text.isascii() and text.isalnum() else ""
-
-
 def _id_in_path(path: str) -> str:
     """Return the last part of a path if it can be the id of a job, else ""."""
     text = path.rpartition("/")[2]
@@ -424,7 +419,9 @@
             max_header_size=MAX_HEADER_BYTES,
             idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
             intake=self._intake,
-            limits=PortLimits(MAX_BODY_BYTES, self._intake.bounds.side_connections),
+            limits=PortLimits(
+                MAX_BODY_BYTES, self._intake.bounds.side_connections, "ready"
+            ),
         )
 
     def _accept(self, request: HTTPServerRequest) -> None:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -503,6 +503,27 @@
     asyncio.run(run())
 
 
+def test_closed_connection_can_be_explained_from_its_address(monkeypatch):
+    # Guards against a client that was closed and whose reason nobody can find.
+    entries = []
+    monkeypatch.setattr(
+        intake_module.logs, "log_batched", lambda *entry: entries.append(entry)
+    )
+
+    async def run():
+        intake = make_intake(body_bytes=40_000, small_bytes=0)
+        async with serving(plain_server(intake, lambda _: None)) as connect:
+            client = connect(HEAD.format(99_999).encode() + b"x" * 50_000)
+            address = ":".join(map(str, client.getsockname()))
+            await wait_for(lambda: entries)
+            event, entry = entries[0]
+            assert event == "connections_closed"
+            assert entry.startswith(f"http:{address}/budget/receiving/")
+            assert entry.endswith("/id7")
+
+    asyncio.run(run())
+
+
 def test_v1_request_is_held_until_its_handler_has_finished():
     # Guards against bodies that are not counted while their operation waits.
     release = asyncio.Event()
