--- a/soak/refusals.py
+++ b/soak/refusals.py
@@ -20,7 +20,7 @@
 import sys
 import time
 
-from soak.cell import INSTANCES, Soak, send_request
+from soak.cell import Soak, send_request
 from soak.run import run_in_folder, submit_under_faults
 
 REFUSED = (429, 503)
@@ -55,7 +55,7 @@
     headers = {"Host": "jobs.example", "X-Deadline-Ms": str(CLIENT_TIMEOUT_MS)}
     statuses = soak.statuses_by_job.setdefault(job_id, [])
     for attempt in range(MAX_ATTEMPTS):
-        name = soak.rng.choice(INSTANCES)
+        name = soak.rng.choice(soak.names)
         answer = await send_request(
             soak.front_by_name[name],
             "POST",
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,7 @@
 """Runs the real programs as processes, injects faults and checks the guarantees.
 
     python -m soak.run --seeds 5 [--first 1] [--seconds 12] [--untrusted]
+        [--instances 3]
 
 Each seed injects a series of overlapping faults: signals kill, freeze, stop and reload
 instances, the store is busy, slow or loses responses, a loopback relay disconnects
@@ -24,7 +25,19 @@
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any
 
-from soak.cell import DEADLINE_MS, INSTANCES, Soak, send_request
+from marjoramgrade.adapters.httppool import (
+    HttpNoResponseError,
+    HttpNotSentError,
+    HttpPool,
+    HttpResponse,
+)
+from soak.cell import (
+    DEADLINE_MS,
+    HOST_BY_INSTANCE,
+    INSTANCES,
+    Soak,
+    send_request,
+)
 from soak.faults import FAULTS
 
 # Time limit, set by the rules, for the completion of jobs whose state is requested
@@ -34,7 +47,11 @@
 FIRST_FAULT_S = 0.5
 # Left out here, so that the seeds that have failed before keep their faults.
 REFUSAL_FAULTS = ("isolate",)
-UNTRUSTED_FAULTS = ("unfinished",)
+UNTRUSTED_FAULTS = ("unfinished", "reconnecting", "complete", "strangers")
+# Memory of the smallest instances.
+MEMORY_MB = 200
+MEASURE_S = 0.25
+KEPT_CONNECTIONS = 8
 
 # Seeds that have failed before, each with the cause.
 REGRESSIONS = {
@@ -57,11 +74,9 @@
     body = {"spec": f"1000:{took_ms}", "steps": steps}
     statuses = soak.statuses_by_job.setdefault(job_id, [])
     for _ in range(4):
-        name = soak.rng.choice(INSTANCES)
+        name = soak.rng.choice(soak.names)
         headers = {"Host": "jobs.example", "X-Deadline-Ms": str(DEADLINE_MS)}
-        answer = await send_request(
-            soak.front_by_name[name], "POST", f"/q/{job_id}", body, headers
-        )
+        answer = await _hand_in(soak, name, number, f"/q/{job_id}", body, headers)
         statuses.append(answer.status if answer is not None else 0)
         if answer is not None and answer.status == 200:
             soak.accepted[job_id] = time.monotonic()
@@ -69,9 +84,33 @@
         await asyncio.sleep(0.4)
 
 
+async def _hand_in(
+    soak: Soak,
+    name: str,
+    number: int,
+    path: str,
+    body: Any,
+    headers: dict[str, str],
+) -> HttpResponse | None:
+    """Send a submission, every second one on a connection that is kept."""
+    pool = soak.pool_by_name.get(name)
+    if pool is None or number % 2:
+        return await send_request(soak.front_by_name[name], "POST", path, body, headers)
+    try:
+        return await pool.request(
+            "POST",
+            path,
+            body=json.dumps(body).encode(),
+            headers=headers,
+            timeout_ms=DEADLINE_MS,
+        )
+    except (HttpNotSentError, HttpNoResponseError):
+        return None
+
+
 async def state_of(soak: Soak, job_id: str) -> str:
     """Return the state of a job, "410" if it is unknown, or "no response"."""
-    for name in INSTANCES:
+    for name in soak.names:
         headers = {"Host": "jobs.example"}
         answer = await send_request(
             soak.front_by_name[name], "GET", f"/q/{job_id}", None, headers
@@ -106,6 +145,8 @@
     """
     await soak.start()
     await wait_until_ready(soak)
+    for name, address in soak.front_by_name.items():
+        soak.pool_by_name[name] = HttpPool(address, KEPT_CONNECTIONS)
     tasks: list[asyncio.Task[None]] = []
     end = time.monotonic() + seconds
     next_fault = time.monotonic() + FIRST_FAULT_S
@@ -133,17 +174,33 @@
     """
     left_out = REFUSAL_FAULTS + (() if is_untrusted else UNTRUSTED_FAULTS)
     names = [name for name in FAULTS.iter_names() if name not in left_out]
-    number = await submit_under_faults(
-        soak, seconds, submit, names, (0.1, 0.3), (0.2, 2.0)
-    )
-    broken = await _await_completion(soak)
+    if is_untrusted:
+        soak.limits["memory_mb"] = MEMORY_MB
+    measuring = asyncio.create_task(_measure_memory(soak))
+    try:
+        number = await submit_under_faults(
+            soak, seconds, submit, names, (0.1, 0.3), (0.2, 2.0)
+        )
+        broken = await _await_completion(soak)
+    finally:
+        measuring.cancel()
     audit = await soak.control_fleet()
     soak.record_event(
-        f"{audit['starts']} starts, {len(soak.accepted)} of {number} accepted"
+        f"{audit['starts']} starts, {len(soak.accepted)} of {number} accepted, "
+        f"at most {soak.peak_mb:.0f} MB"
     )
+    if soak.peak_mb >= MEMORY_MB:
+        broken.append(f"an instance used {soak.peak_mb:.0f} of {MEMORY_MB} MB")
     return [*broken, *audit["violations"]]
 
 
+async def _measure_memory(soak: Soak) -> None:
+    while True:
+        await asyncio.sleep(MEASURE_S)
+        if soak.front_by_name and all(n in soak.process_by_name for n in soak.names):
+            soak.measure_memory()
+
+
 async def wait_until_ready(soak: Soak) -> None:
     """Wait until an instance answers for the leader.
 
@@ -183,16 +240,18 @@
     seconds: float,
     log_folder: pathlib.Path | None,
     is_untrusted: bool = False,
+    instances: int = len(INSTANCES),
 ) -> bool:
     """Run a seed of all faults; return whether all guarantees held."""
     play = functools.partial(run_soak, seconds=seconds, is_untrusted=is_untrusted)
-    return await run_in_folder(seed, play, log_folder)
+    return await run_in_folder(seed, play, log_folder, instances)
 
 
 async def run_in_folder(
     seed: int,
     play: Callable[[Soak], Awaitable[list[str]]],
     log_folder: pathlib.Path | None,
+    instances: int = len(INSTANCES),
 ) -> bool:
     """Run a seed in its own folder; return whether all guarantees held.
 
@@ -200,6 +259,7 @@
         seed: Seed of the random generator.
         play: Starts the processes, disturbs them and returns the violations.
         log_folder: Where to keep settings and logs, or None to remove them.
+        instances: Number of instances.
     """
     with contextlib.ExitStack() as stack:
         if log_folder is None:
@@ -207,7 +267,8 @@
         else:
             folder = log_folder / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(folder, random.Random(seed))
+        names = tuple(HOST_BY_INSTANCE)[:instances]
+        soak = Soak(folder, random.Random(seed), names=names)
         try:
             broken = await play(soak)
         finally:
@@ -234,7 +295,10 @@
         "--regressions", action="store_true", help="run the seeds that failed before"
     )
     parser.add_argument(
-        "--untrusted", action="store_true", help="clients that send unfinished bodies"
+        "--untrusted", action="store_true", help="clients that do not keep the limits"
+    )
+    parser.add_argument(
+        "--instances", type=int, default=len(INSTANCES), help="number of instances"
     )
     arguments = parser.parse_args()
     seeds = list(range(arguments.first, arguments.first + arguments.seeds))
@@ -244,7 +308,13 @@
         seed
         for seed in seeds
         if not asyncio.run(
-            run_seed(seed, arguments.seconds, arguments.keep, arguments.untrusted)
+            run_seed(
+                seed,
+                arguments.seconds,
+                arguments.keep,
+                arguments.untrusted,
+                arguments.instances,
+            )
         )
     ]
     print(f"{len(seeds) - len(failed)} of {len(seeds)} seeds passed; failed: {failed}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,13 @@
     assert asyncio.run(run_seed(seed, SECONDS, None))
 
 
+@pytest.mark.parametrize("seed", [2])
+def test_promises_hold_beside_clients_that_do_not_keep_the_limits(seed):
+    # Guards against lost work, or an instance that grows beyond its memory, where
+    # crowds of such clients and other faults overlap.
+    assert asyncio.run(run_seed(seed, SECONDS, None, is_untrusted=True))
+
+
 @pytest.mark.parametrize("seed", [17])
 def test_refused_jobs_do_not_run(seed):
     # Guards against a 429 or 503 for a job that was accepted at an earlier attempt.
