--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import json
 import resource
 import socket
 import struct
+import tracemalloc
 import types
 
 import attrs
@@ -56,6 +58,7 @@
     MAX_DEADLINE_MS,
     MAX_HEADER_BYTES,
     ClientFrontend,
+    parse_job,
 )
 
 IDLE_INSTANCE_MB = 45
@@ -573,3 +576,24 @@
             assert size <= 2 * RECEIVE_BUFFER_BYTES
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("steps", [1, 64])
+@pytest.mark.parametrize("text", ["", "x" * 1_500])
+def test_size_of_a_job_covers_its_memory(steps, text):
+    # Guards against jobs that wait for the store and take more memory than is counted.
+    def make_step(index):
+        step = {"count": 1, "cpu": 100, "memMb": 300, "estMs": 5_000}
+        return step | {"after": list(range(index)), "image": text + str(index)}
+
+    document = {"spec": text, "steps": [make_step(index) for index in range(steps)]}
+    body = json.dumps(document).encode()
+    parse_job(body)
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        job = parse_job(body)
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert after - before <= job.size_bytes
