Let the test of held frames fail instead of waiting

Cause: on code without the bound its server waited at the end for calls that nothing released, so that it hung.

--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -189,6 +189,8 @@
         job = StepJob("", "", "", "x" * size, (Step(1),))
         async with contextlib.AsyncExitStack() as stack:
             port = await stack.enter_async_context(serving_peers(receiver, intake))
+            # The server waits for its calls when it closes, also after a failure.
+            stack.callback(release.set)
             link = PeerLink("b", "127.0.0.1", Member("a", "north", "127.0.0.1", port))
             await link.start()
             stack.push_async_callback(link.stop)
