Do not count a pause of the process as idleness of its clients

Cause, from a trace in a scratch copy (test and instance on one core with 4 busy processes, 1 of 2 calls closed): the caller was closed for the limit of connections in the phase "idle", with its complete request of 145 bytes unread in the kernel, as were 188 clients of the crowd with 24,576 unread bytes each. Idleness was the time since the process last read; when a turn of the event loop takes longer than the second that a recent caller has, or the process is paused, the accept handler can run before the connections are read, and all of them look idle. Connections that wait for a turn count no idle time and stayed.

Ruled out: that pauses of 0.3 to 1.5 s alone do it (0 of about 3,400 calls: callers mostly still waited in the queue of the kernel).

Change: before a connection is closed for room, connections are polled, at most every 10 ms; one whose bytes have arrived, or whose response can go on, has made progress. A kept connection whose next request has arrived is not closed for a new one either.

The new tests fail without the change.

--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Awaitable
 from typing import Any
@@ -37,8 +38,11 @@
 SWEEP_MS = 500
 # Refusing has ended once no connection was closed to make room for this long.
 REFUSING_MS = 2_000
+# Connections are polled at most this often for what the event loop has not come to.
+UNREAD_POLL_MS = 10
 READ_BYTES = SEGMENT_BYTES
 BLOCK_BYTES = 16_384
+_HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _ROOM_REASONS = (CloseReason.BUDGET, CloseReason.CONNECTIONS)
 
 
@@ -113,6 +117,7 @@
         count = super().read_from_fd(buf)
         if count:
             self.use.has_read, self.use.is_unused = True, False
+            self.use.has_unread = False
             self.use.progress_ms = self._intake.now_ms()
         return count
 
@@ -211,6 +216,7 @@
     _hangups: HangupWatcher = attrs.field(
         default=attrs.Factory(lambda self: HangupWatcher(self._left), takes_self=True)
     )
+    _polled_ms: int | None = None
     _refusing: _Refusing | None = None
     _sweeping: asyncio.TimerHandle | None = None
     _turning: asyncio.Handle | None = None
@@ -260,6 +266,7 @@
         if len(others) >= max_connections:
             others.intersection_update(self._stream_by_use.keys())
         if len(others) >= max_connections:
+            self._record_pending()
             chosen = choose_for_new(others, now_ms)
             if chosen is None:
                 self._record_closed(
@@ -290,6 +297,7 @@
         others.intersection_update(self._stream_by_use.keys())
         if len(others) < max_connections:
             return True
+        self._record_pending()
         now_ms = self.now_ms()
         return any(may_make_room(use, now_ms) for use in others)
 
@@ -451,9 +459,36 @@
             self._turning = asyncio.get_running_loop().call_soon(self._give_turns)
 
     def _enforce_budget(self) -> None:
+        if self._budget.is_exceeded:
+            self._record_pending()
         while (use := self._budget.choose_excess(self.now_ms())) is not None:
             self._close(use, CloseReason.BUDGET)
 
+    def _record_pending(self) -> None:
+        """Record progress that the event loop has not come to yet.
+
+        After a long turn, or a pause of the process, connections whose requests have
+        arrived would otherwise look idle and be closed before they are read.
+        """
+        now_ms = self.now_ms()
+        if self._polled_ms is not None and now_ms - self._polled_ms < UNREAD_POLL_MS:
+            return
+        self._polled_ms = now_ms
+        poll = select.poll()
+        for descriptor, use in self._use_by_descriptor.items():
+            if use.unsent_bytes:
+                poll.register(descriptor, select.POLLOUT)
+            elif use.awaits_bytes:
+                poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
+        for descriptor, events in poll.poll(0):
+            use = self._use_by_descriptor[descriptor]
+            if events & _HANGUP_EVENTS:
+                continue
+            if events & select.POLLIN:
+                use.record_unread(now_ms)
+            elif events & select.POLLOUT:
+                use.progress_ms = now_ms
+
     def _close(self, use: ConnectionUse, reason: CloseReason) -> None:
         self._record_closed(use, reason)
         self._budget.disconnect(use)
--- a/marjoramgrade/decisions/intake/budget.py
+++ b/marjoramgrade/decisions/intake/budget.py
@@ -115,13 +115,23 @@
         added_bytes = size if use.serving_bytes > SMALL_BODY_BYTES else own_bytes
         return self.serving_large_bytes + added_bytes <= large_limit_bytes
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more bytes are held than the budget allows."""
+        return self.has_excess_of_large or self.held_bytes > self.limit_bytes
+
+    @property
+    def has_excess_of_large(self) -> bool:
+        """Whether large connections hold bytes of the part of the small ones."""
+        return self.large_bytes > self.limit_bytes - self.small_bytes
+
     def choose_excess(self, now_ms: int) -> ConnectionUse | None:
         """Return the connection to close because the budget is exceeded, or None.
 
         Also None if all that hold bytes are being served; what they hold is released
         as they are answered.
         """
-        if self.large_bytes > self.limit_bytes - self.small_bytes:
+        if self.has_excess_of_large:
             large = (use for use in self.uses if _is_large(use))
             chosen = choose_to_close(large, now_ms)
             if chosen is not None:
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -56,6 +56,8 @@
             its last bytes have been read.
         is_unused: Whether nothing has been received yet.
         has_read: Whether bytes were received since the last message ended.
+        has_unread: Whether bytes have arrived that this process had not yet read when
+            it last looked for them.
         turns: Number of turns used since it last waited for bytes of a new message.
         messages_in_row: Number of messages read, the present one included, without a
             wait for the other side and without a turn.
@@ -77,6 +79,7 @@
     has_left: bool = False
     is_unused: bool = True
     has_read: bool = False
+    has_unread: bool = False
     turns: int = 0
     messages_in_row: int = 0
     expected_bytes: int = UNKNOWN_LENGTH
@@ -105,6 +108,12 @@
         """Bytes that are free once the connection is closed."""
         return self.received_bytes + self.unsent_bytes
 
+    @property
+    def awaits_bytes(self) -> bool:
+        """Whether its progress is that further bytes arrive and are read at once."""
+        is_reading = self.phase is not Phase.SERVED and not self.is_waiting
+        return is_reading and not self.unsent_bytes
+
     @property
     def is_small(self) -> bool:
         """Whether its message, as far as known, is at most `SMALL_BODY_BYTES` long.
@@ -131,6 +140,11 @@
         self.phase = phase
         self.phase_since_ms = self.progress_ms = now_ms
 
+    def record_unread(self, now_ms: int) -> None:
+        """Record that bytes have arrived; that they were not read is no idleness."""
+        self.has_unread = True
+        self.progress_ms = now_ms
+
     def idle_ms(self, now_ms: int) -> int:
         """Return the time without progress that is the fault of the other side."""
         return 0 if self.is_waiting else max(now_ms - self.progress_ms, 0)
--- a/marjoramgrade/decisions/intake/precedence.py
+++ b/marjoramgrade/decisions/intake/precedence.py
@@ -81,7 +81,7 @@
 
 def may_make_room(use: ConnectionUse, now_ms: int) -> bool:
     """Return whether a connection may be closed so that a new one can be opened."""
-    is_sending = use.is_unused or use.has_read
+    is_sending = use.is_unused or use.has_read or use.has_unread
     is_new = is_sending and now_ms - use.progress_ms < NEW_CONNECTION_MS
     return use.may_close and (use.has_left or use.phase is not Phase.IDLE or not is_new)
 
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import resource
+import select
 import socket
 import struct
 import tracemalloc
@@ -45,6 +46,7 @@
 )
 from marjoramgrade.decisions.intake.precedence import (
     ACTIVE_PEER_MS,
+    RECENT_CALLER_MS,
     choose_for_new,
     choose_to_close,
 )
@@ -527,6 +529,86 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("phase", "is_unused", "limit_bytes"),
+    [
+        (Phase.IDLE, True, MEGABYTE),
+        (Phase.IDLE, False, MEGABYTE),
+        (Phase.RECEIVING, False, 2 * SMALL_BODY_BYTES),
+    ],
+)
+def test_request_that_waits_for_the_event_loop_is_no_idleness(
+    phase, is_unused, limit_bytes
+):
+    # Guards against callers that are closed because the process itself was paused.
+    pause_ms = 10 * RECENT_CALLER_MS
+
+    async def run():
+        clock = ManualClock()
+        intake = make_intake(clock, body_bytes=limit_bytes, small_bytes=0)
+        with contextlib.ExitStack() as stack:
+
+            def connect(limit=2):
+                pair = [stack.enter_context(each) for each in socket.socketpair()]
+                stream = intake.open(pair[0], others, limit)
+                stack.callback(stream.close)
+                return stream, pair[1]
+
+            others = set()
+            (caller, client), (crowd, _) = connect(), connect()
+            caller.use.is_unused = is_unused
+            for stream, expected in ((caller, 200), (crowd, MAX_BODY_BYTES)):
+                intake.begin_body(stream.use, expected)
+            intake.add_received(crowd.use, SMALL_BODY_BYTES)
+            intake.add_received(caller.use, 100)
+            if phase is Phase.IDLE:
+                intake.begin_message(caller.use)
+            crowd.use.is_waiting = True
+            client.sendall(b"x" * 100)
+            clock.advance(pause_ms)
+            if phase is Phase.IDLE:
+                connect()
+            else:
+                other = connect(limit=3)[0]
+                intake.begin_body(other.use, MAX_BODY_BYTES)
+                intake.add_received(other.use, SMALL_BODY_BYTES)
+            assert crowd.closed() and not caller.closed()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_read", [False, True])
+def test_response_that_can_go_on_is_no_idleness(is_read):
+    # Guards against clients that are closed for not reading because the process itself
+    # was paused, and against one that keeps its connection by sending instead.
+    async def run():
+        clock = ManualClock()
+        intake = make_intake(clock, body_bytes=4 * MEGABYTE, small_bytes=0)
+        with contextlib.ExitStack() as stack:
+            others = set()
+
+            def connect():
+                pair = [stack.enter_context(each) for each in socket.socketpair()]
+                stream = intake.open(pair[0], others, 3)
+                stack.callback(stream.close)
+                return stream, pair[1]
+
+            (first, client), (second, _), (crowd, _) = (connect() for _ in range(3))
+            for stream in (first, second):
+                intake.end_body(stream.use)
+                stream.write(b"x" * 2 * MEGABYTE)
+            client.sendall(b"x")
+            while is_read and select.select([client], [], [], 0)[0]:
+                client.recv(MEGABYTE)
+            clock.advance(10 * RECENT_CALLER_MS)
+            intake.begin_body(crowd.use)
+            crowd.use.is_waiting = True
+            intake.add_received(crowd.use, MEGABYTE)
+            assert (first.closed(), second.closed()) == (not is_read, is_read)
+
+    asyncio.run(run())
+
+
 def test_v1_request_is_held_until_its_handler_has_finished():
     # Guards against bodies that are not counted while their operation waits.
     release = asyncio.Event()
--- a/tests/test_intake_precedence.py
+++ b/tests/test_intake_precedence.py
@@ -107,6 +107,11 @@
     assert choose_for_new([new, left], NOW_MS) is left
     late = using(age_ms=NEW_CONNECTION_MS)
     assert choose_for_new([new, late], NOW_MS) is late
+    # Its request has arrived, and the event loop has not come to it.
+    late.record_unread(NOW_MS)
+    assert choose_for_new([new, late], NOW_MS) is None
+    kept.record_unread(NOW_MS)
+    assert choose_for_new([new, kept], NOW_MS) is None
 
 
 def test_bodies_that_are_nearly_complete_are_finished_first():
--- a/tests/test_untrusted_crowds.py
+++ b/tests/test_untrusted_crowds.py
@@ -32,6 +32,7 @@
     frame_bytes,
     half_a_body,
     insist,
+    ordinary_request,
     read_status,
     reconnect,
     run_with,
@@ -44,6 +45,7 @@
 
 RECONNECTING_CLIENTS = 100
 CROWD_S = 6.0
+CALLERS = 20
 PEER_CLIENTS = 40
 PEER_CALLS = 50
 PAYLOAD_BYTES = 60_000
@@ -93,6 +95,27 @@
     run_with(tmp_path, play)
 
 
+def test_callers_whose_requests_arrive_while_the_instance_is_paused(tmp_path):
+    # Guards against callers that are closed, before their requests are read, for the
+    # time that the process itself did not run.
+    async def play(instance, stack):
+        address = instance.address_by_port["front"]
+        callers = await connect_all(stack, address, CALLERS)
+        await connect_all(stack, address, CLIENTS - CALLERS)
+        await asyncio.sleep(0.5)
+        instance.process.send(signal.SIGSTOP)
+        crowd = await connect_all(stack, address, RECONNECTING_CLIENTS)
+        await send_all(crowd, half_a_body)
+        await send_all(callers, ordinary_request)
+        await asyncio.sleep(1.5)
+        instance.process.send(signal.SIGCONT)
+        outcomes = await asyncio.gather(*map(read_status, callers))
+        assert outcomes.count(CLOSED) == 0
+        await instance.assert_serves()
+
+    run_with(tmp_path, play)
+
+
 @pytest.mark.parametrize("document", [ORDINARY_JOB, WIDE_JOB])
 def test_complete_bodies_that_wait_for_the_store_are_bounded(tmp_path, document):
     # Guards against complete bodies that are all held until the store answers, and
--- a/tests/untrusted.py
+++ b/tests/untrusted.py
@@ -313,13 +313,16 @@
     return outcomes
 
 
+def ordinary_request(number):
+    body = json.dumps(ORDINARY_JOB)
+    return (LENGTH_HEAD.format(number + 16, len(body)) + body).encode()
+
+
 async def call(address, number):
     """Return the outcome of one ordinary request on a connection of its own."""
-    body = json.dumps(ORDINARY_JOB)
-    head = LENGTH_HEAD.format(number, len(body))
     async with contextlib.AsyncExitStack() as stack:
         [client] = await connect_all(stack, address, 1)
-        await send(client, (head + body).encode())
+        await send(client, ordinary_request(number))
         return await read_status(client)
 
 
