Count all bytes that the kernel holds of unread connections

Callers see nothing of it until the instance runs out of memory.

Cause, from the kernel's table of sockets: up to 127,575 bytes unread on a connection of the peer port and 24,576 on one of clients. The kernel doubles the size that is set, and with large segments nearly all of it holds payload. The bounds counted 65,536 for a peer and nothing for a client, and were shares of the whole memory, of which an idle instance uses 45 MB. On a quiet machine the instance closes such connections faster than they fill.

Ruled out: that keeping connections with unread bytes did it; the code before has the same figures.

Change: half of the buffer size is set, so that the kernel fills at most what is counted, which is now 24 KB for a client and 64 KB for a peer; all bounds are shares of the memory beyond that of an idle instance. With 200 MB there are 566 connections of clients and 628 of instances, before 640 each.

--- a/marjoramgrade/adapters/accepting.py
+++ b/marjoramgrade/adapters/accepting.py
@@ -35,8 +35,8 @@
         Args:
             intake: Bounds the connections of the process.
             max_connections: Limit of open connections.
-            receive_buffer_bytes: What the kernel receives for each connection before
-                it is read, in bytes.
+            receive_buffer_bytes: What the kernel holds of each connection, at most,
+                before it is read, in bytes.
             name: Name of the port in the log.
         """
         self._intake = intake
@@ -56,11 +56,11 @@
         """Start accepting connections on listening sockets."""
         listening = list(sockets)
         if self._intake is not None:
+            # Connections take the size over when they are accepted. The kernel doubles
+            # it for its own data, but large segments leave nearly all for the payload.
+            size = self._receive_buffer_bytes // 2
             for each in listening:
-                # Connections take the size over when they are accepted.
-                each.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes
-                )
+                each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
         super().add_sockets(listening)
 
     def open_stream(
--- a/marjoramgrade/decisions/intake/bounds.py
+++ b/marjoramgrade/decisions/intake/bounds.py
@@ -15,23 +15,24 @@
 DEFAULT_MAX_FDS = 4_100
 # Descriptors that the platform counts for files, not for connections.
 FILE_DESCRIPTORS = 200
-# An instance uses 45 MB when idle. A leader needs about as much again for its jobs, and
-# the copies made while a body is decoded come on top.
-BODY_MEMORY_SHARE = 1 / 8
-CONNECTION_MEMORY_SHARE = 1 / 10
+# What an instance uses when idle. The bounds are shares of the memory beyond it; the
+# copies made while a body is decoded come on top.
+IDLE_INSTANCE_MB = 45
+BODY_MEMORY_SHARE = 0.16
+CONNECTION_MEMORY_SHARE = 0.2
 # Room for twice the instances of the largest deployment on the smallest instances.
-PEER_MEMORY_SHARE = 3 / 10
+PEER_MEMORY_SHARE = 0.38
+# Texts of the jobs that a leader holds. A text of 4,000 bytes for each of 5,000 open
+# jobs is less.
+JOB_TEXT_MEMORY_SHARE = 0.15
 # Objects of a connection (12 KB) and its read buffer, which holds a header of at most
 # 16 KB before the first byte of a body.
 CONNECTION_BYTES = 32_768
-# Kernel buffers for bytes that a connection has received and the process has not read:
-# they count against the memory of an instance. That of a peer is larger, because a
-# relayed commit of 800 KB has to arrive within 200 ms.
-RECEIVE_BUFFER_BYTES = 16_384
+# What the kernel holds of a connection that is not being read. It counts against the
+# memory of an instance. That of a peer is larger, because a relayed commit of 800 KB
+# has to arrive within 200 ms.
+RECEIVE_BUFFER_BYTES = 24_576
 PEER_RECEIVE_BUFFER_BYTES = 65_536
-# Texts of the jobs that a leader holds. A text of 4,000 bytes for each of 5,000 open
-# jobs is less.
-JOB_TEXT_MEMORY_SHARE = 1 / 8
 # Part of the budget that only small bodies may use. Ordinary jobs are a few KB.
 SMALL_BODY_SHARE = 1 / 4
 SMALL_BODY_BYTES = 16_384
@@ -86,10 +87,12 @@
         Raises:
             InvalidInputError: If the instance could not serve any client.
         """
-        memory_bytes = (memory_mb or DEFAULT_MEMORY_MB) * MEGABYTE
+        free_mb = (memory_mb or DEFAULT_MEMORY_MB) - IDLE_INSTANCE_MB
+        memory_bytes = free_mb * MEGABYTE
         sockets = (max_fds or DEFAULT_MAX_FDS) - FILE_DESCRIPTORS
         body_bytes = int(memory_bytes * BODY_MEMORY_SHARE)
-        by_memory = int(memory_bytes * CONNECTION_MEMORY_SHARE) // CONNECTION_BYTES
+        client_bytes = CONNECTION_BYTES + RECEIVE_BUFFER_BYTES
+        by_memory = int(memory_bytes * CONNECTION_MEMORY_SHARE) // client_bytes
         peer_bytes = CONNECTION_BYTES + PEER_RECEIVE_BUFFER_BYTES
         peers_by_memory = int(memory_bytes * PEER_MEMORY_SHARE) // peer_bytes
         bounds = cls(
