--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -95,19 +95,27 @@
     asyncio.run(run())
 
 
+@contextlib.asynccontextmanager
+async def serving_peers(receiver, intake):
+    """Yield the port of a server of other instances."""
+    socket, port = bind_unused_port()
+    server = PeerServer(receiver, intake=intake)
+    async with contextlib.AsyncExitStack() as stack:
+        await receiver.start()
+        stack.push_async_callback(receiver.stop)
+        server.add_socket(socket)
+        stack.push_async_callback(server.close)
+        yield port
+
+
 def test_many_frames_received_at_once_are_read_in_turns():
     # Guards against a connection that keeps the event loop from all others.
     async def run():
         receiver = Receiver()
-        socket, port = bind_unused_port()
         intake = Intake.from_config()
         intake._turning = asyncio.get_running_loop().call_later(60, lambda: None)
-        server = PeerServer(receiver, intake=intake)
         async with contextlib.AsyncExitStack() as stack:
-            await receiver.start()
-            stack.push_async_callback(receiver.stop)
-            server.add_socket(socket)
-            stack.push_async_callback(server.close)
+            port = await stack.enter_async_context(serving_peers(receiver, intake))
             _, writer = await asyncio.open_connection("127.0.0.1", port)
             stack.callback(writer.close)
             beats = [LeaderBeat(count, "b") for count in range(4 * FRAMES_PER_TURN)]
@@ -128,15 +136,10 @@
 
     async def run():
         receiver = Receiver()
-        socket, port = bind_unused_port()
         bounds = attrs.evolve(IntakeBounds.from_config(), body_bytes=2 * size)
         intake = Intake.from_config(attrs.evolve(bounds, small_bytes=0))
-        server = PeerServer(receiver, intake=intake)
         async with contextlib.AsyncExitStack() as stack:
-            await receiver.start()
-            stack.push_async_callback(receiver.stop)
-            server.add_socket(socket)
-            stack.push_async_callback(server.close)
+            port = await stack.enter_async_context(serving_peers(receiver, intake))
             _, writer = await asyncio.open_connection("127.0.0.1", port)
             stack.callback(writer.close)
             hello = serialize_frame(PeerFrame(0, Hello("b")))
@@ -155,19 +158,6 @@
     asyncio.run(run())
 
 
-@contextlib.asynccontextmanager
-async def serving_peers(receiver, intake):
-    """Yield the port of a server of other instances."""
-    socket, port = bind_unused_port()
-    server = PeerServer(receiver, intake=intake)
-    async with contextlib.AsyncExitStack() as stack:
-        await receiver.start()
-        stack.push_async_callback(receiver.stop)
-        server.add_socket(socket)
-        stack.push_async_callback(server.close)
-        yield port
-
-
 def test_frames_are_held_until_their_calls_are_done():
     # Guards against decoded frames that no bound counts while nothing answers them, and
     # against heartbeats that are refused because of them.
