Leave aside worker entries that no call could reach

One entry of another writer whose id is not Latin-1 ended the leader, then each successor, for as long as it was there; accepted jobs got no further although all workers were idle.

Cause: parse_worker checked neither the id against the header that names the worker in each call, nor the scope of an IPv6 address. The HTTP library then raised UnicodeEncodeError or ValueError for the id, and the resolver UnicodeError for the address. None of them is a WorkerError, so each left the critical task that lists the runs of the worker and ended the process.

Ruled out: that the other service of the entry matters (the same happens with the cell's own service), and that the server behind it does (no call left the process).

Change: an id must be fit for a header (RFC 9110) and an address must have no scope; otherwise the entry is left aside, counted and logged with its id, as others that cannot be decoded. check_address has moved out of the platform folder, and HttpPool uses it too. A request that cannot be written as HTTP is a typed error of the pool, so that no other text reaches a caller as an error of the library.

--- a/marjoramgrade/adapters/httppool.py
+++ b/marjoramgrade/adapters/httppool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -22,13 +23,19 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
-from marjoramgrade.errors import MarjoramgradeError, Ran
+from marjoramgrade.addresses import check_address
+from marjoramgrade.errors import InvalidInputError, MarjoramgradeError, Ran
 
 MAX_CONNECTIONS = 6
 CONNECT_TIMEOUT_MS = 700
 # TCP_USER_TIMEOUT: the kernel closes a connection with data unacknowledged this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 MAX_RESPONSE_BYTES = 16 * 1_048_576
+# The content of a header field by RFC 9110, section 5.5. The receiver drops white space
+# at either end of it.
+_HEADER_VALUE = re.compile(
+    r"[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?"
+)
 
 
 class HttpNotSentError(MarjoramgradeError):
@@ -37,6 +44,12 @@
     code = "http_not_sent"
 
 
+class HttpInvalidRequestError(HttpNotSentError):
+    """A request cannot be written as HTTP; nothing was sent."""
+
+    code = "http_invalid_request"
+
+
 class HttpNoResponseError(MarjoramgradeError):
     """A request was sent and no complete response arrived."""
 
@@ -108,6 +121,22 @@
         self.is_complete = True
 
 
+def check_header_value(text: str, name: str) -> str:
+    """Return a text that must arrive unchanged as the value of a header.
+
+    Args:
+        text: The text.
+        name: What it is, for the message.
+
+    Raises:
+        InvalidInputError: If it has a character that Latin-1 lacks, a control character
+            or white space at an end, or is empty.
+    """
+    if not _HEADER_VALUE.fullmatch(text):
+        raise InvalidInputError(f"{name} cannot be the value of a header")
+    return text
+
+
 def set_tcp_options(stream: IOStream, timeout_ms: int) -> None:
     """Set the timeout of unacknowledged data and disable Nagle's algorithm.
 
@@ -168,6 +197,9 @@
             requests wait.
         max_response_bytes: Largest response body accepted, in bytes; a larger
             response fails the request.
+
+    Raises:
+        InvalidInputError: If the address is not one.
     """
 
     def __init__(
@@ -176,7 +208,7 @@
         max_connections: int = MAX_CONNECTIONS,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
-        host, _, port = address.rpartition(":")
+        host, _, port = check_address(address, "the address").rpartition(":")
         self._host, self._port = host, int(port)
         self._address = address
         self._idle: list[IOStream] = []
@@ -225,7 +257,8 @@
             on_arrival: Called each time that bytes of the response have arrived.
 
         Raises:
-            HttpNotSentError: If nothing was sent.
+            HttpNotSentError: If nothing was sent; an `HttpInvalidRequestError` if the
+                request cannot be written as HTTP.
             HttpNoResponseError: If the request may have been processed.
         """
         deadline = asyncio.get_running_loop().time() + timeout_ms / 1000
@@ -296,7 +329,15 @@
             request_headers["Content-Length"] = str(len(body))
         connection = HTTP1Connection(stream, True, self._parameters)
         start = RequestStartLine(method, request.path, "HTTP/1.1")
-        write_future = connection.write_headers(start, request_headers, body or None)
+        try:
+            write_future = connection.write_headers(
+                start, request_headers, body or None
+            )
+        except ValueError as error:
+            # A text has a line break, or a character that Latin-1 lacks.
+            raise HttpInvalidRequestError(
+                f"{method} to {self._address} cannot be written: {error}"
+            ) from None
         write_future.add_done_callback(
             lambda done: done.cancelled() or done.exception()
         )
--- a/marjoramgrade/platform/decoding.py
+++ b/marjoramgrade/platform/decoding.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import ipaddress
 import math
 from collections.abc import Iterator
 from typing import Any
@@ -21,7 +20,6 @@
 # Largest document: a configuration of some thousand queues.
 MAX_DOCUMENT_BYTES = 4 * 1_048_576
 MAX_TEXT_LENGTH = 65_536
-MAX_PORT = 65_535
 # The largest integer that every JSON implementation reads exactly.
 MAX_INTEGER = 2**53 - 1
 # Amounts of one worker or task. A worker with an absurd amount would attract all work.
@@ -215,20 +213,3 @@
         memory_mib=get_integer(document, "memMb"),
         accelerators=get_integer(document, "gpu"),
     )
-
-
-def check_address(text: str, name: str) -> str:
-    """Return a text that must be an IP address and a port.
-
-    Raises:
-        InvalidInputError: If it is not.
-    """
-    host, _, port = text.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
-    if not is_port or not 1 <= int(port) <= MAX_PORT:
-        raise InvalidInputError(f"{name} has no port from 1 to {MAX_PORT}")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        raise InvalidInputError(f"{name} has no IP address") from None
-    return text
--- a/marjoramgrade/platform/settings.py
+++ b/marjoramgrade/platform/settings.py
@@ -11,13 +11,13 @@
 import attrs
 import msgspec
 
+from marjoramgrade.addresses import check_address
 from marjoramgrade.decisions.admission.gate import ADMISSION_POLICIES
 from marjoramgrade.decisions.intake.bounds import IntakeBounds
 from marjoramgrade.decisions.listings.schedule import LISTING_SCHEDULES
 from marjoramgrade.decisions.preempting.price import PREEMPTION_RULES
 from marjoramgrade.decisions.stepplacement import SELECTABLE_PLACEMENTS
 from marjoramgrade.errors import InvalidInputError, SettingsError, SettingsProblem
-from marjoramgrade.platform.decoding import check_address
 
 # Bandwidth that a leader uses with 176 workers and 600 starts per second, including
 # headroom for bursts.
--- a/marjoramgrade/platform/workers.py
+++ b/marjoramgrade/platform/workers.py
@@ -11,7 +11,9 @@
     HttpNotSentError,
     HttpPool,
     HttpResponse,
+    check_header_value,
 )
+from marjoramgrade.addresses import check_address
 from marjoramgrade.controllers.workerport import WorkerPort
 from marjoramgrade.errors import (
     InvalidInputError,
@@ -21,7 +23,6 @@
     WorkerUnresponsiveError,
 )
 from marjoramgrade.platform.decoding import (
-    check_address,
     decode_object,
     get_integer,
     get_list,
@@ -233,6 +234,8 @@
 def parse_worker(worker_id: str, data: bytes) -> StepWorker:
     """Decode the row that a runner registers itself with in the store.
 
+    Its id must be fit for a header, since each call to the runner names it in one.
+
     Raises:
         InvalidInputError: If the row is not a valid registration of a runner.
     """
@@ -242,7 +245,7 @@
         if state not in ("ready", "draining"):
             raise InvalidInputError("the state is unknown")
         return StepWorker(
-            worker_id,
+            check_header_value(worker_id, "the id"),
             get_text(document, "service", required=True),
             check_address(get_text(document, "addr"), "addr"),
             get_text(document, "zone", required=True),
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,9 +3,10 @@
 It implements the part of the platform's documented protocol that step jobs need and
 checks that the starts on the workers break no invariant. The control handler accepts
 `mode` of the store (`ok`, `busy`, `slow`, `lost`), `crash` (index of a worker to
-restart) and `late` (share of the orders to workers that get no response and are
-executed later), and returns the violations found; with `list_jobs` also the ids of the
-jobs that were started.
+restart), `late` (share of the orders to workers that get no response and are
+executed later) and `rows` (rows of other writers: table, part, key, and the content in
+Base64 or null to remove the row), and returns the violations found; with `list_jobs`
+also the ids of the jobs that were started.
 """
 
 from __future__ import annotations
@@ -394,6 +395,9 @@
         fleet.unanswered_share = body.get("late", fleet.unanswered_share)
         if "crash" in body:
             fleet.workers[body["crash"]].crash()
+        for table, part, key, value in body.get("rows", ()):
+            content = None if value is None else base64.b64decode(value)
+            fleet.store.put(table, part, key, content)
         for worker in fleet.workers:
             worker.end_due_runs()
         answer = {"violations": fleet.audit.violations, "starts": fleet.audit.starts}
--- a/tests/test_httppool.py
+++ b/tests/test_httppool.py
@@ -9,11 +9,13 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from marjoramgrade.adapters.httppool import (
+    HttpInvalidRequestError,
     HttpNoResponseError,
     HttpNotSentError,
     HttpPool,
     set_tcp_options,
 )
+from marjoramgrade.errors import InvalidInputError
 
 
 class ClosingServer:
@@ -174,3 +176,30 @@
         server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("value", ["наряд-7", "a\r\nB: 1", "a\n"])
+def test_request_that_cannot_be_written_is_a_typed_error(value):
+    # Guards against an error of the HTTP library that ends the task of the caller.
+    async def run():
+        server, address, _ = await serve(answer)
+        pool = HttpPool(address)
+        headers = {"X-Id": value}
+        try:
+            with pytest.raises(HttpInvalidRequestError):
+                await pool.request("GET", "/", timeout_ms=1_000, headers=headers)
+            with pytest.raises(HttpInvalidRequestError):
+                await pool.request("GET", f"/{value}\n", timeout_ms=1_000)
+            assert (await pool.request("GET", "/", timeout_ms=1_000)).status == 200
+        finally:
+            pool.close()
+            server.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("address", ["fe80::1%..:80", "nowhere:80", "127.0.0.1:x"])
+def test_pool_is_only_made_for_an_address(address):
+    # Guards against a host name of another program that the resolver looks up.
+    with pytest.raises(InvalidInputError):
+        HttpPool(address)
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -189,6 +189,8 @@
     ("addr", ":80"),
     ("addr", "worker.example:80"),
     ("addr", 80),
+    ("addr", "fe80::1%eth0:80"),
+    ("addr", "fe80::1%..:80"),
     ("labels", "r1"),
     ("labels", [7]),
     ("labels", {"rack": "r1"}),
@@ -213,6 +215,22 @@
         parse_worker("w", msgspec.json.encode(entry))
 
 
+ODD_IDS = ["", " w", "w ", "w\t", "w\n", "w\r\nX: 1", "w\x00", "w\x7f", "наряд-7"]
+
+
+@pytest.mark.parametrize("worker_id", ODD_IDS)
+def test_worker_id_that_no_header_can_hold_is_refused(worker_id):
+    # Guards against an id that fails only when a call to the worker names it.
+    with pytest.raises(InvalidInputError):
+        parse_worker(worker_id, msgspec.json.encode(WORKER_ENTRY))
+
+
+@pytest.mark.parametrize("worker_id", ["w", "w 7", "w\t7", "w-é", "w" * 200])
+def test_worker_id_that_a_header_can_hold_is_read(worker_id):
+    data = msgspec.json.encode(WORKER_ENTRY)
+    assert parse_worker(worker_id, data).worker_id == worker_id
+
+
 def test_worker_entry_with_unknown_fields_is_read():
     entry = {**WORKER_ENTRY, "later": {"a": [1, {"b": 2}]}, "seq": HUGE}
     assert parse_worker("w", msgspec.json.encode(entry)).worker_id == "w"
