End a failed link instead of the process

The line before the exit, library_error, named neither the worker nor the actor.

Cause: whatever started an actor handed its own on_fatal down, up to the group that ends the process. The link to one worker or peer counted as much as the table of jobs.

Change: the owner of a link decides how far its failure reaches. The leader ends the link to a worker, raises the fencing token, counts set_aside.worker, logs worker_link_failed and worker_set_aside, and makes another link after a pause that doubles (decisions/listings/setaside.py). The runs of the worker count as lost once its leases have certainly ended, as those of a worker that does not respond. A message about one worker that the leader cannot handle may leave its state half changed: it costs that leadership, whose state the next one reads from the store, and the worker gets no link for five minutes. Links to peers, and those of /v1 to workers and peers, are replaced in the same way. Everything else still ends the process, and the line actor_failed names the actor, the message or task, what it is about and the place.

An actor whose mailbox has failed could not be stopped: stop() raised its error, or waited for room in a full mailbox. It now ends, and answers the senders that wait.

Ruled out: catching every exception in the calls of a link. It would hide the fault and keep a link whose state is unknown.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -9,12 +9,15 @@
 
 import asyncio
 import contextlib
+import pathlib
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any, ClassVar, Generic, TypeVar
 
 import attrs
-from tornado.queues import Queue, QueueFull
+from tornado.queues import Queue
 
+from marjoramgrade import logs
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OverloadedError,
@@ -25,6 +28,8 @@
 
 R = TypeVar("R")
 MAILBOX_SIZE = 10_000
+# Characters of an error in a log line.
+MAX_REASON_LENGTH = 200
 # Replies of an actor that has stopped, before or after it began with a message.
 STOPPED_ERRORS = (ShuttingDownError, WorkCancelledError)
 
@@ -37,6 +42,11 @@
 
     __slots__ = ()
 
+    @property
+    def subject(self) -> str:
+        """Id of the one worker or other object that the message is about, or empty."""
+        return ""
+
 
 def handles(
     message_type: type[Message[R]],
@@ -52,6 +62,42 @@
     return mark
 
 
+@attrs.frozen
+class ActorFailure:
+    """An error that is not one of the project's own, and that ended work of an actor.
+
+    Attributes:
+        actor: Type of the actor.
+        subject: Id of the one worker or other object that the actor or the message is
+            about, or empty.
+        work: Type of the message, or name of the background task.
+        error: The error.
+    """
+
+    actor: str
+    subject: str
+    work: str
+    error: BaseException
+
+    @property
+    def reason(self) -> str:
+        """The error and the innermost places of its traceback."""
+        frames = traceback.extract_tb(self.error.__traceback__)
+        places = [f"{pathlib.Path(f.filename).name}:{f.lineno}" for f in frames]
+        return f"{self.error!r:.{MAX_REASON_LENGTH}} at {' '.join(places[-3:])}"
+
+    def log(self, event: str, **fields: object) -> None:
+        """Write a log line that names what the failed work was about."""
+        logs.log_event(
+            event,
+            actor=self.actor,
+            subject=self.subject,
+            work=self.work,
+            reason=self.reason,
+            **fields,
+        )
+
+
 @attrs.define
 class _Envelope:
     """A message and the future for its reply, None if it was sent with `tell`."""
@@ -68,9 +114,14 @@
     A handler that must wait returns a future, usually from `spawn`: the actor then
     handles further messages, and the sender gets the result of the future.
 
+    Args:
+        subject: Id of the one worker or other object that the actor is about, or empty.
+
     Attributes:
-        on_fatal: Called with the error that ended the mailbox task or a critical
-            background task.
+        on_fatal: Called with the failure that ended the mailbox task or a critical
+            background task. Whoever starts the actor decides how far it reaches: an
+            `ActorGroup` ends the process, the owner of an actor about one worker or
+            peer replaces that actor.
     """
 
     _handler_by_type: ClassVar[dict[type, Handler]] = {}
@@ -84,13 +135,16 @@
                 handlers[message_type] = member
         cls._handler_by_type = handlers
 
-    def __init__(self) -> None:
-        self._mailbox: Queue[_Envelope | None] = Queue(maxsize=MAILBOX_SIZE)
+    def __init__(self, subject: str = "") -> None:
+        self._subject = subject
+        # Bounded by `_put`, so that there is always room for the end of the mailbox.
+        self._mailbox: Queue[_Envelope | None] = Queue()
         self._background_tasks: set[asyncio.Task[Any]] = set()
         self._tasks_for_senders: set[asyncio.Future[Any]] = set()
         self._runner: asyncio.Task[None] | None = None
         self._stopped = False
-        self.on_fatal: Callable[[BaseException], None] = _report_to_event_loop
+        self._failed_message: Message[Any] | None = None
+        self.on_fatal: Callable[[ActorFailure], None] = _report_to_event_loop
 
     async def start(self) -> None:
         """Start the actor's task."""
@@ -114,22 +168,44 @@
         if task.cancelled():
             return
         error = task.exception()
-        if error is not None and not isinstance(error, STOPPED_ERRORS):
-            self.on_fatal(error)
+        if error is None or isinstance(error, STOPPED_ERRORS):
+            return
+        failed = self._failed_message
+        if task is self._runner and failed is not None:
+            work, subject = type(failed).__name__, failed.subject
+        else:
+            work, subject = getattr(task.get_coro(), "__name__", ""), ""
+        self.on_fatal(
+            ActorFailure(type(self).__name__, subject or self._subject, work, error)
+        )
 
     async def stop(self) -> None:
-        """Handle the messages in the mailbox, then cancel the background tasks."""
+        """Handle the messages in the mailbox, then cancel the background tasks.
+
+        If the mailbox task has failed, the senders that wait are told so instead.
+        """
         if self._stopped:
             return
         self._stopped = True
-        await self._mailbox.put(None)
+        self._mailbox.put_nowait(None)
         if self._runner is not None:
-            await self._runner
+            await asyncio.wait((self._runner,))
+        self._refuse_waiting()
         for task in list(self._background_tasks):
             task.cancel()
         await asyncio.gather(*self._background_tasks, return_exceptions=True)
         await self.on_stop()
 
+    def _refuse_waiting(self) -> None:
+        """Fail the messages that the mailbox task has not begun with."""
+        while self._mailbox.qsize():
+            envelope = self._mailbox.get_nowait()
+            reply = envelope and envelope.reply
+            if reply and not reply.done():
+                reply.set_exception(
+                    ShuttingDownError(f"{type(self).__name__} has failed")
+                )
+
     def tell(self, message: Message[Any]) -> None:
         """Put a message into the mailbox without waiting for a reply.
 
@@ -182,15 +258,23 @@
     def on_failure(self, message: Message[Any], error: MarjoramgradeError) -> None:
         """Handle the failure of a message that was sent with `tell`."""
 
+    async def contain_failure(self, message: Message[Any], error: Exception) -> bool:
+        """Limit what an unexpected error of a handler reaches.
+
+        Called for messages that were sent with `tell`.
+
+        Returns:
+            Whether the actor can go on. Otherwise its mailbox task ends, since the
+            handler may have left the state half changed.
+        """
+        return False
+
     def _put(self, envelope: _Envelope) -> None:
         if self._stopped:
             raise ShuttingDownError(f"{type(self).__name__} has stopped")
-        try:
-            self._mailbox.put_nowait(envelope)
-        except QueueFull:
-            raise OverloadedError(
-                f"the mailbox of {type(self).__name__} is full"
-            ) from None
+        if self._mailbox.qsize() >= MAILBOX_SIZE:
+            raise OverloadedError(f"the mailbox of {type(self).__name__} is full")
+        self._mailbox.put_nowait(envelope)
 
     async def _serve_mailbox(self) -> None:
         while True:
@@ -212,10 +296,13 @@
                 envelope.reply.set_exception(drop_frames(error))
             return
         except Exception as error:
-            if envelope.reply is None or envelope.reply.done():
-                raise
-            envelope.reply.set_exception(error)
-            return
+            if envelope.reply is not None and not envelope.reply.done():
+                envelope.reply.set_exception(error)
+                return
+            if await self.contain_failure(envelope.message, error):
+                return
+            self._failed_message = envelope.message
+            raise
         if envelope.reply is None:
             return
         if isinstance(result, asyncio.Future):
@@ -247,8 +334,11 @@
         target.set_result(source.result())
 
 
-def _report_to_event_loop(error: BaseException) -> None:
-    context = {"message": "a task of an actor has failed", "exception": error}
+def _report_to_event_loop(failure: ActorFailure) -> None:
+    context = {
+        "message": f"{failure.work} of {failure.actor} {failure.subject} has failed",
+        "exception": failure.error,
+    }
     asyncio.get_running_loop().call_exception_handler(context)
 
 
@@ -270,6 +360,6 @@
         await actor.start()
         self.push_async_callback(actor.stop)
 
-    def _fail(self, error: BaseException) -> None:
-        _report_to_event_loop(error)
+    def _fail(self, failure: ActorFailure) -> None:
+        failure.log("actor_failed")
         self.failed.set()
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -191,7 +191,7 @@
     """
 
     def __init__(self, own_id: str, own_host: str, member: Member) -> None:
-        super().__init__()
+        super().__init__(member.instance_id)
         self._own_id = own_id
         self._own_host = own_host
         self._member = member
@@ -223,7 +223,7 @@
             self._waiting_notices.append(message)
         elif stream is None or stream.closed():
             self._waiting_notices.append(message)
-            self.spawn(self._send_waiting_notices())
+            self.spawn_critical(self._send_waiting_notices())
         else:
             _send_notice(stream, message)
 
@@ -292,7 +292,7 @@
             stream.max_write_buffer_size = MAX_UNSENT_BYTES
             write_frame(stream, PeerFrame(0, Hello(self._own_id)))
             self._stream = stream
-            self.spawn(self._read_replies(stream))
+            self.spawn_critical(self._read_replies(stream))
             return stream
         finally:
             self._connecting = None
--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import Container, Coroutine, Mapping, Sequence
 from typing import Any
 
 import attrs
 
 from marjoramgrade import logs
-from marjoramgrade.actor import STOPPED_ERRORS, Actor
+from marjoramgrade.actor import STOPPED_ERRORS, Actor, ActorFailure
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.commits import (
     MAX_BATCH_BYTES,
@@ -18,8 +19,10 @@
     SaveRows,
 )
 from marjoramgrade.controllers.leaderpolicies import LeaderPolicies
+from marjoramgrade.controllers.linkfailures import report_link
 from marjoramgrade.controllers.stepworkerlink import ConnectWorker, StepWorkerLink
 from marjoramgrade.decisions.admission.policies import AdmissionPolicy
+from marjoramgrade.decisions.listings.setaside import FIRST_PAUSE_MS, SetAsideWorkers
 from marjoramgrade.decisions.listings.takeover import SLOT_MS, FirstListings
 from marjoramgrade.decisions.planpacing import PlanPacer
 from marjoramgrade.decisions.stepactions import (
@@ -166,6 +169,8 @@
         link_by_worker: Links to the workers, by worker id.
         first_listings: Decides when the link to a worker is made.
         first_listing_ended: Set when a worker has responded to its first listing.
+        leases_end_ms_by_worker: When the runs of a worker without a link have certainly
+            ended. The link that is made next takes over from there.
         pending_submission_by_job: Submissions that are being stored, by job id.
         roster: Ids of the workers that are stored as possible holders of runs.
         recovered_workers: Ids of the workers in the roster of an earlier leader.
@@ -192,6 +197,7 @@
     link_by_worker: dict[str, StepWorkerLink] = attrs.field(factory=dict)
     first_listings: FirstListings = attrs.field(factory=FirstListings)
     first_listing_ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+    leases_end_ms_by_worker: dict[str, int] = attrs.field(factory=dict)
     pending_submission_by_job: dict[str, asyncio.Task[StepJobAccepted]] = attrs.field(
         factory=dict
     )
@@ -253,6 +259,7 @@
         self._lead: LeaderState | None = None
         # The platform's list of workers; None before it was read in this leadership.
         self._worker_list: tuple[StepWorker, ...] | None = None
+        self._set_aside = SetAsideWorkers()
         self._directory: Actor | None = None
         self._leadership: Actor | None = None
 
@@ -274,14 +281,17 @@
         def check(done: asyncio.Task[None]) -> None:
             error = None if done.cancelled() else done.exception()
             if error is not None and not isinstance(error, STOPPED_ERRORS):
-                self._fail_lead(epoch, error)
+                name = getattr(done.get_coro(), "__name__", "")
+                self._fail_lead(
+                    epoch, ActorFailure(type(self).__name__, "", name, error)
+                )
 
         task.add_done_callback(check)
         return task
 
-    def _fail_lead(self, epoch: int, error: BaseException) -> None:
+    def _fail_lead(self, epoch: int, failure: ActorFailure) -> None:
         """End a leadership of which a part has failed unexpectedly."""
-        logs.log_event("lead_failed", epoch=epoch, reason=repr(error)[:200])
+        failure.log("lead_failed", epoch=epoch)
         with contextlib.suppress(ShuttingDownError):
             self.tell(LeadershipEnded(epoch, "a part of the leader failed"))
 
@@ -411,13 +421,17 @@
         """Make the links to the waiting workers as earlier ones have responded."""
         while self._lead is lead:
             lead.first_listing_ended.clear()
-            for worker_id in lead.first_listings.pop_due(self._clock.now_ms()):
+            now_ms = self._clock.now_ms()
+            for worker_id in lead.first_listings.pop_due(now_ms):
                 state = lead.state.worker_by_id.get(worker_id)
                 if state is None or worker_id in lead.link_by_worker:
                     lead.first_listings.settle(worker_id)
-                    continue
-                is_recovered = worker_id in lead.recovered_workers
-                await self._add_link(lead, state.worker, state.fence, is_recovered)
+                elif self._set_aside.is_set_aside(worker_id, now_ms):
+                    # It gets a link once its pause has ended.
+                    lead.first_listings.settle(worker_id)
+                    self._bound_leases(lead, worker_id)
+                else:
+                    await self._add_link(lead, state.worker, state.fence)
             if not lead.first_listings.is_waiting:
                 return
             with contextlib.suppress(TimeoutError):
@@ -425,33 +439,65 @@
                     await lead.first_listing_ended.wait()
 
     async def _add_link(
-        self, lead: LeaderState, worker: StepWorker, fence: int, is_recovered: bool
+        self, lead: LeaderState, worker: StepWorker, fence: int
     ) -> None:
-        earliest_expiry_ms = 0
-        if is_recovered:
-            # An earlier leader that still runs may extend leases for GRANT_LIMIT_MS,
-            # and each lease then expires by the worker's clock, which may run slower.
-            earliest_expiry_ms = (
-                self._clock.now_ms()
-                + GRANT_LIMIT_MS
-                + self._bounds.worker_lease_ms * 11 // 10
-            )
+        worker_id = worker.worker_id
+        if worker_id in lead.recovered_workers:
+            self._bound_leases(lead, worker_id)
+        try:
+            port = self._connect(worker)
+        except MarjoramgradeError as error:
+            # The entry in the roster may be of an earlier version, which checked less.
+            self._set_worker_aside(lead, worker_id, error.message)
+            return
         link = StepWorkerLink(
             worker,
-            self._connect(worker),
+            port,
             self,
             self._clock,
             self._bounds.worker_lease_ms,
             self._bounds.longest_lease_ms,
             fence,
-            earliest_expiry_ms,
+            lead.leases_end_ms_by_worker.pop(worker_id, 0),
             self._policies.listing,
         )
-        lead.link_by_worker[worker.worker_id] = link
-        link.on_fatal = self.on_fatal
+        lead.link_by_worker[worker_id] = link
+        link.on_fatal = functools.partial(report_link, self, worker_id, link)
         await link.start()
         link.tell(AllowLeaseRenewal(lead.grant_until_ms))
 
+    def _bound_leases(self, lead: LeaderState, worker_id: str) -> None:
+        """Bound the leases of a worker that this instance has no link to.
+
+        An earlier leader that still runs may extend them for GRANT_LIMIT_MS, and each
+        lease then expires by the worker's clock, which may run slower. A link that has
+        failed has asked for none that lasts longer.
+        """
+        longest_ms = GRANT_LIMIT_MS + self._bounds.worker_lease_ms * 11 // 10
+        end_ms = self._clock.now_ms() + longest_ms
+        lead.leases_end_ms_by_worker.setdefault(worker_id, end_ms)
+
+    def _set_worker_aside(
+        self,
+        lead: LeaderState,
+        worker_id: str,
+        reason: str,
+        first_pause_ms: int = FIRST_PAUSE_MS,
+    ) -> None:
+        """Give a worker no link for a while, after an unexpected failure about it.
+
+        Its runs count as lost once its leases have ended, as those of a worker that
+        does not respond.
+        """
+        pause_ms = self._set_aside.record_failure(
+            worker_id, self._clock.now_ms(), first_pause_ms
+        )
+        self._metrics.count("set_aside.worker")
+        logs.log_event(
+            "worker_set_aside", worker=worker_id, reason=reason, pause_ms=pause_ms
+        )
+        self._bound_leases(lead, worker_id)
+
     async def _save_roster(self, lead: LeaderState, number: int) -> None:
         """Write the row of the roster with this number."""
         workers = tuple(
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from marjoramgrade import logs
-from marjoramgrade.actor import STOPPED_ERRORS, handles
+from marjoramgrade.actor import STOPPED_ERRORS, ActorFailure, Message, handles
 from marjoramgrade.controllers.commits import (
     AdoptRowVersions,
     CommitController,
@@ -27,6 +27,7 @@
 )
 from marjoramgrade.decisions.advisorchannels import AdvisorChannels
 from marjoramgrade.decisions.leadermonitor import RECOVERY_TIMEOUT_MS
+from marjoramgrade.decisions.listings.setaside import LEAD_PAUSE_MS
 from marjoramgrade.decisions.stepplanning import Planner
 from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.decisions.stepsupervision import Supervisor
@@ -36,7 +37,7 @@
     NotOwnerError,
     ShuttingDownError,
 )
-from marjoramgrade.messages.peers import MembersChanged
+from marjoramgrade.messages.peers import LinkFailed, MembersChanged
 from marjoramgrade.messages.rows import RowCheck, RowWrite
 from marjoramgrade.messages.steps import (
     AllowLeaseRenewal,
@@ -53,6 +54,7 @@
     WorkerCallUnanswered,
     WorkerFenceRefused,
     WorkerListingReceived,
+    WorkerMessage,
     WorkersChanged,
     WorkerUnresponsive,
 )
@@ -302,6 +304,8 @@
             link = lead.link_by_worker.pop(worker_id, None)
             if link is not None:
                 self.spawn(link.stop())
+            lead.leases_end_ms_by_worker.pop(worker_id, None)
+            self._set_aside.forget(worker_id)
             logs.log_event("worker_left", worker=worker_id)
 
     @handles(WorkerListingReceived)
@@ -425,6 +429,62 @@
             self._remove_departed_workers(lead)
         self._perform_actions(lead)
 
+    @handles(LinkFailed)
+    async def _link_failed(self, message: LinkFailed) -> None:
+        """Replace a link that has failed; the other workers keep theirs."""
+        lead, worker_id = self._lead, message.instance_id
+        if lead is None or lead.link_by_worker.get(worker_id) is not message.link:
+            return
+        message.failure.log("worker_link_failed")
+        self.spawn(lead.link_by_worker.pop(worker_id).stop())
+        lead.first_listings.settle(worker_id)
+        self._set_worker_aside(lead, worker_id, message.failure.reason)
+        worker = lead.state.worker_by_id.get(worker_id)
+        if worker is not None:
+            worker.unresponsive_since_ms = (
+                worker.unresponsive_since_ms or self._clock.now_ms()
+            )
+            # Orders of the failed link whose outcome is unknown have no effect under
+            # the next token.
+            lead.state.request_sync(worker)
+        self._perform_actions(lead)
+
+    async def contain_failure(self, message: Message[Any], error: Exception) -> bool:
+        """End the leadership, and set the worker aside that a message is about.
+
+        The message may have left the state of the leader half changed; the next leader
+        reads it from the store. Without a link to that worker it gets no such message.
+        """
+        lead = self._lead
+        if lead is None or not isinstance(message, WorkerMessage):
+            return False
+        name, work = type(self).__name__, type(message).__name__
+        failure = ActorFailure(name, message.subject, work, error)
+        failure.log("lead_failed", epoch=lead.epoch)
+        self._set_worker_aside(lead, message.worker_id, failure.reason, LEAD_PAUSE_MS)
+        ended = LeadershipEnded(lead.epoch, f"{work} could not be handled")
+        await self._leadership_ended(ended)
+        return True
+
+    def _resume_set_aside(self, lead: LeaderState) -> None:
+        """Link the workers again whose pause has ended, and expire their leases."""
+        now_ms = self._clock.now_ms()
+        for worker_id in self._set_aside.pop_due(now_ms):
+            worker = lead.state.worker_by_id.get(worker_id)
+            if worker is not None and worker_id not in lead.link_by_worker:
+                logs.log_event("worker_linked_again", worker=worker_id)
+                lead.state.request_sync(worker)
+        for worker_id, end_ms in list(lead.leases_end_ms_by_worker.items()):
+            if now_ms < end_ms:
+                continue
+            # The next link has to prove nothing any more.
+            del lead.leases_end_ms_by_worker[worker_id]
+            worker = lead.state.worker_by_id.get(worker_id)
+            if worker is not None:
+                logs.log_event("worker_expired", worker=worker_id)
+                lead.state.expire_worker(worker)
+                self._remove_departed_workers(lead)
+
     @handles(RunStartResult)
     async def _start_result_received(self, message: RunStartResult) -> None:
         lead = self._lead
--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import uuid
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import Clock
+from marjoramgrade.controllers.linkfailures import report_link
 from marjoramgrade.decisions.membership import MemberView, removable_members
 from marjoramgrade.errors import (
     CheckFailedError,
@@ -23,6 +25,7 @@
 from marjoramgrade.messages.peers import (
     CallOverLink,
     CallPeer,
+    LinkFailed,
     Member,
     MembersChanged,
     TellOverLink,
@@ -175,18 +178,32 @@
     async def _apply(self, members: tuple[Member, ...]) -> None:
         member_by_id = {m.instance_id: m for m in members}
         if member_by_id == self._member_by_id:
+            # A link that has failed is replaced.
+            await self._make_missing_links()
             return
         log_event("members_changed", members=sorted(member_by_id))
         self._member_by_id = member_by_id
         for removed in set(self._link_by_id) - set(member_by_id):
             await self._link_by_id.pop(removed).stop()
-        for member in members:
-            is_own = member.instance_id == self._own.instance_id
-            if is_own or member.instance_id in self._link_by_id:
+        await self._make_missing_links()
+        for subscriber in self._subscribers:
+            subscriber.tell(MembersChanged(members))
+
+    async def _make_missing_links(self) -> None:
+        for instance_id, member in self._member_by_id.items():
+            if instance_id in (self._own.instance_id, *self._link_by_id):
                 continue
             link = self._make_link(member)
-            link.on_fatal = self.on_fatal
+            link.on_fatal = functools.partial(report_link, self, instance_id, link)
             await link.start()
-            self._link_by_id[member.instance_id] = link
-        for subscriber in self._subscribers:
-            subscriber.tell(MembersChanged(members))
+            self._link_by_id[instance_id] = link
+
+    @handles(LinkFailed)
+    async def _link_failed(self, message: LinkFailed) -> None:
+        """Stop a link that has failed; the next read makes another one."""
+        if self._link_by_id.get(message.instance_id) is not message.link:
+            return
+        message.failure.log("peer_link_failed")
+        self._metrics.count("set_aside.peer")
+        del self._link_by_id[message.instance_id]
+        self.spawn(message.link.stop())
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import functools
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, Message, handles
+from marjoramgrade.controllers.linkfailures import report_link
 from marjoramgrade.controllers.tablereader import read_all_rows
 from marjoramgrade.errors import (
     InvalidInputError,
@@ -20,6 +22,7 @@
     CallOverLink,
     CallPeer,
     FinishCalls,
+    LinkFailed,
     Member,
     MembersChanged,
     TellOverLink,
@@ -32,6 +35,7 @@
     RowId,
     RowWrite,
 )
+from marjoramgrade.metrics import MemoryMetrics, Metrics
 from marjoramgrade.steprows import (
     MEMBERS_TABLE,
     MemberRow,
@@ -58,6 +62,7 @@
         make_link: Creates the link to another instance.
         serialize: Returns a message as the links send it, or None if each link is to
             serialize what it sends.
+        metrics: Counts failed links.
     """
 
     def __init__(
@@ -66,12 +71,14 @@
         store: Actor,
         make_link: Callable[[Member], Actor],
         serialize: Callable[[Message[Any]], bytes] | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         super().__init__()
         self._own = own
         self._store = store
         self._make_link = make_link
         self._serialize = serialize
+        self._metrics = metrics or MemoryMetrics()
         self._member_by_id: dict[str, Member] = {own.instance_id: own}
         self._link_by_id: dict[str, Actor] = {}
         self._retired_links: set[Actor] = set()
@@ -158,6 +165,9 @@
             )
         if found != self._member_by_id:
             await self._apply_members(found)
+        else:
+            # A link that has failed is replaced.
+            await self._make_missing_links(found)
 
     async def _retire(self, link: Actor) -> None:
         """Stop a link once the calls that it has sent are answered."""
@@ -173,15 +183,30 @@
         for instance_id, member in self._member_by_id.items():
             if found.get(instance_id) != member and instance_id in self._link_by_id:
                 self.spawn(self._retire(self._link_by_id.pop(instance_id)))
-        for instance_id, member in found.items():
-            if instance_id == self._own.instance_id:
-                continue
-            if instance_id not in self._link_by_id:
-                link = self._make_link(member)
-                link.on_fatal = self.on_fatal
-                await link.start()
-                self._link_by_id[instance_id] = link
+        await self._make_missing_links(found)
         self._member_by_id = found
         logs.log_event("members_changed", members=",".join(sorted(found)))
         for subscriber in self._subscribers:
             subscriber.tell(MembersChanged(tuple(found.values())))
+
+    async def _make_missing_links(self, member_by_id: Mapping[str, Member]) -> None:
+        for instance_id, member in member_by_id.items():
+            if instance_id in (self._own.instance_id, *self._link_by_id):
+                continue
+            link = self._make_link(member)
+            link.on_fatal = functools.partial(report_link, self, instance_id, link)
+            await link.start()
+            self._link_by_id[instance_id] = link
+
+    @handles(LinkFailed)
+    async def _link_failed(self, message: LinkFailed) -> None:
+        """Stop a link that has failed; the next refresh makes another one.
+
+        Until then calls to that instance fail at once, and the others keep theirs.
+        """
+        if self._link_by_id.get(message.instance_id) is not message.link:
+            return
+        message.failure.log("peer_link_failed")
+        self._metrics.count("set_aside.peer")
+        del self._link_by_id[message.instance_id]
+        self.spawn(message.link.stop())
--- a/marjoramgrade/controllers/shard.py
+++ b/marjoramgrade/controllers/shard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -11,9 +12,11 @@
 from marjoramgrade.clock import Clock
 from marjoramgrade.controllers.grantmanager import GrantManager
 from marjoramgrade.controllers.jobwriter import JobWriter
+from marjoramgrade.controllers.linkfailures import report_link
 from marjoramgrade.controllers.shardtasks import ShardTasks
 from marjoramgrade.controllers.zonedrain import ZoneDrain
 from marjoramgrade.decisions.fencing import WORKER_LEASE_MS
+from marjoramgrade.decisions.listings.setaside import SetAsideWorkers
 from marjoramgrade.errors import CheckFailedError, MarjoramgradeError, NotOwnerError
 from marjoramgrade.logs import log_event
 from marjoramgrade.messages.configuration import ConfigConfirmed
@@ -26,6 +29,7 @@
     TaskStatus,
 )
 from marjoramgrade.messages.ownership import OwnershipChanged
+from marjoramgrade.messages.peers import LinkFailed
 from marjoramgrade.messages.routing import TaskSummary
 from marjoramgrade.messages.workers import (
     TasksEnded,
@@ -114,6 +118,7 @@
         self._config_fresh_until_ms = 0
         self._worker_by_id: dict[str, Instance] = {}
         self._link_by_id: dict[str, Actor] = {}
+        self._set_aside = SetAsideWorkers()
         self._state: ShardTasks | None = None
         self._drain: ZoneDrain | None = None
         self._changed_during_load: list[StoredJob] = []
@@ -279,6 +284,8 @@
                 continue
             now_ms = self._clock.now_ms()
             state.expire_workers(now_ms)
+            if self._set_aside.pop_due(now_ms):
+                await self._sync_workers(state)
             if self._may_start():
                 state.start_tasks(now_ms)
             if state.grants.is_due(now_ms):
@@ -387,14 +394,32 @@
         for worker_id, worker in self._worker_by_id.items():
             if worker.leaving:
                 state.drain_worker(worker_id, now_ms)
-            if worker_id not in self._link_by_id:
+            is_set_aside = self._set_aside.is_set_aside(worker_id, now_ms)
+            if worker_id not in self._link_by_id and not is_set_aside:
                 link = self._make_link(self._shard, self._epoch, worker, self)
-                link.on_fatal = self.on_fatal
+                link.on_fatal = functools.partial(report_link, self, worker_id, link)
                 self._link_by_id[worker_id] = link
                 await link.start()
         for unlisted_id in set(self._link_by_id) - set(self._worker_by_id):
             state.drain_worker(unlisted_id, now_ms)
 
+    @handles(LinkFailed)
+    async def _link_failed(self, message: LinkFailed) -> None:
+        """Stop a link that has failed, and link the worker again after a pause."""
+        worker_id = message.instance_id
+        if self._link_by_id.get(worker_id) is not message.link:
+            return
+        message.failure.log("worker_link_failed")
+        self._metrics.count("set_aside.worker")
+        pause_ms = self._set_aside.record_failure(worker_id, self._clock.now_ms())
+        log_event(
+            "worker_set_aside",
+            worker=worker_id,
+            reason=message.failure.reason,
+            pause_ms=pause_ms,
+        )
+        self.spawn(self._link_by_id.pop(worker_id).stop())
+
     async def _close_links(self) -> None:
         links, self._link_by_id = self._link_by_id, {}
         for link in links.values():
--- a/marjoramgrade/controllers/stepscheduling.py
+++ b/marjoramgrade/controllers/stepscheduling.py
@@ -326,6 +326,7 @@
                 continue
             lead.supervisor.supervise(self._clock.now_ms())
             lead.supervisor.discard_finished_stops()
+            self._resume_set_aside(lead)
             self._schedule_plan(lead)
             self._rewrite_refused_progress(lead)
             self._perform_actions(lead)
--- a/marjoramgrade/controllers/stepworkerlink.py
+++ b/marjoramgrade/controllers/stepworkerlink.py
@@ -55,6 +55,8 @@
 class StepWorkerLink(Actor):
     """Owns the calls to one incarnation of a worker.
 
+    An unexpected failure of a call ends the link; the leader then replaces it.
+
     Args:
         worker: The worker.
         port: The client of the worker.
@@ -80,7 +82,7 @@
         earliest_expiry_ms: int,
         schedule: ListingSchedule = periodic,
     ) -> None:
-        super().__init__()
+        super().__init__(worker.worker_id)
         self._worker_id = worker.worker_id
         self._port = port
         self._scheduler = scheduler
@@ -126,7 +128,7 @@
         if is_first:
             # The pending listing would show only after its wait that the worker is
             # unresponsive.
-            self.spawn(self._list(0))
+            self.spawn_critical(self._list(0))
 
     @handles(AcknowledgeRunEnds)
     async def _acknowledge(self, message: AcknowledgeRunEnds) -> None:
@@ -140,19 +142,19 @@
     @handles(RaiseFence)
     async def _raise_fence(self, message: RaiseFence) -> None:
         self._fence = max(self._fence, message.fence)
-        self.spawn(self._list_now())
+        self.spawn_critical(self._list_now())
 
     @handles(SendRunStart)
     async def _start(self, message: SendRunStart) -> None:
-        self.spawn(self._send_start(message))
+        self.spawn_critical(self._send_start(message))
 
     @handles(SendRunStop)
     async def _stop_run(self, message: SendRunStop) -> None:
-        self.spawn(self._send_stop(message))
+        self.spawn_critical(self._send_stop(message))
 
     @handles(SendRunPace)
     async def _pace_run(self, message: SendRunPace) -> None:
-        self.spawn(self._send_pace(message))
+        self.spawn_critical(self._send_pace(message))
 
     # Orders
 
--- a/marjoramgrade/messages/peers.py
+++ b/marjoramgrade/messages/peers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from marjoramgrade.actor import Message
+from marjoramgrade.actor import Actor, ActorFailure, Message
 
 
 @attrs.frozen
@@ -89,6 +89,26 @@
     instance_id: str
 
 
+@attrs.frozen
+class LinkFailed(Message[None]):
+    """The link to another entry instance or to a worker has failed unexpectedly.
+
+    Attributes:
+        instance_id: The instance or worker.
+        link: The link.
+        failure: What failed.
+    """
+
+    instance_id: str
+    link: Actor
+    failure: ActorFailure
+
+    @property
+    def subject(self) -> str:
+        """The instance or worker."""
+        return self.instance_id
+
+
 @attrs.frozen
 class InboundMessage(Message[Any]):
     """A message that arrived from another entry instance."""
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -371,18 +371,32 @@
 
 
 @attrs.frozen
-class RunStartResult(Message[None]):
-    """The outcome of an order to start one run.
+class WorkerMessage(Message[None]):
+    """Base class of the messages that tell the leader about one worker.
 
     Attributes:
         worker_id: The worker.
+    """
+
+    worker_id: str
+
+    @property
+    def subject(self) -> str:
+        """The worker."""
+        return self.worker_id
+
+
+@attrs.frozen
+class RunStartResult(WorkerMessage):
+    """The outcome of an order to start one run.
+
+    Attributes:
         task: The task.
         run: Number of the run.
         outcome: Whether the run was started, if that is known.
         reason: Why the order was refused, or empty.
     """
 
-    worker_id: str
     task: TaskRef
     run: int
     outcome: StartOutcome
@@ -390,28 +404,24 @@
 
 
 @attrs.frozen
-class WorkerListingReceived(Message[None]):
+class WorkerListingReceived(WorkerMessage):
     """A worker's listing of its runs.
 
     Attributes:
-        worker_id: The worker.
         listing: The listing.
         fence: Fencing token of the call that returned it.
         asked_ms: When the call was sent, on this instance's clock.
     """
 
-    worker_id: str
     listing: WorkerListing
     fence: int
     asked_ms: int
 
 
 @attrs.frozen
-class WorkerCallUnanswered(Message[None]):
+class WorkerCallUnanswered(WorkerMessage):
     """A call that requested a worker's listing has failed."""
 
-    worker_id: str
-
 
 @attrs.frozen
 class ShortenListingWaits(Message[None]):
@@ -426,28 +436,24 @@
 
 
 @attrs.frozen
-class WorkerFenceRefused(Message[None]):
+class WorkerFenceRefused(WorkerMessage):
     """A worker refused a listing because it has seen a higher fencing token.
 
     Attributes:
-        worker_id: The worker.
         fence: The token of the refused listing.
     """
 
-    worker_id: str
     fence: int
 
 
 @attrs.frozen
-class WorkerUnresponsive(Message[None]):
+class WorkerUnresponsive(WorkerMessage):
     """Several successive calls to a worker have failed.
 
     Attributes:
-        worker_id: The worker.
         expired: Whether all of its runs have certainly ended.
     """
 
-    worker_id: str
     expired: bool
 
 
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -139,6 +139,13 @@
     "jobs",
     "Jobs of steps that ended, by their state.",
 )
+declare(
+    "set_aside.*",
+    MetricKind.COUNTER,
+    "failures",
+    "Links that failed unexpectedly and were ended, by what is at the other end: "
+    "`worker`, `peer`; the process and the other links went on.",
+)
 declare(
     "unreadable.*",
     MetricKind.COUNTER,
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -123,6 +123,7 @@
             store_client,
             lambda member: PeerLink(own_member.instance_id, own_member.host, member),
             serialize_notice,
+            self._metrics,
         )
         router = StoreRouter(own_member.instance_id, store_client, peers, self._metrics)
         bounds = LeaderBounds(
--- a/tests/test_actor.py
+++ b/tests/test_actor.py
@@ -235,3 +235,77 @@
             await actor.stop()
 
     asyncio.run(run())
+
+
+@attrs.frozen
+class Break(Message[None]):
+    subject = "w7"
+
+
+class Breaking(Doubler):
+    @handles(Break)
+    async def _break(self, message: Break) -> None:
+        raise ArithmeticError("a bug in the handler")
+
+
+def test_failure_names_the_actor_the_message_and_what_it_is_about():
+    # Guards against the exit of a process whose log does not tell which of its inputs
+    # caused it.
+    async def run():
+        failures = []
+        actor = Breaking("shard-3")
+        actor.on_fatal = failures.append
+        await actor.start()
+        actor.tell(Break())
+        await asyncio.sleep(0.01)
+        await actor.stop()
+        (failure,) = failures
+        assert (failure.actor, failure.subject) == ("Breaking", "w7")
+        assert failure.work == "Break"
+        assert "a bug in the handler" in failure.reason
+        assert "test_actor.py" in failure.reason
+
+    asyncio.run(run())
+
+
+def test_background_task_that_fails_is_named():
+    async def run():
+        failures = []
+        actor = Failing("w8")
+        actor.on_fatal = failures.append
+        await actor.start()
+        await asyncio.sleep(0.01)
+        await actor.stop()
+        (failure,) = failures
+        assert (failure.actor, failure.subject) == ("Failing", "w8")
+        assert failure.work == "_loop"
+
+    asyncio.run(run())
+
+
+def test_actor_whose_mailbox_has_failed_stops_and_answers_its_senders():
+    # Guards against an owner that waits without end for an actor that it replaces, and
+    # against senders whose call to it is never answered.
+    stopped = []
+
+    class Closing(Breaking):
+        async def on_stop(self) -> None:
+            stopped.append(self)
+
+    async def run():
+        actor = Closing()
+        actor.on_fatal = lambda failure: None
+        await actor.start()
+        actor.tell(Break())
+        await asyncio.sleep(0.01)
+        call = asyncio.ensure_future(actor.ask(Double(1)))
+        with contextlib.suppress(OverloadedError):
+            while True:
+                actor.tell(Double(2))
+        async with asyncio.timeout(2):
+            await actor.stop()
+            with pytest.raises(ShuttingDownError):
+                await call
+        assert stopped == [actor]
+
+    asyncio.run(run())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from marjoramgrade.actor import Actor, ActorGroup, handles
+from marjoramgrade.controllers import peers as peers_module
 from marjoramgrade.controllers.peers import PeersController
 from marjoramgrade.controllers.tablereader import read_all_rows
 from marjoramgrade.messages.peers import (
@@ -13,9 +14,12 @@
     FinishCalls,
     Member,
     MembersChanged,
+    TellOverLink,
+    TellPeers,
 )
 from marjoramgrade.messages.rows import RowId, StoredRow
 from marjoramgrade.messages.steps import GetStepJob
+from marjoramgrade.metrics import MemoryMetrics
 from marjoramgrade.steprows import MEMBERS_TABLE, MemberRow, serialize_row
 from tests.rowstore import MemoryRowStore
 
@@ -135,3 +139,52 @@
         async with asyncio.timeout(10):
             await subscriber.told.wait()
         assert len(subscriber.members) == INSTANCES + 1
+
+
+class QuietLink(Link):
+    @handles(TellOverLink)
+    async def _tell(self, message):
+        return None
+
+
+class BreakingLink(Link):
+    """A link that an unexpected error ends."""
+
+    @handles(TellOverLink)
+    async def _tell(self, message):
+        raise UnicodeEncodeError("latin-1", "a", 0, 1, "an unexpected error")
+
+
+def test_link_that_fails_is_replaced_and_the_others_stay(monkeypatch):
+    # Guards against a process that ends because of the data of one other instance.
+    monkeypatch.setattr(peers_module, "FIRST_REFRESH_MS", 20)
+    links = {"odd": [], "other": []}
+
+    def make_link(member):
+        kind = BreakingLink if member.instance_id == "odd" else QuietLink
+        links[member.instance_id].append(kind())
+        return links[member.instance_id][-1]
+
+    async def run():
+        metrics = MemoryMetrics()
+        async with ActorGroup() as group:
+            store = MemoryRowStore()
+            for name in links:
+                row = RowId(MEMBERS_TABLE, "", name)
+                value = serialize_row(MemberRow(name, "north", "127.0.0.1", 1, 1))
+                store.rows[row] = StoredRow(row, value, 1)
+            own = Member("own", "north", "127.0.0.1", 1)
+            peers = PeersController(own, store, make_link, metrics=metrics)
+            await group.add(store)
+            await group.add(peers)
+            async with asyncio.timeout(5):
+                while not all(links.values()):
+                    await asyncio.sleep(0.01)
+                peers.tell(TellPeers(GetStepJob("a")))
+                while len(links["odd"]) < 2:
+                    await asyncio.sleep(0.01)
+            assert len(links["other"]) == 1
+            assert metrics.count_by_name["set_aside.peer"] == 1
+            assert not group.failed.is_set()
+
+    asyncio.run(run())
--- a/tests/test_stepscheduling.py
+++ b/tests/test_stepscheduling.py
@@ -15,7 +15,12 @@
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, handles
 from marjoramgrade.clock import SystemClock
-from marjoramgrade.controllers import commits, leaderevents, stepscheduling
+from marjoramgrade.controllers import (
+    commits,
+    leaderactions,
+    leaderevents,
+    stepscheduling,
+)
 from marjoramgrade.controllers.commits import SaveRows
 from marjoramgrade.controllers.leaderactions import (
     GRANT_LIMIT_MS,
@@ -30,8 +35,10 @@
 from marjoramgrade.decisions.stepplanning import Planner
 from marjoramgrade.decisions.stepprogress import JobProgress, JobRecord
 from marjoramgrade.decisions.steprun import Run, RunPhase
+from marjoramgrade.decisions.stepstate import StepState
 from marjoramgrade.errors import (
     ForbiddenError,
+    InvalidInputError,
     JobNotFoundError,
     NotOwnerError,
     OutcomeUnknownError,
@@ -903,3 +910,137 @@
         await store.stop()
 
     asyncio.run(run())
+
+
+class BrokenPort(FakePort):
+    """A worker whose listings fail with an error of a library while `is_broken`."""
+
+    is_broken = True
+
+    async def renew(self, fence, expires_clock_ms, acknowledged, wait_ms):
+        if self.is_broken:
+            raise UnicodeEncodeError("latin-1", "w", 0, 1, "an unexpected error")
+        return await super().renew(fence, expires_clock_ms, acknowledged, wait_ms)
+
+
+def with_port(scheduler, port_by_id):
+    """Use these ports in place of those that the scheduler makes."""
+    connect = scheduler._connect
+    scheduler._connect = lambda w: port_by_id.get(w.worker_id) or connect(w)
+
+
+def count_failures(scheduler):
+    failures = []
+    scheduler.on_fatal = failures.append
+    return failures
+
+
+async def until(condition, seconds=5):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_worker_whose_link_fails_does_not_take_the_others_with_it():
+    # Guards against a leader, and each successor, that ends because of one worker.
+    async def run():
+        async with leading(listed=()) as (_, scheduler, _):
+            failures = count_failures(scheduler)
+            odd = BrokenPort(worker("odd"))
+            with_port(scheduler, {"odd": odd})
+            scheduler.tell(WorkersChanged((worker("odd"), worker("w"))))
+            set_aside = scheduler._metrics.count_by_name
+            await until(lambda: set_aside["set_aside.worker"] >= 2)
+            assert list(scheduler._lead.link_by_worker) == ["w"]
+            await scheduler.ask(SubmitStepJob(job("a", Step(3, cores(1)))))
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            assert not failures and not odd.started
+            # The cause is gone: the worker is used again after its pause.
+            odd.is_broken = False
+            await until(lambda: "odd" in scheduler._lead.link_by_worker)
+            await until(lambda: scheduler._lead.state.worker_by_id["odd"].synced)
+            assert set_aside["set_aside.worker"] <= 4
+
+    asyncio.run(run())
+
+
+def test_runs_of_a_worker_without_a_link_are_lost_after_their_leases(monkeypatch):
+    # Guards against a task that waits without end for a worker whose link fails, and
+    # against a second run of it before the lease of the first has ended.
+    monkeypatch.setattr(leaderactions, "GRANT_LIMIT_MS", 300)
+    monkeypatch.setattr(stepscheduling, "TICK_MS", 20)
+
+    async def run():
+        async with leading(listed=(worker("odd"),)) as (_, scheduler, ports):
+            failures = count_failures(scheduler)
+            FakePort.run_ms = 60_000
+            try:
+                await scheduler.ask(SubmitStepJob(job("a")))
+                await until(lambda: ports["odd"].started)
+            finally:
+                FakePort.run_ms = 30
+            broken = BrokenPort(worker("odd"))
+            with_port(scheduler, {"odd": broken})
+            link = scheduler._lead.link_by_worker["odd"]
+            link._port.renew = broken.renew
+            began_ms = SystemClock().now_ms()
+            scheduler.tell(WorkersChanged((worker("odd"), worker("w"))))
+            await until(lambda: "w" in ports and ports["w"].started, 10)
+            lease_ms = SystemClock().now_ms() - began_ms
+            assert lease_ms >= scheduler._bounds.worker_lease_ms
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            assert not failures
+
+    asyncio.run(run())
+
+
+def test_message_about_a_worker_that_fails_costs_one_leadership(monkeypatch):
+    # Guards against a process that ends, and each that follows it, because the leader
+    # cannot handle what one worker reports.
+    apply_listing = StepState.apply_listing
+
+    def fail_for_odd(state, found, *arguments):
+        if found.worker.worker_id == "odd":
+            raise ArithmeticError("unexpected")
+        return apply_listing(state, found, *arguments)
+
+    monkeypatch.setattr(StepState, "apply_listing", fail_for_odd)
+
+    async def run():
+        async with leading(listed=()) as (store, scheduler, ports):
+            failures = count_failures(scheduler)
+            await scheduler.ask(SubmitStepJob(job("a")))
+            workers = WorkersChanged((worker("odd"), worker("w")))
+            scheduler.tell(workers)
+            await until(lambda: scheduler._lead is None)
+            version = store.apply(CommitRows((), (RowWrite(EPOCH_ROW, b"2"),))).version
+            acquired = LeadershipAcquired(2, version, SystemClock().now_ms())
+            await scheduler.ask(acquired)
+            scheduler.tell(workers)
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            assert not failures and not ports["odd"].started
+            assert "odd" not in scheduler._lead.link_by_worker
+
+    asyncio.run(run())
+
+
+def test_stored_worker_that_cannot_be_linked_is_set_aside():
+    # Guards against a roster of an earlier version whose entry ends each new leader.
+    async def run():
+        async with leading(listed=()) as (_, scheduler, _):
+            failures = count_failures(scheduler)
+            connect = scheduler._connect
+
+            def refuse(registered):
+                if registered.worker_id == "odd":
+                    raise InvalidInputError("the address has no IP address")
+                return connect(registered)
+
+            scheduler._connect = refuse
+            scheduler.tell(WorkersChanged((worker("odd"), worker("w"))))
+            await scheduler.ask(SubmitStepJob(job("a")))
+            await wait_for_state(scheduler, "a", StepJobState.COMPLETED)
+            count = scheduler._metrics.count_by_name
+            assert not failures and count["set_aside.worker"] >= 1
+
+    asyncio.run(run())
