Check the rows of the instances' own tables before they are used

Each process that reads such a row ends, as do those that follow it, and no job is accepted.

Cause: rows of the tables that the instances write themselves were checked for their types, not for what their use requires. The scope in the address of a member reached the resolver (UnicodeError), its strength a product with a fraction (OverflowError), the number of the leadership the encoder of the heartbeats (OverflowError), and the digits of a renewal the conversion to an integer (ValueError). Each left a critical task.

Change: a member has an address without a scope, a bounded strength, and the id of its row; the number of a leadership is bounded, in rows and in messages of peers, so that fencing tokens stay exact in JSON. What is invalid is left aside, logged and, for members, counted.

Ruled out: rows of jobs.

--- a/marjoramgrade/controllers/leadership.py
+++ b/marjoramgrade/controllers/leadership.py
@@ -61,6 +61,7 @@
     RenewLeadership,
     StorePathStatus,
 )
+from marjoramgrade.stepjobs import MAX_EPOCH
 from marjoramgrade.steprows import (
     EPOCH_ROW,
     LEADER_PART,
@@ -98,6 +99,8 @@
 # A leader releases the lead if its strength is below `MIN_STRENGTH_SHARE` of the
 # strongest instance's. It checks once, this long after it began to lead.
 STRENGTH_CHECK_DELAY_MS = 1_500
+# Digits of a clock in milliseconds. The conversion of a text of thousands fails.
+MAX_CLOCK_DIGITS = 15
 
 
 class LeadershipController(Actor):
@@ -435,9 +438,11 @@
         if renewal is None:
             self._monitor.record_renewal(ABSENT, None, self._last_heartbeat(), now_ms)
         else:
-            renewed_ms = int(renewal.value) if renewal.value.isdigit() else None
             self._monitor.record_renewal(
-                renewal.version, renewed_ms, self._last_heartbeat(), now_ms
+                renewal.version,
+                _parse_renewal(renewal.value),
+                self._last_heartbeat(),
+                now_ms,
             )
         return True
 
@@ -453,7 +458,7 @@
         if row is None:
             return
         try:
-            leader = parse_row(row.value, LeaderRow)
+            leader = _parse_leadership(row.value)
         except InvalidInputError as error:
             logs.log_event("row_unreadable", row="epoch", reason=error.message)
             leader = self._monitor.row
@@ -544,3 +549,21 @@
     def _tell_subscribers(self, message: Message[None]) -> None:
         for subscriber in self._subscribers:
             subscriber.tell(message)
+
+
+def _parse_leadership(value: bytes) -> LeaderRow:
+    """Decode the row that names the leader.
+
+    Raises:
+        InvalidInputError: If it is invalid, or no leadership could follow it.
+    """
+    leader = parse_row(value, LeaderRow)
+    if leader.epoch >= MAX_EPOCH:
+        raise InvalidInputError("no number is left for the next leadership")
+    return leader
+
+
+def _parse_renewal(value: bytes) -> int | None:
+    """Return the leader's clock in the row of its renewals, None if it has none."""
+    is_clock = value.isdigit() and len(value) <= MAX_CLOCK_DIGITS
+    return int(value) if is_clock else None
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -34,6 +34,7 @@
     RowCheck,
     RowId,
     RowWrite,
+    StoredRow,
 )
 from marjoramgrade.metrics import MemoryMetrics, Metrics
 from marjoramgrade.steprows import (
@@ -151,8 +152,9 @@
         # The row version distinguishes the incarnations of an instance.
         for row in rows:
             try:
-                member = parse_row(row.value, MemberRow)
+                member = _parse_member(row)
             except InvalidInputError as error:
+                self._metrics.count("unreadable.member")
                 logs.log_event("row_unreadable", row=row.row.key, reason=error.message)
                 continue
             found[member.instance_id] = Member(
@@ -210,3 +212,15 @@
         self._metrics.count("set_aside.peer")
         del self._link_by_id[message.instance_id]
         self.spawn(message.link.stop())
+
+
+def _parse_member(row: StoredRow) -> MemberRow:
+    """Decode the row that an instance registers itself with under its id.
+
+    Raises:
+        InvalidInputError: If it is not a valid registration of that instance.
+    """
+    member = parse_row(row.value, MemberRow)
+    if member.instance_id != row.row.key:
+        raise InvalidInputError("the row names another instance")
+    return member
--- a/marjoramgrade/decisions/leadermonitor.py
+++ b/marjoramgrade/decisions/leadermonitor.py
@@ -5,6 +5,7 @@
 import attrs
 
 from marjoramgrade.decisions.elections.candidacy import SMALL_FLEET
+from marjoramgrade.stepjobs import is_epoch
 
 # A leader that sends no heartbeats counts as down once its row has been unchanged for
 # this long. An unnecessary takeover costs a new fencing token for each worker; a late
@@ -43,7 +44,7 @@
             leadership.
     """
 
-    epoch: int
+    epoch: int = attrs.field(validator=is_epoch)
     leader_id: str
 
 
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -18,6 +18,7 @@
     StepWorker,
     TaskRef,
     WorkerListing,
+    is_epoch,
 )
 
 
@@ -126,7 +127,7 @@
             has confirmed.
     """
 
-    epoch: int
+    epoch: int = attrs.field(validator=is_epoch)
     leader_id: str
     clock_ms: int = 0
     confirmed_age_ms: int = 0
@@ -136,14 +137,14 @@
 class LeaderLeft(Message[None]):
     """Tells every instance that the leader has released its leadership."""
 
-    epoch: int
+    epoch: int = attrs.field(validator=is_epoch)
 
 
 @attrs.frozen
 class LeaderAge:
     """How long ago an instance received a heartbeat of the leader of an epoch."""
 
-    epoch: int
+    epoch: int = attrs.field(validator=is_epoch)
     age_ms: int
 
 
--- a/marjoramgrade/stepjobs.py
+++ b/marjoramgrade/stepjobs.py
@@ -10,6 +10,7 @@
 import sys
 
 import attrs
+from attrs import validators
 
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.resources import ZERO_RESOURCES, Resources
@@ -20,6 +21,12 @@
 STEP_BYTES = 1_024
 REFERENCE_BYTES = 8
 MAX_TASKS_PER_STEP = 2_000
+# Largest number of a leadership. Fencing tokens and run numbers are multiples of it, of
+# up to 10,000 times as much, and have to be exact in JSON.
+MAX_EPOCH = 10**11
+
+
+is_epoch = validators.and_(validators.ge(0), validators.le(MAX_EPOCH))
 
 
 class StepJobState(enum.Enum):
--- a/marjoramgrade/steprows.py
+++ b/marjoramgrade/steprows.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import zlib
 from typing import TypeVar
 
@@ -10,6 +9,7 @@
 import msgspec
 from attrs import validators
 
+from marjoramgrade.addresses import MAX_PORT, check_host
 from marjoramgrade.decisions.stepprogress import JobProgress
 from marjoramgrade.errors import InvalidInputError
 from marjoramgrade.messages.rows import RowId
@@ -34,7 +34,9 @@
 # Number of rows over which the roster is spread. A worker takes some 240 bytes, and the
 # store accepts 65,536 bytes a row, so the rows hold some 17,000 workers.
 ROSTER_ROWS = 64
-MAX_PORT = 65_535
+# Processing capacity of an instance, in thousandths of a core. An instance of absurd
+# strength would get the lead from every other one.
+MAX_STRENGTH = 10_000_000
 # Rows of jobs with many tasks are compressed, since the store bounds the size of a row.
 COMPRESSED_FROM_BYTES = 16_384
 MAX_ROW_TEXT_BYTES = 4 * 1_048_576
@@ -42,7 +44,11 @@
 
 
 def _check_host(_row: object, _field: object, host: str) -> None:
-    ipaddress.ip_address(host)
+    try:
+        check_host(host, "the member")
+    except InvalidInputError as error:
+        # The decoder reports a ValueError as an invalid row.
+        raise ValueError(error.message) from None
 
 
 @attrs.frozen
@@ -53,7 +59,9 @@
     zone: str
     host: str = attrs.field(validator=_check_host)
     peer_port: int = attrs.field(validator=[validators.ge(1), validators.le(MAX_PORT)])
-    strength: int = attrs.field(default=0, validator=validators.ge(0))
+    strength: int = attrs.field(
+        default=0, validator=[validators.ge(0), validators.le(MAX_STRENGTH)]
+    )
 
 
 @attrs.frozen
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -55,6 +55,16 @@
     return is_counted
 
 
+def accepted(instance, number):
+    """Return a condition: whether a job is accepted when it is handed in."""
+
+    async def is_accepted():
+        answer = await instance.submit(number)
+        return answer is not None and answer.status == 200
+
+    return is_accepted
+
+
 def completed(instance, number):
     """Return a condition: whether a job has run."""
 
@@ -92,3 +102,54 @@
 def test_entry_whose_address_has_a_scope_ends_no_leader(tmp_path, address):
     # Guards against a UnicodeError of the resolver, which ended each leader in turn.
     asyncio.run(check_entry(tmp_path, "odd", {"addr": address}))
+
+
+MEMBER = {"instance_id": "odd", "zone": "north", "host": "127.0.0.1", "peer_port": 9}
+ODD_WORKER = {
+    "worker_id": "наряд-7",
+    "pool": "pool",
+    "address": "fe80::1%..:80",
+    "zone": "north",
+    "capacity": {"cpu_millis": 1, "memory_mib": 1, "accelerators": 0},
+}
+NESTED = b"[" * 30_000 + b"]" * 30_000
+# Rows of the tables that the instances write themselves: table, part, key and value.
+ODD_ROWS = [
+    ("members", "", "odd", {**MEMBER, "host": "fe80::1%.."}),
+    ("members", "", "strong", {**MEMBER, "instance_id": "strong", "strength": 10**400}),
+    ("members", "", "other", {**MEMBER, "instance_id": "a"}),
+    ("leadership", "p0", "renewal", b"9" * 5_000),
+    ("roster", "p0", "003", {"workers": [ODD_WORKER]}),
+    ("roster", "p0", "004", {"workers": [{**ODD_WORKER, "address": "127.0.0.1:9"}]}),
+    ("jobs", "p0", "odd", NESTED),
+    ("progress", "p0", "odd", {"step_by_name": {"0.0": {"done": 10**400}}}),
+]
+
+
+async def check_own_rows(folder, rows):
+    async with running_instance(folder) as instance:
+        for table, part, key, value in rows:
+            await write_row(instance, table, key, value, part)
+        # The next process reads all rows when it begins to lead.
+        instance.restart()
+        await until(instance, counted(instance, "marjoramgrade_commit_ms"))
+        await until(instance, accepted(instance, JOB_ID))
+        await until(instance, completed(instance, JOB_ID))
+        # Longer than the delay of the check for a stronger instance.
+        await asyncio.sleep(2.0)
+        await until(instance, accepted(instance, JOB_ID + 1))
+        await until(instance, completed(instance, JOB_ID + 1))
+
+
+def test_odd_rows_of_its_own_tables_end_no_process(tmp_path):
+    # Guards against a UnicodeError of the resolver on the address of a member, an
+    # OverflowError on its strength, a ValueError on the digits of a renewal, and a
+    # worker of the roster that cannot be called, which ended each process in turn.
+    asyncio.run(check_own_rows(tmp_path, ODD_ROWS))
+
+
+@pytest.mark.parametrize("epoch", [10**30, 10**11, -1])
+def test_odd_number_of_the_leadership_ends_no_process(tmp_path, epoch):
+    # Guards against a heartbeat that cannot be encoded, which ended each leader.
+    row = {"epoch": epoch, "leader_id": "odd"}
+    asyncio.run(check_own_rows(tmp_path, [("leadership", "p0", "epoch", row)]))
