Report odd answers of the store as failures of the table

A store that answers a read with a status such as 404, without a version or with something else in place of rows ends each process that reads members, leadership or stored jobs, and the writes of the leader.

Cause: such an answer was a ProtocolError or InvalidInputError, which are no TableError. Those who read the store handle TableError and leave all else to the group that ends the process.

Change: StoreClient reports an answer that is none as TableProtocolError for reads and as WriteOutcomeUnknownError for writes, also where it said before that nothing was written. The directory still reads the whole table again.

--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -18,6 +18,7 @@
     StaleAuthorityError,
     StaleReadError,
     TableError,
+    TableProtocolError,
 )
 from marjoramgrade.messages.rows import ReadRows, RowsPage, StoredRow, WatchRows
 from marjoramgrade.messages.steps import (
@@ -200,11 +201,12 @@
             except HistoryLostError:
                 logs.log_event("history_lost", table=table, after=after or 0)
                 after = None
-            except TableError as error:
-                await self._pause_after_failure(table, error)
             except MarjoramgradeError as error:
-                # After a response that breaks the protocol, changes may be missing.
-                after = None
+                is_outage = isinstance(error, TableError)
+                if isinstance(error, TableProtocolError) or not is_outage:
+                    # Changes may be missing, or the changes after this version may be
+                    # what the store cannot name.
+                    after = None
                 await self._pause_after_failure(table, error)
 
     async def _pause_after_failure(self, table: str, error: MarjoramgradeError) -> None:
--- a/marjoramgrade/errors.py
+++ b/marjoramgrade/errors.py
@@ -392,6 +392,12 @@
     code = "stale_read"
 
 
+class TableProtocolError(TableError):
+    """The store responded to a read with something that is no answer to it."""
+
+    code = "table_protocol_error"
+
+
 class HistoryLostError(TableError):
     """The store no longer has the changes after a version; a full read is needed."""
 
--- a/marjoramgrade/platform/store.py
+++ b/marjoramgrade/platform/store.py
@@ -23,10 +23,10 @@
 from marjoramgrade.errors import (
     HistoryLostError,
     InvalidInputError,
-    ProtocolError,
     RowCheckFailedError,
     RowsRejectedError,
     TableError,
+    TableProtocolError,
     TableRateLimitedError,
     TableUnavailableError,
     WriteOutcomeUnknownError,
@@ -158,10 +158,13 @@
             }
         )
         answer = await self._call("POST", "/rows-tx", body, COMMIT_TIMEOUT_MS)
-        document = _decode_object(answer, "POST")
-        if answer.status == 412:
-            raise RowCheckFailedError("a row has changed", _parse_rows(document))
-        committed = RowsCommitted(_get_integer(document, "ver"))
+        try:
+            document = _decode_object(answer, "POST")
+            if answer.status == 412:
+                raise RowCheckFailedError("a row has changed", _parse_rows(document))
+            committed = RowsCommitted(_get_version(document))
+        except TableProtocolError as error:
+            raise WriteOutcomeUnknownError(error.message) from None
         self._newest_version = max(self._newest_version, committed.version)
         return committed
 
@@ -249,9 +252,11 @@
             f"the store responded with status {answer.status} to {method} {path[:80]}: "
             f"{answer.body[:200]!r}"
         )
-        if method == "POST" and answer.status in _REJECTED_STATUSES:
+        if method == "GET":
+            raise TableProtocolError(reason)
+        if answer.status in _REJECTED_STATUSES:
             raise RowsRejectedError(reason)
-        raise ProtocolError(reason)
+        raise WriteOutcomeUnknownError(reason)
 
 
 def _encode_row_id(row: RowId) -> dict[str, Any]:
@@ -280,19 +285,32 @@
     return document
 
 
-def _get_integer(document: dict[str, Any], name: str) -> int:
+def _get_version(document: dict[str, Any]) -> int:
+    """Return the version of the store in a response.
+
+    Raises:
+        TableProtocolError: If it has none.
+    """
     try:
-        return to_integer(document[name], name)
+        return to_integer(document["ver"], "ver")
     except (KeyError, InvalidInputError):
-        raise ProtocolError(
-            f"{name} in the store's response is not an integer"
+        raise TableProtocolError(
+            "ver in the store's response is not an integer"
         ) from None
 
 
 def _parse_rows(document: dict[str, Any]) -> tuple[StoredRow, ...]:
-    """Decode the rows of a response, leaving out each one that cannot be decoded."""
+    """Decode the rows of a response, leaving out each one that cannot be decoded.
+
+    Raises:
+        TableProtocolError: If the response has something else in place of rows.
+    """
+    try:
+        entries = get_list(document, "rows")
+    except InvalidInputError as error:
+        raise TableProtocolError(f"the store's response: {error.message}") from None
     rows = []
-    for entry in get_list(document, "rows"):
+    for entry in entries:
         try:
             rows.append(_parse_row(entry))
         except InvalidInputError as error:
@@ -322,6 +340,6 @@
 def _parse_page(document: dict[str, Any]) -> RowsPage:
     return RowsPage(
         _parse_rows(document),
-        _get_integer(document, "ver"),
+        _get_version(document),
         bool(document.get("hasMore")),
     )
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -27,7 +27,10 @@
     InvalidInputError,
     MarjoramgradeError,
     ProtocolError,
+    RowCheckFailedError,
     RowsRejectedError,
+    TableError,
+    WriteOutcomeUnknownError,
 )
 from marjoramgrade.messages.rows import (
     CommitRows,
@@ -392,6 +395,58 @@
     asyncio.run(run())
 
 
+async def answer_of_store(status, body, message):
+    """Return the error of a call to which the store responds with a status and body."""
+
+    async def respond(*_args, **_kwargs):
+        return HttpResponse(status, body, {})
+
+    client = StoreClient("127.0.0.1:1")
+    client._pool.request = respond
+    await client.start()
+    try:
+        await client.ask(message)
+    except MarjoramgradeError as error:
+        return error
+    finally:
+        await client.stop()
+
+
+ODD_ANSWERS = [
+    (200, b""),
+    (200, b"[]"),
+    (200, b"{}"),
+    (200, b'{"rows":{},"ver":"x"}'),
+    (200, b'{"rows":[],"ver":' + b"9" * 5_000 + b"}"),
+    (200, NESTED),
+    (204, b""),
+    (302, b""),
+    (404, b"no"),
+    (410, b"gone"),
+    (412, b'{"rows":7,"ver":1}'),
+    (418, b""),
+    (500, b"no"),
+]
+
+
+@pytest.mark.parametrize(("status", "body"), ODD_ANSWERS)
+def test_odd_answer_of_the_store_is_a_failure_of_the_table(status, body):
+    # Guards against an error that those who read the members, the leadership or the
+    # stored jobs do not expect, and that ends the process.
+    for message in (ReadRows("members", ""), WatchRows("op", 1, 5)):
+        error = asyncio.run(answer_of_store(status, body, message))
+        assert isinstance(error, TableError), message
+
+
+@pytest.mark.parametrize(("status", "body"), ODD_ANSWERS)
+def test_odd_answer_to_a_write_leaves_its_outcome_unknown(status, body):
+    # Guards against a leader whose writes end, and against a write that is taken for
+    # one that was not made.
+    write = CommitRows((), (RowWrite(RowId("jobs", "p0", "a"), b"x"),))
+    error = asyncio.run(answer_of_store(status, body, write))
+    assert isinstance(error, WriteOutcomeUnknownError | RowCheckFailedError)
+
+
 def test_store_that_refuses_a_transaction_as_invalid_is_a_typed_error():
     # Guards against the end of the leader's writes by one row that is too large.
     async def respond(*_args, **_kwargs):
