Check what peers reply before it is used

A reply of another type than the call expects, an error code of a later version or a value that no frame can hold reached the tasks that read the store through a peer as AttributeError, as the base error or as an error of the encoder. Each ends the process that asked.

Change: a link returns only replies of the types that the message declares; another one is an unknown outcome. What an encoder cannot hold is a ProtocolError, and a server that cannot encode a reply says so instead of leaving the call without one. The router of the store takes an unknown error of a relay for a failed path, and for an unknown outcome if it wrote. A host that the resolver refuses is an unreachable peer.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -11,6 +11,7 @@
 import contextlib
 import pathlib
 import traceback
+import typing
 from collections.abc import Awaitable, Callable
 from typing import Any, ClassVar, Generic, TypeVar
 
@@ -38,10 +39,27 @@
 
 
 class Message(Generic[R]):
-    """Base class of messages; the parameter is the type of the reply."""
+    """Base class of messages; the parameter is the type of the reply.
+
+    Attributes:
+        reply_types: The types that a reply from another instance may have.
+        other_reply_types: Those of them beside the parameter.
+    """
 
     __slots__ = ()
 
+    reply_types: ClassVar[tuple[type, ...]] = (object,)
+    other_reply_types: ClassVar[tuple[type, ...]] = ()
+
+    def __init_subclass__(cls, **kwargs: Any) -> None:
+        super().__init_subclass__(**kwargs)
+        for base in vars(cls).get("__orig_bases__", ()):
+            if typing.get_origin(base) is Message:
+                (declared,) = typing.get_args(base)
+                kind = typing.get_origin(declared) or declared
+                known = kind if isinstance(kind, type) else object
+                cls.reply_types = (known, *cls.other_reply_types)
+
     @property
     def subject(self) -> str:
         """Id of the one worker or other object that the message is about, or empty."""
--- a/marjoramgrade/adapters/peercodec.py
+++ b/marjoramgrade/adapters/peercodec.py
@@ -36,6 +36,15 @@
     capnp.KjException,
 )
 
+# A value that a field of the frame cannot hold raises some of these.
+_ENCODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    TypeError,
+    ValueError,
+    capnp.KjException,
+)
+
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
 
@@ -102,7 +111,8 @@
     """Encode a frame; an error without its own encoder is sent by its code.
 
     Raises:
-        ProtocolError: If no encoder is registered for the body.
+        ProtocolError: If no encoder is registered for the body, or a value of it does
+            not fit its field.
         OversizedInputError: If the frame is larger than `MAX_FRAME_BYTES`.
     """
     body_type = type(frame.body)
@@ -112,8 +122,14 @@
     codec = _codec_by_type.get(body_type)
     if codec is None:
         raise errors.ProtocolError(f"no encoder is registered for {body_type.__name__}")
-    content = {"correlation": frame.correlation, codec.field: codec.encode(frame.body)}
-    data: bytes = _schema.Frame.new_message(**content).to_bytes()
+    try:
+        content = codec.encode(frame.body)
+        message = {"correlation": frame.correlation, codec.field: content}
+        data: bytes = _schema.Frame.new_message(**message).to_bytes()
+    except _ENCODE_ERRORS as error:
+        raise errors.ProtocolError(
+            f"{body_type.__name__} cannot be encoded: {error!r:.200}"
+        ) from None
     if len(data) > MAX_FRAME_BYTES:
         raise errors.OversizedInputError(
             f"frame of {len(data)} bytes exceeds the maximum size"
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -41,6 +41,7 @@
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
+    OversizedInputError,
     OwnerUnreachableError,
     ProtocolError,
     ShuttingDownError,
@@ -251,7 +252,8 @@
         self._reply_by_correlation[correlation] = reply
         try:
             write_frame(stream, PeerFrame(correlation, call.message))
-            return await asyncio.wait_for(reply, call.timeout_ms / 1000)
+            answer = await asyncio.wait_for(reply, call.timeout_ms / 1000)
+            return self._check_reply(call.message, answer)
         except StreamBufferFullError:
             raise OwnerUnreachableError(
                 f"{self._member.instance_id} does not read from the connection"
@@ -266,6 +268,21 @@
         finally:
             self._reply_by_correlation.pop(correlation, None)
 
+    def _check_reply(self, message: Message[Any], reply: Any) -> Any:
+        """Return a reply that has a type which the message allows.
+
+        Raises:
+            OutcomeUnknownError: If it has another one, as of another version.
+        """
+        if isinstance(reply, EmptyReply):
+            reply = None
+        if not isinstance(reply, message.reply_types):
+            raise OutcomeUnknownError(
+                f"{self._member.instance_id} replied to {type(message).__name__} with "
+                f"{type(reply).__name__}"
+            )
+        return reply
+
     async def _get_stream(self) -> IOStream:
         if self._stream is not None and not self._stream.closed():
             return self._stream
@@ -273,7 +290,8 @@
             self._connecting = self.spawn(self._connect())
         try:
             return await asyncio.shield(self._connecting)
-        except (OSError, StreamClosedError, TimeoutError):
+        except (OSError, StreamClosedError, TimeoutError, UnicodeError):
+            # The resolver raises a UnicodeError for a host that is no host name.
             raise OwnerUnreachableError(
                 f"no connection to {self._member.instance_id}"
             ) from None
@@ -438,7 +456,15 @@
             return
         answer = EmptyReply() if body is None else body
         try:
-            write_frame(stream, PeerFrame(frame.correlation, answer))
+            self._reply(stream, frame.correlation, answer)
         except StreamBufferFullError:
             # The peer does not read its replies.
             stream.close()
+
+    @staticmethod
+    def _reply(stream: IOStream, correlation: int, answer: object) -> None:
+        try:
+            write_frame(stream, PeerFrame(correlation, answer))
+        except (ProtocolError, OversizedInputError) as error:
+            unknown = OutcomeUnknownError(f"the reply cannot be sent: {error.message}")
+            write_frame(stream, PeerFrame(correlation, unknown))
--- a/marjoramgrade/controllers/storerouter.py
+++ b/marjoramgrade/controllers/storerouter.py
@@ -437,6 +437,10 @@
                 self._relay_order.move_to_front(relay)
                 self._tell_subscribers(StorePathStatus(self._is_direct, True))
                 raise
+            except MarjoramgradeError as error:
+                # An error that this version does not know tells nothing of the write.
+                self._record_relay_failure(message, relay, error)
+                raise WriteOutcomeUnknownError(error.message) from None
             else:
                 self._relay_order.move_to_front(relay)
                 self._write_backoff.record_served()
@@ -572,6 +576,10 @@
             # Lost history is a response of the store.
             self._record_relay_response(relay)
             raise
+        except MarjoramgradeError as error:
+            # An error that this version does not know, or of the relay itself.
+            self._record_relay_failure(message, relay, error)
+            raise TableUnavailableError(error.message) from None
         except asyncio.CancelledError:
             # Another path was faster.
             if loop.time() >= overdue_s:
--- a/marjoramgrade/messages/rows.py
+++ b/marjoramgrade/messages/rows.py
@@ -88,6 +88,17 @@
     more: bool = False
 
 
+@attrs.frozen
+class PageTransfer:
+    """The reply to a read whose response is still arriving, or has several parts.
+
+    Attributes:
+        transfer_id: Names the response to whoever replies.
+    """
+
+    transfer_id: int
+
+
 @attrs.frozen
 class ReadRows(Message[RowsPage]):
     """Reads rows of one part in the order of their keys.
@@ -101,6 +112,8 @@
         accepts_transfer: Whether the reply may be a `PageTransfer`.
     """
 
+    other_reply_types = (PageTransfer,)
+
     table: str
     part: str
     first: str = ""
@@ -120,23 +133,14 @@
         accepts_transfer: Whether the reply may be a `PageTransfer`.
     """
 
+    other_reply_types = (PageTransfer,)
+
     table: str
     after: int
     wait_ms: int
     accepts_transfer: bool = False
 
 
-@attrs.frozen
-class PageTransfer:
-    """The reply to a read whose response is still arriving, or has several parts.
-
-    Attributes:
-        transfer_id: Names the response to whoever replies.
-    """
-
-    transfer_id: int
-
-
 @attrs.frozen
 class PagePart:
     """A part of a page.
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -16,7 +16,11 @@
 from marjoramgrade.adapters.peerlink import FRAMES_PER_TURN, PeerLink, PeerServer
 from marjoramgrade.decisions.intake.bounds import SMALL_BODY_BYTES, IntakeBounds
 from marjoramgrade.decisions.intake.connections import ConnectionUse
-from marjoramgrade.errors import OwnerUnreachableError
+from marjoramgrade.errors import (
+    OutcomeUnknownError,
+    OwnerUnreachableError,
+    ProtocolError,
+)
 from marjoramgrade.messages.peers import (
     CallOverLink,
     InboundMessage,
@@ -24,7 +28,18 @@
     PeerDisconnected,
     TellOverLink,
 )
-from marjoramgrade.messages.steps import LeaderBeat, SubmitStepJob
+from marjoramgrade.messages.rows import (
+    PageTransfer,
+    ReadRows,
+    RowsCommitted,
+    RowsPage,
+)
+from marjoramgrade.messages.steps import (
+    GetStepJob,
+    LeaderAge,
+    LeaderBeat,
+    SubmitStepJob,
+)
 from marjoramgrade.stepjobs import Step, StepJob
 
 
@@ -225,3 +240,75 @@
             await wait_until(lambda: receiver.received[: len(beats)] == beats)
 
     asyncio.run(run())
+
+
+class Replier(Receiver):
+    """Replies to each message with an object that the test chooses."""
+
+    reply = None
+
+    @handles(InboundMessage)
+    async def _inbound(self, message: InboundMessage) -> object:
+        return self.reply
+
+
+@contextlib.asynccontextmanager
+async def linked_to(receiver):
+    async with serving_peers(receiver, Intake.from_config()) as port:
+        link = PeerLink("b", "127.0.0.1", Member("a", "north", "127.0.0.1", port))
+        await link.start()
+        try:
+            yield link
+        finally:
+            await link.stop()
+
+
+def test_reply_of_another_type_is_an_unknown_outcome():
+    # Guards against an AttributeError in the task that asked, which ends the process:
+    # a peer of another version may reply to a message with something else.
+    async def run():
+        replier = Replier()
+        async with linked_to(replier) as link:
+            read = ReadRows("members", "")
+            for reply in (LeaderAge(1, 5), RowsCommitted(3), None):
+                replier.reply = reply
+                with pytest.raises(OutcomeUnknownError):
+                    await link.ask(CallOverLink(read, 2_000))
+            for reply in (RowsPage((), 3), PageTransfer(4)):
+                replier.reply = reply
+                assert await link.ask(CallOverLink(read, 2_000)) == reply
+
+    asyncio.run(run())
+
+
+def test_value_that_no_frame_can_hold_is_a_typed_error():
+    # Guards against an error of the encoder that ends the caller's process, or leaves
+    # a call without a reply.
+    async def run():
+        replier = Replier()
+        async with linked_to(replier) as link:
+            with pytest.raises(ProtocolError):
+                await link.ask(CallOverLink(GetStepJob("\ud800"), 2_000))
+            replier.reply = RowsPage((), 2**70)
+            with pytest.raises(OutcomeUnknownError) as unknown:
+                await link.ask(CallOverLink(ReadRows("members", ""), 2_000))
+            assert "cannot be sent" in unknown.value.message
+
+    asyncio.run(run())
+
+
+def test_peer_whose_host_is_no_host_name_is_unreachable():
+    # Guards against a UnicodeError of the resolver in the task that asks.
+    async def run():
+        link = PeerLink("b", "127.0.0.1", Member("a", "north", "fe80::1%..", 9))
+        failures = []
+        link.on_fatal = failures.append
+        await link.start()
+        with pytest.raises(OwnerUnreachableError):
+            await link.ask(CallOverLink(GetStepJob("a"), 2_000))
+        link.tell(TellOverLink(LeaderBeat(1, "b")))
+        await asyncio.sleep(0.1)
+        await link.stop()
+        assert not failures
+
+    asyncio.run(run())
--- a/tests/test_storerouter.py
+++ b/tests/test_storerouter.py
@@ -12,8 +12,10 @@
 from marjoramgrade.controllers.storerouter import StoreRouter
 from marjoramgrade.errors import (
     HistoryLostError,
+    MarjoramgradeError,
     OutcomeUnknownError,
     OwnerUnreachableError,
+    ProtocolError,
     RowCheckFailedError,
     TableUnavailableError,
     WriteOutcomeUnknownError,
@@ -543,3 +545,20 @@
             assert first_s + 0.1 + await ask_for_s(router, WATCH) < 2
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "error", [MarjoramgradeError("of a later version"), ProtocolError("not handled")]
+)
+def test_error_of_a_relay_that_is_unknown_here_is_a_failure_of_the_table(error):
+    # Guards against the end of a leader's writes, or of a read of the leadership, by an
+    # error that another instance reports, and against a write that is taken for one
+    # that was not made.
+    async def run():
+        async with router_to("down", b=error, c=error, d=error) as (router, _, _):
+            with pytest.raises(WriteOutcomeUnknownError):
+                await router.ask(WRITE)
+            with pytest.raises(TableUnavailableError):
+                await router.ask(ReadRows("members", ""))
+
+    asyncio.run(run())
