Take odd answers to /v1 instances for failed connections

A server at the address of a listed worker that is no worker answers the connection with 200; the library raises WebSocketError, of which only one subclass was expected, and the process that owns the shard ends. So it does on a heartbeat whose number is infinite (OverflowError), and on an answer of the platform that is nested too deeply (RecursionError) or has other types.

Change: the link expects the base class and reads messages with the bounds of other JSON input; the platform's answers are checked for the types that their use requires. Hosts of documents and settings have no scope.

--- a/marjoramgrade/adapters/platformclient.py
+++ b/marjoramgrade/adapters/platformclient.py
@@ -4,11 +4,12 @@
 
 import json
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import urlencode, urlsplit
 
 import attrs
 
+from marjoramgrade import jsontext
 from marjoramgrade.adapters.httppool import (
     HttpNoResponseError,
     HttpNotSentError,
@@ -26,6 +27,8 @@
 from marjoramgrade.model import Instance
 from marjoramgrade.table import Row, RowsPage, Table, Transaction
 
+T = TypeVar("T")
+
 REQUEST_TIMEOUT_MS = 2_500
 # Reads of the instance list, of rows and of jobs run concurrently with commits.
 MAX_CONNECTIONS = 16
@@ -95,7 +98,7 @@
         document = _parse_document(path, answer)
         return TaggedDocument(document, answer.headers.get("Etag", ""))
 
-    async def post(self, path: str, document: Any) -> tuple[int, Any]:
+    async def post(self, path: str, document: Any) -> tuple[int, dict[str, Any]]:
         """Send a JSON document and return the status and the document of the response.
 
         Raises:
@@ -116,9 +119,12 @@
         except HttpNoResponseError as error:
             raise WriteOutcomeUnknownError(error.message) from error
         try:
-            return answer.status, json.loads(answer.body or b"{}")
-        except ValueError as error:
-            raise WriteOutcomeUnknownError("the response is not valid JSON") from error
+            document = jsontext.parse_text(answer.body or b"{}")
+        except InvalidInputError as error:
+            raise WriteOutcomeUnknownError(f"the response: {error.message}") from error
+        if not isinstance(document, dict):
+            raise WriteOutcomeUnknownError("the response is not a JSON object")
+        return answer.status, document
 
     async def _get(self, path: str, headers: dict[str, str]) -> HttpResponse:
         try:
@@ -133,10 +139,10 @@
     if answer.status != HTTP_OK:
         raise TableUnavailableError(f"unexpected status {answer.status} from {path}")
     try:
-        return json.loads(answer.body)
-    except ValueError as error:
+        return jsontext.parse_text(answer.body, max_bytes=MAX_RESPONSE_BYTES)
+    except InvalidInputError as error:
         raise TableUnavailableError(
-            f"response from {path} is not valid JSON: {error}"
+            f"response from {path} is not valid JSON: {error.message}"
         ) from error
 
 
@@ -156,13 +162,14 @@
                 "write_id": transaction.write_id,
             },
         )
-        if status == HTTP_CONFLICT:
-            raise CheckFailedError("a row has changed", answer["versions"])
-        if status != HTTP_OK or "version" not in answer:
+        versions, version = answer.get("versions"), answer.get("version")
+        if status == HTTP_CONFLICT and isinstance(versions, dict):
+            raise CheckFailedError("a row has changed", versions)
+        if status != HTTP_OK or type(version) is not int:
             raise WriteOutcomeUnknownError(
                 f"the table service responded with status {status}"
             )
-        return int(answer["version"])
+        return version
 
     async def read(self, key: str) -> Row | None:
         """Read one row; see `Table.read`."""
@@ -177,17 +184,30 @@
         query = urlencode(parameters)
         answer = await self._client.get(f"/v1/rows?{query}")
         try:
-            rows = tuple(
-                Row(row["key"], row["version"], row["write_id"], row["value"])
-                for row in answer["rows"]
-            )
-            return RowsPage(answer["version"], rows)
+            rows = tuple(_parse_row(row) for row in answer["rows"])
+            return RowsPage(_checked(answer["version"], int), rows)
         except (KeyError, TypeError) as error:
             raise ProtocolError(
                 f"invalid rows from the table service: {error}"
             ) from error
 
 
+def _parse_row(row: Any) -> Row:
+    """Return a row of the table service; its value is checked by who reads it.
+
+    Raises:
+        KeyError, TypeError: If a field is missing or has the wrong type.
+    """
+    key, write_id = _checked(row["key"], str), _checked(row["write_id"], str)
+    return Row(key, _checked(row["version"], int), write_id, row["value"])
+
+
+def _checked(value: Any, kind: type[T]) -> T:
+    if type(value) is not kind:
+        raise TypeError(f"a field is not of the type {kind.__name__}")
+    return value
+
+
 class InstanceList:
     """The platform's list of instances, which lags behind their actual state.
 
--- a/marjoramgrade/adapters/workerlink.py
+++ b/marjoramgrade/adapters/workerlink.py
@@ -11,12 +11,14 @@
 from tornado.websocket import (
     WebSocketClientConnection,
     WebSocketClosedError,
+    WebSocketError,
     websocket_connect,
 )
 
+from marjoramgrade import jsontext
 from marjoramgrade.actor import Actor, Message, handles
 from marjoramgrade.documents import serialize_resources
-from marjoramgrade.errors import ProtocolError, ShuttingDownError
+from marjoramgrade.errors import InvalidInputError, ProtocolError, ShuttingDownError
 from marjoramgrade.messages.workers import (
     TaskEnd,
     TaskRun,
@@ -33,6 +35,14 @@
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_INTERVAL_MS = 500
 MAX_MESSAGE_BYTES = 1_048_576
+_PARSE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    InvalidInputError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 
 
 class WorkerLink(Actor):
@@ -79,7 +89,7 @@
         while True:
             try:
                 await self._serve_connection()
-            except (OSError, HTTPClientError, WebSocketClosedError, ProtocolError):
+            except (OSError, HTTPClientError, WebSocketError, ProtocolError):
                 pass
             finally:
                 self._close_connection()
@@ -87,7 +97,7 @@
 
     async def _serve_connection(self) -> None:
         connection = await websocket_connect(
-            f"ws://{self._worker.host}:{self._worker.port}/v1/worker",
+            f"ws://{_url_host(self._worker.host)}:{self._worker.port}/v1/worker",
             connect_timeout=CONNECT_TIMEOUT_MS / 1000,
             max_message_size=MAX_MESSAGE_BYTES,
         )
@@ -114,7 +124,7 @@
     def _parse(self, text: str | bytes) -> Message[None]:
         worker_id = self._worker.instance_id
         try:
-            body = json.loads(text)
+            body = jsontext.parse_text(text, max_bytes=MAX_MESSAGE_BYTES)
             if body["type"] == "heartbeat":
                 return WorkerHeartbeat(self._shard, worker_id, int(body["seq"]))
             if body["type"] == "ends":
@@ -130,11 +140,15 @@
                     _parse_runs(body["running"]),
                     _parse_ends(body["ends"]),
                 )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except _PARSE_ERRORS as error:
             raise ProtocolError(f"invalid message from {worker_id}: {error}") from error
         raise ProtocolError(f"unknown message type from {worker_id}")
 
 
+def _url_host(host: str) -> str:
+    return f"[{host}]" if ":" in host else host
+
+
 def _parse_runs(documents: list[dict[str, Any]]) -> tuple[TaskRun, ...]:
     return tuple(
         TaskRun(TaskId.parse(document["task"]), int(document["attempt"]))
--- a/marjoramgrade/structuring.py
+++ b/marjoramgrade/structuring.py
@@ -26,6 +26,9 @@
 )
 from cattrs.gen import make_dict_structure_fn, override
 
+from marjoramgrade.addresses import check_host
+from marjoramgrade.errors import InvalidInputError
+
 T = TypeVar("T")
 StructHook = Callable[[Any, Any], Any]
 
@@ -128,10 +131,9 @@
         if checked == "" and optional:
             return checked
         try:
-            ipaddress.ip_address(checked)
-        except ValueError:
-            raise InvalidValueError("must be an IP address") from None
-        return checked
+            return check_host(checked, "it")
+        except InvalidInputError:
+            raise InvalidValueError("must be an IP address without a scope") from None
 
     return check
 
--- a/tests/test_platformclient.py
+++ b/tests/test_platformclient.py
@@ -1,13 +1,21 @@
 """Requests of the platform client to a scripted server."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import pytest
+from tornado.httputil import HTTPHeaders
 from tornado.web import RequestHandler
 
-from marjoramgrade.adapters.platformclient import InstanceList, PlatformClient
-from marjoramgrade.errors import TableUnavailableError
+from marjoramgrade.adapters.httppool import HttpResponse
+from marjoramgrade.adapters.platformclient import (
+    HttpTable,
+    InstanceList,
+    PlatformClient,
+)
+from marjoramgrade.errors import MarjoramgradeError, TableUnavailableError
+from marjoramgrade.table import Transaction
 from tests.scriptedserver import ScriptedServer, says
 
 WORKER = {
@@ -82,3 +90,45 @@
 
     with pytest.raises(TableUnavailableError):
         asyncio.run(run())
+
+
+ODD_ANSWERS = [
+    b"",
+    b"[]",
+    b"7",
+    b"{}",
+    b'{"rows": 7, "version": 1, "instances": 7}',
+    b'{"rows": [7], "version": 1, "instances": [7]}',
+    b'{"rows": [{"key": 5, "version": 1, "write_id": "", "value": 1}], "version": 1}',
+    b'{"rows": [], "version": "x", "versions": [], "instances": null}',
+    b'{"rows": [], "version": 1e999, "versions": 5}',
+    b'{"rows": "\\ud800", "version": null}',
+    b"[" * 60_000 + b"]" * 60_000,
+    b"9" * 5_000,
+    b"\xff\xfe",
+]
+
+
+@pytest.mark.parametrize("status", [200, 409, 500])
+@pytest.mark.parametrize("body", ODD_ANSWERS, ids=range(len(ODD_ANSWERS)))
+def test_odd_answer_of_the_platform_is_a_typed_error(body, status):
+    # Guards against an error of the parser in a task that reads the table at intervals,
+    # which ended the process.
+    async def respond(*_args, **_kwargs):
+        return HttpResponse(status, body, HTTPHeaders())
+
+    async def run():
+        client = PlatformClient("http://127.0.0.1:1", "a")
+        client._pool.request = respond
+        table = HttpTable(client)
+        for call in (
+            table.read("a"),
+            table.changes("a"),
+            table.commit(Transaction({}, {"a": 1})),
+            InstanceList(client).read(),
+        ):
+            with contextlib.suppress(MarjoramgradeError):
+                await call
+        client.close()
+
+    asyncio.run(run())
