Refuse text that cannot be encoded, and write log lines that hold it

Cause: JSON may escape half of a surrogate pair. Python reads it, and nothing can encode it: neither a frame, a row nor the log. A log line about such input would raise in the task that writes it.

Change: parsed JSON with such a text is refused as invalid input, and the stream of the log writes what it cannot encode as an escape.

Measured: the tests that test_jsontext.py and test_logs.py gain failed before and are green.

--- a/marjoramgrade/jsontext.py
+++ b/marjoramgrade/jsontext.py
@@ -39,9 +39,28 @@
         reason = str(error)[:200]
         raise InvalidInputError(f"{path}: {reason}", path=path, reason=reason) from None
     check_nesting(value, path)
+    _check_encodable(data, value, path)
     return value
 
 
+def _check_encodable(data: bytes | str, value: Any, path: str) -> None:
+    """Check that a parsed document can be encoded again.
+
+    An escape may stand for half of a surrogate pair, which no encoding has.
+
+    Raises:
+        InvalidInputError: If it cannot.
+    """
+    has_escape = b"\\u" in data if isinstance(data, bytes) else "\\u" in data
+    if not has_escape:
+        return
+    try:
+        serialize_text(value).encode()
+    except UnicodeEncodeError:
+        reason = "a text has half of a surrogate pair"
+        raise InvalidInputError(f"{path}: {reason}", path=path, reason=reason) from None
+
+
 def serialize_text(value: Any) -> str:
     """Return a value as compact JSON text on one line."""
     return json.dumps(value, separators=(",", ":"), ensure_ascii=False)
--- a/marjoramgrade/logs.py
+++ b/marjoramgrade/logs.py
@@ -60,7 +60,8 @@
 
     def write(self, text: str) -> None:
         """Write a line, or drop it if it is too long or cannot be written at once."""
-        data = text.encode()
+        # A text of another program may hold surrogates, which UTF-8 cannot encode.
+        data = text.encode(errors="backslashreplace")
         if len(data) > MAX_LINE_BYTES:
             self.dropped += 1
             return
--- a/tests/test_jsontext.py
+++ b/tests/test_jsontext.py
@@ -49,3 +49,14 @@
     line = jsontext.serialize_text(document)
     assert "\n" not in line
     assert jsontext.parse_text(line) == document
+
+
+@pytest.mark.parametrize("text", ['"\\ud800"', b'{"\\udfff": 1}', b'["a\\uDC00b"]'])
+def test_half_of_a_surrogate_pair_is_refused(text):
+    # Guards against a text that is read and that nothing can write again.
+    with pytest.raises(InvalidInputError):
+        jsontext.parse_text(text)
+
+
+def test_escaped_characters_are_read():
+    assert jsontext.parse_text(b'"\\ud83d\\ude00 \\u00e9"') == "\U0001f600 \u00e9"
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -154,3 +154,13 @@
     stream.write("line\n")
     os.close(writer)
     assert stream.dropped == 1
+
+
+def test_text_that_utf8_cannot_encode_is_written_escaped():
+    # Guards against a log line about odd input that ends the task that writes it.
+    reader, writer = os.pipe()
+    stream = logs.DroppingStream(writer)
+    stream.write("worker \ud800\n")
+    os.close(writer)
+    with os.fdopen(reader, "rb") as pipe:
+        assert pipe.read() == b"worker \\ud800\n"
