Let the soak leave odd entries and notice processes that end

Another writer leaves odd entries among those of the workers and instances in each soak run: ids that no header can hold, addresses with a scope, absurd amounts, bytes that are no document. A process that ends by itself breaks the run, also if it was started again.

--- a/soak/run.py
+++ b/soak/run.py
@@ -5,9 +5,10 @@
 
 Each seed injects a series of overlapping faults: signals kill, freeze, stop and reload
 instances, the store is busy, slow or loses responses, a loopback relay disconnects
-instances and workers, and workers crash and execute orders late. Clients submit jobs
-throughout. Then all faults end, and every accepted job must complete in time. Only
-processes that the soak run started are ended.
+instances and workers, and workers crash and execute orders late. Another writer leaves
+odd entries among those of the workers and instances. Clients submit jobs throughout.
+Then all faults end, and every accepted job must complete in time. No process may end by
+itself. Only processes that the soak run started are ended.
 """
 
 from __future__ import annotations
@@ -39,6 +40,7 @@
     send_request,
 )
 from soak.faults import FAULTS
+from soak.oddentries import write_odd_entries
 
 # Time limit, set by the rules, for the completion of jobs whose state is requested
 # after the end of the traffic.
@@ -176,14 +178,25 @@
     names = [name for name in FAULTS.iter_names() if name not in left_out]
     if is_untrusted:
         soak.limits["memory_mb"] = MEMORY_MB
-    measuring = asyncio.create_task(_measure_memory(soak))
+    background = [
+        asyncio.create_task(_measure_memory(soak)),
+        asyncio.create_task(write_odd_entries(soak)),
+    ]
     try:
         number = await submit_under_faults(
             soak, seconds, submit, names, (0.1, 0.3), (0.2, 2.0)
         )
         broken = await _await_completion(soak)
     finally:
-        measuring.cancel()
+        for task in background:
+            task.cancel()
+        ended = await asyncio.gather(*background, return_exceptions=True)
+    broken += [f"a background task failed: {e!r}" for e in ended if _is_failure(e)]
+    broken += [
+        f"the process of {process.name} ended by itself, exit status {status}"
+        for process in soak.started
+        if (status := process.popen.poll()) is not None and status > 0
+    ]
     audit = await soak.control_fleet()
     soak.record_event(
         f"{audit['starts']} starts, {len(soak.accepted)} of {number} accepted, "
@@ -194,6 +207,10 @@
     return [*broken, *audit["violations"]]
 
 
+def _is_failure(result: object) -> bool:
+    return not isinstance(result, asyncio.CancelledError)
+
+
 async def _measure_memory(soak: Soak) -> None:
     while True:
         await asyncio.sleep(MEASURE_S)
