Deliver the report of a failed link to an overloaded owner

A link that fails while the mailbox of its owner is full was reported to nobody: it would stay in place, dead, and its worker without a listing until the leadership ends. The end of a leadership had the same gap. Such reports are now delivered once there is room. One peer whose link is full or has stopped no longer keeps a heartbeat from the others.

A job in a frame of a peer has its shape checked, as one of a client has: a count of tasks beyond the limits would reach the plan of the leader.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -31,6 +31,10 @@
 MAILBOX_SIZE = 10_000
 # Characters of an error in a log line.
 MAX_REASON_LENGTH = 200
+# Innermost places of a traceback in a log line.
+MAX_PLACES = 3
+# Pause before another attempt to put a message into a full mailbox.
+FULL_MAILBOX_RETRY_MS = 50
 # Replies of an actor that has stopped, before or after it began with a message.
 STOPPED_ERRORS = (ShuttingDownError, WorkCancelledError)
 
@@ -100,9 +104,9 @@
     @property
     def reason(self) -> str:
         """The error and the innermost places of its traceback."""
-        frames = traceback.extract_tb(self.error.__traceback__)
+        frames = traceback.extract_tb(self.error.__traceback__)[-MAX_PLACES:]
         places = [f"{pathlib.Path(f.filename).name}:{f.lineno}" for f in frames]
-        return f"{self.error!r:.{MAX_REASON_LENGTH}} at {' '.join(places[-3:])}"
+        return " ".join((f"{self.error!r:.{MAX_REASON_LENGTH}}", *places))
 
     def log(self, event: str, **fields: object) -> None:
         """Write a log line that names what the failed work was about."""
@@ -233,6 +237,19 @@
         """
         self._put(_Envelope(message, None))
 
+    def tell_soon(self, message: Message[Any]) -> None:
+        """Put a message into the mailbox as soon as there is room, unless it stops.
+
+        For reports that would otherwise be lost, such as the end of another actor.
+        """
+        try:
+            self.tell(message)
+        except ShuttingDownError:
+            return
+        except OverloadedError:
+            loop = asyncio.get_running_loop()
+            loop.call_later(FULL_MAILBOX_RETRY_MS / 1000, self.tell_soon, message)
+
     async def ask(self, message: Message[R]) -> R:
         """Put a message into the mailbox and wait for the handler's result.
 
--- a/marjoramgrade/adapters/peercodec.py
+++ b/marjoramgrade/adapters/peercodec.py
@@ -34,8 +34,8 @@
     TypeError,
     ValueError,
     capnp.KjException,
+    errors.InvalidInputError,
 )
-
 # A value that a field of the frame cannot hold raises some of these.
 _ENCODE_ERRORS = (
     ArithmeticError,
--- a/marjoramgrade/adapters/stepmessages.py
+++ b/marjoramgrade/adapters/stepmessages.py
@@ -17,7 +17,6 @@
     rows.PageTransfer,
     rows.FetchPart,
     rows.PagePart,
-    steps.SubmitStepJob,
     steps.StepJobAccepted,
     steps.GetStepJob,
     steps.CancelStepJob,
@@ -34,6 +33,18 @@
     register_message_type(_message_type)
 
 
+def _parse_submission(data: Any) -> steps.SubmitStepJob:
+    """Decode a submission; the leader plans with its job as it is."""
+    message = converter.structure(data.to_dict(verbose=True), steps.SubmitStepJob)
+    message.job.check()
+    return message
+
+
+@encodes(steps.SubmitStepJob, "submitStepJob", _parse_submission)
+def _serialize_submission(message: steps.SubmitStepJob) -> Any:
+    return converter.unstructure(message)
+
+
 def _parse_row_check_failed(data: Any) -> errors.RowCheckFailedError:
     page = converter.structure(
         {"rows": data.to_dict(verbose=True)["rows"], "version": 0}, rows.RowsPage
--- a/marjoramgrade/controllers/leaderactions.py
+++ b/marjoramgrade/controllers/leaderactions.py
@@ -42,7 +42,6 @@
     AdvisorError,
     MarjoramgradeError,
     NotOwnerError,
-    ShuttingDownError,
 )
 from marjoramgrade.messages.peers import CallPeer
 from marjoramgrade.messages.rows import RowId, RowWrite
@@ -292,8 +291,7 @@
     def _fail_lead(self, epoch: int, failure: ActorFailure) -> None:
         """End a leadership of which a part has failed unexpectedly."""
         failure.log("lead_failed", epoch=epoch)
-        with contextlib.suppress(ShuttingDownError):
-            self.tell(LeadershipEnded(epoch, "a part of the leader failed"))
+        self.tell_soon(LeadershipEnded(epoch, "a part of the leader failed"))
 
     def _schedule_plan(self, lead: LeaderState) -> None:
         if not lead.plan_scheduled:
--- a/marjoramgrade/controllers/linkfailures.py
+++ b/marjoramgrade/controllers/linkfailures.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
-
 from marjoramgrade.actor import Actor, ActorFailure
-from marjoramgrade.errors import ShuttingDownError
 from marjoramgrade.messages.peers import LinkFailed
 
 
@@ -20,5 +17,4 @@
         link: The link.
         failure: What failed.
     """
-    with contextlib.suppress(ShuttingDownError):
-        owner.tell(LinkFailed(instance_id, link, failure))
+    owner.tell_soon(LinkFailed(instance_id, link, failure))
--- a/marjoramgrade/controllers/peers.py
+++ b/marjoramgrade/controllers/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -14,8 +15,10 @@
 from marjoramgrade.errors import (
     InvalidInputError,
     MarjoramgradeError,
+    OverloadedError,
     OwnerUnreachableError,
     RowCheckFailedError,
+    ShuttingDownError,
     TableError,
 )
 from marjoramgrade.messages.peers import (
@@ -113,7 +116,9 @@
         frame = self._serialize(message.message) if self._serialize else b""
         order = TellOverLink(message.message, frame)
         for link in self._link_by_id.values():
-            link.tell(order)
+            # A link that is full or has stopped costs the others nothing.
+            with contextlib.suppress(OverloadedError, ShuttingDownError):
+                link.tell(order)
 
     async def _run(self) -> None:
         refreshes = 0
--- a/tests/test_actor.py
+++ b/tests/test_actor.py
@@ -9,6 +9,7 @@
 import attrs
 import pytest
 
+from marjoramgrade import actor as actor_module
 from marjoramgrade.actor import Actor, ActorGroup, Message, handles
 from marjoramgrade.errors import (
     InvalidInputError,
@@ -309,3 +310,31 @@
         assert stopped == [actor]
 
     asyncio.run(run())
+
+
+def test_report_to_a_full_mailbox_arrives_once_there_is_room(monkeypatch):
+    # Guards against a link that has failed and is never replaced, since its owner was
+    # overloaded at that moment.
+    monkeypatch.setattr(actor_module, "MAILBOX_SIZE", 1)
+    handled = []
+
+    class Owner(Actor):
+        @handles(Double)
+        async def _double(self, message: Double) -> None:
+            handled.append(message.value)
+
+    async def run():
+        owner = Owner()
+        owner.tell(Double(1))
+        with pytest.raises(OverloadedError):
+            owner.tell(Double(2))
+        owner.tell_soon(Double(3))
+        await owner.start()
+        async with asyncio.timeout(2):
+            while 3 not in handled:
+                await asyncio.sleep(0.01)
+        await owner.stop()
+        owner.tell_soon(Double(4))
+        assert handled == [1, 3]
+
+    asyncio.run(run())
--- a/tests/test_peercodec.py
+++ b/tests/test_peercodec.py
@@ -137,3 +137,14 @@
     parsed = parse_frame(serialize_frame(PeerFrame(1, error))).body
     assert isinstance(parsed, errors.RowCheckFailedError)
     assert parsed.rows == (row,)
+
+
+@pytest.mark.parametrize(
+    "new", [(), (Step(0),), (Step(-1),), (Step(10**6),), (Step(1, after=(0,)),)]
+)
+def test_job_of_an_impossible_shape_is_refused(new):
+    # Guards against a plan of the leader that fails on a job that no instance checked.
+    job = StepJob("5c0e7a21d94b36f8", "queue", "red", "payload", new)
+    data = serialize_frame(PeerFrame(1, steps.SubmitStepJob(job, 3)))
+    with pytest.raises(errors.ProtocolError):
+        parse_frame(data)
--- a/tests/test_setaside.py
+++ b/tests/test_setaside.py
@@ -48,3 +48,22 @@
     assert workers.record_failure("w", 0, LEAD_PAUSE_MS) == LEAD_PAUSE_MS
     assert workers.is_set_aside("w", LEAD_PAUSE_MS - 1)
     assert not workers.is_set_aside("v", 0)
+
+
+def test_many_workers_that_fail_cost_little():
+    # Guards against a leader that is busy with the links of a fleet that all fail, such
+    # as one of 2,000 workers of an unknown version.
+    workers, ids = SetAsideWorkers(), [f"w{number}" for number in range(2_000)]
+    for worker_id in ids:
+        workers.record_failure(worker_id, 0)
+    made_by_minute = []
+    for minute in range(5):
+        made = 0
+        for now_ms in range(60_000 * minute, 60_000 * (minute + 1), 200):
+            for worker_id in workers.pop_due(now_ms):
+                workers.record_failure(worker_id, now_ms)
+                made += 1
+        made_by_minute.append(made)
+    # A takeover makes 2,000 links in 3 s.
+    assert made_by_minute[0] <= 8 * len(ids)
+    assert made_by_minute[-1] <= len(ids)
