Say more plainly what a bound, a reply type and a reread are for

Comments, a docstring and the shape of one condition; no change of behaviour. Checked with formatter, linter, type check and the tests of the directory and of actors.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -47,7 +47,7 @@
 
     Attributes:
         reply_types: The types that a reply from another instance may have.
-        other_reply_types: Those of them beside the parameter.
+        other_reply_types: Types of replies that the parameter does not name.
     """
 
     __slots__ = ()
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -272,7 +272,8 @@
         """Return a reply that has a type which the message allows.
 
         Raises:
-            OutcomeUnknownError: If it has another one, as of another version.
+            OutcomeUnknownError: If it has another one; the peer may be of another
+                version.
         """
         if isinstance(reply, EmptyReply):
             reply = None
--- a/marjoramgrade/controllers/directory.py
+++ b/marjoramgrade/controllers/directory.py
@@ -202,10 +202,10 @@
                 logs.log_event("history_lost", table=table, after=after or 0)
                 after = None
             except MarjoramgradeError as error:
-                is_outage = isinstance(error, TableError)
-                if isinstance(error, TableProtocolError) or not is_outage:
-                    # Changes may be missing, or the changes after this version may be
-                    # what the store cannot name.
+                if not isinstance(error, TableError) or isinstance(
+                    error, TableProtocolError
+                ):
+                    # After a response that makes no sense, changes may be missing.
                     after = None
                 await self._pause_after_failure(table, error)
 
--- a/marjoramgrade/controllers/leaderevents.py
+++ b/marjoramgrade/controllers/leaderevents.py
@@ -477,7 +477,7 @@
         for worker_id, end_ms in list(lead.leases_end_ms_by_worker.items()):
             if now_ms < end_ms:
                 continue
-            # The next link has to prove nothing any more.
+            # Its runs are lost from here on, so a later link needs no bound.
             del lead.leases_end_ms_by_worker[worker_id]
             worker = lead.state.worker_by_id.get(worker_id)
             if worker is not None:
