--- a/tests/test_intake_precedence.py
+++ b/tests/test_intake_precedence.py
@@ -32,6 +32,7 @@
 )
 from marjoramgrade.messages.steps import LeaderBeat
 from marjoramgrade.platform.frontend import MAX_BODY_BYTES
+from marjoramgrade.stepjobs import MAX_EPOCH
 
 NOW_MS = 10_000
 LARGE = 2 * SMALL_BODY_BYTES
@@ -264,5 +265,5 @@
     sending_ms = SMALL_BODY_BYTES * 8 / SLOWEST_LINK_MBPS / 1_000
     assert sending_ms < RECENT_CALLER_MS / 10
     assert PAUSE_MS <= NEW_CONNECTION_MS / 10
-    heartbeat = LeaderBeat(2**40, "i" * 64, 2**40)
+    heartbeat = LeaderBeat(MAX_EPOCH, "i" * 64, 2**40)
     assert len(serialize_frame(PeerFrame(0, heartbeat))) <= TINY_MESSAGE_BYTES
