Log each request that ends while an instance stops, and what it holds

Requests now record what they wait for. Once the stop has begun, the end of each is an entry of ended_while_stopping: read how long after SIGTERM, how old, what it waited for, how it ended. The lines stopping, drained, clients_closing and stopped have what the process holds; stop_overdue names the part that a process was closing just before SIGKILL. The counter ended_while_stopping has the requests that were answered and cut.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -383,17 +383,29 @@
     Attributes:
         failed: Set when the mailbox task or a critical background task of one of
             the actors has failed.
+        closing: Name of the part that is being closed, or empty.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.failed = asyncio.Event()
+        self.closing = ""
 
     async def add(self, actor: Actor) -> None:
         """Start an actor and stop it when the group closes."""
         actor.on_fatal = self._fail
         await actor.start()
-        self.push_async_callback(actor.stop)
+        self.push_part(type(actor).__name__, actor.stop)
+
+    def push_part(self, name: str, close: Callable[[], Awaitable[object]]) -> None:
+        """Close a part when the group closes, and name it in `closing` meanwhile."""
+
+        async def close_part() -> None:
+            self.closing = name
+            await close()
+            self.closing = ""
+
+        self.push_async_callback(close_part)
 
     def _fail(self, failure: ActorFailure) -> None:
         failure.log("actor_failed")
--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -9,6 +9,7 @@
 import asyncio
 import select
 import socket
+from collections import Counter
 from collections.abc import Awaitable
 from typing import Any
 
@@ -301,6 +302,13 @@
         now_ms = self.now_ms()
         return any(may_make_room(use, now_ms) for use in others)
 
+    def count_open(self) -> Counter[str]:
+        """Return the number of open connections by port and phase."""
+        return Counter(
+            f"{use.name.partition(':')[0]}.{use.phase.value}"
+            for use in self._stream_by_use
+        )
+
     def release(self, use: ConnectionUse, descriptor: int) -> None:
         """Forget a connection whose stream is being closed.
 
--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import struct
+from collections import Counter
 from collections.abc import Awaitable
 from typing import Any
 
@@ -380,7 +381,7 @@
             "peer",
         )
         self._streams: set[IOStream] = set()
-        self._call_tasks: set[asyncio.Task[None]] = set()
+        self._kind_by_call: dict[asyncio.Future[None], str] = {}
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve one connection until it is closed."""
@@ -419,7 +420,9 @@
                     stream.use.messages_in_row = 0
                     await self.intake.await_turn(stream.use)
                 await calls.acquire()
-                task = self._spawn(self._serve(stream, peer_id, held.frame), calls)
+                kind = type(held.frame.body).__name__
+                work = self._serve(stream, peer_id, held.frame)
+                task = self._spawn(work, calls, kind)
                 self._hold_until_done(stream.use, held, task)
         finally:
             if self._disconnect_receiver is not None:
@@ -429,16 +432,20 @@
     async def close(self) -> None:
         """Stop accepting, wait for running calls, and close every connection."""
         self.stop()
-        await asyncio.gather(*self._call_tasks, return_exceptions=True)
+        await asyncio.gather(*self._kind_by_call, return_exceptions=True)
         for stream in list(self._streams):
             stream.close()
 
+    def count_calls(self) -> Counter[str]:
+        """Return the number of calls that are being handled, by type of message."""
+        return Counter(self._kind_by_call.values())
+
     def _spawn(
-        self, awaitable: Awaitable[None], calls: asyncio.Semaphore
+        self, awaitable: Awaitable[None], calls: asyncio.Semaphore, kind: str
     ) -> asyncio.Future[None]:
         task = asyncio.ensure_future(awaitable)
-        self._call_tasks.add(task)
-        task.add_done_callback(self._call_tasks.discard)
+        self._kind_by_call[task] = kind
+        task.add_done_callback(self._kind_by_call.pop)
         task.add_done_callback(lambda _: calls.release())
         return task
 
--- a/marjoramgrade/controllers/forwarding.py
+++ b/marjoramgrade/controllers/forwarding.py
@@ -49,6 +49,7 @@
     JobRow,
     parse_row,
 )
+from marjoramgrade.stopping import RequestProgress
 
 # Pause between attempts while another instance takes over the lead.
 RETRY_MS = 60
@@ -99,11 +100,13 @@
         deadline_ms: The client's deadline on this instance's clock.
         presence: Whether the client still waits. A job whose client has left is not
             sent to a leader again: the client may meanwhile be refused elsewhere.
+        progress: Is told what the request waits for.
     """
 
     request: LeaderRequest
     deadline_ms: int
     presence: ClientPresence = attrs.field(factory=ClientPresence)
+    progress: RequestProgress = attrs.field(factory=RequestProgress)
 
 
 class ForwardingController(Actor):
@@ -150,7 +153,9 @@
     @handles(ForwardRequest)
     async def _forward(self, message: ForwardRequest) -> Any:
         return self.spawn(
-            self._request_until(message.request, message.deadline_ms, message.presence)
+            self._request_until(
+                message.request, message.deadline_ms, message.presence, message.progress
+            )
         )
 
     @handles(LeaderBeat)
@@ -159,7 +164,11 @@
         self._heartbeat = message
 
     async def _request_until(
-        self, message: LeaderRequest, deadline_ms: int, presence: ClientPresence
+        self,
+        message: LeaderRequest,
+        deadline_ms: int,
+        presence: ClientPresence,
+        progress: RequestProgress,
     ) -> Any:
         """Send a request to the leader until it replies or the deadline is near.
 
@@ -167,6 +176,7 @@
             message: The request.
             deadline_ms: The client's deadline on this instance's clock.
             presence: Whether the client still waits.
+            progress: Is told what the request waits for.
 
         Raises:
             RefusedError: If the leader refused the request, or nothing was submitted.
@@ -182,6 +192,7 @@
             if presence.has_left and isinstance(message, SubmitStepJob):
                 raise OutcomeUnknownError("the client has left")
             left_ms = deadline_ms - self._clock.now_ms() - RESPONSE_MARGIN_MS
+            progress.waits_for = f"leader:{self._leader_id}"
             try:
                 answer = await self._attempt(
                     self._with_expiry(message, left_ms),
@@ -209,9 +220,11 @@
                 elif not isinstance(error, _NOT_TAKEN):
                     self._check_refusal(error, may_be_accepted)
             if isinstance(message, GetStepJob):
+                progress.waits_for = "store"
                 return await self._read_state(message)
             if not may_be_accepted and self._is_leader_missing(message, began_ms):
                 break
+            progress.waits_for = f"retry:{failure.code}"
             await asyncio.sleep(pause_ms / 1000)
         if may_be_accepted:
             raise OutcomeUnknownError("the leader did not reply in time")
--- a/marjoramgrade/filters/context.py
+++ b/marjoramgrade/filters/context.py
@@ -9,6 +9,7 @@
 from marjoramgrade.actor import Message
 from marjoramgrade.messages.steps import ClientPresence
 from marjoramgrade.stepconfig import Queue
+from marjoramgrade.stopping import RequestProgress
 
 
 @attrs.frozen
@@ -44,6 +45,7 @@
         config_version: Version of the configuration that the filters used.
         config_age_ms: Time since the store confirmed that configuration as the newest.
         presence: Whether the client still waits.
+        progress: What the request waits for.
     """
 
     message: Message[Any]
@@ -55,3 +57,4 @@
     config_version: int = 0
     config_age_ms: int = 0
     presence: ClientPresence = attrs.field(factory=ClientPresence)
+    progress: RequestProgress = attrs.field(factory=RequestProgress)
--- a/marjoramgrade/filters/queues.py
+++ b/marjoramgrade/filters/queues.py
@@ -105,6 +105,7 @@
             OutcomeUnknownError: The same, if the request hands a job in.
         """
         directory = self._environment.directory
+        context.progress.waits_for = "config"
         known: KnownConfig = await directory.ask(GetStepConfig())
         if not known.config.version:
             try:
@@ -126,6 +127,7 @@
         """
         now_ms = self._environment.clock.now_ms()
         since_ms = now_ms - self._environment.config_apply_ms
+        context.progress.waits_for = "confirmation"
         try:
             known = await self._environment.directory.ask(
                 AwaitConfirmedConfig(since_ms, CONFIRMATION_TIMEOUT_MS)
@@ -256,7 +258,9 @@
         """
         message: Any = context.message
         answer = await self._environment.forwarder.ask(
-            ForwardRequest(message, context.deadline_ms, context.presence)
+            ForwardRequest(
+                message, context.deadline_ms, context.presence, context.progress
+            )
         )
         team = getattr(answer, "team", "")
         if team and context.principal.team and team != context.principal.team:
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -139,6 +139,12 @@
     "jobs",
     "Jobs of steps that ended, by their state.",
 )
+declare(
+    "ended_while_stopping.*",
+    MetricKind.COUNTER,
+    "requests",
+    "Requests that ended after the process was told to stop: `answered`, `cut`.",
+)
 declare(
     "set_aside.*",
     MetricKind.COUNTER,
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -50,6 +50,7 @@
 from marjoramgrade.platform.settings import InstanceSettings, read_settings
 from marjoramgrade.platform.store import StoreClient
 from marjoramgrade.platform.workers import RunnerClient, parse_worker
+from marjoramgrade.stopping import Stopping
 
 SETTINGS_VARIABLE = "MARJORAMGRADE_NODE_FILE"
 # Upper bound of the worker leases that a leader grants: short leases free the tasks of
@@ -58,6 +59,8 @@
 # Part of the time between SIGTERM and SIGKILL that drain() leaves for stopping the
 # actors and servers.
 SHUTDOWN_MARGIN_MS = 1_000
+# A process that has not ended this long before SIGKILL logs what it holds.
+OVERDUE_MS = 150
 
 
 class EntryDaemon:
@@ -65,6 +68,9 @@
 
     Args:
         settings: Settings of the instance.
+
+    Attributes:
+        stopping: The requests in flight, and since when the process stops.
     """
 
     def __init__(self, settings: InstanceSettings) -> None:
@@ -72,6 +78,7 @@
         self._clock = SystemClock()
         self._metrics = PrometheusMetrics()
         self._stack = ActorGroup()
+        self.stopping = Stopping(self._clock, self._metrics)
         self._intake_bounds = IntakeBounds.from_config(
             settings.memory_mb, _max_descriptors(settings)
         )
@@ -197,7 +204,9 @@
             await self._stack.add(actor)
         server = PeerServer(inbound, leadership, self._intake)
         server.listen(settings.peer_port, settings.host)
-        self._stack.push_async_callback(server.close)
+        self._stack.push_part("PeerServer", server.close)
+        self.stopping.add_part("calls", server.count_calls)
+        self.stopping.add_part("connections", self._intake.count_open)
         self._listen(directory, forwarder)
 
     def _listen(self, directory: Actor, forwarder: Actor) -> None:
@@ -217,6 +226,7 @@
             self._clock,
             self._metrics,
             self._intake,
+            self.stopping,
         )
         front = self._frontend.make_server()
         for server, address in (
@@ -232,14 +242,18 @@
             self._servers.append(server)
             self._stack.push_async_callback(server.close_all_connections)
             self._stack.callback(server.stop)
-        # Runs before the servers stop.
-        self._stack.push_async_callback(front.finish)
+        # These run before the servers stop, the last one first.
+        self._stack.callback(self.stopping.log_held, "clients_closing")
+        self._stack.push_part("front", front.finish)
 
     async def drain(self) -> None:
         """Release the leadership and serve requests until clients have disconnected.
 
         Returns `shutdown_s` less `SHUTDOWN_MARGIN_MS` after the call at the latest.
         """
+        loop = asyncio.get_running_loop()
+        overdue_s = self._settings.shutdown_s - OVERDUE_MS / 1_000
+        loop.call_later(overdue_s, self._log_overdue)
         self._readiness_endpoint.mark_draining()
         front, leadership = self._frontend, self._leadership
         if front is None or leadership is None:
@@ -247,7 +261,14 @@
         front.is_draining = True
         shutdown_ms = int(self._settings.shutdown_s * 1_000) - SHUTDOWN_MARGIN_MS
         release = leadership.ask(ReleaseLeadership())
-        await wait_until_drained(front, release, self._clock, shutdown_ms)
+        await wait_until_drained(
+            front, release, self._clock, shutdown_ms, self.stopping.record_turn
+        )
+        self.stopping.log_held("drained")
+
+    def _log_overdue(self) -> None:
+        """Log what the process holds just before it is killed."""
+        self.stopping.log_held("stop_overdue", closing=self._stack.closing)
 
 
 def _max_descriptors(settings: InstanceSettings) -> int:
@@ -261,10 +282,16 @@
 async def _serve(settings: InstanceSettings, path: pathlib.Path) -> int:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    daemon = EntryDaemon.from_config(settings)
+
+    def request_stop() -> None:
+        daemon.stopping.begin()
+        stop.set()
+
+    loop.add_signal_handler(signal.SIGTERM, request_stop)
+    loop.add_signal_handler(signal.SIGINT, request_stop)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
-    async with EntryDaemon.from_config(settings) as daemon:
+    async with daemon:
         logs.log_event("started", zone=settings.zone)
         waiters = [
             asyncio.ensure_future(event.wait()) for event in (stop, daemon.failed)
@@ -272,9 +299,10 @@
         await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
         for waiter in waiters:
             waiter.cancel()
-        logs.log_event("stopping", failed=str(daemon.failed.is_set()))
+        daemon.stopping.log_held("stopping", failed=str(daemon.failed.is_set()))
         if not daemon.failed.is_set():
             await daemon.drain()
+    daemon.stopping.log_held("stopped")
     logs.flush_batches()
     return 1 if daemon.failed.is_set() else 0
 
--- a/marjoramgrade/platform/draining.py
+++ b/marjoramgrade/platform/draining.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from marjoramgrade import logs
@@ -34,6 +34,7 @@
     release: Coroutine[Any, Any, None],
     clock: Clock,
     timeout_ms: int,
+    record_turn: Callable[[int], None] = lambda late_ms: None,
 ) -> None:
     """Wait until clients have left and the leadership is released.
 
@@ -43,6 +44,7 @@
             it is then abandoned, and others take over once the process has ended.
         clock: Monotonic time.
         timeout_ms: Longest time to wait, in milliseconds.
+        record_turn: Receives by how many milliseconds a timer was late.
     """
     deadline_ms = clock.now_ms() + timeout_ms
     releasing = asyncio.ensure_future(release)
@@ -55,6 +57,7 @@
             if now_ms - idle_since_ms >= IDLE_BEFORE_EXIT_MS:
                 break
             await asyncio.sleep(POLL_MS / 1000)
+            record_turn(clock.now_ms() - now_ms - POLL_MS)
         if releasing.done():
             releasing.result()
         else:
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -55,6 +55,7 @@
     to_object,
 )
 from marjoramgrade.stepjobs import MAX_STEPS, Schedule, Step, StepJob
+from marjoramgrade.stopping import RequestProgress, Stopping
 
 DEFAULT_DEADLINE_MS = 3_000
 MAX_DEADLINE_MS = 60_000
@@ -111,6 +112,7 @@
         clock: Monotonic time.
         metrics: Records the duration of each request.
         intake: Bounds what the clients use.
+        stopping: The requests in flight, and since when the process stops.
         is_draining: Whether the instance is shutting down; responses then close their
             connections.
         in_flight: Number of requests that are being processed.
@@ -120,6 +122,7 @@
     clock: Clock
     metrics: Metrics
     intake: Intake = attrs.field(factory=Intake.from_config)
+    stopping: Stopping = attrs.field(factory=Stopping)
     is_draining: bool = False
     in_flight: int = 0
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -152,22 +155,27 @@
     async def _serve(self, request: HTTPServerRequest) -> None:
         self.in_flight += 1
         started_ms = self.clock.now_ms()
+        progress = RequestProgress(
+            parse_request_id(request.headers), request.method or "", started_ms
+        )
         try:
-            response = await self._respond(request, started_ms)
-            self.metrics.timing("request", self.clock.now_ms() - started_ms)
-            self._write(request, response)
+            with self.stopping.track(progress):
+                response = await self._respond(request, progress)
+                self.metrics.timing("request", self.clock.now_ms() - started_ms)
+                if self._write(request, response):
+                    progress.ended = str(response.status)
         except StreamClosedError:
             return
         finally:
             self.in_flight -= 1
 
     async def _respond(
-        self, request: HTTPServerRequest, started_ms: int
+        self, request: HTTPServerRequest, progress: RequestProgress
     ) -> ClientResponse:
-        request_id = parse_request_id(request.headers)
+        request_id, started_ms = progress.request_id, progress.taken_ms
         context: RequestContext | None = None
         try:
-            context = self._make_context(request, started_ms)
+            context = self._make_context(request, progress)
             body = serialize_response(await self.chain.handle(context))
             self._record_answer(request_id, 200, context)
             return ClientResponse(200, body)
@@ -206,7 +214,7 @@
             )
 
     def _make_context(
-        self, request: HTTPServerRequest, started_ms: int
+        self, request: HTTPServerRequest, progress: RequestProgress
     ) -> RequestContext:
         verb = _VERB_BY_METHOD.get(request.method or "")
         if verb is None:
@@ -232,14 +240,17 @@
             QueueRequest(verb, host.lower(), request.path, job),
             secret.removeprefix(BEARER) if secret.startswith(BEARER) else "",
             "",
-            started_ms + _parse_deadline_ms(request.headers),
+            progress.taken_ms + _parse_deadline_ms(request.headers),
             presence=presence,
+            progress=progress,
         )
 
-    def _write(self, request: HTTPServerRequest, response: ClientResponse) -> None:
+    def _write(self, request: HTTPServerRequest, response: ClientResponse) -> bool:
+        """Send a response; return whether the connection was still open."""
         connection: Any = request.connection
         if connection is None:
-            return
+            return False
+        is_open = connection.stream is not None and not connection.stream.closed()
         status, body = response.status, response.body
         headers = HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
@@ -257,6 +268,7 @@
             lambda done: done.cancelled() or done.exception()
         )
         connection.finish()
+        return is_open
 
 
 def status_of(error: MarjoramgradeError) -> int:
--- /dev/null
+++ b/marjoramgrade/stopping.py
@@ -0,0 +1,133 @@
+"""What a process still serves and holds while it stops."""
+
+from __future__ import annotations
+
+import contextlib
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
+
+import attrs
+
+from marjoramgrade import logs
+from marjoramgrade.clock import Clock, SystemClock
+from marjoramgrade.metrics import MemoryMetrics, Metrics
+
+# How a request ended that got no complete answer from this process.
+CUT = "cut"
+
+
+@attrs.define(eq=False)
+class RequestProgress:
+    """What became of one request, for the log of a process that stops.
+
+    Attributes:
+        request_id: Id that the client gave it, or empty.
+        kind: What was asked for, such as the HTTP method or the type of a message.
+        taken_ms: Time at which it had been read completely.
+        waits_for: What it waits for now or waited for last, such as `leader:b`; empty
+            until it waits for the first time.
+        ended: How it ended, such as the HTTP status; `CUT` until it is answered.
+    """
+
+    request_id: str = ""
+    kind: str = ""
+    taken_ms: int = 0
+    waits_for: str = ""
+    ended: str = CUT
+
+
+@attrs.define(eq=False)
+class Stopping:
+    """The requests of one process, and since when it stops.
+
+    Attributes:
+        clock: Monotonic time.
+        metrics: Counts the requests that end after the stop has begun.
+        began_ms: Time of the signal, or None as long as the process does not stop.
+        longest_turn_ms: Longest time by which the event loop was late since then.
+    """
+
+    clock: Clock = attrs.field(factory=SystemClock)
+    metrics: Metrics = attrs.field(factory=MemoryMetrics)
+    began_ms: int | None = None
+    longest_turn_ms: int = 0
+    _in_flight: dict[RequestProgress, None] = attrs.field(factory=dict)
+    _parts: list[tuple[str, Callable[[], Mapping[str, int]]]] = attrs.field(
+        factory=list
+    )
+
+    def add_part(self, name: str, count_held: Callable[[], Mapping[str, int]]) -> None:
+        """Add a part of the process that tells what it holds.
+
+        Args:
+            name: Name of the part in the log.
+            count_held: Returns the number of things that it holds, by kind.
+        """
+        self._parts.append((name, count_held))
+
+    def begin(self) -> None:
+        """Record that the process was told to stop; only the first call counts."""
+        if self.began_ms is None:
+            self.began_ms = self.clock.now_ms()
+
+    @property
+    def since_ms(self) -> int:
+        """Time since the stop began, 0 before."""
+        return 0 if self.began_ms is None else self.clock.now_ms() - self.began_ms
+
+    def record_turn(self, late_ms: int) -> None:
+        """Record by how much a timer of the event loop was late."""
+        self.longest_turn_ms = max(self.longest_turn_ms, late_ms)
+
+    @contextlib.contextmanager
+    def track(self, progress: RequestProgress) -> Iterator[None]:
+        """Count a request as in flight, and log its end if the process stops then."""
+        self._in_flight[progress] = None
+        try:
+            yield
+        finally:
+            del self._in_flight[progress]
+            if self.began_ms is not None:
+                self._record_end(progress, self.began_ms)
+
+    def _record_end(self, progress: RequestProgress, began_ms: int) -> None:
+        self.metrics.count(
+            "ended_while_stopping.cut"
+            if progress.ended == CUT
+            else "ended_while_stopping.answered"
+        )
+        fields = (
+            progress.request_id,
+            progress.kind,
+            str(progress.taken_ms - began_ms),
+            str(self.clock.now_ms() - progress.taken_ms),
+            progress.waits_for,
+            progress.ended,
+        )
+        logs.log_batched("ended_while_stopping", "/".join(fields))
+
+    def log_held(self, event: str, **fields: object) -> None:
+        """Write a line with all that the process holds at this moment.
+
+        Args:
+            event: Name of the event.
+            fields: Further fields of the line.
+        """
+        now_ms = self.clock.now_ms()
+        oldest_ms = max((now_ms - each.taken_ms for each in self._in_flight), default=0)
+        waiting = Counter(each.waits_for or "turn" for each in self._in_flight)
+        held = {name: _format_counts(count()) for name, count in self._parts}
+        logs.log_event(
+            event,
+            since_ms=self.since_ms,
+            in_flight=len(self._in_flight),
+            oldest_ms=oldest_ms,
+            waiting=_format_counts(waiting),
+            longest_turn_ms=self.longest_turn_ms,
+            **held,
+            **fields,
+        )
+
+
+def _format_counts(counts: Mapping[str, int]) -> str:
+    return ",".join(f"{name}={count}" for name, count in sorted(counts.items()))
