Add a failing test of requests that an instance cuts off when it stops

The test stops a real instance and sends a request every 50 ms on connections that were open before. Without any other fault each POST that was read from 2.25 s on waits for a leader, of which there is none, and is cut off at 3.7 s when it is up to 1.5 s old; so it is while the store refuses calls.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -8,6 +8,7 @@
 import time
 
 import attrs
+import pytest
 
 from soak.cell import send_request
 from tests.untrusted import (
@@ -136,6 +137,25 @@
     return stop, lines
 
 
+# The time since SIGTERM at which the store begins to refuse all calls; None for a stop
+# without another fault, after which no instance is left to lead.
+@pytest.mark.parametrize("store_out_s", [None, 1.5, 2.5, 3.0])
+def test_request_that_waits_is_answered_before_its_connection_ends(
+    tmp_path, store_out_s
+):
+    # Guards against requests that were read while the instance stopped and whose
+    # connections were closed without an answer, because their wait was longer than
+    # what was left to the process (LOST, issue 51).
+    faults = [(store_out_s, lambda i: set_store(i, "busy"))] if store_out_s else []
+    stop, _ = stopped_instance(tmp_path, faults)
+    lost = [call for call in stop.calls if call.is_lost]
+    assert not lost, stop.describe(lost)
+    late = [c for c in stop.calls if c.sent_s > (store_out_s or 1.0) and c.status]
+    assert late, stop.describe(stop.calls)
+    assert stop.ended_s < SHUTDOWN_S
+    assert stop.instance.process.popen.returncode == 0
+
+
 def test_log_of_a_stop_has_each_request_and_what_is_held(tmp_path):
     # Guards against a request that ends while an instance stops, and whose log does
     # not tell when it was read, what it waited for and how it ended.
