End every wait of a client's request before its process does

Cause: no wait of a request knew when its process ends. Requests were begun until the last moment with the full deadline of their client, drain and finish returned at fixed times whatever was in flight, and connections that were idle at the signal were kept and used until the end.

Change: one rule (decisions/stopping/schedule.py) for all requests. Until 1.1 s before SIGKILL a request may begin, unless its like have lately taken longer than what is left; after that it is refused at once as not run, a submission as unknown, since an earlier attempt may have been accepted. 0.8 s before SIGKILL every wait ends, and its caller is answered. Connections are closed 0.5 s before. Idle ones are closed once the load balancer has had two checks fail, or after 2.5 s, and the process does not end before that. A process that has failed answers what is in flight at once.

--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -37,7 +37,8 @@
 from marjoramgrade.decisions.intake.turns import CHUNKED_SEGMENT_BYTES
 from marjoramgrade.errors import OutcomeUnknownError, OversizedInputError
 
-# How long open connections are served after the server has stopped accepting.
+# How long open connections are served after the server has stopped accepting, unless
+# the caller says otherwise.
 FINISH_MS = 700
 POLL_MS = 10
 # Bounds the accepting of waiting connections while callers go on connecting.
@@ -324,10 +325,22 @@
         """Whether any client connection is open."""
         return bool(self._connections)
 
-    async def finish(self) -> None:
+    def close_idle(self) -> None:
+        """Close the connections that neither sent nor await anything.
+
+        A new one is kept until its client can have sent its request. One on which a
+        request has arrived that is not read yet is kept too.
+        """
+        if self._intake is not None:
+            self._intake.close_idle(self._uses)
+
+    async def finish(self, timeout_ms: int | None = None) -> None:
         """Accept the connections that wait, stop accepting, and serve what is open.
 
-        Returns once no connection is open, or after `FINISH_MS`.
+        Connections that become idle are closed.
+
+        Args:
+            timeout_ms: Longest time to wait, in milliseconds; `FINISH_MS` if None.
         """
         for _ in range(MAX_ACCEPT_ROUNDS):
             if not self._has_waiting_connection():
@@ -336,8 +349,9 @@
         self.stop()
         self._listening.clear()
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + FINISH_MS / 1000
+        until_s = loop.time() + (FINISH_MS if timeout_ms is None else timeout_ms) / 1000
         while self.has_connections and loop.time() < until_s:
+            self.close_idle()
             await asyncio.sleep(POLL_MS / 1000)
 
     def _has_waiting_connection(self) -> bool:
--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -30,6 +30,7 @@
 from marjoramgrade.decisions.intake.precedence import (
     choose_for_new,
     count_turns_left,
+    is_idle,
     is_read_first,
     may_make_room,
 )
@@ -45,6 +46,7 @@
 BLOCK_BYTES = 16_384
 _HANGUP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _ROOM_REASONS = (CloseReason.BUDGET, CloseReason.CONNECTIONS)
+_UNLOGGED_REASONS = (CloseReason.LEFT, CloseReason.STOPPING)
 
 
 class MeasuredStream(IOStream):
@@ -302,6 +304,17 @@
         now_ms = self.now_ms()
         return any(may_make_room(use, now_ms) for use in others)
 
+    def close_idle(self, uses: set[ConnectionUse]) -> None:
+        """Close those of some connections that neither sent nor await anything."""
+        self._polled_ms = None
+        self._record_pending()
+        now_ms = self.now_ms()
+        for use in list(uses):
+            if use not in self._stream_by_use:
+                uses.discard(use)
+            elif is_idle(use, now_ms):
+                self._close(use, CloseReason.STOPPING)
+
     def count_open(self) -> Counter[str]:
         """Return the number of open connections by port and phase."""
         return Counter(
@@ -506,7 +519,7 @@
 
     def _record_closed(self, use: ConnectionUse, reason: CloseReason) -> None:
         self.metrics.count(f"closed.{reason.value}")
-        if reason is not CloseReason.LEFT:
+        if reason not in _UNLOGGED_REASONS:
             logs.log_batched(
                 "connections_closed", _describe(use, reason, self.now_ms())
             )
--- a/marjoramgrade/decisions/intake/connections.py
+++ b/marjoramgrade/decisions/intake/connections.py
@@ -30,6 +30,7 @@
     LEFT = "left"
     SILENT = "silent"
     SLOW = "slow"
+    STOPPING = "stopping"
     UNREAD = "unread"
 
 
--- a/marjoramgrade/decisions/intake/precedence.py
+++ b/marjoramgrade/decisions/intake/precedence.py
@@ -86,6 +86,13 @@
     return use.may_close and (use.has_left or use.phase is not Phase.IDLE or not is_new)
 
 
+def is_idle(use: ConnectionUse, now_ms: int) -> bool:
+    """Return whether a process that stops may close a connection as unused."""
+    if use.phase is not Phase.IDLE or use.unsent_bytes or use.has_unread:
+        return False
+    return use.has_left or may_make_room(use, now_ms)
+
+
 def is_read_first(use: ConnectionUse) -> bool:
     """Return whether a connection gets its turn before all that wait for one.
 
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -15,6 +15,7 @@
 import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
 from marjoramgrade import logs
 from marjoramgrade.actor import Actor, ActorGroup
+from marjoramgrade.adapters.httpserver import DrainingHttpServer
 from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.adapters.peerlink import PeerLink, PeerServer, serialize_notice
 from marjoramgrade.clock import SystemClock
@@ -56,9 +57,6 @@
 # Upper bound of the worker leases that a leader grants: short leases free the tasks of
 # a dead worker soon, long ones outlast a takeover.
 MAX_WORKER_LEASE_MS = 3_200
-# Part of the time between SIGTERM and SIGKILL that drain() leaves for stopping the
-# actors and servers.
-SHUTDOWN_MARGIN_MS = 1_000
 # A process that has not ended this long before SIGKILL logs what it holds.
 OVERDUE_MS = 150
 
@@ -88,6 +86,7 @@
         self._readiness_endpoint = ReadinessEndpoint(self._intake)
         self._frontend: ClientFrontend | None = None
         self._leadership: LeadershipController | None = None
+        self._front_server: DrainingHttpServer | None = None
         self._servers: list[HTTPServer] = []
 
     @classmethod
@@ -228,7 +227,7 @@
             self._intake,
             self.stopping,
         )
-        front = self._frontend.make_server()
+        front = self._front_server = self._frontend.make_server()
         for server, address in (
             (front, self._settings.front),
             (self._readiness_endpoint.make_server(), self._settings.ready),
@@ -244,28 +243,39 @@
             self._stack.callback(server.stop)
         # These run before the servers stop, the last one first.
         self._stack.callback(self.stopping.log_held, "clients_closing")
-        self._stack.push_part("front", front.finish)
+        self._stack.push_part("front", self._finish_front)
 
     async def drain(self) -> None:
         """Release the leadership and serve requests until clients have disconnected.
 
-        Returns `shutdown_s` less `SHUTDOWN_MARGIN_MS` after the call at the latest.
+        Returns when the waits of all requests end, at the latest.
         """
+        assert self.stopping.schedule is not None
         loop = asyncio.get_running_loop()
-        overdue_s = self._settings.shutdown_s - OVERDUE_MS / 1_000
-        loop.call_later(overdue_s, self._log_overdue)
+        left_ms = self.stopping.schedule.exit_ms - self._clock.now_ms()
+        loop.call_later((left_ms - OVERDUE_MS) / 1_000, self._log_overdue)
         self._readiness_endpoint.mark_draining()
         front, leadership = self._frontend, self._leadership
         if front is None or leadership is None:
             return
         front.is_draining = True
-        shutdown_ms = int(self._settings.shutdown_s * 1_000) - SHUTDOWN_MARGIN_MS
         release = leadership.ask(ReleaseLeadership())
+        endpoint = self._readiness_endpoint
         await wait_until_drained(
-            front, release, self._clock, shutdown_ms, self.stopping.record_turn
+            front, release, self.stopping, lambda: endpoint.is_noticed
         )
         self.stopping.log_held("drained")
 
+    async def _finish_front(self) -> None:
+        """Answer what is in flight, and serve the connections that wait."""
+        if self.stopping.schedule is None:
+            # The process ends without a signal, so that nothing is left to serve with.
+            self.stopping.end_now()
+        schedule = self.stopping.schedule
+        if self._front_server is not None and schedule is not None:
+            left_ms = schedule.close_ms - self._clock.now_ms()
+            await self._front_server.finish(max(left_ms, 0))
+
     def _log_overdue(self) -> None:
         """Log what the process holds just before it is killed."""
         self.stopping.log_held("stop_overdue", closing=self._stack.closing)
@@ -285,7 +295,7 @@
     daemon = EntryDaemon.from_config(settings)
 
     def request_stop() -> None:
-        daemon.stopping.begin()
+        daemon.stopping.begin(int(settings.shutdown_s * 1_000))
         stop.set()
 
     loop.add_signal_handler(signal.SIGTERM, request_stop)
@@ -300,7 +310,9 @@
         for waiter in waiters:
             waiter.cancel()
         daemon.stopping.log_held("stopping", failed=str(daemon.failed.is_set()))
-        if not daemon.failed.is_set():
+        if daemon.failed.is_set():
+            daemon.stopping.end_now()
+        else:
             await daemon.drain()
     daemon.stopping.log_held("stopped")
     logs.flush_batches()
--- a/marjoramgrade/platform/draining.py
+++ b/marjoramgrade/platform/draining.py
@@ -7,11 +7,11 @@
 from typing import Any, Protocol
 
 from marjoramgrade import logs
-from marjoramgrade.clock import Clock
+from marjoramgrade.stopping import Stopping
 
 POLL_MS = 20
-# The instance has drained once the leadership is released, and no request has been in
-# flight and no client connection open for this long.
+# The instance has drained once the leadership is released, the load balancer sends no
+# connections, and no request has been in flight and no connection open for this long.
 IDLE_BEFORE_EXIT_MS = 700
 
 
@@ -28,39 +28,48 @@
         """Whether a client connection is open."""
         ...
 
+    def close_idle(self) -> None:
+        """Close the connections whose clients neither sent nor await anything."""
+        ...
+
 
 async def wait_until_drained(
     front: ClientConnections,
     release: Coroutine[Any, Any, None],
-    clock: Clock,
-    timeout_ms: int,
-    record_turn: Callable[[int], None] = lambda late_ms: None,
+    stopping: Stopping,
+    is_noticed: Callable[[], bool],
 ) -> None:
     """Wait until clients have left and the leadership is released.
 
+    Returns when all waits of requests end, at the latest.
+
     Args:
         front: The front end, which goes on serving.
         release: Releases the leadership. A store that does not respond can hold it up;
             it is then abandoned, and others take over once the process has ended.
-        clock: Monotonic time.
-        timeout_ms: Longest time to wait, in milliseconds.
-        record_turn: Receives by how many milliseconds a timer was late.
+        stopping: Has the schedule, and is told how late the event loop is.
+        is_noticed: Returns whether the load balancer sends new connections elsewhere.
     """
-    deadline_ms = clock.now_ms() + timeout_ms
+    schedule, clock = stopping.schedule, stopping.clock
+    assert schedule is not None
     releasing = asyncio.ensure_future(release)
     try:
         idle_since_ms = clock.now_ms()
-        while clock.now_ms() < deadline_ms:
-            now_ms = clock.now_ms()
-            if not releasing.done() or front.in_flight or front.has_connections:
+        while (now_ms := clock.now_ms()) < schedule.answer_ms:
+            # Clients whose connections are closed before could come back here.
+            has_left_rotation = is_noticed() or now_ms >= schedule.idle_ms
+            if has_left_rotation:
+                front.close_idle()
+            is_used = front.in_flight or front.has_connections
+            if not releasing.done() or is_used or not has_left_rotation:
                 idle_since_ms = now_ms
             if now_ms - idle_since_ms >= IDLE_BEFORE_EXIT_MS:
                 break
             await asyncio.sleep(POLL_MS / 1000)
-            record_turn(clock.now_ms() - now_ms - POLL_MS)
+            stopping.record_turn(clock.now_ms() - now_ms - POLL_MS)
         if releasing.done():
             releasing.result()
         else:
-            logs.log_event("lead_release_abandoned", waited_ms=timeout_ms)
+            logs.log_event("lead_release_abandoned", waited_ms=stopping.since_ms)
     finally:
         releasing.cancel()
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -20,6 +20,7 @@
 )
 from marjoramgrade.adapters.intake import Intake, MeasuredStream
 from marjoramgrade.clock import Clock
+from marjoramgrade.decisions.stopping.answers import WorkKind
 from marjoramgrade.errors import (
     ForbiddenError,
     InvalidInputError,
@@ -68,12 +69,20 @@
 # Longest delay that a response names: no client waits longer for its work.
 MAX_RETRY_AFTER_S = MAX_DEADLINE_MS // 1_000
 BEARER = "Bearer "
+# Checks of the load balancer that fail before it takes an instance out.
+UNREADY_CHECKS = 2
+# Name of the port in the log.
+PORT = "front"
 
 _VERB_BY_METHOD = {
     "POST": QueueVerb.SUBMIT,
     "GET": QueueVerb.STATE,
     "DELETE": QueueVerb.CANCEL,
 }
+_KIND_BY_METHOD = {
+    "POST": WorkKind.SUBMISSION,
+    "DELETE": WorkKind.CHANGE,
+}
 # The first entry whose type matches an error gives its status.
 _STATUS_BY_TYPE: tuple[tuple[type[MarjoramgradeError], int], ...] = (
     (UnauthenticatedError, 401),
@@ -136,7 +145,7 @@
             idle_connection_timeout=IDLE_TIMEOUT_MS / 1000,
             intake=self.intake,
             limits=PortLimits(
-                MAX_BODY_BYTES, self.intake.bounds.client_connections, "front"
+                MAX_BODY_BYTES, self.intake.bounds.client_connections, PORT
             ),
         )
         return self._server
@@ -146,6 +155,11 @@
         """Whether any client connection is open; false before `make_server`."""
         return self._server is not None and self._server.has_connections
 
+    def close_idle(self) -> None:
+        """Close the connections whose clients neither sent nor await anything."""
+        if self._server is not None:
+            self._server.close_idle()
+
     def _accept(self, request: HTTPServerRequest) -> asyncio.Future[None]:
         task = asyncio.ensure_future(self._serve(request))
         self._tasks.add(task)
@@ -174,9 +188,11 @@
     ) -> ClientResponse:
         request_id, started_ms = progress.request_id, progress.taken_ms
         context: RequestContext | None = None
+        kind = _KIND_BY_METHOD.get(request.method or "", WorkKind.READ)
         try:
-            context = self._make_context(request, progress)
-            body = serialize_response(await self.chain.handle(context))
+            async with self.stopping.bound(kind, PORT):
+                context = self._make_context(request, progress)
+                body = serialize_response(await self.chain.handle(context))
             self._record_answer(request_id, 200, context)
             return ClientResponse(200, body)
         except MarjoramgradeError as error:
@@ -418,12 +434,18 @@
     def __init__(self, intake: Intake | None = None) -> None:
         self.is_ready = False
         self._is_draining = False
+        self._unready_in_row = 0
         self._intake = intake or Intake.from_config()
 
     def mark_draining(self) -> None:
         """Report the instance as not ready until the process ends."""
         self._is_draining = True
 
+    @property
+    def is_noticed(self) -> bool:
+        """Whether the load balancer sends new connections elsewhere."""
+        return self._unready_in_row >= UNREADY_CHECKS
+
     def make_server(self) -> DrainingHttpServer:
         """Return a new server that does not listen yet."""
         return DrainingHttpServer(
@@ -440,7 +462,9 @@
         connection: Any = request.connection
         if connection is None:
             return
-        status = 200 if self.is_ready and not self._is_draining else 503
+        is_ready = self.is_ready and not self._is_draining
+        status = 200 if is_ready else 503
+        self._unready_in_row = 0 if is_ready else self._unready_in_row + 1
         write_future = connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, ""),
             HTTPHeaders({"Content-Length": "0"}),
--- a/marjoramgrade/stopping.py
+++ b/marjoramgrade/stopping.py
@@ -1,15 +1,19 @@
-"""What a process still serves and holds while it stops."""
+"""Bounds the waits of requests while their process stops, and logs their ends."""
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
-from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections import Counter, defaultdict
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 
 import attrs
 
 from marjoramgrade import logs
 from marjoramgrade.clock import Clock, SystemClock
+from marjoramgrade.decisions.stopping.answers import WorkKind, end_wait, refuse
+from marjoramgrade.decisions.stopping.schedule import StopSchedule
+from marjoramgrade.decisions.stopping.servicetimes import ServiceTimes
 from marjoramgrade.metrics import MemoryMetrics, Metrics
 
 # How a request ended that got no complete answer from this process.
@@ -38,19 +42,23 @@
 
 @attrs.define(eq=False)
 class Stopping:
-    """The requests of one process, and since when it stops.
+    """The requests of one process, on all its ports, and the schedule of its stop.
 
     Attributes:
         clock: Monotonic time.
         metrics: Counts the requests that end after the stop has begun.
-        began_ms: Time of the signal, or None as long as the process does not stop.
+        schedule: The times of the stop, or None as long as the process does not stop.
         longest_turn_ms: Longest time by which the event loop was late since then.
     """
 
     clock: Clock = attrs.field(factory=SystemClock)
     metrics: Metrics = attrs.field(factory=MemoryMetrics)
-    began_ms: int | None = None
+    schedule: StopSchedule | None = None
     longest_turn_ms: int = 0
+    _times_by_work: dict[tuple[str, WorkKind], ServiceTimes] = attrs.field(
+        factory=lambda: defaultdict(ServiceTimes)
+    )
+    _waits: set[asyncio.Timeout] = attrs.field(factory=set)
     _in_flight: dict[RequestProgress, None] = attrs.field(factory=dict)
     _parts: list[tuple[str, Callable[[], Mapping[str, int]]]] = attrs.field(
         factory=list
@@ -65,15 +73,86 @@
         """
         self._parts.append((name, count_held))
 
-    def begin(self) -> None:
-        """Record that the process was told to stop; only the first call counts."""
-        if self.began_ms is None:
-            self.began_ms = self.clock.now_ms()
+    def begin(self, grace_ms: int) -> None:
+        """Stop within a time; without effect if the process stops already.
+
+        Args:
+            grace_ms: Time from now until the process is killed.
+        """
+        if self.schedule is None:
+            now_ms = self.clock.now_ms()
+            self._follow(StopSchedule.from_config(now_ms, grace_ms))
+
+    def end_now(self) -> None:
+        """End all waits, since the process can no longer serve any."""
+        schedule = StopSchedule.at_once(self.clock.now_ms())
+        self._follow(schedule.no_later_than(self.schedule))
+
+    def _follow(self, schedule: StopSchedule) -> None:
+        self.schedule = schedule
+        for wait in self._waits:
+            if not wait.expired():
+                wait.reschedule(self._loop_time_s(schedule.answer_ms))
+
+    def _loop_time_s(self, at_ms: int) -> float:
+        left_ms = at_ms - self.clock.now_ms()
+        return asyncio.get_running_loop().time() + left_ms / 1_000
+
+    def check_may_begin(self, kind: WorkKind, port: str) -> None:
+        """Return if a request may begin.
+
+        Args:
+            kind: What the request does.
+            port: Name of the port on which it came.
+
+        Raises:
+            ShuttingDownError: If it could not be answered in time.
+            OutcomeUnknownError: The same, for a submission.
+        """
+        if self.schedule is None:
+            return
+        now_ms = self.clock.now_ms()
+        expected_ms = self._times_by_work[port, kind].expected_ms(now_ms)
+        if not self.schedule.may_begin(now_ms, expected_ms):
+            raise refuse(kind)
+
+    @contextlib.asynccontextmanager
+    async def bound(self, kind: WorkKind, port: str) -> AsyncIterator[None]:
+        """Run the handling of one request, and end it when all waits end.
+
+        Args:
+            kind: What the request does.
+            port: Name of the port on which it came.
+
+        Raises:
+            ShuttingDownError: If it may not begin or, if it changes nothing, if it has
+                not ended in time.
+            OutcomeUnknownError: If it may have taken effect.
+        """
+        self.check_may_begin(kind, port)
+        began_ms = self.clock.now_ms()
+        wait = asyncio.timeout(None)
+        if self.schedule is not None:
+            wait = asyncio.timeout_at(self._loop_time_s(self.schedule.answer_ms))
+        try:
+            async with wait:
+                self._waits.add(wait)
+                try:
+                    yield
+                finally:
+                    self._waits.discard(wait)
+        except TimeoutError:
+            if not wait.expired():
+                raise
+            raise end_wait(kind) from None
+        now_ms = self.clock.now_ms()
+        self._times_by_work[port, kind].add(now_ms, now_ms - began_ms)
 
     @property
     def since_ms(self) -> int:
         """Time since the stop began, 0 before."""
-        return 0 if self.began_ms is None else self.clock.now_ms() - self.began_ms
+        schedule = self.schedule
+        return 0 if schedule is None else self.clock.now_ms() - schedule.began_ms
 
     def record_turn(self, late_ms: int) -> None:
         """Record by how much a timer of the event loop was late."""
@@ -87,8 +166,8 @@
             yield
         finally:
             del self._in_flight[progress]
-            if self.began_ms is not None:
-                self._record_end(progress, self.began_ms)
+            if self.schedule is not None:
+                self._record_end(progress, self.schedule.began_ms)
 
     def _record_end(self, progress: RequestProgress, began_ms: int) -> None:
         self.metrics.count(
