Keep a connection on which a part of a request has arrived when idle ones are closed

A client whose header came in two parts 300 ms apart, whose request had been read into the buffer during a turn of 250 ms, or whose second request waited for its turn had its connection closed without an answer: the rule took recent bytes as activity for 200 ms only and did not look at bytes that no message had taken yet. Such a connection now waits for its request until all are closed, unless the client has left.

--- a/marjoramgrade/adapters/intake.py
+++ b/marjoramgrade/adapters/intake.py
@@ -74,6 +74,11 @@
         self._service_bytes = 0
         self.use = use
 
+    @property
+    def has_buffered(self) -> bool:
+        """Whether bytes were read that no message has taken yet."""
+        return self._read_buffer_size > 0
+
     def begin_service(self) -> bool:
         """Hold a complete request until `end_service`; return whether there is room."""
         size = self.use.received_bytes
@@ -214,7 +219,7 @@
     _budget: BodyBudget
     _turns: TurnQueue[asyncio.Future[bool]] = attrs.field(factory=TurnQueue)
     _turn_by_use: dict[ConnectionUse, asyncio.Future[bool]] = attrs.field(factory=dict)
-    _stream_by_use: dict[ConnectionUse, IOStream] = attrs.field(factory=dict)
+    _stream_by_use: dict[ConnectionUse, MeasuredStream] = attrs.field(factory=dict)
     _use_by_descriptor: dict[int, ConnectionUse] = attrs.field(factory=dict)
     _hangups: HangupWatcher = attrs.field(
         default=attrs.Factory(lambda self: HangupWatcher(self._left), takes_self=True)
@@ -312,7 +317,7 @@
         for use in list(uses):
             if use not in self._stream_by_use:
                 uses.discard(use)
-            elif is_idle(use, now_ms):
+            elif is_idle(use, now_ms) and not self._stream_by_use[use].has_buffered:
                 self._close(use, CloseReason.STOPPING)
 
     def count_open(self) -> Counter[str]:
--- a/marjoramgrade/decisions/intake/precedence.py
+++ b/marjoramgrade/decisions/intake/precedence.py
@@ -87,10 +87,14 @@
 
 
 def is_idle(use: ConnectionUse, now_ms: int) -> bool:
-    """Return whether a process that stops may close a connection as unused."""
-    if use.phase is not Phase.IDLE or use.unsent_bytes or use.has_unread:
+    """Return whether a process that stops may close a connection as unused.
+
+    A request of which a part has arrived is waited for, unless its client has left.
+    """
+    if use.phase is not Phase.IDLE or use.unsent_bytes:
         return False
-    return use.has_left or may_make_room(use, now_ms)
+    is_sending = use.has_read or use.has_unread or use.is_waiting
+    return use.has_left or (not is_sending and may_make_room(use, now_ms))
 
 
 def is_read_first(use: ConnectionUse) -> bool:
