Answer a request that fails for an unexpected reason

A caller whose request ran into an error that is not one of the project's own got no answer at all; its connection stayed open as one that is being served, and the end of the process cut it.

Such a request is now answered, 504 if it may have changed something and 502 otherwise, and logged as request_error with the places of the error. The new test failed before: no answer within 5 s.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -84,6 +84,13 @@
     return mark
 
 
+def describe_error(error: BaseException) -> str:
+    """Return an error and the innermost places of its traceback, for the log."""
+    frames = traceback.extract_tb(error.__traceback__)[-MAX_PLACES:]
+    places = [f"{pathlib.Path(f.filename).name}:{f.lineno}" for f in frames]
+    return " ".join((f"{error!r:.{MAX_REASON_LENGTH}}", *places))
+
+
 @attrs.frozen
 class ActorFailure:
     """An error that is not one of the project's own, and that ended work of an actor.
@@ -104,9 +111,7 @@
     @property
     def reason(self) -> str:
         """The error and the innermost places of its traceback."""
-        frames = traceback.extract_tb(self.error.__traceback__)[-MAX_PLACES:]
-        places = [f"{pathlib.Path(f.filename).name}:{f.lineno}" for f in frames]
-        return " ".join((f"{self.error!r:.{MAX_REASON_LENGTH}}", *places))
+        return describe_error(self.error)
 
     def log(self, event: str, **fields: object) -> None:
         """Write a log line that names what the failed work was about."""
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -13,6 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from marjoramgrade import logs
+from marjoramgrade.actor import describe_error
 from marjoramgrade.adapters.httpserver import (
     DrainingHttpServer,
     PortLimits,
@@ -214,6 +215,19 @@
             drop_frames(error)
             body = msgspec.json.encode({"error": error.code})
             return ClientResponse(status, body, retry_after_s(error))
+        except Exception as error:
+            # A fault of the product: its caller is answered like any other.
+            self.metrics.refused(MarjoramgradeError("unexpected error"))
+            logs.log_event(
+                "request_error",
+                request=request_id,
+                method=request.method or "",
+                path=request.path[-40:],
+                reason=describe_error(error),
+            )
+            answer = _answer_unexpected(kind)
+            body = msgspec.json.encode({"error": answer.code})
+            return ClientResponse(status_of(answer), body)
 
     def _record_answer(
         self, request_id: str, status: int, context: RequestContext | None
@@ -287,6 +301,14 @@
         return is_open
 
 
+def _answer_unexpected(kind: WorkKind) -> MarjoramgradeError:
+    """Return the answer to a request that failed for an unexpected reason."""
+    message = "unexpected error while handling the request"
+    if kind is WorkKind.READ:
+        return MarjoramgradeError(message)
+    return OutcomeUnknownError(message)
+
+
 def status_of(error: MarjoramgradeError) -> int:
     """Return the HTTP status for an error.
 
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -427,6 +427,47 @@
     asyncio.run(run())
 
 
+class FailingFilter(Filter):
+    """Raises an error that is not one of the project's own."""
+
+    @classmethod
+    def from_config(cls, environment):
+        return cls()
+
+    async def apply(self, context, proceed):
+        raise ValueError("a fault of the product")
+
+
+@pytest.mark.parametrize(
+    ("request_head", "status"), [(b"GET /q/ HTTP/1.1", 502), (post("/q/7"), 504)]
+)
+def test_request_that_fails_unexpectedly_is_answered(request_head, status):
+    # Guards against a request that was read and is never answered, and whose
+    # connection the end of the process closes (LOST, issue 51).
+    async def run():
+        front = ClientFrontend(
+            FilterChain([FailingFilter()], MemoryMetrics()),
+            SystemClock(),
+            MemoryMetrics(),
+        )
+        server = front.make_server()
+        server.listen(0, "127.0.0.1")
+        (listening,) = server._sockets.values()
+        reader, writer = await asyncio.open_connection(*listening.getsockname())
+        if not request_head.startswith(b"POST"):
+            writer.write(request_head + b"\r\nHost: a:80\r\n\r\n")
+        else:
+            writer.write(request_head)
+        async with asyncio.timeout(5):
+            line = await reader.readline()
+        assert int(line.split()[1]) == status
+        writer.close()
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
+
+
 def test_settings_are_checked(tmp_path: pathlib.Path):
     # Guards against a process that starts with incomplete settings.
     path = tmp_path / "settings"
