--- a/marjoramgrade/adapters/httpserver.py
+++ b/marjoramgrade/adapters/httpserver.py
@@ -279,6 +279,8 @@
             kwargs.update(max_body_size=NO_LIMIT, chunk_size=READ_BYTES)
         super().initialize(*args, **kwargs)
         self._listening: list[socket.socket] = []
+        # When the last connection was opened, by the clock of the intake; 0 for none.
+        self.last_opened_ms = 0
         self._limits = limits
         if intake is not None and limits is not None:
             self.bound_connections(
@@ -296,6 +298,7 @@
         if self._intake is None:
             super().handle_stream(stream, address)
             return
+        self.last_opened_ms = self._intake.now_ms()
         measured = self.open_stream(stream, address)
         if measured is not None:
             super().handle_stream(measured, address)
--- a/marjoramgrade/decisions/stopping/schedule.py
+++ b/marjoramgrade/decisions/stopping/schedule.py
@@ -5,7 +5,7 @@
 rule serves all of them, on every port:
 
 1. Until `refuse_ms` a request may begin, unless requests have lately taken longer than
-   what is left until `answer_ms`. Each response ends its connection.
+   what is left until `answer_ms`. Each response says that its connection ends.
 2. A request that may not begin is refused at once. It has not run.
 3. At `answer_ms` every wait ends, whatever it waits for, and its caller is answered:
    that it has not run, if it changes nothing, or else that its outcome is unknown.
--- a/marjoramgrade/metrics.py
+++ b/marjoramgrade/metrics.py
@@ -143,7 +143,8 @@
     "ended_while_stopping.*",
     MetricKind.COUNTER,
     "requests",
-    "Requests that ended after the process was told to stop: `answered`, `cut`.",
+    "Requests that ended after the process was told to stop: `answered`, `cut`, "
+    "`left`.",
 )
 declare(
     "set_aside.*",
--- a/marjoramgrade/platform/frontend.py
+++ b/marjoramgrade/platform/frontend.py
@@ -57,7 +57,7 @@
     to_object,
 )
 from marjoramgrade.stepjobs import MAX_STEPS, Schedule, Step, StepJob
-from marjoramgrade.stopping import RequestProgress, Stopping
+from marjoramgrade.stopping import LEFT, RequestProgress, Stopping
 
 DEFAULT_DEADLINE_MS = 3_000
 MAX_DEADLINE_MS = 60_000
@@ -72,6 +72,8 @@
 BEARER = "Bearer "
 # Checks of the load balancer that fail before it takes an instance out.
 UNREADY_CHECKS = 2
+# Requests that follow each other faster than this are not its checks, or count as one.
+CHECK_SPACING_MS = 500
 # Name of the port in the log.
 PORT = "front"
 
@@ -137,6 +139,7 @@
     in_flight: int = 0
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _server: DrainingHttpServer | None = None
+    _last_request_ms: int = 0
 
     def make_server(self) -> DrainingHttpServer:
         """Return a new server that does not listen yet."""
@@ -156,6 +159,17 @@
         """Whether any client connection is open; false before `make_server`."""
         return self._server is not None and self._server.has_connections
 
+    @property
+    def last_used_ms(self) -> int:
+        """When the last connection was opened or the last request came; 0 for never."""
+        opened_ms = 0 if self._server is None else self._server.last_opened_ms
+        return max(opened_ms, self._last_request_ms)
+
+    @property
+    def last_opened_ms(self) -> int:
+        """When the last connection was opened; 0 for never."""
+        return 0 if self._server is None else self._server.last_opened_ms
+
     def close_idle(self) -> None:
         """Close the connections whose clients neither sent nor await anything."""
         if self._server is not None:
@@ -169,7 +183,7 @@
 
     async def _serve(self, request: HTTPServerRequest) -> None:
         self.in_flight += 1
-        started_ms = self.clock.now_ms()
+        started_ms = self._last_request_ms = self.clock.now_ms()
         progress = RequestProgress(
             parse_request_id(request.headers), request.method or "", started_ms
         )
@@ -179,6 +193,8 @@
                 self.metrics.timing("request", self.clock.now_ms() - started_ms)
                 if self._write(request, response):
                     progress.ended = str(response.status)
+                elif not self.stopping.is_closing:
+                    progress.ended = LEFT
         except StreamClosedError:
             return
         finally:
@@ -270,7 +286,10 @@
             QueueRequest(verb, host.lower(), request.path, job),
             secret.removeprefix(BEARER) if secret.startswith(BEARER) else "",
             "",
-            progress.taken_ms + _parse_deadline_ms(request.headers),
+            # A submission is not accepted once its caller has been answered.
+            self.stopping.end_of_wait_ms(
+                progress.taken_ms + _parse_deadline_ms(request.headers)
+            ),
             presence=presence,
             progress=progress,
         )
@@ -456,7 +475,8 @@
     def __init__(self, intake: Intake | None = None) -> None:
         self.is_ready = False
         self._is_draining = False
-        self._unready_in_row = 0
+        self._failed_checks = 0
+        self._failed_check_ms = 0
         self._intake = intake or Intake.from_config()
 
     def mark_draining(self) -> None:
@@ -465,8 +485,14 @@
 
     @property
     def is_noticed(self) -> bool:
-        """Whether the load balancer sends new connections elsewhere."""
-        return self._unready_in_row >= UNREADY_CHECKS
+        """Whether the load balancer has been told often enough since then."""
+        return self._failed_checks >= UNREADY_CHECKS
+
+    def _count_failed_check(self) -> None:
+        now_ms = self._intake.now_ms()
+        if self._is_draining and now_ms - self._failed_check_ms >= CHECK_SPACING_MS:
+            self._failed_checks += 1
+            self._failed_check_ms = now_ms
 
     def make_server(self) -> DrainingHttpServer:
         """Return a new server that does not listen yet."""
@@ -486,7 +512,7 @@
             return
         is_ready = self.is_ready and not self._is_draining
         status = 200 if is_ready else 503
-        self._unready_in_row = 0 if is_ready else self._unready_in_row + 1
+        self._count_failed_check()
         write_future = connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, ""),
             HTTPHeaders({"Content-Length": "0"}),
--- a/marjoramgrade/stopping.py
+++ b/marjoramgrade/stopping.py
@@ -18,6 +18,10 @@
 
 # How a request ended that got no complete answer from this process.
 CUT = "cut"
+# How a request ended whose client had closed the connection before.
+LEFT = "left"
+# Interval at which the lateness of the event loop is measured.
+TURN_MS = 20
 
 
 @attrs.define(eq=False)
@@ -30,7 +34,7 @@
         taken_ms: Time at which it had been read completely.
         waits_for: What it waits for now or waited for last, such as `leader:b`; empty
             until it waits for the first time.
-        ended: How it ended, such as the HTTP status; `CUT` until it is answered.
+        ended: How it ended: the HTTP status, `LEFT`, or `CUT` until it is answered.
     """
 
     request_id: str = ""
@@ -154,9 +158,25 @@
         schedule = self.schedule
         return 0 if schedule is None else self.clock.now_ms() - schedule.began_ms
 
-    def record_turn(self, late_ms: int) -> None:
-        """Record by how much a timer of the event loop was late."""
-        self.longest_turn_ms = max(self.longest_turn_ms, late_ms)
+    @property
+    def is_closing(self) -> bool:
+        """Whether connections are closed that still await an answer."""
+        schedule = self.schedule
+        return schedule is not None and self.clock.now_ms() >= schedule.close_ms
+
+    def end_of_wait_ms(self, deadline_ms: int) -> int:
+        """Return when a wait ends that begins now and has a deadline of its own."""
+        if self.schedule is None:
+            return deadline_ms
+        return min(deadline_ms, self.schedule.answer_ms)
+
+    async def watch_turns(self) -> None:
+        """Measure by how much timers of the event loop are late, without end."""
+        while True:
+            due_ms = self.clock.now_ms() + TURN_MS
+            await asyncio.sleep(TURN_MS / 1_000)
+            late_ms = self.clock.now_ms() - due_ms
+            self.longest_turn_ms = max(self.longest_turn_ms, late_ms)
 
     @contextlib.contextmanager
     def track(self, progress: RequestProgress) -> Iterator[None]:
@@ -170,11 +190,9 @@
                 self._record_end(progress, self.schedule.began_ms)
 
     def _record_end(self, progress: RequestProgress, began_ms: int) -> None:
-        self.metrics.count(
-            "ended_while_stopping.cut"
-            if progress.ended == CUT
-            else "ended_while_stopping.answered"
-        )
+        is_answered = progress.ended not in (CUT, LEFT)
+        member = "answered" if is_answered else progress.ended
+        self.metrics.count(f"ended_while_stopping.{member}")
         fields = (
             progress.request_id,
             progress.kind,
@@ -194,7 +212,7 @@
         """
         now_ms = self.clock.now_ms()
         oldest_ms = max((now_ms - each.taken_ms for each in self._in_flight), default=0)
-        waiting = Counter(each.waits_for or "turn" for each in self._in_flight)
+        waiting = Counter(each.waits_for or "started" for each in self._in_flight)
         held = {name: _format_counts(count()) for name, count in self._parts}
         logs.log_event(
             event,
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -16,7 +16,8 @@
 
 from marjoramgrade import errors, logs
 from marjoramgrade.adapters.httppool import HttpResponse
-from marjoramgrade.clock import SystemClock
+from marjoramgrade.adapters.intake import Intake
+from marjoramgrade.clock import ManualClock, SystemClock
 from marjoramgrade.errors import (
     InvalidInputError,
     JobNotFoundError,
@@ -468,6 +469,37 @@
     asyncio.run(run())
 
 
+def test_only_spaced_checks_since_the_stop_tell_that_the_balancer_has_noticed():
+    # Guards against an instance that ends early because anybody asked its readiness
+    # port, while the load balancer still sends clients there.
+    async def ask(address):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
+
+    async def run():
+        clock = ManualClock(10_000)
+        endpoint = frontend.ReadinessEndpoint(Intake.from_config(clock=clock))
+        server = endpoint.make_server()
+        server.listen(0, "127.0.0.1")
+        (listening,) = server._sockets.values()
+        address = listening.getsockname()
+        assert [await ask(address) for _ in range(3)] == [503] * 3
+        endpoint.mark_draining()
+        for _ in range(3):
+            await ask(address)
+        assert not endpoint.is_noticed
+        clock.advance(1_000)
+        await ask(address)
+        assert endpoint.is_noticed
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(run())
+
+
 def test_settings_are_checked(tmp_path: pathlib.Path):
     # Guards against a process that starts with incomplete settings.
     path = tmp_path / "settings"
