Answer the calls of other instances before an instance ends

What callers saw: an instance whose call was in flight at another one that stopped got no answer. It learned of the end only when the connection broke or by its own timeout, and took a call that changes nothing for one of unknown outcome.

Cause: calls between instances did not know when their process ends, `close` gathered all that ran, and closed connections without waiting for replies that were queued.

Change: a call runs in `Stopping.bound`, as the requests of clients do. It is refused at once from the refusing phase on and while the server closes, and answered when all waits end: "not run" if its message type is registered with `reads`, or else "outcome unknown". The wait for a turn or a call slot is bound as well. `close` waits until replies are written, at the latest until the end of the schedule, and 2 s in a process that has none. Notices go on being handled.

A peer that did not read lost its replies at once before; it now has 0.3 s.

--- a/marjoramgrade/adapters/peerlink.py
+++ b/marjoramgrade/adapters/peerlink.py
@@ -10,7 +10,7 @@
 import contextlib
 import struct
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import attrs
@@ -39,6 +39,8 @@
 )
 from marjoramgrade.decisions.intake.bounds import PEER_RECEIVE_BUFFER_BYTES
 from marjoramgrade.decisions.intake.connections import ConnectionUse
+from marjoramgrade.decisions.stopping.answers import WorkKind, refuse
+from marjoramgrade.decisions.stopping.schedule import FLUSH_MS
 from marjoramgrade.errors import (
     MarjoramgradeError,
     OutcomeUnknownError,
@@ -55,6 +57,8 @@
     PeerDisconnected,
     TellOverLink,
 )
+from marjoramgrade.messages.workkinds import work_kind_of
+from marjoramgrade.stopping import Stopping
 
 CONNECT_TIMEOUT_MS = 1_000
 # Limit of unsent bytes per connection; further calls are refused above it.
@@ -67,6 +71,13 @@
 # Calls of one connection that run at a time; it is not read on above that. An instance
 # has fewer clients.
 MAX_CALLS = 2_048
+# Name of the port in the statistics of how long calls take.
+PORT = "peer"
+# Time that calls in flight have when a server closes in a process that has no schedule
+# of its stop.
+CLOSE_MS = 2_000
+# Pause between checks of a server that waits for its calls and replies when it closes.
+POLL_MS = 10
 _LENGTH = struct.Struct(">I")
 
 
@@ -362,6 +373,7 @@
         disconnect_receiver: The actor that receives `PeerDisconnected` when a
             connection ends, or None.
         intake: Bounds what the connections use.
+        stopping: Refuses calls and ends their waits while the process stops.
     """
 
     def __init__(
@@ -369,8 +381,10 @@
         receiver: Actor,
         disconnect_receiver: Actor | None = None,
         intake: Intake | None = None,
+        stopping: Stopping | None = None,
     ) -> None:
         super().__init__()
+        self._stopping = stopping or Stopping()
         self._receiver = receiver
         self._disconnect_receiver = disconnect_receiver
         intake = intake or Intake.from_config()
@@ -381,6 +395,8 @@
             "peer",
         )
         self._streams: set[IOStream] = set()
+        # Those with a frame that waits for a turn or a free call slot.
+        self._waiting_streams: set[IOStream] = set()
         self._kind_by_call: dict[asyncio.Future[None], str] = {}
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
@@ -416,10 +432,12 @@
                 if not held.held_bytes:
                     _refuse_call(stream, held.frame)
                     continue
-                if stream.use.messages_in_row >= FRAMES_PER_TURN:
-                    stream.use.messages_in_row = 0
-                    await self.intake.await_turn(stream.use)
-                await calls.acquire()
+                try:
+                    await self._await_slot(stream, held.frame, calls)
+                except ShuttingDownError as error:
+                    self.intake.end_service(stream.use, held.held_bytes)
+                    self._reply(stream, held.frame.correlation, error)
+                    continue
                 kind = type(held.frame.body).__name__
                 work = self._serve(stream, peer_id, held.frame)
                 task = self._spawn(work, calls, kind)
@@ -429,13 +447,68 @@
                 with contextlib.suppress(ShuttingDownError):
                     self._disconnect_receiver.tell(PeerDisconnected(peer_id))
 
+    async def _await_slot(
+        self, stream: MeasuredStream, frame: PeerFrame, calls: asyncio.Semaphore
+    ) -> None:
+        """Wait for a turn and a free call slot.
+
+        Raises:
+            ShuttingDownError: If the frame is a call and gets none before all waits
+                end; it has not run.
+        """
+        # The wait itself changes nothing, whatever the call does.
+        wait = self._stopping.bound(WorkKind.READ, f"{PORT}.slot")
+        self._waiting_streams.add(stream)
+        try:
+            async with wait if frame.correlation else contextlib.nullcontext():
+                if stream.use.messages_in_row >= FRAMES_PER_TURN:
+                    stream.use.messages_in_row = 0
+                    await self.intake.await_turn(stream.use)
+                await calls.acquire()
+        finally:
+            self._waiting_streams.discard(stream)
+
+    def _bound(self, frame: PeerFrame) -> contextlib.AbstractAsyncContextManager[None]:
+        """Return what ends the handling of a call in time; notices have no answer.
+
+        Raises:
+            ShuttingDownError: If the server closes.
+        """
+        if frame.correlation == 0:
+            return contextlib.nullcontext()
+        kind = work_kind_of(frame.body)
+        if self._stopped:
+            raise refuse(kind)
+        # Some types wait for seconds by design, and say nothing about the others.
+        return self._stopping.bound(kind, f"{PORT}.{type(frame.body).__name__}")
+
     async def close(self) -> None:
-        """Stop accepting, wait for running calls, and close every connection."""
+        """Refuse new calls, answer those in flight, and close every connection.
+
+        The schedule of the process bounds all of this.
+        """
         self.stop()
-        await asyncio.gather(*self._kind_by_call, return_exceptions=True)
+        # Without effect if the process has a schedule.
+        self._stopping.begin(CLOSE_MS)
+        schedule = self._stopping.schedule
+        assert schedule is not None
+        await self._wait_while(
+            lambda: bool(self._kind_by_call or self._waiting_streams),
+            schedule.close_ms,
+        )
+        # A peer that does not read must not hold up a process that ends early.
+        flushed_ms = self._stopping.clock.now_ms() + FLUSH_MS
+        await self._wait_while(
+            lambda: any(stream.writing() for stream in self._streams),
+            min(schedule.close_ms, flushed_ms),
+        )
         for stream in list(self._streams):
             stream.close()
 
+    async def _wait_while(self, is_busy: Callable[[], bool], until_ms: int) -> None:
+        while is_busy() and self._stopping.clock.now_ms() < until_ms:
+            await asyncio.sleep(POLL_MS / 1_000)
+
     def count_calls(self) -> Counter[str]:
         """Return the number of calls that are being handled, by type of message."""
         return Counter(self._kind_by_call.values())
@@ -457,22 +530,24 @@
 
     async def _serve(self, stream: IOStream, peer_id: str, frame: PeerFrame) -> None:
         try:
-            body = await self._receiver.ask(InboundMessage(peer_id, frame.body))
+            async with self._bound(frame):
+                body = await self._receiver.ask(InboundMessage(peer_id, frame.body))
         except MarjoramgradeError as error:
             body = error
-        if frame.correlation == 0 or stream.closed():
+        self._reply(stream, frame.correlation, EmptyReply() if body is None else body)
+
+    @staticmethod
+    def _reply(stream: IOStream, correlation: int, answer: object) -> None:
+        """Send the answer to a call; notices and closed connections get none."""
+        if correlation == 0 or stream.closed():
             return
-        answer = EmptyReply() if body is None else body
         try:
-            self._reply(stream, frame.correlation, answer)
+            try:
+                write_frame(stream, PeerFrame(correlation, answer))
+            except (ProtocolError, OversizedInputError) as error:
+                reason = f"the reply cannot be sent: {error.message}"
+                unknown = OutcomeUnknownError(reason)
+                write_frame(stream, PeerFrame(correlation, unknown))
         except StreamBufferFullError:
             # The peer does not read its replies.
             stream.close()
-
-    @staticmethod
-    def _reply(stream: IOStream, correlation: int, answer: object) -> None:
-        try:
-            write_frame(stream, PeerFrame(correlation, answer))
-        except (ProtocolError, OversizedInputError) as error:
-            unknown = OutcomeUnknownError(f"the reply cannot be sent: {error.message}")
-            write_frame(stream, PeerFrame(correlation, unknown))
--- a/marjoramgrade/messages/rows.py
+++ b/marjoramgrade/messages/rows.py
@@ -5,6 +5,7 @@
 import attrs
 
 from marjoramgrade.actor import Message
+from marjoramgrade.messages.workkinds import reads
 
 ABSENT = 0
 
@@ -99,6 +100,7 @@
     transfer_id: int
 
 
+@reads
 @attrs.frozen
 class ReadRows(Message[RowsPage]):
     """Reads rows of one part in the order of their keys.
@@ -122,6 +124,7 @@
     accepts_transfer: bool = False
 
 
+@reads
 @attrs.frozen
 class WatchRows(Message[RowsPage]):
     """Waits for rows of a table that changed after a version.
@@ -157,6 +160,7 @@
     arrivals: int
 
 
+@reads
 @attrs.frozen
 class FetchPart(Message[PagePart]):
     """Reads a part of a response that began to arrive.
--- a/marjoramgrade/messages/steps.py
+++ b/marjoramgrade/messages/steps.py
@@ -10,6 +10,7 @@
 import attrs
 
 from marjoramgrade.actor import Message
+from marjoramgrade.messages.workkinds import reads
 from marjoramgrade.stepconfig import StepConfig
 from marjoramgrade.stepjobs import (
     StartOrder,
@@ -74,6 +75,7 @@
     team: str = ""
 
 
+@reads
 @attrs.frozen
 class GetStepJob(Message[StepJobShown]):
     """Asks for the state of a job."""
@@ -102,6 +104,7 @@
     count: int
 
 
+@reads
 @attrs.frozen
 class CountPending(Message[PendingCount]):
     """Asks how many accepted jobs of a queue have not started.
@@ -148,6 +151,7 @@
     age_ms: int
 
 
+@reads
 @attrs.frozen
 class AskLeaderAge(Message[LeaderAge]):
     """Asks how long ago an instance last received a heartbeat of the leader."""
@@ -174,6 +178,7 @@
     valid_ms: int
 
 
+@reads
 @attrs.frozen
 class RequestAdvice(Message[StepAdvice]):
     """Asks the placement advisor which workers may run a step.
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -201,7 +201,7 @@
         )
         for actor in actors:
             await self._stack.add(actor)
-        server = PeerServer(inbound, leadership, self._intake)
+        server = PeerServer(inbound, leadership, self._intake, self.stopping)
         server.listen(settings.peer_port, settings.host)
         self._stack.push_part("PeerServer", server.close)
         self.stopping.add_part("calls", server.count_calls)
--- a/tests/test_peerlink.py
+++ b/tests/test_peerlink.py
@@ -4,22 +4,37 @@
 
 import asyncio
 import contextlib
+from socket import create_connection
 
 import attrs
 import pytest
+from tornado.iostream import IOStream
 from tornado.testing import bind_unused_port
 
 import marjoramgrade.adapters.stepmessages  # noqa: F401 (registers encodings)
 from marjoramgrade.actor import Actor, handles
+from marjoramgrade.adapters import peerlink
 from marjoramgrade.adapters.intake import Intake
-from marjoramgrade.adapters.peercodec import Hello, PeerFrame, serialize_frame
-from marjoramgrade.adapters.peerlink import FRAMES_PER_TURN, PeerLink, PeerServer
+from marjoramgrade.adapters.peercodec import (
+    Hello,
+    PeerFrame,
+    parse_frame,
+    serialize_frame,
+)
+from marjoramgrade.adapters.peerlink import (
+    FRAMES_PER_TURN,
+    PeerLink,
+    PeerServer,
+    read_frame,
+)
 from marjoramgrade.decisions.intake.bounds import SMALL_BODY_BYTES, IntakeBounds
 from marjoramgrade.decisions.intake.connections import ConnectionUse
+from marjoramgrade.decisions.stopping.answers import WorkKind
 from marjoramgrade.errors import (
     OutcomeUnknownError,
     OwnerUnreachableError,
     ProtocolError,
+    ShuttingDownError,
 )
 from marjoramgrade.messages.peers import (
     CallOverLink,
@@ -29,18 +44,29 @@
     TellOverLink,
 )
 from marjoramgrade.messages.rows import (
+    CommitRows,
+    FetchPart,
     PageTransfer,
     ReadRows,
+    RowId,
     RowsCommitted,
     RowsPage,
+    StoredRow,
+    WatchRows,
 )
 from marjoramgrade.messages.steps import (
+    AskLeaderAge,
+    CancelStepJob,
+    CountPending,
     GetStepJob,
     LeaderAge,
     LeaderBeat,
+    RequestAdvice,
     SubmitStepJob,
 )
+from marjoramgrade.messages.workkinds import work_kind_of
 from marjoramgrade.stepjobs import Step, StepJob
+from marjoramgrade.stopping import Stopping
 
 
 class Receiver(Actor):
@@ -312,3 +338,257 @@
         assert not failures
 
     asyncio.run(run())
+
+
+class Stalled(Receiver):
+    """Records what it gets, and never ends with it."""
+
+    @handles(InboundMessage)
+    async def _inbound(self, message: InboundMessage) -> object:
+        self.received.append(message.message)
+        return self.spawn(asyncio.Event().wait())
+
+
+JOB = StepJob("", "", "", "100:50", (Step(1),))
+
+
+@attrs.define
+class StoppingPeer:
+    """A server of other instances whose process stops, and a link to it."""
+
+    receiver: Receiver
+    stopping: Stopping
+    server: PeerServer
+    link: PeerLink
+    port: int
+
+    def call(self, message, timeout_ms=9_000):
+        return asyncio.ensure_future(self.link.ask(CallOverLink(message, timeout_ms)))
+
+    async def close(self):
+        """Close the server, and return how long that took."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        async with asyncio.timeout(5):
+            await self.server.close()
+        return loop.time() - began_s
+
+
+@contextlib.asynccontextmanager
+async def stopping_peer(receiver, intake=None):
+    socket, port = bind_unused_port()
+    stopping = Stopping()
+    server = PeerServer(receiver, intake=intake, stopping=stopping)
+    link = PeerLink("b", "127.0.0.1", Member("a", "north", "127.0.0.1", port))
+    async with contextlib.AsyncExitStack() as stack:
+        await receiver.start()
+        stack.push_async_callback(receiver.stop)
+        server.add_socket(socket)
+        await link.start()
+        stack.push_async_callback(link.stop)
+        yield StoppingPeer(receiver, stopping, server, link, port)
+
+
+def test_call_is_refused_at_once_from_the_refusing_phase_on():
+    # Guards against a call that begins although its instance ends before its answer:
+    # the caller learns that only from its own timeout.
+    async def run():
+        async with stopping_peer(Stalled()) as peer:
+            peer.stopping.end_now()
+            for message in (SubmitStepJob(JOB), GetStepJob("a")):
+                with pytest.raises(ShuttingDownError):
+                    await asyncio.wait_for(peer.call(message), 0.2)
+            assert not peer.receiver.received
+            # Heartbeats still count: the leader may be another instance.
+            peer.link.tell(TellOverLink(LeaderBeat(1, "b")))
+            await wait_until(lambda: peer.receiver.received == [LeaderBeat(1, "b")])
+            assert await peer.close() < 0.5
+
+    asyncio.run(run())
+
+
+def test_call_in_flight_is_answered_when_all_waits_end():
+    # Guards against calls of other instances that wait until their instance is killed,
+    # and against the answer "not run" to a change that may have taken effect.
+    async def run():
+        async with stopping_peer(Stalled()) as peer:
+            change, read = peer.call(SubmitStepJob(JOB)), peer.call(GetStepJob("a"))
+            await wait_until(lambda: len(peer.receiver.received) == 2)
+            peer.stopping.begin(1_000)
+            took_s = await peer.close()
+            assert 0.6 < took_s < 0.95
+            with pytest.raises(OutcomeUnknownError) as unknown:
+                await change
+            assert "the instance stops" in unknown.value.message
+            with pytest.raises(ShuttingDownError):
+                await read
+
+    asyncio.run(run())
+
+
+def test_close_refuses_calls_that_come_after_those_in_flight():
+    # Guards against a server that goes on as long as other instances send calls to it.
+    async def run():
+        async with stopping_peer(Stalled()) as peer:
+            first = peer.call(GetStepJob("a"))
+            await wait_until(lambda: peer.receiver.received)
+            peer.stopping.begin(1_000)
+            closing = asyncio.ensure_future(peer.close())
+            await asyncio.sleep(0.1)
+            with pytest.raises(ShuttingDownError):
+                await asyncio.wait_for(peer.call(GetStepJob("b")), 0.2)
+            assert not first.done()
+            assert await closing < 0.95
+            with pytest.raises(ShuttingDownError):
+                await first
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("message", [GetStepJob("a"), LeaderBeat(1, "b")])
+def test_close_ends_without_a_signal_while_work_never_ends(message):
+    # Guards against a process in which a part has failed, and that another instance
+    # keeps from ending.
+    class Blocked(Receiver):
+        @handles(InboundMessage)
+        async def _inbound(self, message):
+            self.received.append(message.message)
+            await release.wait()
+
+    release = asyncio.Event()
+
+    async def run():
+        async with stopping_peer(Blocked()) as peer:
+            if isinstance(message, LeaderBeat):
+                peer.link.tell(TellOverLink(message))
+            else:
+                peer.call(message).add_done_callback(lambda done: done.exception())
+            await wait_until(lambda: peer.receiver.received)
+            try:
+                assert await peer.close() < 2.5
+            finally:
+                release.set()
+
+    asyncio.run(run())
+
+
+def test_reply_is_sent_before_its_connection_is_closed():
+    # Guards against an answer that is cut off in its middle, because the connection was
+    # closed as soon as the reply was queued.
+    row = StoredRow(RowId("jobs", "", "a"), b"x" * 1_000_000, 1)
+    page = RowsPage((row,) * 3, 3)
+
+    async def run():
+        replier = Replier()
+        replier.reply = page
+        async with stopping_peer(replier) as peer:
+            socket = await asyncio.get_running_loop().run_in_executor(
+                None, create_connection, ("127.0.0.1", peer.port)
+            )
+            stream = IOStream(socket, max_buffer_size=2**25)
+            read = ReadRows("jobs", "")
+            # More than the buffers of the kernel hold.
+            for number, frame in enumerate((Hello("b"), read, read)):
+                data = serialize_frame(PeerFrame(number, frame))
+                await stream.write(len(data).to_bytes(4, "big") + data)
+            await wait_until(lambda: any(s.writing() for s in peer.server._streams))
+            peer.stopping.end_now()
+            closing = asyncio.ensure_future(peer.close())
+            await asyncio.sleep(0.05)
+            for _ in range(2):
+                assert (await read_frame(stream)).body == page
+            assert await closing < 0.5
+            stream.close()
+
+    asyncio.run(run())
+
+
+def test_peer_that_does_not_read_does_not_hold_up_a_stop():
+    # Guards against an instance that is killed, or ends late, since another one that is
+    # paused does not take its replies.
+    row = StoredRow(RowId("jobs", "", "a"), b"x" * 1_000_000, 1)
+
+    async def run():
+        replier = Replier()
+        replier.reply = RowsPage((row,) * 3, 3)
+        async with stopping_peer(replier) as peer:
+            _, writer = await asyncio.open_connection("127.0.0.1", peer.port, limit=1)
+            read = ReadRows("jobs", "")
+            for number, frame in enumerate((Hello("b"), read, read)):
+                data = serialize_frame(PeerFrame(number, frame))
+                writer.write(len(data).to_bytes(4, "big") + data)
+            await wait_until(lambda: any(s.writing() for s in peer.server._streams))
+            peer.stopping.begin(6_000)
+            assert 0.2 < await peer.close() < 0.6
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_call_that_waits_for_a_slot_is_answered_when_all_waits_end(monkeypatch):
+    # Guards against a call that was read and whose connection ends without an answer,
+    # as it still waits behind others. It has not run, whatever it would have changed.
+    monkeypatch.setattr(peerlink, "MAX_CALLS", 1)
+
+    async def run():
+        async with stopping_peer(Stalled()) as peer:
+            first, second = (peer.call(SubmitStepJob(JOB)) for _ in range(2))
+            await wait_until(lambda: peer.receiver.received)
+            await asyncio.sleep(0.05)
+            peer.stopping.begin(1_000)
+            assert await peer.close() < 0.95
+            with pytest.raises(OutcomeUnknownError) as unknown:
+                await first
+            assert "the instance stops" in unknown.value.message
+            with pytest.raises(ShuttingDownError):
+                await second
+            assert len(peer.receiver.received) == 1
+
+    asyncio.run(run())
+
+
+def test_call_that_waits_for_its_turn_is_answered_when_all_waits_end():
+    # Guards against the same for a call that came in a burst of frames.
+    async def run():
+        intake = Intake.from_config()
+        # No turn is given.
+        intake._turning = asyncio.get_running_loop().call_later(60, lambda: None)
+        async with stopping_peer(Stalled(), intake) as peer:
+            reader, writer = await asyncio.open_connection("127.0.0.1", peer.port)
+            count = FRAMES_PER_TURN
+            calls = [SubmitStepJob(JOB)] * count
+            for number, frame in enumerate((Hello("b"), *calls)):
+                data = serialize_frame(PeerFrame(number, frame))
+                writer.write(len(data).to_bytes(4, "big") + data)
+            await wait_until(lambda: intake._turns)
+            begun = len(peer.receiver.received)
+            assert begun < count
+            peer.stopping.begin(1_000)
+            assert await peer.close() < 0.95
+            errors = []
+            for _ in range(count):
+                length = int.from_bytes(await reader.readexactly(4), "big")
+                frame = parse_frame(await reader.readexactly(length))
+                errors.append(type(frame.body))
+            assert errors.count(OutcomeUnknownError) == begun
+            assert errors.count(ShuttingDownError) == count - begun
+            assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_only_messages_that_change_nothing_count_as_reads():
+    # Guards against a change that is answered with "not run", and then runs twice.
+    reads = (
+        ReadRows("jobs", ""),
+        WatchRows("jobs", 1, 1),
+        FetchPart(1, 0, 1),
+        GetStepJob("a"),
+        CountPending("q"),
+        RequestAdvice("a", 0, 0, ()),
+        AskLeaderAge(),
+    )
+    changes = (SubmitStepJob(JOB), CancelStepJob("a"), CommitRows((), ()), object())
+    assert {work_kind_of(message) for message in reads} == {WorkKind.READ}
+    assert {work_kind_of(message) for message in changes} == {WorkKind.CHANGE}
