Leave an actor behind that does not stop before its process is killed

What was seen: nothing bounded the stop of an actor. One whose handler waits, or whose background task goes on when it is cancelled, kept all others from giving up what they own until SIGKILL, and no line named it. No such actor was seen in the traces; a part that fails halfway can be one.

Cause: `Actor.stop` waits for the mailbox task, and gathered the background tasks; a `gather` that is cancelled still waits for its tasks.

Change: `ActorGroup` gives each actor at most half of the time that is left until SIGKILL, logs `actor_not_stopped` with the message and the background tasks that have not ended, and goes on with the next. A process whose start fails has a schedule as well.

Result: the test of a group with two such actors took 2.0 s on the code before, when the test let go of them, and ends within its schedule of 0.5 s now.

--- a/marjoramgrade/actor.py
+++ b/marjoramgrade/actor.py
@@ -35,6 +35,9 @@
 MAX_PLACES = 3
 # Pause before another attempt to put a message into a full mailbox.
 FULL_MAILBOX_RETRY_MS = 50
+# Share of the time left to its process that an actor may take to stop, so that those
+# that stop after it have some as well.
+STOP_SHARE = 0.5
 # Replies of an actor that has stopped, before or after it began with a message.
 STOPPED_ERRORS = (ShuttingDownError, WorkCancelledError)
 
@@ -166,6 +169,8 @@
         self._runner: asyncio.Task[None] | None = None
         self._stopped = False
         self._failed_message: Message[Any] | None = None
+        # Type of the message that is being handled, or empty.
+        self._handling = ""
         self.on_fatal: Callable[[ActorFailure], None] = _report_to_event_loop
 
     async def start(self) -> None:
@@ -201,6 +206,13 @@
             ActorFailure(type(self).__name__, subject or self._subject, work, error)
         )
 
+    @property
+    def unfinished(self) -> list[str]:
+        """The message that is being handled, and the background tasks that run."""
+        tasks = [task for task in self._background_tasks if not task.done()]
+        names = [getattr(task.get_coro(), "__name__", "") for task in tasks]
+        return [*filter(None, (self._handling,)), *sorted(names)]
+
     async def stop(self) -> None:
         """Handle the messages in the mailbox, then cancel the background tasks.
 
@@ -213,9 +225,15 @@
         if self._runner is not None:
             await asyncio.wait((self._runner,))
         self._refuse_waiting()
-        for task in list(self._background_tasks):
+        tasks = list(self._background_tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._background_tasks, return_exceptions=True)
+        if tasks:
+            # Unlike `gather`, it ends when it is cancelled, whatever the tasks do.
+            await asyncio.wait(tasks)
+        for task in tasks:
+            if not task.cancelled():
+                task.exception()
         await self.on_stop()
 
     def _refuse_waiting(self) -> None:
@@ -316,7 +334,9 @@
             envelope = await self._mailbox.get()
             if envelope is None:
                 return
+            self._handling = type(envelope.message).__name__
             await self._handle(envelope)
+            self._handling = ""
             # Not kept while the mailbox is empty.
             del envelope
 
@@ -380,14 +400,19 @@
 class ActorGroup(contextlib.AsyncExitStack):
     """An exit stack that starts actors and stops them in reverse order.
 
+    Args:
+        get_left_ms: Returns the time left until the process is killed, None if that is
+            not known. An actor that does not stop in its share of it is left behind.
+
     Attributes:
         failed: Set when the mailbox task or a critical background task of one of
             the actors has failed.
         closing: Name of the part that is being closed, or empty.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, get_left_ms: Callable[[], int | None] = lambda: None) -> None:
         super().__init__()
+        self._get_left_ms = get_left_ms
         self.failed = asyncio.Event()
         self.closing = ""
 
@@ -395,7 +420,22 @@
         """Start an actor and stop it when the group closes."""
         actor.on_fatal = self._fail
         await actor.start()
-        self.push_part(type(actor).__name__, actor.stop)
+        self.push_part(type(actor).__name__, lambda: self._stop(actor))
+
+    async def _stop(self, actor: Actor) -> None:
+        left_ms = self._get_left_ms()
+        wait_s = None if left_ms is None else max(left_ms, 0) * STOP_SHARE / 1_000
+        try:
+            async with asyncio.timeout(wait_s) as wait:
+                await actor.stop()
+        except TimeoutError:
+            if not wait.expired():
+                raise
+            logs.log_event(
+                "actor_not_stopped",
+                actor=type(actor).__name__,
+                work=",".join(actor.unfinished),
+            )
 
     def push_part(self, name: str, close: Callable[[], Awaitable[object]]) -> None:
         """Close a part when the group closes, and name it in `closing` meanwhile."""
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -75,8 +75,8 @@
         self._settings = settings
         self._clock = SystemClock()
         self._metrics = PrometheusMetrics()
-        self._stack = ActorGroup()
         self.stopping = Stopping(self._clock, self._metrics)
+        self._stack = ActorGroup(lambda: self.stopping.left_ms)
         self._intake_bounds = IntakeBounds.from_config(
             settings.memory_mb, _max_descriptors(settings)
         )
@@ -98,6 +98,7 @@
         try:
             await self._start()
         except BaseException:
+            self.stopping.end_now()
             await self._stack.aclose()
             raise
         return self
--- a/marjoramgrade/stopping.py
+++ b/marjoramgrade/stopping.py
@@ -154,6 +154,12 @@
         schedule = self.schedule
         return 0 if schedule is None else self.clock.now_ms() - schedule.began_ms
 
+    @property
+    def left_ms(self) -> int | None:
+        """Time until the process has to have ended, None before its stop begins."""
+        schedule = self.schedule
+        return None if schedule is None else schedule.exit_ms - self.clock.now_ms()
+
     def record_turn(self, late_ms: int) -> None:
         """Record by how much a timer of the event loop was late."""
         self.longest_turn_ms = max(self.longest_turn_ms, late_ms)
