--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -77,8 +77,8 @@
         self._settings = settings
         self._clock = SystemClock()
         self._metrics = PrometheusMetrics()
-        self._stack = ActorGroup()
         self.stopping = Stopping(self._clock, self._metrics)
+        self._stack = ActorGroup(lambda: self.stopping.left_ms)
         self._intake_bounds = IntakeBounds.from_config(
             settings.memory_mb, _max_descriptors(settings)
         )
@@ -101,6 +101,7 @@
         try:
             await self._start()
         except BaseException:
+            self.stopping.end_now()
             await self._stack.aclose()
             raise
         return self
@@ -207,7 +208,7 @@
         )
         for actor in actors:
             await self._stack.add(actor)
-        server = PeerServer(inbound, leadership, self._intake)
+        server = PeerServer(inbound, leadership, self._intake, self.stopping)
         server.listen(settings.peer_port, settings.host)
         self._stack.push_part("PeerServer", server.close)
         self.stopping.add_part("calls", server.count_calls)
--- a/marjoramgrade/stopping.py
+++ b/marjoramgrade/stopping.py
@@ -178,6 +178,12 @@
             late_ms = self.clock.now_ms() - due_ms
             self.longest_turn_ms = max(self.longest_turn_ms, late_ms)
 
+    @property
+    def left_ms(self) -> int | None:
+        """Time until the process has to have ended, None before its stop begins."""
+        schedule = self.schedule
+        return None if schedule is None else schedule.exit_ms - self.clock.now_ms()
+
     @contextlib.contextmanager
     def track(self, progress: RequestProgress) -> Iterator[None]:
         """Count a request as in flight, and log its end if the process stops then."""
