Add a soak of overlapping stops

Cause: nothing played stops of instances in series under clients that keep idle connections, so a request that was cut off by a stop was seen by users only.

--- a/soak/run.py
+++ b/soak/run.py
@@ -2,13 +2,16 @@
 
     python -m soak.run --seeds 5 [--first 1] [--seconds 12] [--untrusted]
         [--instances 3]
+    python -m soak.run --stops [--faults] ...
 
 Each seed injects a series of overlapping faults: signals kill, freeze, stop and reload
 instances, the store is busy, slow or loses responses, a loopback relay disconnects
 instances and workers, and workers crash and execute orders late. Another writer leaves
 odd entries among those of the workers and instances. Clients submit jobs throughout.
 Then all faults end, and every accepted job must complete in time. No process may end by
-itself. Only processes that the soak run started are ended.
+itself. Only processes that the soak run started are ended. With `--stops`, instances
+are stopped in overlapping series instead (`soak/stops.py`), with `--faults` beside the
+faults.
 """
 
 from __future__ import annotations
@@ -41,6 +44,7 @@
 )
 from soak.faults import FAULTS
 from soak.oddentries import write_odd_entries
+from soak.stops import StopPlay
 
 # Time limit, set by the rules, for the completion of jobs whose state is requested
 # after the end of the traffic.
@@ -178,14 +182,64 @@
     names = [name for name in FAULTS.iter_names() if name not in left_out]
     if is_untrusted:
         soak.limits["memory_mb"] = MEMORY_MB
+    play = functools.partial(
+        submit_under_faults, soak, seconds, submit, names, (0.1, 0.3), (0.2, 2.0)
+    )
+    return await _check_promises(soak, play, [write_odd_entries(soak)])
+
+
+async def run_stops(soak: Soak, seconds: float, has_faults: bool = False) -> list[str]:
+    """Run one seed of overlapping stops and return the violations.
+
+    Args:
+        soak: The soak run.
+        seconds: How long clients send and stops begin.
+        has_faults: Whether the faults of `run_soak` overlap; then the promises of the
+            stops themselves are not checked, since a fault may break them.
+    """
+    names = [n for n in FAULTS.iter_names() if n not in UNTRUSTED_FAULTS]
+    stops = StopPlay(soak)
+
+    async def play() -> int:
+        await soak.start()
+        await wait_until_ready(soak)
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(stops.run(seconds))
+            if has_faults:
+                tasks.create_task(_inject_faults(soak, seconds, names))
+        return len(soak.statuses_by_job)
+
+    broken = await _check_promises(soak, play, [])
+    soak.record_event(f"{soak.events[-1][8:]}; {stops.describe()}")
+    return broken if has_faults else [*broken, *stops.find_violations()]
+
+
+async def _inject_faults(soak: Soak, seconds: float, names: Sequence[str]) -> None:
+    """Inject overlapping faults for a time, and return when all are over."""
+    end = time.monotonic() + seconds
+    async with asyncio.TaskGroup() as tasks:
+        while time.monotonic() < end:
+            tasks.create_task(FAULTS.get(soak.rng.choice(names))(soak))
+            await asyncio.sleep(soak.rng.uniform(0.2, 2.0))
+
+
+async def _check_promises(
+    soak: Soak,
+    play: Callable[[], Coroutine[Any, Any, int]],
+    beside: Sequence[Coroutine[Any, Any, None]],
+) -> list[str]:
+    """Run a play and what disturbs it, and return the violations of the usual promises.
+
+    Args:
+        soak: The soak run.
+        play: Starts the cell, submits jobs and returns their number.
+        beside: Runs in the background until the jobs have completed.
+    """
     background = [
-        asyncio.create_task(_measure_memory(soak)),
-        asyncio.create_task(write_odd_entries(soak)),
+        asyncio.create_task(each) for each in (_measure_memory(soak), *beside)
     ]
     try:
-        number = await submit_under_faults(
-            soak, seconds, submit, names, (0.1, 0.3), (0.2, 2.0)
-        )
+        number = await play()
         broken = await _await_completion(soak)
     finally:
         for task in background:
@@ -314,6 +368,12 @@
     parser.add_argument(
         "--untrusted", action="store_true", help="clients that do not keep the limits"
     )
+    parser.add_argument(
+        "--stops", action="store_true", help="stop instances in overlapping series"
+    )
+    parser.add_argument(
+        "--faults", action="store_true", help="with --stops: the other faults as well"
+    )
     parser.add_argument(
         "--instances", type=int, default=len(INSTANCES), help="number of instances"
     )
@@ -321,17 +381,15 @@
     seeds = list(range(arguments.first, arguments.first + arguments.seeds))
     if arguments.regressions:
         seeds = list(REGRESSIONS)
+    play = functools.partial(run_soak, is_untrusted=arguments.untrusted)
+    if arguments.stops:
+        play = functools.partial(run_stops, has_faults=arguments.faults)
+    play = functools.partial(play, seconds=arguments.seconds)
     failed = [
         seed
         for seed in seeds
         if not asyncio.run(
-            run_seed(
-                seed,
-                arguments.seconds,
-                arguments.keep,
-                arguments.untrusted,
-                arguments.instances,
-            )
+            run_in_folder(seed, play, arguments.keep, arguments.instances)
         )
     ]
     print(f"{len(seeds) - len(failed)} of {len(seeds)} seeds passed; failed: {failed}")
