--- a/soak/run.py
+++ b/soak/run.py
@@ -344,6 +344,7 @@
             broken = await play(soak)
         finally:
             await soak.stop()
+        (folder / "events.log").write_text("\n".join([*soak.events, *broken]))
         print(f"seed {seed}: {'ok' if not broken else 'BROKEN'}; {soak.events[-1]}")
         if broken:
             print("\n".join([*soak.events, *broken]))
