Begin the stops of a soak once all instances serve

Change: stops begin when every port is open; a cancelled job is not submitted again; an idle connection is closed 0.5 s before the end of its process.

--- a/soak/stops.py
+++ b/soak/stops.py
@@ -26,12 +26,13 @@
 LOSS_SLACK_S = 0.2
 # Connections that were open at SIGTERM and stay idle are closed at least this long
 # before the end of the process, so that the end itself does not count as a close.
-IDLE_MARGIN_S = 0.1
+IDLE_MARGIN_S = 0.5
 STOP_GAP_S = (0.3, 1.5)
 TWO_AT_A_TIME_SHARE = 0.2
 # Share of the stopping instances that get a further signal.
 AGAIN_SHARE = 0.3
 PAUSE_S = 0.1
+START_TIMEOUT_S = 10.0
 # Longest time between two connections of a client, in seconds.
 RECONNECT_S = 0.4
 DEADLINES_MS = (3_000, 10_000)
@@ -45,19 +46,21 @@
     """How a kind of clients uses its connections.
 
     Attributes:
+        name: Beginning of the ids of their requests.
         count: Number of such clients.
         idle_s: Shortest and longest time that a connection is idle before a request.
         is_kept: Whether a connection is used again after a response.
     """
 
+    name: str
     count: int
     idle_s: tuple[float, float]
     is_kept: bool
 
 
 CLIENT_KINDS = (
-    ClientKind(count=60, idle_s=(0.0, 1.5 * SHUTDOWN_S), is_kept=True),
-    ClientKind(count=8, idle_s=(0.0, 0.1), is_kept=False),
+    ClientKind("kept", count=60, idle_s=(0.0, 1.5 * SHUTDOWN_S), is_kept=True),
+    ClientKind("new", count=8, idle_s=(0.0, 0.1), is_kept=False),
 )
 
 
@@ -135,12 +138,15 @@
 
     async def run(self, seconds: float) -> None:
         """Begin stops for a time while clients send, and return when all has ended."""
+        # SIGTERM ends an interpreter that has not begun to run the program.
+        await asyncio.gather(*(self._await_serving(n) for n in self.soak.names))
         last_stop_s = time.monotonic() + seconds
         self.end_s = last_stop_s + SHUTDOWN_S
         async with asyncio.TaskGroup() as tasks:
             for kind in CLIENT_KINDS:
-                for _ in range(kind.count):
-                    client = Client(self, kind, self._new_rng())
+                for number in range(kind.count):
+                    client_id = f"{kind.name}{number}"
+                    client = Client(self, kind, client_id, self._new_rng())
                     tasks.create_task(client.run())
             rng = self._new_rng()
             while time.monotonic() < last_stop_s:
@@ -166,13 +172,13 @@
             stop = Stop(self.soak.process_by_name[name], time.monotonic())
             self.stops.append(stop)
             self._stop_by_name[name] = stop
-            start(self._stop(stop))
+            self.soak.record_event(f"stop {name}")
+            log_start = stop.process.log.stat().st_size
+            stop.process.send(signal.SIGTERM)
+            start(self._await_end(stop, log_start))
 
-    async def _stop(self, stop: Stop) -> None:
+    async def _await_end(self, stop: Stop, log_start: int) -> None:
         process, name = stop.process, stop.process.name
-        log_start = process.log.stat().st_size
-        self.soak.record_event(f"stop {name}")
-        process.send(signal.SIGTERM)
         while process.popen.poll() is None:
             if time.monotonic() >= stop.sent_s + SHUTDOWN_S:
                 stop.is_killed = True
@@ -189,8 +195,9 @@
         del self._stop_by_name[name]
 
     async def _await_serving(self, name: str) -> None:
-        """Wait for the port of the clients: signals before the start are not meant."""
-        while time.monotonic() < self.end_s:
+        """Wait until the port of the clients is open, for a limited time."""
+        end = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end:
             with contextlib.suppress(OSError):
                 _, writer = await asyncio.open_connection(*self.address_of(name))
                 writer.close()
@@ -264,6 +271,7 @@
 
     play: StopPlay
     kind: ClientKind
+    client_id: str
     rng: random.Random
     _job_id: str = ""
     _calls: int = 0
@@ -305,7 +313,7 @@
             return False
         method, path, body = self._choose()
         self._calls += 1
-        request_id = f"{id(self) & 0xFFFFFF:06x}-{self._calls}"
+        request_id = f"{self.client_id}-{self._calls}"
         call = Call(process.name, method, time.monotonic(), request_id)
         self.play.calls.append(call)
         head = (
@@ -337,8 +345,9 @@
             return method, f"/q/{self._job_id}", json.dumps(document).encode()
         job_id = self._job_id or "f" * 16
         if method == "DELETE":
-            # Whether it completes or ends by the cancelling is open from here on.
+            # From here on it may end as cancelled, also if it is submitted again.
             soak.accepted.pop(job_id, None)
+            self._job_id = ""
         return method, f"/q/{job_id}", b""
 
     def _record_attempt(self, status: int) -> None:
