--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from soak.refusals import run_refusals
-from soak.run import run_in_folder, run_seed
+from soak.run import run_in_folder, run_seed, run_stops
 
 SECONDS = 8.0
 
@@ -39,3 +39,13 @@
     # (issue 29: broken on 0060460).
     play = functools.partial(run_refusals, seconds=12.0, is_isolating=True)
     assert asyncio.run(run_in_folder(seed, play, None))
+
+
+@pytest.mark.parametrize("seed", [5])
+def test_requests_are_answered_while_instances_stop_in_series(seed):
+    # Guards against requests that are cut off without an answer, idle connections that
+    # are not closed, and processes that end only by SIGKILL, where the leader and the
+    # instance that a request is passed on to stop as well (issue 51: broken on
+    # 84dd4b4).
+    play = functools.partial(run_stops, seconds=4.0)
+    assert asyncio.run(run_in_folder(seed, play, None))
