Answer every /v1 request in flight before its instance ends

Callers whose request an instance of the /v1 interface had passed on, or that was in flight when an actor failed, saw their connection end without an answer.

Cause: drain stopped waiting after shutdown_ms, and a process whose actor had failed did not wait at all; nothing ended the waits themselves.

Change: Stopping serves this port too. StopSchedule.from_drain derives the times of the stop from shutdown_ms; every wait ends then and is answered: 503, not run, if it changes nothing, else 502 outcome_unknown. A failed process ends all waits at once and has 0.3 s to send the answers. The log says what was in flight when the stop began and when connections were closed, as on the platform.

--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -19,10 +19,15 @@
 from marjoramgrade.actor import Actor
 from marjoramgrade.adapters.httperrors import error_document, status_of
 from marjoramgrade.adapters.httpresources import HttpCall, Operation, iter_paths
-from marjoramgrade.adapters.httpserver import DrainingHttpServer, PortLimits
+from marjoramgrade.adapters.httpserver import (
+    DrainingHttpServer,
+    PortLimits,
+    parse_request_id,
+)
 from marjoramgrade.adapters.intake import Intake, MeasuredStream
 from marjoramgrade.clock import Clock
-from marjoramgrade.controllers.watch import Subscribe, Unsubscribe
+from marjoramgrade.controllers.watch import Subscribe, Subscription, Unsubscribe
+from marjoramgrade.decisions.stopping.answers import WorkKind
 from marjoramgrade.documents import serialize_watch_event
 from marjoramgrade.errors import (
     InvalidInputError,
@@ -33,6 +38,7 @@
 from marjoramgrade.filters.chain import FilterChain
 from marjoramgrade.filters.context import RequestContext
 from marjoramgrade.metrics import Metrics
+from marjoramgrade.stopping import RequestProgress, Stopping
 
 DEFAULT_DEADLINE_MS = 10_000
 MAX_DEADLINE_MS = 60_000
@@ -41,6 +47,8 @@
 BODY_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 60_000
 BEARER = "Bearer "
+# Name of the port in the log.
+PORT = "v1"
 
 
 @attrs.define
@@ -55,6 +63,7 @@
         max_body_bytes: Largest request body accepted, in bytes.
         is_ready: Whether new requests are accepted.
         in_flight: Number of requests without a response so far.
+        stopping: Ends the waits of the requests before the process ends.
     """
 
     chain: FilterChain
@@ -64,6 +73,7 @@
     max_body_bytes: int
     is_ready: bool = True
     in_flight: int = 0
+    stopping: Stopping = attrs.field(factory=Stopping)
 
 
 @attrs.frozen
@@ -83,6 +93,11 @@
         """Store the arguments from the route table; tornado calls this per request."""
         self.state = state
         self.operation_by_method = operation_by_method
+        self.progress = RequestProgress(
+            parse_request_id(self.request.headers),
+            self.request.method or "",
+            state.clock.now_ms(),
+        )
 
     def set_default_headers(self) -> None:
         """Omit the `Server` header from responses."""
@@ -92,6 +107,9 @@
         """Send the response; while the instance shuts down, end the connection."""
         if not self.state.is_ready:
             self.set_header("Connection", "close")
+        connection: Any = self.request.connection
+        if connection.stream is not None and not connection.stream.closed():
+            self.progress.ended = str(self.get_status())
         return super().finish(chunk)
 
     def on_finish(self) -> None:
@@ -147,9 +165,11 @@
             return
         self.state.in_flight += 1
         try:
-            await self._respond(operation, parsed)
-        except MarjoramgradeError as error:
-            self.respond_with_error(error)
+            with self.state.stopping.track(self.progress):
+                try:
+                    await self._respond(operation, parsed)
+                except MarjoramgradeError as error:
+                    self.respond_with_error(error)
         finally:
             self.state.in_flight -= 1
 
@@ -181,12 +201,15 @@
             deadline_ms - self.state.clock.now_ms(),
         )
         message = self.operation_by_method[self.request.method or ""].parse(call)
-        return _ParsedCall(
-            call, RequestContext(message, self.secret(), request_id, deadline_ms)
+        context = RequestContext(
+            message, self.secret(), request_id, deadline_ms, progress=self.progress
         )
+        return _ParsedCall(call, context)
 
     async def _respond(self, operation: Operation, parsed: _ParsedCall) -> None:
-        reply = await self.state.chain.handle(parsed.context)
+        kind = WorkKind.READ if self.request.method == "GET" else WorkKind.CHANGE
+        async with self.state.stopping.bound(kind, PORT):
+            reply = await self.state.chain.handle(parsed.context)
         answer = operation.serialize(parsed.call, reply)
         self.set_status(answer.status)
         self.set_header("Request-Id", parsed.call.request_id)
@@ -200,16 +223,17 @@
 
     async def get(self) -> None:
         """Stream the changes after the version in the query parameter `after`."""
+        with self.state.stopping.track(self.progress):
+            await self._stream()
+
+    async def _stream(self) -> None:
         try:
-            after = self._parse_after()
-            context = RequestContext(
-                Subscribe(after), self.secret(), uuid.uuid4().hex, self.deadline_ms()
-            )
-            subscription = await self.state.chain.handle(context)
+            subscription = await self._subscribe()
         except MarjoramgradeError as error:
             self.respond_with_error(error)
             return
         self.set_header("Content-Type", "application/x-ndjson")
+        self.progress.waits_for = "change"
         try:
             while self.state.is_ready:
                 for event in await subscription.next_events():
@@ -223,6 +247,21 @@
             with contextlib.suppress(ShuttingDownError):
                 self.state.watch.tell(Unsubscribe(subscription))
 
+    async def _subscribe(self) -> Subscription:
+        if not self.state.is_ready:
+            raise ShuttingDownError("this instance is shutting down")
+        message = Subscribe(self._parse_after())
+        context = RequestContext(
+            message,
+            self.secret(),
+            uuid.uuid4().hex,
+            self.deadline_ms(),
+            progress=self.progress,
+        )
+        async with self.state.stopping.bound(WorkKind.READ, PORT):
+            subscription: Subscription = await self.state.chain.handle(context)
+        return subscription
+
     def _parse_after(self) -> int | None:
         text = self.get_query_argument("after", "")
         if text == "":
@@ -289,5 +328,5 @@
         intake=intake,
         # A larger body gets a response without content; a body between the two limits
         # gets a typed error response.
-        limits=PortLimits(2 * max_body_bytes, intake.bounds.client_connections, "v1"),
+        limits=PortLimits(2 * max_body_bytes, intake.bounds.client_connections, PORT),
     )
--- a/marjoramgrade/decisions/stopping/schedule.py
+++ b/marjoramgrade/decisions/stopping/schedule.py
@@ -33,6 +33,10 @@
 FLUSH_MS = 300
 # The least that a request needs: a few round trips between instances and a commit.
 SERVICE_MS = 300
+# For handing the shards of the `/v1` interface over. Others poll for released shards
+# and announce them every 500 ms each; without others, the last summary of this instance
+# lapses after 3,000 ms.
+HANDOVER_MS = 5_000
 # Shares of the time of the whole stop that these may take, where it is short.
 NOTICE_SHARE = 0.5
 EXIT_SHARE = 0.1
@@ -84,6 +88,24 @@
         idle_ms = began_ms + min(NOTICE_MS, int(grace_ms * NOTICE_SHARE))
         return cls(began_ms, idle_ms, refuse_ms, answer_ms, close_ms, exit_ms)
 
+    @classmethod
+    def from_drain(cls, began_ms: int, drain_ms: int) -> StopSchedule:
+        """Return the times of a stop that hands shards over between waits and closing.
+
+        New requests are refused from the beginning on, so `refuse_ms` only ends the
+        dispatch of those that still queue.
+
+        Args:
+            began_ms: When the process was told to stop.
+            drain_ms: Longest time from then until every wait has ended.
+        """
+        answer_ms = began_ms + drain_ms
+        refuse_ms = answer_ms - min(SERVICE_MS, int(drain_ms * SERVICE_SHARE))
+        idle_ms = began_ms + min(NOTICE_MS, int(drain_ms * NOTICE_SHARE))
+        close_ms = answer_ms + HANDOVER_MS
+        exit_ms = close_ms + EXIT_MS
+        return cls(began_ms, idle_ms, refuse_ms, answer_ms, close_ms, exit_ms)
+
     @classmethod
     def at_once(cls, began_ms: int) -> StopSchedule:
         """Return the times of a process that cannot serve any more and ends itself."""
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -11,6 +11,7 @@
 from marjoramgrade.actor import Actor, ActorGroup
 from marjoramgrade.adapters.backend import BackendClient
 from marjoramgrade.adapters.httpfront import HttpServerState, make_server
+from marjoramgrade.adapters.httpserver import FINISH_MS, DrainingHttpServer
 from marjoramgrade.adapters.intake import Intake
 from marjoramgrade.adapters.peerlink import PeerServer
 from marjoramgrade.adapters.platformclient import PlatformClient
@@ -21,12 +22,14 @@
 from marjoramgrade.decisions.preemption import PREEMPTIONS
 from marjoramgrade.decisions.queues import QUEUE_ORDERS
 from marjoramgrade.decisions.retries import RETRY_POLICIES
+from marjoramgrade.decisions.stopping.schedule import StopSchedule
 from marjoramgrade.filters import access, requests, route  # noqa: F401  registers
 from marjoramgrade.filters.chain import FILTERS, FilterChain, FilterEnvironment
 from marjoramgrade.messages.ownership import DrainRequests, ReleaseShards
 from marjoramgrade.messages.routing import GetSummaries
 from marjoramgrade.settings import EntrySettings
 from marjoramgrade.settingsfile import KnownNames, read_entry_settings
+from marjoramgrade.stopping import Stopping
 
 KNOWN_NAMES = KnownNames.from_registries(
     FILTERS,
@@ -44,6 +47,9 @@
 
     Args:
         settings: Settings of the instance.
+
+    Attributes:
+        stopping: The requests in flight, and since when the process stops.
     """
 
     def __init__(self, settings: EntrySettings) -> None:
@@ -51,7 +57,9 @@
         self._stack = ActorGroup()
         self._clock = SystemClock()
         self._metrics = metrics.from_config(settings.statsd_host, settings.statsd_port)
+        self.stopping = Stopping(self._clock, self._metrics)
         self._state: HttpServerState | None = None
+        self._front_server: DrainingHttpServer | None = None
         self._controllers: ControllerSet | None = None
 
     @classmethod
@@ -85,17 +93,42 @@
         return not self._stack.failed.is_set()
 
     async def drain(self) -> None:
-        """Refuse new requests, wait for running requests and release the shards."""
+        """Refuse new requests, end running requests in time and release the shards."""
         assert self._state is not None and self._controllers is not None
-        logs.log_event("shutting_down")
+        self.stopping.begin_drain(self._settings.shutdown_ms)
+        schedule = self.stopping.schedule
+        assert schedule is not None
+        self.stopping.log_held("shutting_down")
         self._state.is_ready = False
-        until_ms = self._clock.now_ms() + self._settings.shutdown_ms
-        while self._state.in_flight and self._clock.now_ms() < until_ms:
+        await self._hand_over(self._state, self._controllers, schedule)
+        self.stopping.log_held("drained")
+
+    async def _hand_over(
+        self, state: HttpServerState, controllers: ControllerSet, schedule: StopSchedule
+    ) -> None:
+        while state.in_flight and self._left_ms(schedule.refuse_ms):
+            before_ms = self._clock.now_ms()
             await asyncio.sleep(SHUTDOWN_POLL_MS / 1000)
-        dispatchers = self._controllers.dispatcher_by_shard.values()
+            late_ms = self._clock.now_ms() - before_ms - SHUTDOWN_POLL_MS
+            self.stopping.record_turn(late_ms)
+        dispatchers = controllers.dispatcher_by_shard.values()
         await asyncio.gather(*(d.ask(DrainRequests()) for d in dispatchers))
-        await self._controllers.ownership.ask(ReleaseShards())
-        await self._wait_for_new_owners(self._controllers.routes)
+        await controllers.ownership.ask(ReleaseShards())
+        await self._wait_for_new_owners(controllers.routes)
+
+    def _left_ms(self, until_ms: int) -> int:
+        return max(until_ms - self._clock.now_ms(), 0)
+
+    async def _finish_front(self) -> None:
+        """Answer what is in flight, and serve the connections that wait."""
+        assert self._state is not None and self._front_server is not None
+        self._state.is_ready = False
+        if self.stopping.schedule is None or self._stack.failed.is_set():
+            self.stopping.end_now()
+        schedule = self.stopping.schedule
+        assert schedule is not None
+        left_ms = self._left_ms(schedule.close_ms)
+        await self._front_server.finish(min(left_ms, FINISH_MS))
 
     async def _wait_for_new_owners(self, routes: Actor) -> None:
         """Serve peers until no summary names this instance as the owner of a shard.
@@ -126,7 +159,9 @@
         intake = Intake.from_config(clock=self._clock, metrics=self._metrics)
         peer_server = PeerServer(controllers.inbound, intake=intake)
         peer_server.listen(settings.peer_port, address=settings.host)
-        self._stack.push_async_callback(peer_server.close)
+        self._stack.push_part("PeerServer", peer_server.close)
+        self.stopping.add_part("calls", peer_server.count_calls)
+        self.stopping.add_part("connections", intake.count_open)
         # From here on, peers can find this instance and it takes over shards.
         await self._stack.add(controllers.members)
         await self._stack.add(controllers.ownership)
@@ -154,11 +189,15 @@
             self._clock,
             self._metrics,
             settings.max_body_bytes,
+            stopping=self.stopping,
         )
         server = make_server(self._state, settings.max_body_bytes, intake)
         server.listen(settings.http_port, address=settings.host)
+        self._front_server = server
+        # These run when the instance stops, the last one first.
         self._stack.push_async_callback(server.close_all_connections)
-        self._stack.push_async_callback(server.finish)
+        self._stack.callback(self.stopping.log_held, "clients_closing")
+        self._stack.push_part("front", self._finish_front)
 
     async def _flush_forever(self) -> None:
         while True:
@@ -171,13 +210,20 @@
     logs.configure(sys.stderr, instance=settings.instance_id)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    instance = EntryInstance.from_config(settings)
+
+    def request_stop() -> None:
+        instance.stopping.begin_drain(settings.shutdown_ms)
+        stop.set()
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    async with EntryInstance.from_config(settings) as instance:
+        loop.add_signal_handler(signal_number, request_stop)
+    async with instance:
         is_working = await instance.wait_for_stop(stop)
         if is_working:
             await instance.drain()
-    logs.log_event("stopped", failed=not is_working)
+    instance.stopping.log_held("stopped", failed=not is_working)
+    logs.flush_batches()
     if not is_working:
         raise SystemExit(1)
 
--- a/marjoramgrade/filters/route.py
+++ b/marjoramgrade/filters/route.py
@@ -54,4 +54,5 @@
             raise ProtocolError(
                 f"no controller handles {type(context.message).__name__}"
             )
+        context.progress.waits_for = type(context.message).__name__
         return await controller.ask(context.message)
--- a/marjoramgrade/settings.py
+++ b/marjoramgrade/settings.py
@@ -61,7 +61,8 @@
         max_queued_requests: Largest number of requests queued in one shard.
         ended_job_retention_ms: Time after which the row of an ended job is deleted;
             its id may then be reused.
-        shutdown_ms: Longest time that a shutdown waits for running requests.
+        shutdown_ms: Longest time that a shutdown waits for running requests; releasing
+            the shards takes up to `HANDOVER_MS` more.
         filters: Names of the request filters in the order of the chain.
         policies_by_kind: Names of the policies for each kind of work.
     """
--- a/marjoramgrade/stopping.py
+++ b/marjoramgrade/stopping.py
@@ -83,6 +83,16 @@
             now_ms = self.clock.now_ms()
             self._follow(StopSchedule.from_config(now_ms, grace_ms))
 
+    def begin_drain(self, drain_ms: int) -> None:
+        """Stop and hand shards over; without effect if the process stops already.
+
+        Args:
+            drain_ms: Longest time from now until every wait has ended.
+        """
+        if self.schedule is None:
+            now_ms = self.clock.now_ms()
+            self._follow(StopSchedule.from_drain(now_ms, drain_ms))
+
     def end_now(self) -> None:
         """End all waits, since the process can no longer serve any."""
         schedule = StopSchedule.at_once(self.clock.now_ms())
--- a/tests/test_httpfront.py
+++ b/tests/test_httpfront.py
@@ -14,6 +14,7 @@
 from marjoramgrade.filters.context import RequestContext
 from marjoramgrade.messages.jobs import ListJobs
 from marjoramgrade.metrics import MemoryMetrics
+from marjoramgrade.stopping import Stopping
 
 MAX_BODY_BYTES = 1_000
 
@@ -105,3 +106,44 @@
     """Guards against refused requests that are missing from the metrics."""
     _, metrics = asyncio.run(_exchange([_request("POST /v1/jobs", body=b"{")]))
     assert metrics.count_by_name["refused.invalid_input"] == 1
+
+
+class EndlessFilter(EmptyFilter):
+    async def apply(self, context: RequestContext, proceed: Proceed) -> Any:
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize(
+    ("line", "status", "ran"),
+    [
+        ("GET /v1/jobs", 503, "no"),
+        ("GET /v1/watch", 503, "no"),
+        ("DELETE /v1/jobs/a", 502, "unknown"),
+        ("POST /v1/run/a", 502, "unknown"),
+    ],
+)
+def test_a_stop_ends_every_wait_with_a_true_answer(
+    line: str, status: int, ran: str
+) -> None:
+    """Guards against waits without an end, and changes reported as not run."""
+
+    async def run() -> bytes:
+        metrics, stopping = MemoryMetrics(), Stopping()
+        chain = FilterChain([EndlessFilter()], metrics)
+        state = HttpServerState(
+            chain, Actor(), SystemClock(), metrics, MAX_BODY_BYTES, stopping=stopping
+        )
+        server = make_server(state, MAX_BODY_BYTES)
+        socket, port = bind_unused_port()
+        server.add_socket(socket)
+        stream = await TCPClient().connect("127.0.0.1", port)
+        await stream.write(_request(line))
+        asyncio.get_running_loop().call_later(0.1, stopping.end_now)
+        answer = await asyncio.wait_for(stream.read_until_close(), 5)
+        server.stop()
+        await server.close_all_connections()
+        return answer
+
+    head = asyncio.run(run()).partition(b"\r\n\r\n")[0].decode()
+    assert head.split()[1] == str(status)
+    assert f"Ran: {ran}" in head.split("\r\n")
--- a/tests/test_stop_decisions.py
+++ b/tests/test_stop_decisions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +16,7 @@
 from marjoramgrade.decisions.stopping.answers import WorkKind, end_wait, refuse
 from marjoramgrade.decisions.stopping.schedule import (
     FLUSH_MS,
+    HANDOVER_MS,
     NOTICE_MS,
     SERVICE_MS,
     StopPhase,
@@ -64,6 +66,16 @@
     assert phases[2] is StopPhase.CLOSING
 
 
+@given(st.integers(0, 10**12), st.integers(0, 600_000))
+def test_phases_of_a_stop_with_handover_follow_each_other(began_ms, drain_ms):
+    # Guards against a wait that outlasts `shutdown_ms`, or a handover without time.
+    schedule = StopSchedule.from_drain(began_ms, drain_ms)
+    times = attrs.astuple(schedule)
+    assert list(times) == sorted(times)
+    assert schedule.answer_ms == began_ms + drain_ms
+    assert schedule.close_ms == schedule.answer_ms + HANDOVER_MS
+
+
 @given(st.integers(0, 7_000), st.integers(0, 7_000))
 def test_process_that_fails_while_it_stops_does_not_stop_later(failed_ms, grace_ms):
     # Guards against an end that a failure moves beyond the kill.
--- /dev/null
+++ b/tests/test_stopping_v1.py
@@ -0,0 +1,211 @@
+"""What callers of the `/v1` interface get from an instance that stops."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import signal
+import time
+
+import attrs
+import pytest
+from tornado.simple_httpclient import HTTPStreamClosedError
+
+from marjoramgrade.entry import KNOWN_NAMES, EntryInstance
+from marjoramgrade.settingsfile import read_entry_settings
+from standins.cell import OPERATOR_SECRET, Cell
+from standins.processes import EntryPlan
+
+TEAM = "hospices"
+SHUTDOWN_MS = 2_000
+# Longer than the whole stop, so that no request ends by itself.
+WORK_MS = 12_000
+# What a busy machine may add to the times of a stop.
+SLACK_S = 1.5
+
+
+@attrs.frozen
+class Answer:
+    """An answer of an instance; status 0 if the connection ended without one."""
+
+    status: int
+    code: str = ""
+    ran: str = ""
+    connection: str = ""
+
+
+async def _run_request(cell: Cell, plan: EntryPlan, number: int, secret: str) -> Answer:
+    try:
+        response = await cell.fetch(
+            f"{plan.url}/v1/run/{cell.service}",
+            "POST",
+            body={"work_ms": WORK_MS},
+            secret=secret,
+            headers={"Request-Id": f"r{number}", "Deadline-Ms": "30000"},
+            timeout_s=30,
+        )
+    except (OSError, HTTPStreamClosedError):
+        return Answer(0)
+    error = json.loads(response.body).get("error", {})
+    return Answer(
+        response.code,
+        error.get("code", ""),
+        response.headers.get("Ran", ""),
+        response.headers.get("Connection", ""),
+    )
+
+
+async def _wait_for_runs(cell: Cell, count: int) -> None:
+    async def has_runs() -> bool:
+        backends = await cell.counters("backend")
+        return sum(len(server["runs"]) for server in backends.values()) >= count
+
+    await cell.wait_until(has_runs)
+
+
+async def _read_all(plan: EntryPlan, path: str) -> bytes:
+    """Send a GET on a new connection and return all that comes until it is closed."""
+    reader, writer = await asyncio.open_connection(plan.host, plan.http_port)
+    head = f"GET {path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {OPERATOR_SECRET}"
+    writer.write(f"{head}\r\n\r\n".encode())
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+async def _stop(cell: Cell, plan: EntryPlan) -> float:
+    """Send SIGTERM and return the time until the process has ended."""
+    process = cell.process_by_name[plan.instance_id]
+    began_s = time.monotonic()
+    process.send(signal.SIGTERM)
+    while process.popen.poll() is None:
+        await asyncio.sleep(0.02)
+        assert time.monotonic() < began_s + 40
+    assert process.popen.returncode == 0
+    return time.monotonic() - began_s
+
+
+def _log_of(cell: Cell, plan: EntryPlan) -> list[dict[str, object]]:
+    text = cell.process_by_name[plan.instance_id].log.read_text()
+    return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+
+def _cell(folder: pathlib.Path, entries: int = 2, **settings: int) -> Cell:
+    return Cell(
+        folder,
+        zones=("leeds",),
+        entries_per_zone=entries,
+        extra_settings={"shutdown_ms": SHUTDOWN_MS, **settings},
+    )
+
+
+@attrs.frozen
+class ForwarderStop:
+    """What the clients of an instance that owns no shard get when it stops.
+
+    Attributes:
+        answer: The answer to a request that another instance runs.
+        watch: All that was sent on a connection with a watch.
+        idle_s: When an idle connection was closed, since SIGTERM.
+        answered_s: When the answer came, since SIGTERM.
+        lines: Log of the instance.
+    """
+
+    answer: Answer
+    watch: bytes
+    idle_s: float
+    answered_s: float
+    lines: list[dict[str, object]]
+
+
+@pytest.fixture(scope="module")
+def forwarder_stop(tmp_path_factory: pytest.TempPathFactory) -> ForwarderStop:
+    async def run() -> ForwarderStop:
+        async with _cell(tmp_path_factory.mktemp("forwarder")) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            owner = await cell.owner_of("leeds.0")
+            (other,) = [plan for plan in cell.running_entries() if plan != owner]
+            idle = asyncio.create_task(_read_all(other, "/ready"))
+            watch = asyncio.create_task(_read_all(other, "/v1/watch"))
+            request = asyncio.create_task(_run_request(cell, other, 1, secret))
+            await _wait_for_runs(cell, 1)
+            began_s = time.monotonic()
+
+            async def timed(task: asyncio.Task[object]) -> float:
+                await task
+                return time.monotonic() - began_s
+
+            idle_s, answered_s, sent, _ = await asyncio.gather(
+                timed(idle),
+                timed(request),
+                watch,
+                _stop(cell, other),
+            )
+            lines = _log_of(cell, other)
+            return ForwarderStop(request.result(), sent, idle_s, answered_s, lines)
+
+    return asyncio.run(run())
+
+
+def test_a_forwarded_request_is_answered_before_the_end(
+    forwarder_stop: ForwarderStop,
+) -> None:
+    """Guards against a request whose connection is cut while another instance runs it.
+
+    It had been dispatched, so that its outcome is unknown to the instance that stops.
+    """
+    answer = Answer(502, "outcome_unknown", "unknown", "close")
+    assert forwarder_stop.answer == answer
+    assert forwarder_stop.answered_s < SHUTDOWN_MS / 1_000 + SLACK_S
+
+
+def test_a_failed_instance_answers_what_is_in_flight(tmp_path: pathlib.Path) -> None:
+    """Guards against requests that are cut off by a process whose actor has failed."""
+
+    async def run() -> None:
+        async with _cell(tmp_path, entries=1) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            plan = cell.plan_entry("leeds", "leeds-entry-in-process")
+            document = json.loads((tmp_path / "leeds-entry-1.json").read_text())
+            document.update(
+                instance_id=plan.instance_id,
+                host=plan.host,
+                http_port=plan.http_port,
+                peer_port=plan.peer_port,
+            )
+            path = tmp_path / "in-process.json"
+            path.write_text(json.dumps(document))
+            cell.instances.append(
+                {
+                    "instance_id": plan.instance_id,
+                    "kind": "entry",
+                    "zone": plan.zone,
+                    "host": plan.host,
+                    "port": plan.http_port,
+                }
+            )
+            await cell.publish_instances()
+            settings = read_entry_settings(path, KNOWN_NAMES)
+            async with EntryInstance.from_config(settings) as instance:
+
+                async def has_free_slots() -> bool:
+                    status = await cell.fetch_json(f"{plan.url}/v1/status")
+                    shards = status.get("shards", [])
+                    return any(sum(s.get("free_slots", {}).values()) for s in shards)
+
+                await cell.wait_until(has_free_slots)
+                request = asyncio.create_task(_run_request(cell, plan, 1, secret))
+                await _wait_for_runs(cell, 1)
+                failed_s = time.monotonic()
+                instance._stack.failed.set()
+                assert not await instance.wait_for_stop(asyncio.Event())
+                # The context ends as in `serve`.
+            assert time.monotonic() - failed_s < SHUTDOWN_MS / 1_000 - 0.2
+            answer = Answer(502, "outcome_unknown", "unknown", "close")
+            assert await request == answer
+
+    asyncio.run(run())
