End watches and idle connections of /v1 while an instance stops

A client with a watch saw its chunked response cut off, as by a failure of the connection, and one with an idle connection learned of the stop only after the last request had ended, up to shutdown_ms later.

Cause: a watch waited for its next change until the connections were closed, a new one was accepted during the stop, and idle connections were closed by finish alone.

Change: EndWatches ends the subscriptions and refuses new ones; the response is then completed.

The test of the log lines is here, as it needs watches to have ended.

--- a/marjoramgrade/adapters/httpfront.py
+++ b/marjoramgrade/adapters/httpfront.py
@@ -235,7 +235,8 @@
         self.set_header("Content-Type", "application/x-ndjson")
         self.progress.waits_for = "change"
         try:
-            while self.state.is_ready:
+            # It ends by `EndWatches`; the response is then completed.
+            while True:
                 for event in await subscription.next_events():
                     line = jsontext.serialize_text(serialize_watch_event(event))
                     self.write(line + "\n")
--- a/marjoramgrade/controllers/watch.py
+++ b/marjoramgrade/controllers/watch.py
@@ -98,6 +98,11 @@
     subscription: Subscription
 
 
+@attrs.frozen
+class EndWatches(Message[None]):
+    """Ends every watch and refuses new ones, since the instance is stopping."""
+
+
 class WatchController(Actor):
     """Owns the latest changes and the subscriptions."""
 
@@ -105,6 +110,7 @@
         super().__init__()
         self._events: deque[WatchEvent] = deque(maxlen=MAX_RETAINED_EVENTS)
         self._subscriptions: set[Subscription] = set()
+        self._is_ending = False
         self._config_version = 0
         self._jobs_read_version = 0
         self._config_read_version = 0
@@ -119,6 +125,14 @@
 
     async def on_stop(self) -> None:
         """End every watch."""
+        self._close_subscriptions()
+
+    @handles(EndWatches)
+    async def _end_watches(self, message: EndWatches) -> None:
+        self._is_ending = True
+        self._close_subscriptions()
+
+    def _close_subscriptions(self) -> None:
         for subscription in self._subscriptions:
             subscription.close()
 
@@ -148,6 +162,8 @@
 
     @handles(Subscribe)
     async def _subscribe(self, message: Subscribe) -> Subscription:
+        if self._is_ending:
+            raise ShuttingDownError("this instance is shutting down")
         if message.after is None or message.after < self._discarded_version:
             subscription = Subscription(message.team, self._published_version)
             subscription.put(WatchEvent(self._published_version, "reset"))
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -18,6 +18,7 @@
 from marjoramgrade.clock import SystemClock
 from marjoramgrade.composition import ControllerBuilder, ControllerSet
 from marjoramgrade.controllers.routes import SEND_INTERVAL_MS
+from marjoramgrade.controllers.watch import EndWatches
 from marjoramgrade.decisions.placement import PLACEMENTS
 from marjoramgrade.decisions.preemption import PREEMPTIONS
 from marjoramgrade.decisions.queues import QUEUE_ORDERS
@@ -100,7 +101,9 @@
         assert schedule is not None
         self.stopping.log_held("shutting_down")
         self._state.is_ready = False
+        closing_idle = asyncio.create_task(self._close_idle(schedule))
         await self._hand_over(self._state, self._controllers, schedule)
+        closing_idle.cancel()
         self.stopping.log_held("drained")
 
     async def _hand_over(
@@ -119,12 +122,25 @@
     def _left_ms(self, until_ms: int) -> int:
         return max(until_ms - self._clock.now_ms(), 0)
 
+    async def _close_idle(self, schedule: StopSchedule) -> None:
+        """End watches and close idle connections once no new ones should come."""
+        await asyncio.sleep(self._left_ms(schedule.idle_ms) / 1000)
+        self._end_watches()
+        while self._front_server is not None:
+            self._front_server.close_idle()
+            await asyncio.sleep(SHUTDOWN_POLL_MS / 1000)
+
+    def _end_watches(self) -> None:
+        if self._controllers is not None:
+            self._controllers.watch.tell_soon(EndWatches())
+
     async def _finish_front(self) -> None:
         """Answer what is in flight, and serve the connections that wait."""
         assert self._state is not None and self._front_server is not None
         self._state.is_ready = False
         if self.stopping.schedule is None or self._stack.failed.is_set():
             self.stopping.end_now()
+        self._end_watches()
         schedule = self.stopping.schedule
         assert schedule is not None
         left_ms = self._left_ms(schedule.close_ms)
--- a/tests/test_stopping_v1.py
+++ b/tests/test_stopping_v1.py
@@ -162,6 +162,29 @@
     assert forwarder_stop.answered_s < SHUTDOWN_MS / 1_000 + SLACK_S
 
 
+def test_a_watch_ends_with_a_complete_response(forwarder_stop: ForwarderStop) -> None:
+    """Guards against a watch that ends like a failure of the connection."""
+    assert forwarder_stop.watch.startswith(b"HTTP/1.1 200")
+    assert forwarder_stop.watch.endswith(b"\r\n0\r\n\r\n")
+
+
+def test_an_idle_connection_is_closed_while_requests_are_in_flight(
+    forwarder_stop: ForwarderStop,
+) -> None:
+    """Guards against clients that are told of a long stop only at its end."""
+    assert forwarder_stop.idle_s < SHUTDOWN_MS / 1_000 - 0.2
+
+
+def test_the_log_says_what_was_in_flight(forwarder_stop: ForwarderStop) -> None:
+    """Guards against a stop of which the log doesn't tell what it ended."""
+    line_by_event = {line["event"]: line for line in forwarder_stop.lines}
+    assert line_by_event["shutting_down"]["waiting"] == "RunRequest=1,change=1"
+    assert line_by_event["clients_closing"]["in_flight"] == 0
+    ended = str(line_by_event["ended_while_stopping"]["entries"])
+    assert "r1/POST/" in ended
+    assert "/RunRequest/502" in ended
+
+
 def test_a_failed_instance_answers_what_is_in_flight(tmp_path: pathlib.Path) -> None:
     """Guards against requests that are cut off by a process whose actor has failed."""
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,7 +1,10 @@
 import asyncio
 
+import pytest
+
 from marjoramgrade.actor import ActorGroup
-from marjoramgrade.controllers.watch import Subscribe, WatchController
+from marjoramgrade.controllers.watch import EndWatches, Subscribe, WatchController
+from marjoramgrade.errors import ShuttingDownError
 from marjoramgrade.messages.configuration import ConfigConfirmed
 from marjoramgrade.messages.jobs import JobsChanged, StoredJob
 from marjoramgrade.model import Config, Job, JobKind, JobSpec
@@ -69,3 +72,21 @@
             assert [e.version for e in await subscription.next_events()] == [6]
 
     asyncio.run(run())
+
+
+def test_a_stop_ends_watches_and_refuses_new_ones() -> None:
+    """Guards against a watch that begins while its instance stops and is cut off."""
+
+    async def run() -> None:
+        watch = WatchController()
+        async with ActorGroup() as actors:
+            await actors.add(watch)
+            subscription = await watch.ask(Subscribe(None))
+            assert [e.kind for e in await subscription.next_events()] == ["reset"]
+            await watch.ask(EndWatches())
+            with pytest.raises(ShuttingDownError):
+                await asyncio.wait_for(subscription.next_events(), 5)
+            with pytest.raises(ShuttingDownError):
+                await watch.ask(Subscribe(None))
+
+    asyncio.run(run())
