Bound the drain and the handover of shards of a /v1 instance

An instance that was told to stop went on for as long as its backend servers took for requests that it had dispatched, or as the table took for the release of its shards. Whoever sent SIGKILL by then cut off what was in flight, also for callers of other instances.

Cause: DrainRequests, ReleaseShards and the wait for new owners had no bound. A failed actor does not reply, so that the drain waited for it in vain.

Change: DrainRequests carries the time left until all waits end; the dispatcher then answers what it has dispatched as unknown, to other instances as well, before the shard is released. The handover as a whole ends with the schedule (handover_abandoned), or at once when an actor fails. The deletion of the row gets 0.2 s.

--- a/marjoramgrade/controllers/dispatch.py
+++ b/marjoramgrade/controllers/dispatch.py
@@ -112,7 +112,7 @@
         self._routes = tuple(routes)
         self._slots = SlotPool()
         self._running_by_team: Counter[str] = Counter()
-        self._send_tasks: set[asyncio.Task[None]] = set()
+        self._waiting_by_send: dict[asyncio.Task[None], _Waiting] = {}
         self._is_draining = False
         self._backend_by_id: dict[str, Instance] = {}
         self._queue_by_service: dict[str, RequestQueue[_Waiting]] = {}
@@ -178,11 +178,19 @@
         for queue in self._queue_by_service.values():
             for waiting in queue.pop_if(lambda item: True):
                 _refuse(waiting, NotOwnerError("the shard is being released"))
-        return self.spawn(self._wait_for_send_tasks())
-
-    async def _wait_for_send_tasks(self) -> None:
-        while self._send_tasks:
-            await asyncio.wait(self._send_tasks)
+        return self.spawn(self._finish_sends(message.remaining_ms))
+
+    async def _finish_sends(self, remaining_ms: int) -> None:
+        """Wait for the dispatched requests, and answer those that take too long."""
+        until_ms = self._clock.now_ms() + remaining_ms
+        while self._waiting_by_send:
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                break
+            await asyncio.wait(self._waiting_by_send, timeout=left_ms / 1000)
+        for waiting in self._waiting_by_send.values():
+            error = OutcomeUnknownError("the owner stops before the outcome is known")
+            _refuse(waiting, error)
 
     def _make_grants(self, epoch: int) -> GrantManager:
         grants = GrantManager(
@@ -221,8 +229,8 @@
             assert backend_id is not None
             self._running_by_team[waiting.request.team] += 1
             send_task = self.spawn(self._send(waiting, backend_id))
-            self._send_tasks.add(send_task)
-            send_task.add_done_callback(self._send_tasks.discard)
+            self._waiting_by_send[send_task] = waiting
+            send_task.add_done_callback(self._waiting_by_send.pop)
 
     def _may_run(self, team: str) -> bool:
         return self._grants.may_use(team, ONE_SLOT, self._usage_of(team))
--- a/marjoramgrade/controllers/members.py
+++ b/marjoramgrade/controllers/members.py
@@ -42,6 +42,9 @@
 READ_INTERVAL_MS = 1_000
 # Longer than every lease that a member may hold.
 REMOVE_AFTER_MS = 10_000
+# A table that responds takes some 10 ms. A process that stops has 500 ms after its
+# connections are closed; the others remove the row if it is left.
+LEAVE_TIMEOUT_MS = 200
 
 
 class MembersController(Actor):
@@ -91,8 +94,9 @@
         for link in self._link_by_id.values():
             await link.stop()
         try:
-            await self._store.delete_member(self._own.instance_id)
-        except TableError:
+            async with asyncio.timeout(LEAVE_TIMEOUT_MS / 1000):
+                await self._store.delete_member(self._own.instance_id)
+        except (TableError, TimeoutError):
             self._metrics.retried("member_delete_table_error")
 
     @handles(CallPeer)
--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -93,8 +93,12 @@
             wait.cancel()
         return not self._stack.failed.is_set()
 
-    async def drain(self) -> None:
-        """Refuse new requests, end running requests in time and release the shards."""
+    async def drain(self) -> bool:
+        """Refuse new requests, end running requests in time and release the shards.
+
+        Returns:
+            Whether no actor has failed.
+        """
         assert self._state is not None and self._controllers is not None
         self.stopping.begin_drain(self._settings.shutdown_ms)
         schedule = self.stopping.schedule
@@ -102,9 +106,25 @@
         self.stopping.log_held("shutting_down")
         self._state.is_ready = False
         closing_idle = asyncio.create_task(self._close_idle(schedule))
-        await self._hand_over(self._state, self._controllers, schedule)
-        closing_idle.cancel()
+        handing_over = asyncio.create_task(
+            self._hand_over(self._state, self._controllers, schedule)
+        )
+        # A failed actor does not reply.
+        failing = asyncio.create_task(self._stack.failed.wait())
+        await asyncio.wait(
+            (handing_over, failing),
+            timeout=self._left_ms(schedule.close_ms) / 1000,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if handing_over.done():
+            handing_over.result()
+        else:
+            # Other instances take over when the leases have lapsed.
+            logs.log_event("handover_abandoned", waited_ms=self.stopping.since_ms)
+        for task in (closing_idle, handing_over, failing):
+            task.cancel()
         self.stopping.log_held("drained")
+        return not self._stack.failed.is_set()
 
     async def _hand_over(
         self, state: HttpServerState, controllers: ControllerSet, schedule: StopSchedule
@@ -114,8 +134,9 @@
             await asyncio.sleep(SHUTDOWN_POLL_MS / 1000)
             late_ms = self._clock.now_ms() - before_ms - SHUTDOWN_POLL_MS
             self.stopping.record_turn(late_ms)
+        drain = DrainRequests(self._left_ms(schedule.answer_ms))
         dispatchers = controllers.dispatcher_by_shard.values()
-        await asyncio.gather(*(d.ask(DrainRequests()) for d in dispatchers))
+        await asyncio.gather(*(d.ask(drain) for d in dispatchers))
         await controllers.ownership.ask(ReleaseShards())
         await self._wait_for_new_owners(controllers.routes)
 
@@ -237,7 +258,7 @@
     async with instance:
         is_working = await instance.wait_for_stop(stop)
         if is_working:
-            await instance.drain()
+            is_working = await instance.drain()
     instance.stopping.log_held("stopped", failed=not is_working)
     logs.flush_batches()
     if not is_working:
--- a/marjoramgrade/messages/ownership.py
+++ b/marjoramgrade/messages/ownership.py
@@ -30,8 +30,14 @@
 
     The reply comes when the dispatched requests have ended. Requests that wait for
     a slot are refused and have not run.
+
+    Attributes:
+        remaining_ms: Time after which dispatched requests are answered with an unknown
+            outcome.
     """
 
+    remaining_ms: int
+
 
 @attrs.frozen
 class ReleaseShards(Message[None]):
--- a/tests/test_stopping_v1.py
+++ b/tests/test_stopping_v1.py
@@ -7,11 +7,13 @@
 import pathlib
 import signal
 import time
+from collections import Counter
 
 import attrs
 import pytest
 from tornado.simple_httpclient import HTTPStreamClosedError
 
+from marjoramgrade.decisions.stopping.schedule import EXIT_MS, HANDOVER_MS
 from marjoramgrade.entry import KNOWN_NAMES, EntryInstance
 from marjoramgrade.settingsfile import read_entry_settings
 from standins.cell import OPERATOR_SECRET, Cell
@@ -23,6 +25,9 @@
 WORK_MS = 12_000
 # What a busy machine may add to the times of a stop.
 SLACK_S = 1.5
+STOP_S = (SHUTDOWN_MS + HANDOVER_MS + EXIT_MS) / 1_000
+# More than the 16 slots of the two backend servers.
+REQUESTS = 40
 
 
 @attrs.frozen
@@ -185,7 +190,70 @@
     assert "/RunRequest/502" in ended
 
 
-def test_a_failed_instance_answers_what_is_in_flight(tmp_path: pathlib.Path) -> None:
+def test_an_owner_answers_truly_and_stops_in_time(tmp_path: pathlib.Path) -> None:
+    """Guards against an owner that waits for its backend servers without a bound.
+
+    Half of the requests come through the other instance, whose callers are told as
+    well. Only what still waits for a slot is reported as not run.
+    """
+
+    async def run() -> None:
+        async with _cell(tmp_path) as cell:
+            secret = (await cell.seed({TEAM: {"share": 1}}))[TEAM]
+            await cell.wait_for_shards()
+            owner = await cell.owner_of("leeds.0")
+            plans = sorted(cell.running_entries(), key=lambda plan: plan != owner)
+            requests = [
+                asyncio.create_task(_run_request(cell, plans[n % 2], n, secret))
+                for n in range(REQUESTS)
+            ]
+            await _wait_for_runs(cell, 16)
+            backends = await cell.counters("backend")
+            began = [
+                n
+                for n in range(REQUESTS)
+                for b in backends.values()
+                if f"r{n}" in b["runs"]
+            ]
+            stop_s = await _stop(cell, owner)
+            backends = await cell.counters("backend")
+            ran = sum((Counter(b["runs"]) for b in backends.values()), Counter())
+            assert stop_s < STOP_S + SLACK_S
+            # What came through the other instance and has not run may run there now.
+            ended = {n for n in range(REQUESTS) if n % 2 == 0} | set(began)
+            answers = {n: requests[n].result() for n in ended}
+            assert {answer.status for answer in answers.values()} <= {502, 503}
+            assert {answers[n].ran for n in began} == {"unknown"}
+            reported_not_run = [n for n, a in answers.items() if a.ran == "no"]
+            assert reported_not_run
+            assert not [n for n in reported_not_run if ran[f"r{n}"]]
+            for task in requests:
+                task.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_stop_ends_in_time_without_the_table(tmp_path: pathlib.Path) -> None:
+    """Guards against a release of many shards that waits for the table each time."""
+
+    async def run() -> None:
+        async with _cell(tmp_path, entries=1, shards_per_zone=6) as cell:
+            await cell.seed({TEAM: {"share": 1}})
+            (plan,) = cell.running_entries()
+            for number in range(6):
+                await cell.owner_of(f"leeds.{number}")
+            await cell.control_platform(slow_ms=20_000)
+            assert await _stop(cell, plan) < STOP_S + SLACK_S
+            events = [line["event"] for line in _log_of(cell, plan)]
+            assert "handover_abandoned" in events
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_draining", [False, True])
+def test_a_failed_instance_answers_what_is_in_flight(
+    tmp_path: pathlib.Path, is_draining: bool
+) -> None:
     """Guards against requests that are cut off by a process whose actor has failed."""
 
     async def run() -> None:
@@ -223,9 +291,14 @@
                 await cell.wait_until(has_free_slots)
                 request = asyncio.create_task(_run_request(cell, plan, 1, secret))
                 await _wait_for_runs(cell, 1)
+                draining = None
+                if is_draining:
+                    draining = asyncio.create_task(instance.drain())
+                    await asyncio.sleep(0.1)
                 failed_s = time.monotonic()
                 instance._stack.failed.set()
                 assert not await instance.wait_for_stop(asyncio.Event())
+                assert draining is None or not await draining
                 # The context ends as in `serve`.
             assert time.monotonic() - failed_s < SHUTDOWN_MS / 1_000 - 0.2
             answer = Answer(502, "outcome_unknown", "unknown", "close")
