End a process as soon as all of its parts are closed

The end of the interpreter waits for threads and frees the whole state. All that the process owns is closed by then, so it now exits at once.

--- a/marjoramgrade/entry.py
+++ b/marjoramgrade/entry.py
@@ -111,6 +111,7 @@
         )
         # A failed actor does not reply.
         failing = asyncio.create_task(self._stack.failed.wait())
+        watching = asyncio.create_task(self.stopping.watch_turns())
         await asyncio.wait(
             (handing_over, failing),
             timeout=self._left_ms(schedule.close_ms) / 1000,
@@ -121,7 +122,7 @@
         else:
             # Other instances take over when the leases have lapsed.
             logs.log_event("handover_abandoned", waited_ms=self.stopping.since_ms)
-        for task in (closing_idle, handing_over, failing):
+        for task in (closing_idle, handing_over, failing, watching):
             task.cancel()
         self.stopping.log_held("drained")
         return not self._stack.failed.is_set()
@@ -130,10 +131,7 @@
         self, state: HttpServerState, controllers: ControllerSet, schedule: StopSchedule
     ) -> None:
         while state.in_flight and self._left_ms(schedule.refuse_ms):
-            before_ms = self._clock.now_ms()
             await asyncio.sleep(SHUTDOWN_POLL_MS / 1000)
-            late_ms = self._clock.now_ms() - before_ms - SHUTDOWN_POLL_MS
-            self.stopping.record_turn(late_ms)
         drain = DrainRequests(self._left_ms(schedule.answer_ms))
         dispatchers = controllers.dispatcher_by_shard.values()
         await asyncio.gather(*(d.ask(drain) for d in dispatchers))
--- a/marjoramgrade/platform/daemon.py
+++ b/marjoramgrade/platform/daemon.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, NoReturn
 
 from tornado.httpserver import HTTPServer
 
@@ -307,7 +307,19 @@
     return wanted if allowed == resource.RLIM_INFINITY else min(wanted, allowed)
 
 
-async def _serve(settings: InstanceSettings, path: pathlib.Path) -> int:
+def _exit(status: int) -> NoReturn:
+    """End the process, all parts of which are closed.
+
+    With a large state the interpreter takes hundreds of milliseconds for its own end,
+    in which it waits for threads, a SIGHUP ends it with that signal, and SIGKILL can
+    come first.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
+
+
+async def _serve(settings: InstanceSettings, path: pathlib.Path) -> NoReturn:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     daemon = EntryDaemon.from_config(settings)
@@ -331,7 +343,7 @@
         await daemon.drain()
     daemon.stopping.log_held("stopped")
     logs.flush_batches()
-    return 1 if daemon.failed.is_set() else 0
+    _exit(1 if daemon.failed.is_set() else 0)
 
 
 def _reload(path: pathlib.Path, current: InstanceSettings) -> None:
