--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -316,6 +316,24 @@
     assert frontend.retry_after_s(NoLeaderError("nobody")) == 1
 
 
+@contextlib.asynccontextmanager
+async def connected_client(served):
+    """Serve with one filter, and yield the streams of a client of it."""
+    front = ClientFrontend(
+        FilterChain([served], MemoryMetrics()), SystemClock(), MemoryMetrics()
+    )
+    server = front.make_server()
+    server.listen(0, "127.0.0.1")
+    (listening,) = server._sockets.values()
+    reader, writer = await asyncio.open_connection(*listening.getsockname())
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        server.stop()
+        await server.close_all_connections()
+
+
 class ConfiguredFilter(Filter):
     """Answers, or refuses, under a configuration of a known version and age."""
 
@@ -338,27 +356,16 @@
     logs.configure(stream)
 
     async def run():
-        front = ClientFrontend(
-            FilterChain([ConfiguredFilter()], MemoryMetrics()),
-            SystemClock(),
-            MemoryMetrics(),
-        )
-        server = front.make_server()
-        server.listen(0, "127.0.0.1")
-        (listening,) = server._sockets.values()
-        reader, writer = await asyncio.open_connection(*listening.getsockname())
-        for path, request_id in (("/q/", "00aa"), ("/q/gone/", "00bb")):
-            head = (
-                f"GET {path} HTTP/1.1\r\nHost: a:80\r\nRequest-Id: {request_id}\r\n\r\n"
-            )
-            writer.write(head.encode())
-            answer = (await reader.readuntil(b"\r\n\r\n")).decode()
-            length = int(answer.lower().split("content-length: ")[1].split("\r\n")[0])
-            await reader.readexactly(length)
-        logs.flush_batches()
-        writer.close()
-        server.stop()
-        await server.close_all_connections()
+        async with connected_client(ConfiguredFilter()) as (reader, writer):
+            for path, request_id in (("/q/", "00aa"), ("/q/gone/", "00bb")):
+                head = f"GET {path} HTTP/1.1\r\nHost: a:80\r\nRequest-Id: {request_id}\r\n\r\n"
+                writer.write(head.encode())
+                answer = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = int(
+                    answer.lower().split("content-length: ")[1].split("\r\n")[0]
+                )
+                await reader.readexactly(length)
+            logs.flush_batches()
 
     asyncio.run(run())
     lines = [msgspec.json.decode(line) for line in stream.getvalue().splitlines()]
@@ -440,31 +447,18 @@
 
 
 @pytest.mark.parametrize(
-    ("request_head", "status"), [(b"GET /q/ HTTP/1.1", 502), (post("/q/7"), 504)]
+    ("sent", "status"),
+    [(b"GET /q/ HTTP/1.1\r\nHost: a:80\r\n\r\n", 502), (post("/q/7"), 504)],
 )
-def test_request_that_fails_unexpectedly_is_answered(request_head, status):
+def test_request_that_fails_unexpectedly_is_answered(sent, status):
     # Guards against a request that was read and is never answered, and whose
     # connection the end of the process closes (LOST, issue 51).
     async def run():
-        front = ClientFrontend(
-            FilterChain([FailingFilter()], MemoryMetrics()),
-            SystemClock(),
-            MemoryMetrics(),
-        )
-        server = front.make_server()
-        server.listen(0, "127.0.0.1")
-        (listening,) = server._sockets.values()
-        reader, writer = await asyncio.open_connection(*listening.getsockname())
-        if not request_head.startswith(b"POST"):
-            writer.write(request_head + b"\r\nHost: a:80\r\n\r\n")
-        else:
-            writer.write(request_head)
-        async with asyncio.timeout(5):
-            line = await reader.readline()
-        assert int(line.split()[1]) == status
-        writer.close()
-        server.stop()
-        await server.close_all_connections()
+        async with connected_client(FailingFilter()) as (reader, writer):
+            writer.write(sent)
+            async with asyncio.timeout(5):
+                line = await reader.readline()
+            assert int(line.split()[1]) == status
 
     asyncio.run(run())
 
