--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -358,7 +358,8 @@
     async def run():
         async with connected_client(ConfiguredFilter()) as (reader, writer):
             for path, request_id in (("/q/", "00aa"), ("/q/gone/", "00bb")):
-                head = f"GET {path} HTTP/1.1\r\nHost: a:80\r\nRequest-Id: {request_id}\r\n\r\n"
+                head = f"GET {path} HTTP/1.1\r\nHost: a:80\r\n"
+                head += f"Request-Id: {request_id}\r\n\r\n"
                 writer.write(head.encode())
                 answer = (await reader.readuntil(b"\r\n\r\n")).decode()
                 length = int(
